--- /dev/null
+++ b/crates/batch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Batch jobs: files, chunks, leases, commits and results.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load driver for the four measures.
--- /dev/null
+++ b/crates/core/src/response.rs
@@ -0,0 +1,85 @@
+//! HTTP form of a [`Problem`]: the `OpenAI` error envelope with `result` and `executed`.
+
+use crate::problem::Problem;
+use actix_web::http::StatusCode;
+use actix_web::http::header::RETRY_AFTER;
+use actix_web::{HttpResponse, ResponseError};
+use serde::Serialize;
+
+/// Header with the number of the result code.
+pub const RESULT_HEADER: &str = "plantainmill-result";
+/// Header that says whether the request was executed.
+pub const EXECUTED_HEADER: &str = "plantainmill-executed";
+
+/// Outer object of an error answer.
+#[derive(Debug, Serialize)]
+pub struct ErrorEnvelope<'a> {
+    /// The error.
+    pub error: ErrorBody<'a>,
+}
+
+/// Error object as `OpenAI` clients expect it, with two more fields.
+#[derive(Debug, Serialize)]
+pub struct ErrorBody<'a> {
+    /// Reason for a person.
+    pub message: &'a str,
+    /// Coarse kind, by HTTP status.
+    #[serde(rename = "type")]
+    pub kind: &'static str,
+    /// Field at fault.
+    pub param: Option<&'a str>,
+    /// Name of the result code.
+    pub code: &'static str,
+    /// Number of the result code.
+    pub result: u16,
+    /// `no`, `yes` or `unknown`.
+    pub executed: &'static str,
+}
+
+impl Problem {
+    /// The JSON text of the error envelope, also used for the error event of a cut stream.
+    #[must_use]
+    pub fn to_json(&self) -> String {
+        let envelope = ErrorEnvelope {
+            error: ErrorBody {
+                message: &self.reason,
+                kind: error_kind(self.code.http_status()),
+                param: self.field.as_deref(),
+                code: self.code.name(),
+                result: self.code.number(),
+                executed: self.executed.as_str(),
+            },
+        };
+        serde_json::to_string(&envelope).unwrap_or_default()
+    }
+}
+
+impl ResponseError for Problem {
+    fn status_code(&self) -> StatusCode {
+        StatusCode::from_u16(self.code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        let mut builder = HttpResponse::build(self.status_code());
+        builder
+            .content_type("application/json")
+            .insert_header((RESULT_HEADER, self.code.number().to_string()))
+            .insert_header((EXECUTED_HEADER, self.executed.as_str()));
+        if let Some(delay) = self.retry_after {
+            // Whole seconds, rounded up: an earlier repeat would be refused again.
+            let seconds = delay.as_millis().div_ceil(1_000).max(1);
+            builder.insert_header((RETRY_AFTER, seconds.to_string()));
+        }
+        builder.body(self.to_json())
+    }
+}
+
+/// `OpenAI`'s error type for an HTTP status.
+fn error_kind(status: u16) -> &'static str {
+    match status {
+        401 | 403 => "authentication_error",
+        429 => "rate_limit_error",
+        400..=499 => "invalid_request_error",
+        _ => "server_error",
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,7 @@
+//! Target choice, tickets, classes, windows and retries.
+
+pub mod dispatcher;
+
+pub use dispatcher::{
+    CallOutcome, Dispatcher, PreemptSignal, TargetTicket, TicketRequest, TrafficClass,
+};
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP interface for callers.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Members of the fleet, seen by probes and digests.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! One VM: actors, listeners and graceful stop.
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Wanted state of targets and fenced orders.
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,11 @@
+//! HTTP clients for the platform, with the wire format of `schemas/platform.json`.
+
+mod client;
+mod engine;
+mod objects;
+mod tables;
+
+pub use client::ClientSettings;
+pub use engine::HttpEngine;
+pub use objects::HttpObjects;
+pub use tables::HttpPlatform;
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Process settings in TOML, checked in full at start.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of plantainmill.
+
+fn main() {}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the whole path over loopback.
