Process settings: read from TOML and checked in full

Cause: a VM has to refuse to start on bad settings and name every error. Change: SettingsReader collects each error with file, line and field; NodeSettings covers the VM, its listeners, the platform, secrets and limits.

--- /dev/null
+++ b/crates/settings/src/node.rs
@@ -0,0 +1,339 @@
+//! Settings of one VM.
+
+use crate::reader::{SettingsProblem, SettingsReader, SettingsSection};
+use crate::secrets::{LineProblem, OperatorKey, parse_fleet_secrets, parse_operator_keys};
+use compact_str::CompactString;
+use plantainmill_core::id::is_valid_id;
+use plantainmill_core::{DomainName, RegionName, VmId};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+/// Who and where the VM is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct VmSettings {
+    /// Identifier, unique in the fleet.
+    pub id: VmId,
+    /// Region.
+    pub region: RegionName,
+    /// Failure domain.
+    pub domain: DomainName,
+}
+
+/// Where the VM listens. Port 0 takes a free one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ListenSettings {
+    /// Callers, behind the platform's balancer.
+    pub callers: SocketAddr,
+    /// Operators.
+    pub operators: SocketAddr,
+    /// Other VMs of the system.
+    pub mesh: SocketAddr,
+}
+
+/// Where the platform is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlatformSettings {
+    /// Base URL of the table service, VM list and weight store.
+    pub table: String,
+    /// Base URL of the object store.
+    pub objects: String,
+    /// Time until the whole answer of a platform call.
+    pub timeout: Duration,
+}
+
+/// Limits of the process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LimitSettings {
+    /// Largest body of an online request, in bytes.
+    pub body_bytes: usize,
+    /// Largest uploaded file, in bytes.
+    pub file_bytes: usize,
+    /// Connections from callers at a time.
+    pub connections: usize,
+    /// Time from not ready until new requests are refused, for the balancer to notice.
+    pub balancer_wait: Duration,
+    /// Time for requests to finish at a stop before they are cut.
+    pub drain: Duration,
+}
+
+/// Everything a VM is started with.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NodeSettings {
+    /// Who and where the VM is.
+    pub vm: VmSettings,
+    /// Where it listens.
+    pub listen: ListenSettings,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// Keys of operators.
+    pub operator_keys: Vec<OperatorKey>,
+    /// Secrets that authenticate the VMs to each other, the signing one first.
+    pub fleet_secrets: Vec<CompactString>,
+    /// Limits.
+    pub limits: LimitSettings,
+}
+
+const MIB: u64 = 1024 * 1024;
+const BODY_DEFAULT_BYTES: u64 = 8 * MIB;
+const FILE_DEFAULT_BYTES: u64 = 512 * MIB;
+const CONNECTIONS_DEFAULT: u64 = 10_000;
+const BALANCER_WAIT_DEFAULT_MS: u64 = 5_000;
+const DRAIN_DEFAULT_MS: u64 = 120_000;
+const TIMEOUT_DEFAULT_MS: u64 = 3_000;
+const HOUR_MS: u64 = 3_600_000;
+
+impl NodeSettings {
+    /// Reads and checks the settings file, and the secret files it names.
+    ///
+    /// # Errors
+    ///
+    /// Gives every error, each with file, line and field.
+    pub fn load(path: &Path) -> Result<NodeSettings, Vec<SettingsProblem>> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            vec![SettingsProblem {
+                file: file.clone(),
+                line: 1,
+                field: String::new(),
+                reason: format!("cannot be read: {error}"),
+            }]
+        })?;
+        let directory = path.parent().unwrap_or(Path::new("."));
+        NodeSettings::parse(&file, &text, directory)
+    }
+
+    /// Checks settings given as text; secret files are looked up from `directory`.
+    ///
+    /// # Errors
+    ///
+    /// Gives every error, each with file, line and field.
+    pub fn parse(
+        file: &str,
+        text: &str,
+        directory: &Path,
+    ) -> Result<NodeSettings, Vec<SettingsProblem>> {
+        let mut reader = SettingsReader::new(file, text);
+        let vm = read_vm(&mut reader);
+        let listen = read_listen(&mut reader);
+        let platform = read_platform(&mut reader);
+        let limits = read_limits(&mut reader);
+        let mut secrets = reader.section("secrets");
+        let operator_keys = read_secret_file(
+            &mut reader,
+            &mut secrets,
+            "operator_keys_file",
+            directory,
+            parse_operator_keys,
+        );
+        let fleet_secrets = read_secret_file(
+            &mut reader,
+            &mut secrets,
+            "fleet_secrets_file",
+            directory,
+            parse_fleet_secrets,
+        );
+        reader.end_section(&secrets);
+        let problems = reader.finish();
+        match listen {
+            Some(listen) if problems.is_empty() => Ok(NodeSettings {
+                vm,
+                listen,
+                platform,
+                operator_keys,
+                fleet_secrets,
+                limits,
+            }),
+            _ => Err(problems),
+        }
+    }
+}
+
+fn read_vm(reader: &mut SettingsReader<'_>) -> VmSettings {
+    let mut section = reader.section("vm");
+    let settings = VmSettings {
+        id: read_id(reader, &mut section, "id"),
+        region: read_id(reader, &mut section, "region"),
+        domain: read_id(reader, &mut section, "domain"),
+    };
+    reader.end_section(&section);
+    settings
+}
+
+/// An identifier that is checked while it is parsed.
+struct CheckedId(CompactString);
+
+impl std::str::FromStr for CheckedId {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<CheckedId, ()> {
+        if is_valid_id(text) {
+            Ok(CheckedId(text.into()))
+        } else {
+            Err(())
+        }
+    }
+}
+
+fn read_id<'a>(
+    reader: &mut SettingsReader<'a>,
+    section: &mut SettingsSection<'a>,
+    key: &str,
+) -> CompactString {
+    let expected = "an identifier (1 to 64 of a-z A-Z 0-9 . _ -)";
+    let parsed: Option<CheckedId> = reader.parsed(section, key, expected);
+    parsed.map_or_else(CompactString::default, |id| id.0)
+}
+
+fn read_listen(reader: &mut SettingsReader<'_>) -> Option<ListenSettings> {
+    let mut section = reader.section("listen");
+    let expected = "an address such as 10.0.0.5:8080";
+    let callers = reader.parsed(&mut section, "callers", expected);
+    let operators = reader.parsed(&mut section, "operators", expected);
+    let mesh = reader.parsed(&mut section, "mesh", expected);
+    reader.end_section(&section);
+    Some(ListenSettings {
+        callers: callers?,
+        operators: operators?,
+        mesh: mesh?,
+    })
+}
+
+fn read_platform(reader: &mut SettingsReader<'_>) -> PlatformSettings {
+    let mut section = reader.section("platform");
+    let table = read_url(reader, &mut section, "table");
+    let objects = read_url(reader, &mut section, "objects");
+    let timeout = read_millis(reader, &mut section, "timeout_ms", TIMEOUT_DEFAULT_MS);
+    reader.end_section(&section);
+    PlatformSettings {
+        table,
+        objects,
+        timeout,
+    }
+}
+
+/// A base URL that is checked while it is parsed.
+struct CheckedUrl(String);
+
+impl std::str::FromStr for CheckedUrl {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<CheckedUrl, ()> {
+        let host = text
+            .strip_prefix("http://")
+            .map(|rest| rest.trim_end_matches('/'));
+        match host {
+            Some(host) if host.parse::<SocketAddr>().is_ok() => Ok(CheckedUrl(text.to_owned())),
+            _ => Err(()),
+        }
+    }
+}
+
+fn read_url<'a>(
+    reader: &mut SettingsReader<'a>,
+    section: &mut SettingsSection<'a>,
+    key: &str,
+) -> String {
+    let parsed: Option<CheckedUrl> =
+        reader.parsed(section, key, "a base URL such as http://10.0.0.9:7000");
+    parsed.map_or_else(String::new, |url| url.0)
+}
+
+fn read_limits(reader: &mut SettingsReader<'_>) -> LimitSettings {
+    let mut section = reader.section("limits");
+    let body = reader.number(
+        &mut section,
+        "body_bytes",
+        &(1..1024 * MIB),
+        BODY_DEFAULT_BYTES,
+    );
+    let file = reader.number(
+        &mut section,
+        "file_bytes",
+        &(1..64 * 1024 * MIB),
+        FILE_DEFAULT_BYTES,
+    );
+    let connections = reader.number(
+        &mut section,
+        "connections",
+        &(1..1_000_001),
+        CONNECTIONS_DEFAULT,
+    );
+    let balancer_wait = read_millis(
+        reader,
+        &mut section,
+        "balancer_wait_ms",
+        BALANCER_WAIT_DEFAULT_MS,
+    );
+    let drain = read_millis(reader, &mut section, "drain_ms", DRAIN_DEFAULT_MS);
+    reader.end_section(&section);
+    LimitSettings {
+        body_bytes: to_usize(body),
+        file_bytes: to_usize(file),
+        connections: to_usize(connections),
+        balancer_wait,
+        drain,
+    }
+}
+
+fn read_millis<'a>(
+    reader: &mut SettingsReader<'a>,
+    section: &mut SettingsSection<'a>,
+    key: &str,
+    default: u64,
+) -> Duration {
+    Duration::from_millis(reader.number(section, key, &(0..HOUR_MS + 1), default))
+}
+
+fn to_usize(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
+
+/// Reads the file that `key` names and reports its errors under the file's own name and line.
+fn read_secret_file<'a, T>(
+    reader: &mut SettingsReader<'a>,
+    section: &mut SettingsSection<'a>,
+    key: &str,
+    directory: &Path,
+    parse: fn(&str) -> Result<Vec<T>, LineProblem>,
+) -> Vec<T> {
+    let name = reader.text(section, key);
+    if name.is_empty() {
+        return Vec::new();
+    }
+    let path = directory.join(&name);
+    let parsed = std::fs::read_to_string(&path)
+        .map_err(|error| LineProblem::new(1, format!("cannot be read: {error}")))
+        .and_then(|text| parse(&text));
+    parsed.unwrap_or_else(|problem| {
+        let field = format!("secrets.{key}");
+        let place = format!("{}:{}", path.display(), problem.line);
+        reader.report(1, field, format!("{place}: {}", problem.reason));
+        Vec::new()
+    })
+}
+
+impl ListenSettings {
+    /// Three free ports on loopback.
+    #[must_use]
+    pub fn loopback() -> ListenSettings {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        ListenSettings {
+            callers: any,
+            operators: any,
+            mesh: any,
+        }
+    }
+}
+
+impl Default for LimitSettings {
+    fn default() -> LimitSettings {
+        LimitSettings {
+            body_bytes: to_usize(BODY_DEFAULT_BYTES),
+            file_bytes: to_usize(FILE_DEFAULT_BYTES),
+            connections: to_usize(CONNECTIONS_DEFAULT),
+            balancer_wait: Duration::from_millis(BALANCER_WAIT_DEFAULT_MS),
+            drain: Duration::from_millis(DRAIN_DEFAULT_MS),
+        }
+    }
+}
