--- /dev/null
+++ b/crates/placement/tests/lease_epochs.rs
@@ -0,0 +1,120 @@
+//! The lease of a failure domain's controller: never two holders, epochs only rise.
+
+use plantainmill_core::{Uptime, VmId};
+use plantainmill_placement::lease::{LEASE_RENEWAL, LEASE_TERM};
+use plantainmill_placement::{LeaseAction, LeaseRow, PlacementLease};
+use plantainmill_platform::Expected;
+use rstest::rstest;
+use std::time::Duration;
+
+/// The row of the table, with its revision.
+#[derive(Default)]
+struct TestRow {
+    content: Option<(LeaseRow, u64)>,
+    writes: u64,
+}
+
+impl TestRow {
+    fn write(&mut self, action: &LeaseAction) -> Option<u64> {
+        let found = self.content.as_ref().map(|(_, revision)| *revision);
+        let holds = match action.expected {
+            Expected::Absent => found.is_none(),
+            Expected::Revision(revision) => found == Some(revision),
+        };
+        if !holds {
+            return None;
+        }
+        self.writes += 1;
+        self.content = Some((action.row.clone(), self.writes));
+        Some(self.writes)
+    }
+
+    /// One round of `lease`; with `answered` false the answer of the write is lost.
+    fn round(&mut self, lease: &mut PlacementLease, now: Uptime, answered: bool) {
+        let Some(action) = lease.observe(self.content.clone(), now) else {
+            return;
+        };
+        if let Some(revision) = self.write(&action)
+            && answered
+        {
+            lease.written(&action.row, revision, now);
+        }
+    }
+}
+
+fn seconds(count: u64) -> Uptime {
+    Duration::from_secs(count)
+}
+
+fn leases() -> (PlacementLease, PlacementLease) {
+    (
+        PlacementLease::new(VmId::from("a")),
+        PlacementLease::new(VmId::from("b")),
+    )
+}
+
+#[test]
+fn paused_holder() {
+    let (mut first, mut second) = leases();
+    let mut row = TestRow::default();
+    row.round(&mut first, seconds(0), true);
+    assert_eq!(first.epoch(seconds(1)), Some(1));
+    // The first holder is paused from here on; the second one watches the row.
+    for second_count in 1..=20 {
+        let now = seconds(second_count);
+        row.round(&mut second, now, true);
+        let both = first.epoch(now).is_some() && second.epoch(now).is_some();
+        assert!(!both, "two holders at {now:?}");
+    }
+    assert_eq!(second.epoch(seconds(20)), Some(2));
+    row.round(&mut first, seconds(20), true);
+    assert_eq!(
+        first.epoch(seconds(20)),
+        None,
+        "the old holder lost by epoch"
+    );
+}
+
+#[rstest]
+#[case::renewed(true)]
+#[case::answers_lost(false)]
+fn renewal_answers(#[case] answered: bool) {
+    let (mut first, mut second) = leases();
+    let mut row = TestRow::default();
+    row.round(&mut first, seconds(0), true);
+    let mut now = Uptime::ZERO;
+    while now < LEASE_TERM * 3 {
+        now += LEASE_RENEWAL;
+        row.round(&mut first, now, answered);
+        row.round(&mut second, now, true);
+        assert!(first.epoch(now).is_none() || second.epoch(now).is_none());
+    }
+    assert_eq!(first.epoch(now).is_some(), answered);
+}
+
+#[test]
+fn lost_takeover() {
+    let (mut first, _) = leases();
+    let mut row = TestRow::default();
+    row.round(&mut first, seconds(0), false);
+    assert_eq!(
+        first.epoch(seconds(0)),
+        None,
+        "an unanswered write grants nothing"
+    );
+    row.round(&mut first, seconds(1), true);
+    row.round(&mut first, seconds(1) + LEASE_TERM, true);
+    assert_eq!(first.epoch(seconds(17)), Some(2));
+}
+
+#[test]
+fn released_lease() {
+    let (mut first, mut second) = leases();
+    let mut row = TestRow::default();
+    row.round(&mut first, seconds(0), true);
+    let release = first.release().expect("a held lease");
+    row.write(&release);
+    row.round(&mut second, seconds(1), true);
+    assert_eq!(second.epoch(seconds(1)), Some(2));
+    assert_eq!(first.epoch(seconds(1)), None);
+}
