Stand-ins of the platform and the engines over HTTP

Cause: the whole fleet has to run on loopback in one process, and the calls of targets need an engine that brings about every fault. Change: PlatformServer serves MemoryPlatform with the wire format of schemas/platform.json, with its own rates, faults, delay and counts. EngineServer answers chat and text completions, whole and streamed, or echoes calls of a plain service; it records each request it ran, counts cancelled work, reports its load with a lag, and takes fenced orders.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,8 +1,17 @@
 //! Stand-ins for the platform and the engines, with injectable faults.
 //!
 //! [`MemoryPlatform`] implements the platform's interfaces in memory, for tests in virtual time. The HTTP
-//! servers serve the same state over loopback.
+//! servers serve the same wire formats over loopback: [`PlatformServer`] for the platform, [`EngineServer`]
+//! for model engines and plain services.
 
+pub mod engine;
+pub mod listener;
 pub mod memory;
+pub mod platform_server;
 
+pub use engine::{
+    EngineFault, EngineKind, EngineOptions, EngineServer, FaultKind, RecordedRequest, RunOutcome,
+    RunningEngine,
+};
 pub use memory::{MemoryPlatform, PlatformFault, StoreCounts};
+pub use platform_server::{PlatformOptions, PlatformServer, RunningPlatform};
