Baseline dispatcher of one VM alone

Cause: gateway, batch and node need a dispatcher to be wired against, and the ticketed policy needs a baseline to be measured against. Conclusion: LocalDispatcher::new(domain, region, config, clock, seed) can be wired.

--- /dev/null
+++ b/crates/dispatch/src/local_dispatcher.rs
@@ -0,0 +1,163 @@
+//! [`Dispatcher`] of the baseline policy.
+
+use crate::dispatcher::{CallOutcome, Dispatcher, TargetTicket, TicketRequest};
+use crate::local::{LocalAnswer, LocalGrant, LocalPolicy, WaiterId};
+use futures_util::FutureExt as _;
+use futures_util::future::LocalBoxFuture;
+use plantainmill_config::ConfigView;
+use plantainmill_core::{Clock, DomainName, Problem, RegionName, ResultCode, ServiceName, Uptime};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+
+/// When a request that waited in vain has a chance again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+struct LocalState {
+    policy: LocalPolicy,
+    waiting: HashMap<WaiterId, oneshot::Sender<TargetTicket>>,
+}
+
+struct LocalShared {
+    state: Mutex<LocalState>,
+    config: ConfigView,
+    clock: Arc<dyn Clock>,
+}
+
+/// The baseline: each VM decides alone. Clones share the same state.
+#[derive(Clone)]
+pub struct LocalDispatcher {
+    shared: Arc<LocalShared>,
+}
+
+/// Withdraws a waiting request when its future is dropped.
+struct WaitGuard<'a> {
+    shared: &'a LocalShared,
+    service: ServiceName,
+    waiter: WaiterId,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        if state.waiting.remove(&self.waiter).is_some() {
+            state.policy.withdraw(&self.service, self.waiter);
+        }
+    }
+}
+
+impl LocalDispatcher {
+    /// A dispatcher for a VM in `domain` of `region`; `seed` fixes its random choices.
+    #[must_use]
+    pub fn new(
+        domain: DomainName,
+        region: RegionName,
+        config: ConfigView,
+        clock: Arc<dyn Clock>,
+        seed: u64,
+    ) -> LocalDispatcher {
+        let state = LocalState {
+            policy: LocalPolicy::new(domain, region, seed),
+            waiting: HashMap::new(),
+        };
+        LocalDispatcher {
+            shared: Arc::new(LocalShared {
+                state: Mutex::new(state),
+                config,
+                clock,
+            }),
+        }
+    }
+
+    async fn wait(&self, request: TicketRequest) -> Result<TargetTicket, Problem> {
+        let (answer, receiver) = self.shared.submit(&request);
+        let (waiter, expires) = match answer {
+            LocalAnswer::Granted(grant) => return Ok(self.shared.ticket(&grant)),
+            LocalAnswer::Refused(problem) => return Err(problem),
+            LocalAnswer::Queued { waiter, expires } => (waiter, expires),
+        };
+        let _guard = WaitGuard {
+            shared: &self.shared,
+            service: request.service,
+            waiter,
+        };
+        let limit = expires.saturating_sub(self.shared.clock.uptime());
+        match tokio::time::timeout(limit, receiver).await {
+            Ok(Ok(ticket)) => Ok(ticket),
+            _ => Err(wait_problem(request.deadline, self.shared.clock.uptime())),
+        }
+    }
+}
+
+impl Dispatcher for LocalDispatcher {
+    fn acquire(&self, request: TicketRequest) -> LocalBoxFuture<'_, Result<TargetTicket, Problem>> {
+        self.wait(request).boxed_local()
+    }
+
+    fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value> {
+        let value = self.shared.lock().policy.dump();
+        std::future::ready(value).boxed_local()
+    }
+}
+
+impl LocalShared {
+    fn lock(&self) -> MutexGuard<'_, LocalState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn submit(&self, request: &TicketRequest) -> (LocalAnswer, oneshot::Receiver<TargetTicket>) {
+        let (sender, receiver) = oneshot::channel();
+        let config = self.config.load();
+        let now = self.clock.uptime();
+        let mut state = self.lock();
+        if !Arc::ptr_eq(&config, state.policy.config()) {
+            state.policy.apply_config(config);
+        }
+        let answer = state.policy.submit(request, now);
+        if let LocalAnswer::Queued { waiter, .. } = &answer {
+            state.waiting.insert(*waiter, sender);
+        }
+        (answer, receiver)
+    }
+
+    fn ticket(self: &Arc<LocalShared>, grant: &LocalGrant) -> TargetTicket {
+        let (signal, preempted) = watch::channel(false);
+        let shared = Arc::clone(self);
+        let target = grant.target.clone();
+        let on_finish = move |outcome| {
+            // The sender lives as long as the ticket, so that the receiver never sees a closed channel.
+            drop(signal);
+            shared.finish(&target, outcome);
+        };
+        let target = grant.target.clone();
+        TargetTicket::new(target, grant.address, preempted, Box::new(on_finish))
+    }
+
+    fn finish(self: &Arc<LocalShared>, target: &plantainmill_core::TargetId, outcome: CallOutcome) {
+        let now = self.clock.uptime();
+        let mut state = self.lock();
+        let grants = state.policy.finish(target, outcome, now);
+        let deliveries = grants
+            .into_iter()
+            .map(|grant| (state.waiting.remove(&grant.waiter), grant))
+            .collect::<Vec<_>>();
+        // A ticket whose receiver is gone is dropped here and comes back through `finish`.
+        drop(state);
+        for (sender, grant) in deliveries {
+            let ticket = self.ticket(&grant);
+            if let Some(sender) = sender {
+                let _ = sender.send(ticket);
+            }
+        }
+    }
+}
+
+fn wait_problem(deadline: Uptime, now: Uptime) -> Problem {
+    if now >= deadline {
+        let reason = "the deadline passed while the request waited for a target";
+        return Problem::new(ResultCode::DeadlinePassed, reason);
+    }
+    let reason = "no target became free within the longest wait";
+    Problem::new(ResultCode::QueueFull, reason).with_retry_after(RETRY_AFTER)
+}
--- /dev/null
+++ b/crates/dispatch/src/window.rs
@@ -0,0 +1,95 @@
+//! Concurrency window of one target.
+
+use plantainmill_core::Uptime;
+use std::time::Duration;
+
+/// Requests in flight that a new window allows.
+const INITIAL_SIZE: f64 = 4.0;
+/// Smallest window; below one request a target would never be measured again.
+const LEAST_SIZE: f64 = 1.0;
+/// A first byte later than this multiple of the fastest recent one counts as congestion.
+const SLOW_FACTOR: f64 = 2.5;
+/// Jitter that never counts as congestion, however fast the target is.
+const SLOW_ALLOWANCE: Duration = Duration::from_millis(25);
+/// Share of the window that is left after congestion.
+const SLOW_DECREASE: f64 = 0.85;
+/// Share of the window that is left after the target refused a request.
+const REJECT_DECREASE: f64 = 0.5;
+/// Decreases are at least this far apart: answers to requests sent before a decrease still show the old load.
+const DECREASE_PAUSE: Duration = Duration::from_millis(500);
+/// Part of the window that has to be in use before it grows.
+const USED_PART: f64 = 0.75;
+/// The fastest first byte is forgotten at this rate per observation, so that a lasting change is learned.
+const FASTEST_DRIFT: f64 = 1.002;
+
+/// Limits the requests in flight to one target: additive increase, multiplicative decrease.
+#[derive(Clone, Debug)]
+pub struct ConcurrencyWindow {
+    size: f64,
+    ceiling: f64,
+    fastest: Option<Duration>,
+    decreased_at: Option<Uptime>,
+}
+
+impl ConcurrencyWindow {
+    /// A window that never exceeds `ceiling` requests.
+    #[must_use]
+    pub fn new(ceiling: u32) -> ConcurrencyWindow {
+        let ceiling = f64::from(ceiling.max(1));
+        ConcurrencyWindow {
+            size: INITIAL_SIZE.min(ceiling),
+            ceiling,
+            fastest: None,
+            decreased_at: None,
+        }
+    }
+
+    /// Requests that may be in flight.
+    #[must_use]
+    pub fn size(&self) -> u32 {
+        // The size lies between 1 and a u32, so the conversion neither truncates nor loses a sign.
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let size = self.size.floor() as u32;
+        size
+    }
+
+    /// Applies a changed limit from the configuration.
+    pub fn set_ceiling(&mut self, ceiling: u32) {
+        self.ceiling = f64::from(ceiling.max(1));
+        self.size = self.size.min(self.ceiling);
+    }
+
+    /// Takes in the time to the first byte of an answer, with the requests that were in flight.
+    pub fn on_first_byte(&mut self, first_byte: Duration, in_flight: u32, now: Uptime) {
+        let fastest = self.fastest.map_or(first_byte, |fastest| {
+            first_byte.min(fastest.mul_f64(FASTEST_DRIFT))
+        });
+        self.fastest = Some(fastest);
+        if first_byte > fastest.mul_f64(SLOW_FACTOR) + SLOW_ALLOWANCE {
+            self.decrease(SLOW_DECREASE, now);
+        } else {
+            self.grow(in_flight);
+        }
+    }
+
+    /// Takes in that the target refused a request for overload.
+    pub fn on_rejected(&mut self, now: Uptime) {
+        self.decrease(REJECT_DECREASE, now);
+    }
+
+    fn grow(&mut self, in_flight: u32) {
+        if f64::from(in_flight) >= self.size * USED_PART {
+            self.size = (self.size + 1.0 / self.size).min(self.ceiling);
+        }
+    }
+
+    fn decrease(&mut self, share: f64, now: Uptime) {
+        let paused = self
+            .decreased_at
+            .is_some_and(|last| now < last + DECREASE_PAUSE);
+        if !paused {
+            self.size = (self.size * share).max(LEAST_SIZE);
+            self.decreased_at = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Failure tests of dispatch, one module per feature.
+
+mod baseline;
+mod support;
