--- /dev/null
+++ b/crates/dispatch/src/node/acquire.rs
@@ -0,0 +1,335 @@
+//! From a request to a ticket.
+
+use super::{DispatchNode, DispatchOutput, OpenAsk, PendingRequest, RunningCall, is_batch};
+use crate::dispatcher::{TicketRequest, TrafficClass};
+use crate::health::HealthState;
+use crate::message::{MessageBody, RequestId, TicketId};
+use crate::selector::{SelectionContext, is_ownerless};
+use crate::target_view::Distance;
+use plantainmill_core::{Problem, ResultCode, Uptime};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Owners asked at the same time when all targets are full.
+pub(super) const ASK_LIMIT: usize = 2;
+/// Requests per class that wait on this VM because no owner answers.
+const PARKED_LIMIT: usize = 256;
+/// When a refused request has a chance again, unless an owner said otherwise.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How a request may go on.
+enum Placement {
+    Started(usize, Option<TicketId>),
+    Waiting,
+    Parked,
+    Refused(Problem),
+}
+
+impl DispatchNode {
+    /// Takes in a request for a ticket. The answer is an output with the returned id, now or later.
+    pub fn acquire(&mut self, request: TicketRequest, now: Uptime) -> RequestId {
+        self.next_request += 1;
+        let id = self.next_request;
+        self.counts.requests += 1;
+        if let Some(problem) = self.refuse_early(&request, now) {
+            self.refuse(id, problem);
+            return id;
+        }
+        let expires = self.expiry(&request, now);
+        let pending = PendingRequest {
+            request,
+            expires,
+            asks: Vec::new(),
+            tried: Vec::new(),
+            retry_after: None,
+            chosen: now,
+        };
+        self.pending.insert(id, pending);
+        self.advance(id, false, now);
+        self.settle(now);
+        id
+    }
+
+    /// Withdraws a request whose caller went away.
+    pub fn withdraw(&mut self, id: RequestId, now: Uptime) {
+        if let Some(pending) = self.pending.remove(&id) {
+            self.cancel_asks(id, &pending.asks, None, now);
+        }
+        self.settle(now);
+    }
+
+    /// Looks for the next target of a pending request.
+    pub(super) fn advance(&mut self, id: RequestId, only_free: bool, now: Uptime) {
+        let Some(mut pending) = self.pending.remove(&id) else {
+            return;
+        };
+        match self.place(id, &mut pending, only_free, now) {
+            Placement::Started(index, ticket) => self.start(id, &pending, index, ticket, now),
+            Placement::Refused(problem) => self.refuse(id, problem),
+            Placement::Waiting => {
+                self.pending.insert(id, pending);
+            }
+            Placement::Parked => {
+                let class = pending.request.class;
+                self.pending.insert(id, pending);
+                self.park(id, class);
+            }
+        }
+    }
+
+    /// Starts the call of a request and withdraws what was asked of other owners.
+    pub(super) fn start(
+        &mut self,
+        id: RequestId,
+        pending: &PendingRequest,
+        index: usize,
+        ticket: Option<TicketId>,
+        now: Uptime,
+    ) {
+        self.cancel_asks(id, &pending.asks, Some(index), now);
+        let request = &pending.request;
+        let view = &mut self.views[index];
+        view.in_flight += 1;
+        if ticket.is_none() {
+            view.unticketed += 1;
+            self.counts.unticketed += 1;
+        }
+        if view.health.state(now) == HealthState::Probe {
+            view.health.start_probe(now);
+        }
+        if view.distance == Distance::Link {
+            self.link.spend(request.body_bytes, now);
+            self.counts.link_requests += 1;
+            self.counts.link_bytes += u64::try_from(request.body_bytes).unwrap_or(u64::MAX);
+        }
+        self.counts.granted += 1;
+        let call = RunningCall {
+            index,
+            ticket,
+            class: request.class,
+        };
+        self.running.insert(id, call);
+        self.outputs.push(DispatchOutput::Granted {
+            request: id,
+            target: view.id.clone(),
+            address: view.spec.address,
+        });
+    }
+
+    pub(super) fn refuse(&mut self, id: RequestId, problem: Problem) {
+        match problem.code {
+            ResultCode::NoTarget => self.counts.refused_no_target += 1,
+            ResultCode::DeadlinePassed => self.counts.refused_deadline += 1,
+            _ => self.counts.refused_queue += 1,
+        }
+        let request = id;
+        self.outputs
+            .push(DispatchOutput::Refused { request, problem });
+    }
+
+    /// Answer to a request that waited until its expiry.
+    pub(super) fn expire_pending(&mut self, id: RequestId, now: Uptime) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        self.cancel_asks(id, &pending.asks, None, now);
+        let problem = if now >= pending.request.deadline {
+            let reason = "the deadline passed while the request waited for a target";
+            Problem::new(ResultCode::DeadlinePassed, reason)
+        } else {
+            let reason = "no target became free within the longest wait";
+            let delay = pending.retry_after.unwrap_or(RETRY_AFTER);
+            Problem::new(ResultCode::QueueFull, reason).with_retry_after(delay)
+        };
+        self.refuse(id, problem);
+    }
+
+    /// Asks the owner of a target.
+    pub(super) fn send_ask(
+        &mut self,
+        id: RequestId,
+        request: &TicketRequest,
+        expires: Uptime,
+        index: usize,
+        now: Uptime,
+    ) {
+        let view = &self.views[index];
+        let Some(owner) = view.owner.clone() else {
+            return;
+        };
+        let target = view.id.clone();
+        let wait = expires.saturating_sub(now).as_millis();
+        let body = MessageBody::Ask {
+            request: id,
+            class: request.class,
+            organisation: request.organisation.clone(),
+            wait_ms: u32::try_from(wait).unwrap_or(u32::MAX),
+        };
+        self.send(&owner, &target, body, now);
+    }
+
+    /// Retries the requests that wait on this VM, online ones first.
+    pub(super) fn retry_parked(&mut self, now: Uptime) {
+        for class in [TrafficClass::Online, TrafficClass::Batch] {
+            let parked = std::mem::take(self.parked(class));
+            for id in parked {
+                self.advance(id, false, now);
+            }
+        }
+    }
+
+    fn refuse_early(&mut self, request: &TicketRequest, now: Uptime) -> Option<Problem> {
+        if now >= request.deadline {
+            let reason = "the deadline passed before the request was dispatched";
+            return Some(Problem::new(ResultCode::DeadlinePassed, reason));
+        }
+        let percent = self.config.defaults.retry_budget_percent;
+        let Some(service) = self.services.get_mut(&request.service) else {
+            return Some(no_target(request));
+        };
+        if !request.is_retry {
+            service.retries.record_request(now);
+            return None;
+        }
+        if service.retries.try_retry(percent, now) {
+            return None;
+        }
+        self.counts.refused_retry += 1;
+        let reason = "the retry budget of the service is used up";
+        Some(Problem::new(ResultCode::QueueFull, reason).with_retry_after(RETRY_AFTER))
+    }
+
+    /// Online requests wait up to `queue_wait_ms`; batch requests wait until their deadline.
+    fn expiry(&self, request: &TicketRequest, now: Uptime) -> Uptime {
+        if is_batch(request.class) {
+            return request.deadline;
+        }
+        let longest = Duration::from_millis(self.config.defaults.queue_wait_ms);
+        request.deadline.min(now + longest)
+    }
+
+    fn place(
+        &mut self,
+        id: RequestId,
+        pending: &mut PendingRequest,
+        only_free: bool,
+        now: Uptime,
+    ) -> Placement {
+        pending.chosen = now;
+        let Some(index) = self.choose(pending, only_free, now) else {
+            return self.place_without_target(pending, now);
+        };
+        let view = &mut self.views[index];
+        if is_ownerless(view) {
+            return Placement::Started(index, None);
+        }
+        if pending.request.class == TrafficClass::Online
+            && let Some(ticket) = view.holding.take_standing(now)
+        {
+            self.counts.standing_used += 1;
+            return Placement::Started(index, Some(ticket));
+        }
+        let queued = false;
+        pending.asks.push(OpenAsk { index, queued });
+        let request = pending.request.clone();
+        self.send_ask(id, &request, pending.expires, index, now);
+        Placement::Waiting
+    }
+
+    fn place_without_target(&mut self, pending: &PendingRequest, now: Uptime) -> Placement {
+        if !pending.asks.is_empty() {
+            return Placement::Waiting;
+        }
+        if self.waits_for_ownerless(pending, now) {
+            let class = pending.request.class;
+            if self.parked(class).len() < PARKED_LIMIT {
+                return Placement::Parked;
+            }
+        } else if pending.retry_after.is_none() {
+            return Placement::Refused(no_target(&pending.request));
+        }
+        let delay = pending.retry_after.unwrap_or(RETRY_AFTER);
+        let reason = "the wait for a target would pass the deadline or the longest wait";
+        Placement::Refused(Problem::new(ResultCode::QueueFull, reason).with_retry_after(delay))
+    }
+
+    /// Whether a target without owner is usable but for its window.
+    fn waits_for_ownerless(&self, pending: &PendingRequest, now: Uptime) -> bool {
+        let service = self.services.get(&pending.request.service);
+        let mut members = service.into_iter().flat_map(|service| &service.members);
+        members.any(|&index| {
+            let view = &self.views[index];
+            is_ownerless(view)
+                && view.distance != Distance::Link
+                && !view.is_leaving(now)
+                && view.health.state(now) != HealthState::Ejected
+                && !pending.request.excluded.contains(&view.id)
+        })
+    }
+
+    fn choose(&mut self, pending: &PendingRequest, only_free: bool, now: Uptime) -> Option<usize> {
+        let service = self.services.get(&pending.request.service)?;
+        let asked = pending.asks.iter().map(|ask| ask.index);
+        let tried = asked.chain(pending.tried.iter().copied());
+        let tried = tried.collect::<Vec<_>>();
+        let mut context = SelectionContext {
+            views: &self.views,
+            members: &service.members,
+            tried: &tried,
+            link: &mut self.link,
+            sharers: self.sharers,
+            only_free,
+            now,
+        };
+        self.selector.choose(&pending.request, &mut context)
+    }
+
+    fn cancel_asks(
+        &mut self,
+        id: RequestId,
+        asks: &[OpenAsk],
+        granted: Option<usize>,
+        now: Uptime,
+    ) {
+        for ask in asks {
+            let view = &self.views[ask.index];
+            let Some(owner) = view.owner.clone() else {
+                continue;
+            };
+            if granted != Some(ask.index) {
+                let target = view.id.clone();
+                self.send(&owner, &target, MessageBody::Cancel { request: id }, now);
+            }
+        }
+    }
+
+    fn park(&mut self, id: RequestId, class: TrafficClass) {
+        self.parked(class).push_back(id);
+        if class == TrafficClass::Online {
+            self.preempt_unticketed();
+        }
+    }
+
+    fn parked(&mut self, class: TrafficClass) -> &mut VecDeque<RequestId> {
+        match class {
+            TrafficClass::Online => &mut self.parked_online,
+            TrafficClass::Batch => &mut self.parked_batch,
+        }
+    }
+
+    /// Makes one batch call without ticket give way to a parked online request.
+    fn preempt_unticketed(&mut self) {
+        let calls = self.running.iter();
+        let batch = calls.filter(|(_, call)| is_batch(call.class) && call.ticket.is_none());
+        let newest = batch.map(|(id, _)| *id).max();
+        if let Some(request) = newest {
+            self.counts.preempted += 1;
+            self.outputs.push(DispatchOutput::Preempted { request });
+        }
+    }
+}
+
+fn no_target(request: &TicketRequest) -> Problem {
+    let reason = format!("no target of {} can take the request", request.service);
+    Problem::new(ResultCode::NoTarget, reason).with_retry_after(RETRY_AFTER)
+}
--- /dev/null
+++ b/crates/dispatch/src/node/fleet.rs
@@ -0,0 +1,177 @@
+//! Configuration and members.
+
+use super::{DispatchNode, ServiceState};
+use crate::message::MessageBody;
+use crate::rendezvous;
+use crate::target_view::{Distance, TargetView};
+use plantainmill_config::{FleetConfig, TargetSpec};
+use plantainmill_core::{Uptime, VmId};
+use plantainmill_membership::{Member, MemberState};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+impl DispatchNode {
+    /// Puts a configuration and a member view in force, if they differ from the current ones.
+    pub fn apply(&mut self, config: &Arc<FleetConfig>, members: &Arc<Vec<Member>>, now: Uptime) {
+        let new_config = !Arc::ptr_eq(config, &self.config);
+        let new_members = !Arc::ptr_eq(members, &self.members);
+        if new_config {
+            self.apply_config(config, now);
+        }
+        if new_members {
+            self.members = Arc::clone(members);
+        }
+        if new_config || new_members {
+            self.apply_owners(now);
+            self.settle(now);
+        }
+    }
+
+    fn apply_config(&mut self, config: &Arc<FleetConfig>, now: Uptime) {
+        let is_first = self.config.targets.is_empty();
+        self.link.set_rate(config.defaults.link_bytes_per_s, now);
+        if !Arc::ptr_eq(&config.targets, &self.config.targets) {
+            self.apply_targets(config, now, is_first);
+        }
+        for name in config.services.keys() {
+            self.services.entry(name.clone()).or_default();
+        }
+        self.config = Arc::clone(config);
+    }
+
+    /// Indices of known targets never change, because asks and calls refer to them. A target that left the
+    /// configuration keeps its view, outside of its service.
+    fn apply_targets(&mut self, config: &Arc<FleetConfig>, now: Uptime, is_first: bool) {
+        for service in self.services.values_mut() {
+            service.members.clear();
+        }
+        for (id, spec) in config.targets.iter() {
+            let index = self.index.get(id).copied();
+            let index = index.unwrap_or_else(|| {
+                let mut view = TargetView::new(id.clone(), spec.clone(), self.distance(spec));
+                view.new_since = (!is_first).then_some(now);
+                self.views.push(view);
+                self.views.len() - 1
+            });
+            self.index.insert(id.clone(), index);
+            let distance = self.distance(spec);
+            let view = &mut self.views[index];
+            view.spec = spec.clone();
+            view.distance = distance;
+            let service = self.services.entry(spec.service.clone());
+            let service: &mut ServiceState = service.or_default();
+            service.members.push(index);
+            if let Some(queue) = self.queues.get_mut(id) {
+                queue.set_concurrency(spec.concurrency);
+            }
+        }
+        for view in &mut self.views {
+            view.removed = !config.targets.contains_key(&view.id);
+        }
+    }
+
+    fn distance(&self, spec: &TargetSpec) -> Distance {
+        if spec.domain == self.place.domain {
+            Distance::Domain
+        } else if spec.region == self.place.region {
+            Distance::Region
+        } else {
+            Distance::Link
+        }
+    }
+
+    fn apply_owners(&mut self, now: Uptime) {
+        let by_domain = self.live_vms_by_domain();
+        let own = by_domain
+            .get(self.place.domain.as_str())
+            .map_or(1, Vec::len);
+        self.sharers = u32::try_from(own).unwrap_or(u32::MAX);
+        let members = Arc::clone(&self.members);
+        for index in 0..self.views.len() {
+            let view = &mut self.views[index];
+            view.machine_leaving = is_machine_leaving(view, &members);
+            let key = rendezvous::key_of(&view.id);
+            let vms = by_domain.get(view.spec.domain.as_str());
+            let vms = vms.into_iter().flatten().map(VmId::as_str);
+            let owner = rendezvous::owner_of(vms, key).map(VmId::from);
+            let owner = owner.filter(|_| !view.removed);
+            if owner != view.owner {
+                self.change_owner(index, owner.as_ref(), now);
+            }
+        }
+        let members = members.iter().map(|member| &member.peer.id);
+        let known = members.collect::<std::collections::HashSet<_>>();
+        self.contacts.retain(|vm, _| known.contains(vm));
+        self.retry_parked(now);
+    }
+
+    fn live_vms_by_domain(&self) -> HashMap<String, Vec<VmId>> {
+        let mut by_domain: HashMap<String, Vec<VmId>> = HashMap::new();
+        let own = by_domain.entry(self.place.domain.to_string()).or_default();
+        own.push(self.place.vm.clone());
+        for member in self.members.iter() {
+            if member.state == MemberState::Live && member.peer.id != self.place.vm {
+                let domain = by_domain.entry(member.peer.domain.to_string()).or_default();
+                domain.push(member.peer.id.clone());
+            }
+        }
+        by_domain
+    }
+
+    /// Standing tickets of the old owner go back; running calls are reported to the new owner.
+    fn change_owner(&mut self, index: usize, owner: Option<&VmId>, now: Uptime) {
+        let recalled = self.views[index].holding.recall();
+        for ticket in recalled {
+            self.release(index, ticket, super::NO_OUTCOME, now);
+        }
+        let old = std::mem::replace(&mut self.views[index].owner, owner.cloned());
+        let silent = owner.is_some_and(|vm| self.is_silent(vm));
+        let view = &mut self.views[index];
+        view.silent = silent;
+        view.renewal_sent = None;
+        view.forget_load();
+        if let Some(owner) = owner
+            && !view.holding.is_empty()
+        {
+            let target = view.id.clone();
+            let running = view.holding.ids(true);
+            let body = MessageBody::Renew {
+                running,
+                standing: Vec::new(),
+                waiting: Vec::new(),
+                observed: Vec::new(),
+            };
+            self.send(owner, &target, body, now);
+        }
+        self.open_queue(index, now);
+        if old.is_some() {
+            self.drop_asks_of(index, now);
+        }
+    }
+
+    /// Asks again elsewhere for the requests that waited for the old owner of a target.
+    fn drop_asks_of(&mut self, index: usize, now: Uptime) {
+        let mut stranded = Vec::new();
+        for (id, pending) in &mut self.pending {
+            let before = pending.asks.len();
+            pending.asks.retain(|ask| ask.index != index);
+            if pending.asks.len() < before && pending.asks.is_empty() {
+                stranded.push(*id);
+            }
+        }
+        for id in stranded {
+            self.advance(id, false, now);
+        }
+    }
+}
+
+/// Whether the member view says that the machine of a target is stopping. Targets share a machine with a member of
+/// the same id, or of the same address unless that is a loopback address, which all processes of a machine share.
+fn is_machine_leaving(view: &TargetView, members: &[Member]) -> bool {
+    let address = view.spec.address.ip();
+    members.iter().any(|member| {
+        let same_address = !address.is_loopback() && member.peer.address.ip() == address;
+        let same = member.peer.id == view.id || same_address;
+        same && member.state == MemberState::Leaving
+    })
+}
--- /dev/null
+++ b/crates/dispatch/src/node/owner.rs
@@ -0,0 +1,187 @@
+//! The part of the owner: queues of targets.
+
+use super::DispatchNode;
+use crate::message::{MessageBody, QueueLoad};
+use crate::rendezvous;
+use crate::target_view::Distance;
+use crate::ticket_queue::{OwnerReply, RenewBody, TicketAsk, TicketQueue};
+use plantainmill_core::{OrganisationId, TargetId, Uptime, VmId};
+use plantainmill_platform::LoadReport;
+use std::time::Duration;
+
+impl DispatchNode {
+    /// Takes in the load report of a target; none when it could not be read.
+    pub fn report(&mut self, target: &TargetId, report: Option<&LoadReport>, now: Uptime) {
+        let Some(report) = report else {
+            self.counts.reports_failed += 1;
+            return;
+        };
+        let Some(&index) = self.index.get(target) else {
+            return;
+        };
+        self.views[index].set_leaving(report.leaving, now);
+        if let Some(queue) = self.queues.get_mut(target) {
+            let replies = queue.report(report, now);
+            self.send_replies(target, replies, now);
+        }
+        self.update_leaving(index, now);
+        self.settle(now);
+    }
+
+    pub(super) fn handle_for_owner(
+        &mut self,
+        from: &VmId,
+        target: &TargetId,
+        body: MessageBody,
+        now: Uptime,
+    ) {
+        if !self.has_queue(target, now) {
+            self.refuse_foreign(from, target, &body, now);
+            return;
+        }
+        let ask = self.ask_of(from, &body);
+        let Some(queue) = self.queues.get_mut(target) else {
+            return;
+        };
+        let replies = match body {
+            MessageBody::Ask { .. } => ask.map_or_else(Vec::new, |ask| queue.ask(&ask, now)),
+            MessageBody::Cancel { request } => queue.cancel(from, request, now),
+            MessageBody::Release { ticket, outcome } => queue.release(from, ticket, outcome, now),
+            MessageBody::Renew {
+                running,
+                standing,
+                waiting,
+                observed,
+            } => {
+                let renewal = RenewBody {
+                    running: &running,
+                    standing: &standing,
+                    waiting: &waiting,
+                    observed: &observed,
+                };
+                queue.renew(from, &renewal, now)
+            }
+            _ => Vec::new(),
+        };
+        self.send_replies(target, replies, now);
+    }
+
+    /// Opens the queue of a target when this VM became its owner.
+    pub(super) fn open_queue(&mut self, index: usize, now: Uptime) {
+        let view = &self.views[index];
+        if view.owner.as_ref() != Some(&self.place.vm) || self.queues.contains_key(&view.id) {
+            return;
+        }
+        let target = view.id.clone();
+        let first_ticket = rendezvous::score(&self.place.vm, self.place.seed) >> 1;
+        let first_ticket = first_ticket.wrapping_add(rendezvous::key_of(&target) >> 1);
+        let concurrency = view.spec.concurrency;
+        let queue = TicketQueue::new(concurrency, first_ticket, view.new_since);
+        self.queues.insert(target, queue);
+        self.update_leaving(index, now);
+        // Reads the load of a target that was taken over at the next tick.
+        self.polled = Uptime::ZERO;
+    }
+
+    /// Applies to a queue whether its target gets new work.
+    pub(super) fn update_leaving(&mut self, index: usize, now: Uptime) {
+        let view = &self.views[index];
+        let leaving = view.is_leaving(now) || view.removed;
+        let target = view.id.clone();
+        if let Some(queue) = self.queues.get_mut(&target)
+            && queue.is_leaving() != leaving
+        {
+            let replies = queue.set_leaving(leaving, now);
+            self.send_replies(&target, replies, now);
+        }
+    }
+
+    /// Expires tickets, and closes empty queues of targets that this VM no longer owns.
+    pub(super) fn tick_queues(&mut self, now: Uptime) {
+        let targets = self.queues.keys().cloned().collect::<Vec<_>>();
+        for target in targets {
+            let index = self.index.get(&target).copied();
+            if let Some(index) = index {
+                self.update_leaving(index, now);
+            }
+            let Some(queue) = self.queues.get_mut(&target) else {
+                continue;
+            };
+            let replies = queue.tick(now);
+            let is_empty = queue.tickets_out() == 0 && queue.waiting() == (0, 0);
+            self.send_replies(&target, replies, now);
+            let owned =
+                index.is_some_and(|index| self.views[index].owner.as_ref() == Some(&self.place.vm));
+            if is_empty && !owned {
+                self.queues.remove(&target);
+            }
+        }
+    }
+
+    pub(super) fn send_replies(
+        &mut self,
+        target: &TargetId,
+        replies: Vec<OwnerReply>,
+        now: Uptime,
+    ) {
+        for reply in replies {
+            self.send(&reply.to, target, reply.body, now);
+        }
+    }
+
+    /// Whether this VM keeps the queue of a target. Another VM's view may be ahead, so that a target of the own
+    /// domain is served on request even if this VM does not see itself as its owner.
+    fn has_queue(&mut self, target: &TargetId, now: Uptime) -> bool {
+        if self.queues.contains_key(target) {
+            return true;
+        }
+        let Some(&index) = self.index.get(target) else {
+            return false;
+        };
+        let view = &self.views[index];
+        if view.distance != Distance::Domain || view.removed {
+            return false;
+        }
+        let concurrency = view.spec.concurrency;
+        let first_ticket = rendezvous::score(target, self.place.seed) >> 1;
+        let queue = TicketQueue::new(concurrency, first_ticket, view.new_since);
+        self.queues.insert(target.clone(), queue);
+        self.update_leaving(index, now);
+        true
+    }
+
+    fn refuse_foreign(&mut self, from: &VmId, target: &TargetId, body: &MessageBody, now: Uptime) {
+        if let MessageBody::Ask { request, .. } = body {
+            let refusal = MessageBody::Refuse {
+                request: *request,
+                retry_after_ms: 1_000,
+                leaving: false,
+                load: QueueLoad::default(),
+            };
+            self.send(from, target, refusal, now);
+        }
+    }
+
+    fn ask_of(&self, from: &VmId, body: &MessageBody) -> Option<TicketAsk> {
+        let MessageBody::Ask {
+            request,
+            class,
+            organisation,
+            wait_ms,
+        } = body
+        else {
+            return None;
+        };
+        // Open routes share one lane.
+        let organisation = organisation.clone().unwrap_or_else(OrganisationId::default);
+        let spec = self.config.organisations.get(&organisation);
+        Some(TicketAsk {
+            vm: from.clone(),
+            request: *request,
+            class: *class,
+            weight: spec.map_or(1, |spec| spec.weight),
+            organisation,
+            wait: Duration::from_millis(u64::from(*wait_ms)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/node/replies.rs
@@ -0,0 +1,202 @@
+//! Answers of owners.
+
+use super::acquire::ASK_LIMIT;
+use super::{DispatchNode, DispatchOutput, NO_OUTCOME};
+use crate::message::{MessageBody, QueueLoad, RequestId, TicketId};
+use crate::ticket_queue::TICKET_DURATION;
+use plantainmill_core::{TargetId, Uptime, VmId};
+use std::time::Duration;
+
+/// A holder counts a ticket's duration from its receipt, the owner from its sending. The holder stops this much
+/// earlier, which covers the delay of the grant.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(250);
+
+/// A ticket as it was granted.
+struct GrantedTicket {
+    request: RequestId,
+    ticket: TicketId,
+    expires: Uptime,
+    keep: bool,
+}
+
+impl DispatchNode {
+    pub(super) fn handle_reply(
+        &mut self,
+        from: &VmId,
+        target: &TargetId,
+        body: MessageBody,
+        now: Uptime,
+    ) {
+        self.note_answer(from);
+        let Some(&index) = self.index.get(target) else {
+            return;
+        };
+        if self.views[index].owner.as_ref() != Some(from) {
+            self.return_foreign(from, target, &body, now);
+            return;
+        }
+        match body {
+            MessageBody::Grant {
+                request,
+                ticket,
+                duration_ms,
+                keep,
+                load,
+            } => {
+                let duration = Duration::from_millis(u64::from(duration_ms));
+                let expires = now + duration.saturating_sub(EXPIRY_MARGIN);
+                let granted = GrantedTicket {
+                    request,
+                    ticket,
+                    expires,
+                    keep,
+                };
+                self.take_grant(index, &granted, load, now);
+            }
+            MessageBody::Queued { request, load } => self.note_queued(index, request, load, now),
+            MessageBody::Refuse {
+                request,
+                retry_after_ms,
+                leaving,
+                load,
+            } => {
+                self.views[index].set_load(load, now);
+                self.note_leaving(index, leaving, now);
+                let delay = Duration::from_millis(u64::from(retry_after_ms));
+                self.note_refused(index, request, delay, now);
+            }
+            MessageBody::State {
+                unknown,
+                lapsed,
+                leaving,
+                load,
+            } => {
+                self.views[index].set_load(load, now);
+                self.note_leaving(index, leaving, now);
+                self.note_renewed(index, &lapsed);
+                self.ask_again(index, &unknown, now);
+            }
+            MessageBody::Recall { leaving } => {
+                self.note_leaving(index, leaving, now);
+                self.return_standing(index, now);
+            }
+            MessageBody::Preempt { tickets } => self.preempt(index, &tickets, now),
+            _ => {}
+        }
+    }
+
+    /// A ticket of a VM that this VM does not see as the owner goes back to it.
+    fn return_foreign(&mut self, from: &VmId, target: &TargetId, body: &MessageBody, now: Uptime) {
+        if let MessageBody::Grant { ticket, .. } = body {
+            let release = MessageBody::Release {
+                ticket: *ticket,
+                outcome: NO_OUTCOME,
+            };
+            self.send(from, target, release, now);
+        }
+    }
+
+    fn take_grant(&mut self, index: usize, granted: &GrantedTicket, load: QueueLoad, now: Uptime) {
+        if self.views[index].holding.contains(granted.ticket) {
+            // A repeated grant.
+            return;
+        }
+        let asked = self.pending.get(&granted.request).is_some_and(|pending| {
+            let mut asks = pending.asks.iter();
+            asks.any(|ask| ask.index == index)
+        });
+        let pending = if asked && !self.views[index].is_leaving(now) {
+            self.pending.remove(&granted.request)
+        } else {
+            None
+        };
+        let Some(pending) = pending else {
+            self.release(index, granted.ticket, NO_OUTCOME, now);
+            return;
+        };
+        let holding = &mut self.views[index].holding;
+        holding.add_running(granted.ticket, granted.expires, granted.keep, now);
+        let request = granted.request;
+        self.start(request, &pending, index, Some(granted.ticket), now);
+        // The load counts the ticket already, as the view does from here on.
+        self.views[index].set_load(load, now);
+    }
+
+    fn note_queued(&mut self, index: usize, request: RequestId, load: QueueLoad, now: Uptime) {
+        self.views[index].set_load(load, now);
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        for ask in &mut pending.asks {
+            ask.queued |= ask.index == index;
+        }
+        if pending.asks.len() < ASK_LIMIT {
+            self.advance(request, false, now);
+        }
+    }
+
+    fn note_refused(&mut self, index: usize, request: RequestId, delay: Duration, now: Uptime) {
+        let Some(pending) = self.pending.get_mut(&request) else {
+            return;
+        };
+        let before = pending.asks.len();
+        pending.asks.retain(|ask| ask.index != index);
+        if pending.asks.len() == before {
+            return;
+        }
+        pending.tried.push(index);
+        let earlier = pending.retry_after.unwrap_or(delay);
+        pending.retry_after = Some(earlier.min(delay));
+        self.advance(request, false, now);
+    }
+
+    fn note_leaving(&mut self, index: usize, leaving: bool, now: Uptime) {
+        self.views[index].set_leaving(leaving, now);
+        if leaving {
+            self.return_standing(index, now);
+        }
+    }
+
+    fn note_renewed(&mut self, index: usize, lapsed: &[TicketId]) {
+        let view = &mut self.views[index];
+        view.holding.drop_lapsed(lapsed);
+        if let Some(sent) = view.renewal_sent.take() {
+            view.holding
+                .extend(sent + TICKET_DURATION.saturating_sub(EXPIRY_MARGIN));
+        }
+    }
+
+    fn ask_again(&mut self, index: usize, unknown: &[RequestId], now: Uptime) {
+        for id in unknown {
+            let Some(pending) = self.pending.get(id) else {
+                continue;
+            };
+            if pending.asks.iter().any(|ask| ask.index == index) {
+                let request = pending.request.clone();
+                let expires = pending.expires;
+                self.send_ask(*id, &request, expires, index, now);
+            }
+        }
+    }
+
+    pub(super) fn return_standing(&mut self, index: usize, now: Uptime) {
+        let tickets = self.views[index].holding.recall();
+        for ticket in tickets {
+            self.release(index, ticket, NO_OUTCOME, now);
+        }
+    }
+
+    fn preempt(&mut self, index: usize, tickets: &[TicketId], now: Uptime) {
+        for ticket in tickets {
+            let mut calls = self.running.iter();
+            let call = calls.find(|(_, call)| call.index == index && call.ticket == Some(*ticket));
+            if let Some((&request, _)) = call {
+                self.counts.preempted += 1;
+                self.outputs.push(DispatchOutput::Preempted { request });
+            } else {
+                // Its release was lost.
+                self.release(index, *ticket, NO_OUTCOME, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/node/tick.rs
@@ -0,0 +1,125 @@
+//! Work that depends on time only.
+
+use super::acquire::ASK_LIMIT;
+use super::{DispatchNode, DispatchOutput, NO_OUTCOME};
+use crate::message::{MessageBody, RequestId};
+use crate::selector::is_ownerless;
+use crate::target_view::Distance;
+use plantainmill_config::model::ServiceKind;
+use plantainmill_core::{Uptime, VmId};
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+/// Interval of renewals. Tickets outlast two lost ones.
+const RENEW_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of load reports.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// A request that waits this long looks for a further target with a free slot.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Owners asked for one request at most, those found by later searches included.
+const SEARCH_LIMIT: usize = 2 * ASK_LIMIT;
+
+impl DispatchNode {
+    /// Handles time-outs. To be called every [`super::TICK_INTERVAL`].
+    pub fn tick(&mut self, now: Uptime) {
+        self.tick_queues(now);
+        self.settle(now);
+        self.find_silent(now);
+        self.expire_requests(now);
+        self.search_further(now);
+        if now >= self.renewed + RENEW_INTERVAL {
+            self.renewed = now;
+            self.renew(now);
+        }
+        if now >= self.polled + POLL_INTERVAL {
+            self.polled = now;
+            self.poll();
+        }
+        self.retry_parked(now);
+        self.settle(now);
+    }
+
+    fn expire_requests(&mut self, now: Uptime) {
+        let pending = self.pending.iter();
+        let late = pending.filter(|(_, pending)| now >= pending.expires);
+        let late = late.map(|(id, _)| *id).collect::<Vec<_>>();
+        for id in late {
+            self.expire_pending(id, now);
+        }
+    }
+
+    fn search_further(&mut self, now: Uptime) {
+        let pending = self.pending.iter();
+        let waiting = pending.filter(|(_, pending)| {
+            !pending.asks.is_empty()
+                && pending.asks.len() < SEARCH_LIMIT
+                && now >= pending.chosen + SEARCH_INTERVAL
+        });
+        let waiting = waiting.map(|(id, _)| *id).collect::<Vec<_>>();
+        for id in waiting {
+            self.advance(id, true, now);
+        }
+    }
+
+    fn renew(&mut self, now: Uptime) {
+        let waiting = self.waiting_by_target();
+        let mut probed: HashSet<VmId> = HashSet::new();
+        for index in 0..self.views.len() {
+            for ticket in self.views[index].holding.expire(now) {
+                self.release(index, ticket, NO_OUTCOME, now);
+            }
+            let view = &self.views[index];
+            let Some(owner) = view.owner.clone() else {
+                continue;
+            };
+            let requests = waiting.get(&index);
+            let in_use =
+                !view.holding.is_empty() || !view.observed.is_empty() || requests.is_some();
+            // One renewal per silent owner shows when it answers again.
+            let is_probe = view.silent && probed.insert(owner.clone());
+            if in_use || is_probe {
+                let requests = requests.cloned().unwrap_or_default();
+                self.renew_target(index, &owner, requests, now);
+            }
+        }
+    }
+
+    fn renew_target(&mut self, index: usize, owner: &VmId, waiting: Vec<RequestId>, now: Uptime) {
+        let view = &mut self.views[index];
+        view.renewal_sent = Some(now);
+        let target = view.id.clone();
+        let body = MessageBody::Renew {
+            running: view.holding.ids(true),
+            standing: view.holding.ids(false),
+            waiting,
+            observed: std::mem::take(&mut view.observed),
+        };
+        self.send(owner, &target, body, now);
+    }
+
+    fn waiting_by_target(&self) -> HashMap<usize, Vec<RequestId>> {
+        let mut waiting: HashMap<usize, Vec<RequestId>> = HashMap::new();
+        for (id, pending) in &self.pending {
+            for ask in pending.asks.iter().filter(|ask| ask.queued) {
+                waiting.entry(ask.index).or_default().push(*id);
+            }
+        }
+        waiting
+    }
+
+    /// Owners read the load of their targets; without an owner, each VM of the domain does.
+    fn poll(&mut self) {
+        for view in &self.views {
+            let owned = view.owner.as_ref() == Some(&self.place.vm);
+            let alone = view.distance == Distance::Domain && is_ownerless(view);
+            let service = self.config.services.get(&view.spec.service);
+            let reports = service.is_some_and(|service| service.kind == ServiceKind::Model);
+            if (owned || alone) && reports && !view.removed {
+                self.outputs.push(DispatchOutput::Poll {
+                    target: view.id.clone(),
+                    address: view.spec.address,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/selector.rs
@@ -0,0 +1,184 @@
+//! Choice of a target: distance, room, prefix affinity with a load bound, two random choices.
+
+use crate::dispatcher::{TicketRequest, TrafficClass};
+use crate::health::HealthState;
+use crate::link::LinkBudget;
+use crate::rendezvous;
+use crate::target_view::{Distance, TargetView};
+use plantainmill_core::Uptime;
+use rand::rngs::SmallRng;
+use rand::{RngExt as _, SeedableRng as _};
+
+/// A target takes requests by affinity up to this multiple of the mean load, in hundredths.
+const AFFINITY_BOUND_PERCENT: u32 = 125;
+
+/// Order of preference. Within a rank, affinity or load decides.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum CandidateRank {
+    Free(Distance),
+    Full(Distance),
+    /// The owner does not answer: the target may be cut off as well.
+    Silent(Distance),
+}
+
+/// Chooses targets.
+pub struct TargetSelector {
+    random: SmallRng,
+    best: Vec<usize>,
+}
+
+/// What a choice depends on besides the request.
+pub struct SelectionContext<'a> {
+    /// All targets.
+    pub views: &'a [TargetView],
+    /// Indices of the service's targets.
+    pub members: &'a [usize],
+    /// Indices that were tried before for this request.
+    pub tried: &'a [usize],
+    /// Budget of the link.
+    pub link: &'a mut LinkBudget,
+    /// VMs that share a target without an owner.
+    pub sharers: u32,
+    /// Only targets with a free slot.
+    pub only_free: bool,
+    /// Time.
+    pub now: Uptime,
+}
+
+impl TargetSelector {
+    /// A selector whose random choices are fixed by `seed`.
+    #[must_use]
+    pub fn new(seed: u64) -> TargetSelector {
+        TargetSelector {
+            random: SmallRng::seed_from_u64(seed),
+            best: Vec::new(),
+        }
+    }
+
+    /// The index of the target to try next.
+    pub fn choose(
+        &mut self,
+        request: &TicketRequest,
+        context: &mut SelectionContext<'_>,
+    ) -> Option<usize> {
+        self.collect_best(request, context);
+        match request.prefix_hash {
+            _ if self.best.is_empty() => None,
+            Some(prefix) => self.by_affinity(prefix, context),
+            None => Some(self.by_load(context)),
+        }
+    }
+
+    fn collect_best(&mut self, request: &TicketRequest, context: &mut SelectionContext<'_>) {
+        let mut best_rank = None;
+        self.best.clear();
+        for &index in context.members {
+            let Some(rank) = rank(request, context, index) else {
+                continue;
+            };
+            if best_rank.is_some_and(|best| rank > best) {
+                continue;
+            }
+            if best_rank != Some(rank) {
+                best_rank = Some(rank);
+                self.best.clear();
+            }
+            self.best.push(index);
+        }
+    }
+
+    /// The first target in rendezvous order that stays within the bound. The least loaded one always does.
+    fn by_affinity(&self, prefix: u64, context: &SelectionContext<'_>) -> Option<usize> {
+        let loads = self.best.iter().map(|index| context.load(*index));
+        let total = loads.sum::<u32>();
+        let count = u32::try_from(self.best.len()).unwrap_or(1);
+        let step = self.best.iter().map(|index| context.step(*index)).max();
+        let step = step.unwrap_or(1);
+        // The mean counts the request itself, and one request always fits an idle target.
+        let bound = (total + step) / count * AFFINITY_BOUND_PERCENT / 100;
+        let bound = bound.max(step);
+        let within = self.best.iter().copied();
+        let within = within.filter(|index| context.load(*index) + context.step(*index) <= bound);
+        let chosen =
+            within.max_by_key(|index| rendezvous::score(context.views[*index].id.as_str(), prefix));
+        let least = self.best.iter().copied();
+        chosen.or_else(|| least.min_by_key(|index| context.load(*index)))
+    }
+
+    /// The less loaded of two random targets; about equal loads go to a standing ticket.
+    fn by_load(&mut self, context: &SelectionContext<'_>) -> usize {
+        let first = self.best[self.random.random_range(0..self.best.len())];
+        let second = self.best[self.random.random_range(0..self.best.len())];
+        let standing = |index: usize| context.views[index].holding.has_standing(context.now);
+        let (low, high) = if context.load(second) < context.load(first) {
+            (second, first)
+        } else {
+            (first, second)
+        };
+        let about_equal = context.load(high) <= context.load(low) + context.step(high);
+        if about_equal && standing(high) && !standing(low) {
+            high
+        } else {
+            low
+        }
+    }
+}
+
+impl SelectionContext<'_> {
+    fn load(&self, index: usize) -> u32 {
+        self.views[index].relative_load(self.now)
+    }
+
+    /// Load that one request adds.
+    fn step(&self, index: usize) -> u32 {
+        (1_024 / self.views[index].spec.concurrency.max(1)).max(1)
+    }
+}
+
+/// Calls that this VM may have at a target without an owner: half of the concurrency, shared by the VMs.
+#[must_use]
+pub fn fallback_limit(view: &TargetView, sharers: u32) -> u32 {
+    (view.spec.concurrency / (2 * sharers.max(1))).max(1)
+}
+
+/// Whether the target has to be used without its owner.
+#[must_use]
+pub fn is_ownerless(view: &TargetView) -> bool {
+    view.owner.is_none() || view.silent
+}
+
+fn rank(
+    request: &TicketRequest,
+    context: &mut SelectionContext<'_>,
+    index: usize,
+) -> Option<CandidateRank> {
+    let view = &context.views[index];
+    let now = context.now;
+    let usable = !context.tried.contains(&index)
+        && !request.excluded.contains(&view.id)
+        && !view.is_leaving(now)
+        && view.health.state(now) != HealthState::Ejected;
+    if !usable || (view.distance == Distance::Link && !crosses_link(request, context)) {
+        return None;
+    }
+    let batch = request.class == TrafficClass::Batch;
+    if is_ownerless(view) {
+        let limit = fallback_limit(view, context.sharers);
+        // Batch work leaves one slot to online arrivals where there is more than one.
+        let limit = if batch { (limit - 1).max(1) } else { limit };
+        return (view.in_flight < limit).then_some(CandidateRank::Silent(view.distance));
+    }
+    if view.is_full(batch, now) {
+        (!context.only_free).then_some(CandidateRank::Full(view.distance))
+    } else {
+        Some(CandidateRank::Free(view.distance))
+    }
+}
+
+/// Batch work crosses the link only if no target of the service is nearer.
+fn crosses_link(request: &TicketRequest, context: &mut SelectionContext<'_>) -> bool {
+    let mut members = context.members.iter();
+    let near = members.any(|index| context.views[*index].distance != Distance::Link);
+    let wanted = request.class == TrafficClass::Online || !near;
+    wanted && context.link.fits(request.body_bytes, context.now)
+}
--- /dev/null
+++ b/crates/dispatch/src/ticket_queue.rs
@@ -0,0 +1,451 @@
+//! The admission queue of one target, kept by its owner VM.
+
+mod grants;
+
+use crate::dispatcher::{CallOutcome, TrafficClass};
+use crate::fair_queue::FairQueue;
+use crate::message::{MessageBody, QueueLoad, RequestId, TicketId};
+use crate::window::ConcurrencyWindow;
+use plantainmill_core::{OrganisationId, Uptime, VmId};
+use plantainmill_platform::LoadReport;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How long a ticket lasts without renewal. Less than the 3 s within which a leaving target has to be idle.
+pub const TICKET_DURATION: Duration = Duration::from_millis(2_500);
+/// Waiting requests per target and class; further ones are refused.
+const QUEUE_LIMIT: usize = 512;
+/// A waiting request that is not renewed for this long is dropped: its VM is gone.
+const ASK_DURATION: Duration = Duration::from_secs(3);
+/// Holding time of a ticket assumed before the first release.
+const INITIAL_HOLD: Duration = Duration::from_secs(1);
+/// Weight of a new holding time in the average.
+const HOLD_GAIN: f64 = 0.1;
+/// Time over which a new target's window opens.
+const WARM_UP: Duration = Duration::from_secs(20);
+
+/// A message of the owner to a VM.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OwnerReply {
+    /// Receiver.
+    pub to: VmId,
+    /// Content.
+    pub body: MessageBody,
+}
+
+/// A request for a ticket, as it reaches the owner.
+#[derive(Clone, Debug)]
+pub struct TicketAsk {
+    /// VM that asks.
+    pub vm: VmId,
+    /// Request of that VM.
+    pub request: RequestId,
+    /// Class.
+    pub class: TrafficClass,
+    /// Organisation; empty on open routes.
+    pub organisation: OrganisationId,
+    /// Weight of the organisation.
+    pub weight: u32,
+    /// Longest useful wait.
+    pub wait: Duration,
+}
+
+#[derive(Debug)]
+struct WaitingAsk {
+    vm: VmId,
+    request: RequestId,
+    expires: Uptime,
+    renewed: Uptime,
+}
+
+#[derive(Debug)]
+struct IssuedTicket {
+    vm: VmId,
+    request: RequestId,
+    class: TrafficClass,
+    keep: bool,
+    granted: Uptime,
+    expires: Uptime,
+    preempted: Option<Uptime>,
+}
+
+/// State machine of the queue.
+#[derive(Debug)]
+pub struct TicketQueue {
+    concurrency: u32,
+    window: ConcurrencyWindow,
+    warm_from: Option<Uptime>,
+    tickets: BTreeMap<TicketId, IssuedTicket>,
+    online: FairQueue<WaitingAsk>,
+    batch: FairQueue<WaitingAsk>,
+    mean_hold: Duration,
+    next_ticket: TicketId,
+    leaving: bool,
+    /// Requests at the target that no ticket of this owner covers, by the load reports.
+    external: u32,
+    /// Most tickets out during each of the latest report intervals.
+    peaks: [u32; 4],
+    replies: Vec<OwnerReply>,
+}
+
+impl TicketQueue {
+    /// A queue for a target of `concurrency`. Ticket ids count up from `first_ticket`; `warm_from` is the time at
+    /// which a new target came into the configuration.
+    #[must_use]
+    pub fn new(concurrency: u32, first_ticket: TicketId, warm_from: Option<Uptime>) -> TicketQueue {
+        TicketQueue {
+            concurrency: concurrency.max(1),
+            window: ConcurrencyWindow::with_size(concurrency, concurrency.div_ceil(2)),
+            warm_from,
+            tickets: BTreeMap::new(),
+            online: FairQueue::default(),
+            batch: FairQueue::default(),
+            mean_hold: INITIAL_HOLD,
+            next_ticket: first_ticket,
+            leaving: false,
+            external: 0,
+            peaks: [0; 4],
+            replies: Vec::new(),
+        }
+    }
+
+    /// Applies a changed limit from the configuration.
+    pub fn set_concurrency(&mut self, concurrency: u32) {
+        self.concurrency = concurrency.max(1);
+        self.window.set_ceiling(concurrency);
+    }
+
+    /// Stops or resumes new work.
+    pub fn set_leaving(&mut self, leaving: bool, now: Uptime) -> Vec<OwnerReply> {
+        if leaving && !self.leaving {
+            self.leaving = true;
+            self.recall();
+            self.refuse_waiting();
+        }
+        self.leaving = leaving;
+        self.finish(now)
+    }
+
+    /// Whether the target gets no new work.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Tickets out.
+    #[must_use]
+    pub fn tickets_out(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Requests that wait, online and batch.
+    #[must_use]
+    pub fn waiting(&self) -> (usize, usize) {
+        (self.online.len(), self.batch.len())
+    }
+
+    /// Requests that may be at the target.
+    #[must_use]
+    pub fn limit(&self, now: Uptime) -> u32 {
+        let size = self.window.size().min(self.concurrency);
+        let Some(since) = self.warm_from else {
+            return size;
+        };
+        let passed = now.saturating_sub(since);
+        if passed >= WARM_UP {
+            return size;
+        }
+        let full = u128::from(self.concurrency) * passed.as_millis() / WARM_UP.as_millis();
+        size.min(u32::try_from(full).unwrap_or(u32::MAX).max(1))
+    }
+
+    /// Takes in a request for a ticket.
+    pub fn ask(&mut self, ask: &TicketAsk, now: Uptime) -> Vec<OwnerReply> {
+        if self.leaving {
+            self.refuse(ask, Duration::from_secs(1), now);
+            return self.finish(now);
+        }
+        if let Some(ticket) = self.ticket_of(ask) {
+            self.send_grant(ticket, now);
+            return self.finish(now);
+        }
+        self.withdraw(&ask.vm, ask.request);
+        let expected = self.expected_wait(ask, now);
+        let queue = self.queue(ask.class);
+        let too_long = ask.class == TrafficClass::Online && expected > ask.wait;
+        if too_long || queue.len() >= QUEUE_LIMIT {
+            self.refuse(ask, expected, now);
+            return self.finish(now);
+        }
+        let waiting = WaitingAsk {
+            vm: ask.vm.clone(),
+            request: ask.request,
+            expires: now + ask.wait,
+            renewed: now,
+        };
+        queue.push(&ask.organisation, ask.weight, waiting);
+        self.pump(now);
+        self.acknowledge(ask, now);
+        self.finish(now)
+    }
+
+    /// Withdraws a request; a ticket granted to it meanwhile is given back by its VM.
+    pub fn cancel(&mut self, vm: &VmId, request: RequestId, now: Uptime) -> Vec<OwnerReply> {
+        self.withdraw(vm, request);
+        self.finish(now)
+    }
+
+    /// Takes a ticket back. Unknown tickets are ignored: they expired or came back before.
+    pub fn release(
+        &mut self,
+        vm: &VmId,
+        ticket: TicketId,
+        outcome: CallOutcome,
+        now: Uptime,
+    ) -> Vec<OwnerReply> {
+        let held = self.tickets.get(&ticket);
+        if held.is_some_and(|held| held.vm == *vm) {
+            self.observe(outcome, now);
+            if let Some(held) = self.tickets.remove(&ticket) {
+                self.learn_hold(&held, outcome, now);
+            }
+        }
+        self.finish(now)
+    }
+
+    /// Renews what a VM holds and waits for.
+    pub fn renew(&mut self, vm: &VmId, body: &RenewBody<'_>, now: Uptime) -> Vec<OwnerReply> {
+        for outcome in body.observed {
+            self.observe(*outcome, now);
+        }
+        for ticket in body.running {
+            self.renew_running(vm, *ticket, now);
+        }
+        let lapsed = body.standing.iter().copied();
+        let lapsed = lapsed.filter(|ticket| !self.renew_standing(vm, *ticket, now));
+        let lapsed = lapsed.collect();
+        let unknown = body.waiting.iter().copied();
+        let unknown = unknown.filter(|request| !self.renew_waiting(vm, *request, now));
+        let unknown = unknown.collect();
+        let state = MessageBody::State {
+            unknown,
+            lapsed,
+            leaving: self.leaving,
+            load: self.load(now),
+        };
+        self.reply(vm, state);
+        self.finish(now)
+    }
+
+    /// Takes in a load report of the target.
+    pub fn report(&mut self, report: &LoadReport, now: Uptime) -> Vec<OwnerReply> {
+        let present = report.running + report.waiting;
+        // The report lags: tickets that were out at any time during the lag may be in it.
+        let covered = self.peaks.iter().copied().max().unwrap_or(0);
+        self.external = present.saturating_sub(covered);
+        self.peaks.rotate_right(1);
+        self.peaks[0] = self.used();
+        self.window.on_report(report, self.used(), now);
+        self.finish(now)
+    }
+
+    /// Expires tickets and waiting requests, and repeats preemptions.
+    pub fn tick(&mut self, now: Uptime) -> Vec<OwnerReply> {
+        self.tickets.retain(|_, ticket| now < ticket.expires);
+        for queue in [&mut self.online, &mut self.batch] {
+            if !queue.is_empty() {
+                queue.retain(|ask| now < ask.expires && now < ask.renewed + ASK_DURATION);
+            }
+        }
+        self.finish(now)
+    }
+
+    /// Load of the target, for the VMs.
+    #[must_use]
+    pub fn load(&self, now: Uptime) -> QueueLoad {
+        if self.leaving {
+            return QueueLoad::default();
+        }
+        let used = self.used() + self.external;
+        let online = used - self.batch_running();
+        let queued = u32::try_from(self.online.len()).unwrap_or(u32::MAX);
+        QueueLoad {
+            used,
+            free: self.limit(now).saturating_sub(online + queued),
+            idle: self.batch_limit(now).saturating_sub(used),
+            queued,
+        }
+    }
+
+    fn used(&self) -> u32 {
+        u32::try_from(self.tickets.len()).unwrap_or(u32::MAX)
+    }
+
+    fn preempting(&self) -> u32 {
+        let tickets = self.tickets.values();
+        let count = tickets.filter(|ticket| ticket.preempted.is_some()).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn batch_running(&self) -> u32 {
+        let tickets = self.tickets.values();
+        let count = tickets
+            .filter(|ticket| ticket.class == TrafficClass::Batch)
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn queue(&mut self, class: TrafficClass) -> &mut FairQueue<WaitingAsk> {
+        match class {
+            TrafficClass::Online => &mut self.online,
+            TrafficClass::Batch => &mut self.batch,
+        }
+    }
+
+    fn withdraw(&mut self, vm: &VmId, request: RequestId) {
+        for queue in [&mut self.online, &mut self.batch] {
+            if !queue.is_empty() {
+                queue.retain(|ask| ask.request != request || ask.vm != *vm);
+            }
+        }
+    }
+
+    fn ticket_of(&self, ask: &TicketAsk) -> Option<TicketId> {
+        let mut tickets = self.tickets.iter();
+        let found = tickets.find(|(_, held)| held.request == ask.request && held.vm == ask.vm);
+        found.map(|(ticket, _)| *ticket)
+    }
+
+    /// Wait of a further request, by the requests of its organisation before it and the organisation's share.
+    fn expected_wait(&self, ask: &TicketAsk, now: Uptime) -> Duration {
+        let limit = self.limit(now);
+        if ask.class == TrafficClass::Batch || (self.online.is_empty() && self.used() < limit) {
+            return Duration::ZERO;
+        }
+        let own_weight = ask.weight.max(1);
+        let weights = own_weight + self.online.weight_of_others(&ask.organisation);
+        let before = self.online.len_of(&ask.organisation);
+        let before = u32::try_from(before).unwrap_or(u32::MAX).saturating_add(1);
+        let share = f64::from(weights) / f64::from(own_weight);
+        let pace = self.mean_hold.as_secs_f64() / f64::from(limit.max(1));
+        Duration::from_secs_f64((f64::from(before) * share * pace).min(3_600.0))
+    }
+
+    fn refuse(&mut self, ask: &TicketAsk, retry_after: Duration, now: Uptime) {
+        let millis = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+        let body = MessageBody::Refuse {
+            request: ask.request,
+            retry_after_ms: millis,
+            leaving: self.leaving,
+            load: self.load(now),
+        };
+        self.reply(&ask.vm, body);
+    }
+
+    fn refuse_waiting(&mut self) {
+        let online = std::mem::take(&mut self.online);
+        let batch = std::mem::take(&mut self.batch);
+        for ask in online.iter().chain(batch.iter()) {
+            let body = MessageBody::Refuse {
+                request: ask.request,
+                retry_after_ms: 1_000,
+                leaving: true,
+                load: QueueLoad::default(),
+            };
+            self.reply(&ask.vm, body);
+        }
+    }
+
+    fn acknowledge(&mut self, ask: &TicketAsk, now: Uptime) {
+        let granted = self.replies.iter().any(|reply| {
+            matches!(&reply.body, MessageBody::Grant { request, .. } if *request == ask.request)
+                && reply.to == ask.vm
+        });
+        if !granted {
+            let body = MessageBody::Queued {
+                request: ask.request,
+                load: self.load(now),
+            };
+            self.reply(&ask.vm, body);
+        }
+    }
+
+    fn observe(&mut self, outcome: CallOutcome, now: Uptime) {
+        match outcome {
+            CallOutcome::Completed { first_byte } => {
+                let used = self.used();
+                self.window.on_first_byte(first_byte, used, now);
+            }
+            CallOutcome::Rejected => self.window.on_rejected(now),
+            CallOutcome::Failed | CallOutcome::Abandoned => {}
+        }
+    }
+
+    fn learn_hold(&mut self, held: &IssuedTicket, outcome: CallOutcome, now: Uptime) {
+        let completed = matches!(outcome, CallOutcome::Completed { .. });
+        if completed && held.class == TrafficClass::Online && !held.keep {
+            let seconds = now.saturating_sub(held.granted).as_secs_f64();
+            let mean = self.mean_hold.as_secs_f64();
+            self.mean_hold = Duration::from_secs_f64(mean + HOLD_GAIN * (seconds - mean));
+        }
+    }
+
+    fn renew_running(&mut self, vm: &VmId, ticket: TicketId, now: Uptime) {
+        let expires = now + TICKET_DURATION;
+        let held = self.tickets.entry(ticket).or_insert(IssuedTicket {
+            vm: vm.clone(),
+            request: 0,
+            // An adopted ticket is never preempted, because its class is not known.
+            class: TrafficClass::Online,
+            keep: false,
+            granted: now,
+            expires,
+            preempted: None,
+        });
+        if held.vm == *vm {
+            held.expires = expires;
+        }
+    }
+
+    fn renew_standing(&mut self, vm: &VmId, ticket: TicketId, now: Uptime) -> bool {
+        let held = self.tickets.get_mut(&ticket);
+        let Some(held) = held.filter(|held| held.vm == *vm) else {
+            return false;
+        };
+        held.expires = now + TICKET_DURATION;
+        held.keep
+    }
+
+    fn renew_waiting(&mut self, vm: &VmId, request: RequestId, now: Uptime) -> bool {
+        let asks = self.online.iter_mut().chain(self.batch.iter_mut());
+        let mut found = asks.filter(|ask| ask.request == request && ask.vm == *vm);
+        let Some(ask) = found.next() else {
+            return false;
+        };
+        ask.renewed = now;
+        true
+    }
+
+    fn reply(&mut self, to: &VmId, body: MessageBody) {
+        let to = to.clone();
+        self.replies.push(OwnerReply { to, body });
+    }
+
+    fn finish(&mut self, now: Uptime) -> Vec<OwnerReply> {
+        self.pump(now);
+        std::mem::take(&mut self.replies)
+    }
+}
+
+/// Content of a renewal.
+#[derive(Clone, Copy, Debug)]
+pub struct RenewBody<'a> {
+    /// Tickets of running calls.
+    pub running: &'a [TicketId],
+    /// Standing tickets.
+    pub standing: &'a [TicketId],
+    /// Waiting requests.
+    pub waiting: &'a [RequestId],
+    /// Outcomes since the last message.
+    pub observed: &'a [CallOutcome],
+}
--- /dev/null
+++ b/crates/dispatch/src/ticket_queue/grants.rs
@@ -0,0 +1,136 @@
+//! Grants, preemptions and recalls.
+
+use super::{IssuedTicket, TICKET_DURATION, TicketQueue, WaitingAsk};
+use crate::dispatcher::TrafficClass;
+use crate::message::{MessageBody, TicketId};
+use plantainmill_core::{Uptime, VmId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One slot in this many is kept free of batch work for online arrivals, and at least one.
+const RESERVE_PART: u32 = 32;
+/// A preemption is sent again after this time without a release.
+const PREEMPT_REPEAT: Duration = Duration::from_millis(200);
+
+impl TicketQueue {
+    /// Grants what may go and preempts what has to give way.
+    pub(super) fn pump(&mut self, now: Uptime) {
+        if self.leaving {
+            return;
+        }
+        self.preempt(now);
+        while !self.online.is_empty() && self.has_room(now) {
+            let ask = self.online.pop();
+            self.grant(ask, TrafficClass::Online, now);
+        }
+        while self.online.is_empty() && !self.batch.is_empty() && self.has_idle_room(now) {
+            let ask = self.batch.pop();
+            self.grant(ask, TrafficClass::Batch, now);
+        }
+        if !self.online.is_empty() || !self.batch.is_empty() {
+            self.recall();
+        }
+    }
+
+    /// Room for an online request. Preempted tickets do not count against the window, because their calls are
+    /// ending, but they count against the configured concurrency.
+    fn has_room(&self, now: Uptime) -> bool {
+        let used = self.used() + self.external;
+        used < self.concurrency && used - self.preempting() < self.limit(now)
+    }
+
+    fn has_idle_room(&self, now: Uptime) -> bool {
+        self.used() + self.external < self.batch_limit(now)
+    }
+
+    /// Requests at the target up to which batch work is granted.
+    pub(super) fn batch_limit(&self, now: Uptime) -> u32 {
+        let limit = self.limit(now);
+        let reserve = (limit / RESERVE_PART).max(1);
+        // A target of a single slot could otherwise never run batch work.
+        limit.saturating_sub(reserve).max(1)
+    }
+
+    fn preempt(&mut self, now: Uptime) {
+        let used = self.used() + self.external;
+        let staying = used - self.preempting();
+        let free = self.limit(now).saturating_sub(staying);
+        let waiting = u32::try_from(self.online.len()).unwrap_or(u32::MAX);
+        let mut needed = waiting.saturating_sub(free);
+        let mut by_vm: BTreeMap<VmId, Vec<TicketId>> = BTreeMap::new();
+        // Newest first: the least work is lost.
+        for (id, ticket) in self.tickets.iter_mut().rev() {
+            let repeat = ticket
+                .preempted
+                .is_some_and(|at| now >= at + PREEMPT_REPEAT);
+            let chosen =
+                needed > 0 && ticket.class == TrafficClass::Batch && ticket.preempted.is_none();
+            if chosen {
+                needed -= 1;
+            }
+            if chosen || repeat {
+                ticket.preempted = Some(now);
+                by_vm.entry(ticket.vm.clone()).or_default().push(*id);
+            }
+        }
+        for (vm, tickets) in by_vm {
+            self.reply(&vm, MessageBody::Preempt { tickets });
+        }
+    }
+
+    fn grant(&mut self, ask: Option<WaitingAsk>, class: TrafficClass, now: Uptime) {
+        let Some(ask) = ask else {
+            return;
+        };
+        self.next_ticket += 1;
+        let light = self.online.is_empty()
+            && self.batch.is_empty()
+            && (self.used() + self.external) * 2 < self.limit(now);
+        let ticket = IssuedTicket {
+            vm: ask.vm,
+            request: ask.request,
+            class,
+            keep: light && class == TrafficClass::Online,
+            granted: now,
+            expires: now + TICKET_DURATION,
+            preempted: None,
+        };
+        self.tickets.insert(self.next_ticket, ticket);
+        self.peaks[0] = self.peaks[0].max(self.used());
+        self.send_grant(self.next_ticket, now);
+    }
+
+    pub(super) fn send_grant(&mut self, ticket: TicketId, now: Uptime) {
+        let load = self.load(now);
+        let Some(held) = self.tickets.get(&ticket) else {
+            return;
+        };
+        let left = held.expires.saturating_sub(now);
+        let body = MessageBody::Grant {
+            request: held.request,
+            ticket,
+            duration_ms: u32::try_from(left.as_millis()).unwrap_or(0),
+            keep: held.keep,
+            load,
+        };
+        let vm = held.vm.clone();
+        self.reply(&vm, body);
+    }
+
+    /// Calls standing tickets back, once each.
+    pub(super) fn recall(&mut self) {
+        let mut vms = Vec::new();
+        for ticket in self.tickets.values_mut() {
+            if ticket.keep {
+                ticket.keep = false;
+                vms.push(ticket.vm.clone());
+            }
+        }
+        vms.sort_unstable();
+        vms.dedup();
+        let leaving = self.leaving;
+        for vm in vms {
+            self.reply(&vm, MessageBody::Recall { leaving });
+        }
+    }
+}
--- a/crates/dispatch/src/window.rs
+++ b/crates/dispatch/src/window.rs
@@ -1,10 +1,11 @@
 //! Concurrency window of one target.
 
 use plantainmill_core::Uptime;
+use plantainmill_platform::LoadReport;
 use std::time::Duration;
 
 /// Requests in flight that a new window allows.
-const INITIAL_SIZE: f64 = 4.0;
+const INITIAL_SIZE: u32 = 4;
 /// Smallest window; below one request a target would never be measured again.
 const LEAST_SIZE: f64 = 1.0;
 /// A first byte later than this multiple of the fastest recent one counts as congestion.
@@ -15,6 +16,8 @@
 const SLOW_DECREASE: f64 = 0.85;
 /// Share of the window that is left after the target refused a request.
 const REJECT_DECREASE: f64 = 0.5;
+/// Share of the window that is left when requests wait inside the engine.
+const WAITING_DECREASE: f64 = 0.9;
 /// Decreases are at least this far apart: answers to requests sent before a decrease still show the old load.
 const DECREASE_PAUSE: Duration = Duration::from_millis(500);
 /// Part of the window that has to be in use before it grows.
@@ -27,6 +30,8 @@
 pub struct ConcurrencyWindow {
     size: f64,
     ceiling: f64,
+    /// Width that the engine reports as not slowing its requests.
+    capacity: f64,
     fastest: Option<Duration>,
     decreased_at: Option<Uptime>,
 }
@@ -35,10 +40,17 @@
     /// A window that never exceeds `ceiling` requests.
     #[must_use]
     pub fn new(ceiling: u32) -> ConcurrencyWindow {
+        ConcurrencyWindow::with_size(ceiling, INITIAL_SIZE)
+    }
+
+    /// A window that starts at `size` and never exceeds `ceiling` requests.
+    #[must_use]
+    pub fn with_size(ceiling: u32, size: u32) -> ConcurrencyWindow {
         let ceiling = f64::from(ceiling.max(1));
         ConcurrencyWindow {
-            size: INITIAL_SIZE.min(ceiling),
+            size: f64::from(size).clamp(LEAST_SIZE, ceiling),
             ceiling,
+            capacity: f64::INFINITY,
             fastest: None,
             decreased_at: None,
         }
@@ -77,9 +89,26 @@
         self.decrease(REJECT_DECREASE, now);
     }
 
+    /// Takes in a load report, which lags by up to a second. Requests that wait inside the engine are congestion.
+    pub fn on_report(&mut self, report: &LoadReport, in_flight: u32, now: Uptime) {
+        if report.capacity > 0 {
+            self.capacity = f64::from(report.capacity);
+            self.size = self.size.min(self.limit());
+        }
+        if report.waiting > 0 {
+            self.decrease(WAITING_DECREASE, now);
+        } else if f64::from(in_flight) >= self.size * USED_PART {
+            self.size = (self.size + 1.0).min(self.limit());
+        }
+    }
+
+    fn limit(&self) -> f64 {
+        self.ceiling.min(self.capacity)
+    }
+
     fn grow(&mut self, in_flight: u32) {
         if f64::from(in_flight) >= self.size * USED_PART {
-            self.size = (self.size + 1.0 / self.size).min(self.ceiling);
+            self.size = (self.size + 1.0 / self.size).min(self.limit());
         }
     }
 
