Caller keys, token buckets, slot leases and loan records

Cause: the gateway needs to authenticate callers, and the rate limits need their building blocks. Change: parsing and look-up of caller keys with the re-check limit, a limiter per client address, the 1/N split as baseline, integer token buckets, the lease of a slot with witness and takeover, and the records of lender and borrower. Nothing joins the parts of the slot limiter yet.

--- /dev/null
+++ b/crates/admission/src/key.rs
@@ -0,0 +1,167 @@
+//! Caller keys: parsing of the header, look-up by hash, and the re-check limit of a VM that is cut off.
+
+use compact_str::CompactString;
+use plantainmill_config::{ConfigView, FleetConfig, KeySpec};
+use plantainmill_core::secret::hash_secret;
+use plantainmill_core::{Clock, KeyId, OrganisationId, Problem, ResultCode};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::UNIX_EPOCH;
+use subtle::ConstantTimeEq as _;
+
+/// Longest `Authorization` header accepted, in bytes.
+pub const HEADER_LIMIT_BYTES: usize = 512;
+/// Digits of the hash that pick the candidates; the comparison of the whole hash takes constant time.
+const PREFIX_DIGITS: usize = 8;
+/// Name of the header, as problems give it.
+const HEADER_FIELD: &str = "authorization";
+
+/// Owner of an accepted key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyOwner {
+    /// The key.
+    pub key: KeyId,
+    /// Organisation that the request runs for.
+    pub organisation: OrganisationId,
+}
+
+/// Extracts the secret from the values of all `Authorization` headers of a request.
+///
+/// # Errors
+///
+/// `KeyMissing` without a header; `BadHeader` for a repeated, oversized or malformed one.
+pub fn parse_bearer<'a>(headers: impl IntoIterator<Item = &'a [u8]>) -> Result<&'a str, Problem> {
+    let mut headers = headers.into_iter();
+    let header = headers
+        .next()
+        .ok_or_else(|| Problem::new(ResultCode::KeyMissing, "no Authorization header came"))?;
+    if headers.next().is_some() {
+        return Err(bad_header("the header is repeated"));
+    }
+    if header.len() > HEADER_LIMIT_BYTES {
+        return Err(bad_header("the header is longer than 512 bytes"));
+    }
+    let text = std::str::from_utf8(header).map_err(|_| bad_header("the header is not ASCII"))?;
+    let (scheme, token) = text
+        .split_once(' ')
+        .ok_or_else(|| bad_header("the form is: Bearer KEY"))?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return Err(bad_header("the scheme is not Bearer"));
+    }
+    let token = token.trim_matches(' ');
+    if token.is_empty() || !token.bytes().all(is_token_byte) {
+        return Err(bad_header(
+            "the key holds characters outside of the token alphabet",
+        ));
+    }
+    Ok(token)
+}
+
+/// Bytes of the `token68` syntax of RFC 9110.
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"-._~+/=".contains(&byte)
+}
+
+fn bad_header(reason: &str) -> Problem {
+    Problem::new(ResultCode::BadHeader, reason).with_field(HEADER_FIELD)
+}
+
+/// Finds the key with the hash of `secret`. Keys whose organisation does not exist are not found.
+#[must_use]
+pub fn find_key<'a>(config: &'a FleetConfig, secret: &str) -> Option<(&'a KeyId, &'a KeySpec)> {
+    let hash = hash_secret(secret);
+    let prefix = CompactString::from(&hash[..PREFIX_DIGITS]);
+    let candidates = config
+        .keys_by_hash
+        .range(prefix.clone()..)
+        .take_while(|(candidate, _)| candidate.starts_with(prefix.as_str()));
+    let mut found = None;
+    for (candidate, id) in candidates {
+        if bool::from(candidate.as_bytes().ct_eq(hash.as_bytes())) {
+            found = Some(id);
+        }
+    }
+    let (id, key) = config.keys.get_key_value(found?)?;
+    let exists = config.organisations.contains_key(&key.organisation);
+    exists.then_some((id, key))
+}
+
+/// Checks caller keys against the configuration in force, and remembers the last use of each.
+pub struct KeyIndex {
+    view: ConfigView,
+    clock: Arc<dyn Clock>,
+    /// Unix seconds of the last use. Only configured keys enter.
+    uses: Mutex<HashMap<KeyId, u64>>,
+}
+
+impl KeyIndex {
+    /// An index over the configuration of `view`.
+    #[must_use]
+    pub fn new(view: ConfigView, clock: Arc<dyn Clock>) -> KeyIndex {
+        KeyIndex {
+            view,
+            clock,
+            uses: Mutex::default(),
+        }
+    }
+
+    /// Finds the owner of the key in the values of all `Authorization` headers.
+    ///
+    /// # Errors
+    ///
+    /// `KeyMissing`, `BadHeader`, `KeyUnknown` (also when withdrawn or expired), or `KeyUnchecked` when this VM
+    /// has gone without a confirmed configuration for longer than the organisation's limit.
+    pub fn authenticate<'a>(
+        &self,
+        headers: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Result<KeyOwner, Problem> {
+        let secret = parse_bearer(headers)?;
+        let config = self.view.load();
+        let seconds = self.wall_seconds();
+        let (id, key) = find_key(&config, secret)
+            .filter(|(_, key)| key.expires_at.is_none_or(|expiry| seconds <= expiry))
+            .ok_or_else(|| Problem::new(ResultCode::KeyUnknown, "the key is not valid"))?;
+        self.check_limit(&config, &key.organisation)?;
+        self.note_use(id, seconds);
+        Ok(KeyOwner {
+            key: id.clone(),
+            organisation: key.organisation.clone(),
+        })
+    }
+
+    /// Unix seconds of the last accepted use of each key that still exists, for the dump.
+    #[must_use]
+    pub fn dump(&self) -> Value {
+        let config = self.view.load();
+        let mut uses = self.uses.lock().unwrap_or_else(PoisonError::into_inner);
+        uses.retain(|id, _| config.keys.contains_key(id));
+        let entries = uses.iter();
+        let entries = entries.map(|(id, seconds)| (id.to_string(), Value::from(*seconds)));
+        Value::Object(entries.collect())
+    }
+
+    fn check_limit(&self, config: &FleetConfig, organisation: &str) -> Result<(), Problem> {
+        let unchecked = self.view.unchecked_for(self.clock.uptime());
+        if unchecked <= config.key_recheck_limit(organisation) {
+            return Ok(());
+        }
+        let reason = "the VM could not re-check keys within the limit";
+        Err(Problem::new(ResultCode::KeyUnchecked, reason))
+    }
+
+    fn note_use(&self, id: &KeyId, seconds: u64) {
+        let mut uses = self.uses.lock().unwrap_or_else(PoisonError::into_inner);
+        match uses.get_mut(id) {
+            Some(last) => *last = seconds.max(*last),
+            None => {
+                uses.insert(id.clone(), seconds);
+            }
+        }
+    }
+
+    fn wall_seconds(&self) -> u64 {
+        let since_epoch = self.clock.wall().duration_since(UNIX_EPOCH);
+        since_epoch.map_or(0, |duration| duration.as_secs())
+    }
+}
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,5 +1,20 @@
 //! Caller keys and rates over all VMs.
 
+pub mod address;
+pub mod baseline;
+pub mod borrower;
+pub mod bucket;
+pub mod key;
+pub mod lease;
+pub mod lender;
 pub mod limiter;
+pub mod message;
+pub mod output;
+pub mod slots;
+pub mod split;
+pub mod witness;
 
+pub use address::AddressLimiter;
+pub use baseline::EvenSplit;
+pub use key::{KeyIndex, KeyOwner};
 pub use limiter::{RateLimiter, RateVerdict};
--- /dev/null
+++ b/crates/admission/src/split.rs
@@ -0,0 +1,139 @@
+//! How an organisation's rate and burst are split over slots.
+
+use compact_str::{CompactString, format_compact};
+use plantainmill_config::OrganisationSpec;
+use plantainmill_core::DomainName;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Row with the layout of the slots.
+pub const LAYOUT_KEY: &str = "slot-layout";
+/// Nanotokens in one token.
+const NANOTOKENS: f64 = 1e9;
+/// Highest rate that is told apart, per second.
+const RATE_LIMIT: f64 = 1e9;
+
+/// One slot: a part of every organisation's rate that one VM holds at a time.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct SlotId {
+    /// Failure domain whose VMs may hold it.
+    pub domain: DomainName,
+    /// Number within the domain.
+    pub index: u16,
+}
+
+impl SlotId {
+    /// Key of its row.
+    #[must_use]
+    pub fn row_key(&self) -> CompactString {
+        format_compact!("slot/{}/{}", self.domain, self.index)
+    }
+
+    /// Place of the slot in `organisation`'s rendezvous order; the highest comes first.
+    fn weight(&self, organisation: &str) -> u64 {
+        let seed = xxh3_64(self.row_key().as_bytes());
+        xxh3_64_with_seed(organisation.as_bytes(), seed)
+    }
+}
+
+/// The slots of the fleet. All VMs agree on it through the row [`LAYOUT_KEY`].
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SlotLayout {
+    /// Number of slots by failure domain.
+    pub domains: BTreeMap<DomainName, u16>,
+}
+
+impl SlotLayout {
+    /// All slots in order.
+    #[must_use]
+    pub fn slots(&self) -> Vec<SlotId> {
+        let domains = self.domains.keys();
+        domains.flat_map(|domain| self.slots_of(domain)).collect()
+    }
+
+    /// Slots of one failure domain.
+    #[must_use]
+    pub fn slots_of(&self, domain: &DomainName) -> Vec<SlotId> {
+        let count = self.domains.get(domain).copied().unwrap_or(0);
+        let indexes = 0..count;
+        let slots = indexes.map(|index| SlotId {
+            domain: domain.clone(),
+            index,
+        });
+        slots.collect()
+    }
+
+    /// Number of slots.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        self.domains.values().map(|count| u32::from(*count)).sum()
+    }
+
+    /// All slots in `organisation`'s rendezvous order.
+    #[must_use]
+    pub fn ranked(&self, organisation: &str) -> Vec<SlotId> {
+        let mut slots = self.slots();
+        slots.sort_by_cached_key(|slot| (u64::MAX - slot.weight(organisation), slot.clone()));
+        slots
+    }
+
+    /// Place of `slot` in `organisation`'s rendezvous order.
+    #[must_use]
+    pub fn rank(&self, organisation: &str, slot: &SlotId) -> u32 {
+        let own = slot.weight(organisation);
+        let slots = self.slots();
+        let before = slots.iter().filter(|other| {
+            let weight = other.weight(organisation);
+            weight > own || (weight == own && *other < slot)
+        });
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Number of slots that `spec`'s rate is split over.
+    #[must_use]
+    pub fn width(&self, spec: &OrganisationSpec) -> u32 {
+        spec.burst.min(self.count())
+    }
+}
+
+/// Part of an organisation's rate and burst.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Share {
+    /// Nanotokens per second.
+    pub rate: u64,
+    /// Whole tokens.
+    pub burst: u32,
+}
+
+impl Share {
+    /// The whole of `rate` and `burst`. The rate is rounded down to nanotokens per second.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Clamped to 0..=1e18.
+    pub fn whole(rate: f64, burst: u32) -> Share {
+        let sound = rate.is_finite() && rate > 0.0;
+        let rate = if sound {
+            (rate.min(RATE_LIMIT) * NANOTOKENS) as u64
+        } else {
+            0
+        };
+        Share { rate, burst }
+    }
+
+    /// Rate of the slot at `rank` when the rate is split over the first `width` slots.
+    #[must_use]
+    pub fn rate_at(self, rank: u32, width: u32) -> u64 {
+        if rank < width {
+            self.rate / u64::from(width)
+        } else {
+            0
+        }
+    }
+
+    /// Burst of the slot at `rank` of `slots`. It grows with the whole burst at every rank, so VMs that know
+    /// different bursts together never hold more than the larger one.
+    #[must_use]
+    pub fn burst_at(self, rank: u32, slots: u32) -> u32 {
+        self.burst.saturating_sub(rank).div_ceil(slots.max(1))
+    }
+}
