Mesh service: listener, lazy connections and routing

The mesh had a frame format and messages but nothing that carried them.

MeshService accepts WebSocket connections, connects to a peer when the first frame for it comes, keeps at most 256 frames a peer and 16 MiB over all peers, closes idle connections on timer ticks, and routes frames by channel. FrameGuard drops foreign, malformed, old, misaddressed and replayed frames. Every drop is counted by reason.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,8 +4,18 @@
 //! [`FrameReceived`] after registering with [`RegisterChannel`]. Delivery is at most once and unordered across
 //! reconnects: every slice has to tolerate lost, repeated and late messages.
 
+pub mod counters;
 pub mod frame;
+pub mod guard;
+mod inbound;
 pub mod message;
+mod outbound;
+pub mod service;
 
+pub use counters::{DropReason, MeshCounters, MeshTotals};
 pub use frame::{FleetSecret, FrameError, MeshFrame};
+pub use guard::FrameGuard;
 pub use message::{Channel, FrameReceived, MeshPeer, RegisterChannel, SendFrame, UpdatePeers};
+pub use service::{
+    DumpMesh, IDLE_LIMIT, MeshOptions, MeshReport, MeshService, StopMesh, UpdateSecret, start,
+};
--- /dev/null
+++ b/crates/mesh/src/outbound.rs
@@ -0,0 +1,191 @@
+//! Connections to peers: one queue and one task per peer that is being sent to.
+
+use crate::counters::{DropReason, MeshCounters};
+use crate::frame::FRAME_LIMIT_BYTES;
+use bytes::Bytes;
+use futures_util::{SinkExt as _, StreamExt as _};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, client_async_with_config};
+
+/// Frames that wait for one peer.
+const QUEUE_FRAMES: usize = 256;
+/// Bytes that wait for all peers together; a quarter of the 64 MB that control may take.
+const QUEUE_BYTES: usize = 16 * 1024 * 1024;
+/// Longest wait for a connection. A round trip between regions is 40 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for a write, so that a peer that stopped reading does not hold its queue.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Frames that come within this time after a failed connection are dropped without another try.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Bytes that wait in all queues of a mesh.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct QueueBudget {
+    used: Arc<AtomicUsize>,
+}
+
+impl QueueBudget {
+    fn take(&self, bytes: usize) -> bool {
+        let taken = self.used.fetch_add(bytes, Ordering::Relaxed);
+        if taken + bytes > QUEUE_BYTES {
+            self.give_back(bytes);
+            return false;
+        }
+        true
+    }
+
+    fn give_back(&self, bytes: usize) {
+        self.used.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
+/// Queue to one peer. Dropping it closes the connection after the waiting frames were sent.
+pub(crate) struct PeerQueue {
+    sender: mpsc::Sender<Bytes>,
+    budget: QueueBudget,
+    counters: MeshCounters,
+}
+
+impl PeerQueue {
+    /// Starts the task that sends to `address`. It connects when the first frame comes.
+    pub(crate) fn start(address: SocketAddr, budget: QueueBudget, counters: MeshCounters) -> Self {
+        let (sender, receiver) = mpsc::channel(QUEUE_FRAMES);
+        let task = SendTask {
+            address,
+            budget: budget.clone(),
+            counters: counters.clone(),
+            socket: None,
+        };
+        actix_rt::spawn(task.run(receiver));
+        PeerQueue {
+            sender,
+            budget,
+            counters,
+        }
+    }
+
+    /// Adds a sealed frame; a full queue drops it.
+    pub(crate) fn push(&self, content: Bytes) {
+        let bytes = content.len();
+        if !self.budget.take(bytes) {
+            self.counters.count_dropped(DropReason::QueueFull);
+            return;
+        }
+        if self.sender.try_send(content).is_err() {
+            self.budget.give_back(bytes);
+            self.counters.count_dropped(DropReason::QueueFull);
+        }
+    }
+}
+
+struct SendTask {
+    address: SocketAddr,
+    budget: QueueBudget,
+    counters: MeshCounters,
+    socket: Option<WebSocketStream<TcpStream>>,
+}
+
+impl SendTask {
+    async fn run(mut self, mut receiver: mpsc::Receiver<Bytes>) {
+        while let Some(content) = receiver.recv().await {
+            let bytes = content.len();
+            let sent = self.send(content).await;
+            self.budget.give_back(bytes);
+            if sent {
+                self.counters.count_sent(bytes);
+                continue;
+            }
+            self.counters.count_dropped(DropReason::Unreachable);
+            self.drop_waiting(&mut receiver);
+        }
+        if let Some(mut socket) = self.socket.take() {
+            let _ = timeout(WRITE_TIMEOUT, socket.close(None)).await;
+        }
+    }
+
+    /// Sends over the open connection; a connection found broken is replaced once.
+    async fn send(&mut self, content: Bytes) -> bool {
+        if self.is_closed_by_peer() {
+            self.socket = None;
+        }
+        if self.socket.is_some() && self.write(content.clone()).await {
+            return true;
+        }
+        if !self.connect().await {
+            return false;
+        }
+        self.write(content).await
+    }
+
+    /// Says whether the peer has closed the connection since the last frame.
+    fn is_closed_by_peer(&mut self) -> bool {
+        use futures_util::FutureExt as _;
+        let Some(socket) = &mut self.socket else {
+            return false;
+        };
+        match socket.next().now_or_never() {
+            None | Some(Some(Ok(Message::Ping(_) | Message::Pong(_)))) => false,
+            Some(_) => true,
+        }
+    }
+
+    async fn write(&mut self, content: Bytes) -> bool {
+        let Some(socket) = &mut self.socket else {
+            return false;
+        };
+        let written = timeout(WRITE_TIMEOUT, socket.send(Message::Binary(content))).await;
+        if matches!(written, Ok(Ok(()))) {
+            return true;
+        }
+        self.socket = None;
+        false
+    }
+
+    async fn connect(&mut self) -> bool {
+        match timeout(CONNECT_TIMEOUT, open_socket(self.address)).await {
+            Ok(Ok(socket)) => {
+                self.counters.count_opened();
+                self.socket = Some(socket);
+                true
+            }
+            Ok(Err(_)) => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                false
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Drops what waited while the peer could not be reached: it is late, and every slice repairs losses.
+    fn drop_waiting(&self, receiver: &mut mpsc::Receiver<Bytes>) {
+        while let Ok(content) = receiver.try_recv() {
+            self.budget.give_back(content.len());
+            self.counters.count_dropped(DropReason::Unreachable);
+        }
+    }
+}
+
+async fn open_socket(address: SocketAddr) -> anyhow::Result<WebSocketStream<TcpStream>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let url = format!("ws://{address}/mesh");
+    let (socket, _) = client_async_with_config(url, stream, Some(socket_config())).await?;
+    Ok(socket)
+}
+
+/// Limits of a connection, the same on both sides.
+pub(crate) fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(FRAME_LIMIT_BYTES))
+        .max_frame_size(Some(FRAME_LIMIT_BYTES))
+        .read_buffer_size(4 * 1024)
+        .write_buffer_size(0)
+}
