Member table and membership service

The fleet had a view type for members but nothing that filled it.

MemberTable is a state machine: one probe a second inside the domain in random rounds, indirect probes through two members, suspicion, death, refutation, rejoin by a later incarnation, relays between domains, and the VM list as seed and prune. MembershipService owns it, publishes MemberView and UpdatePeers, and reports configuration versions from digests to subscribers. A configuration check that a peer reports counts from the sending of the own probe, so that a late answer never looks fresher than it is.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,5 +1,21 @@
 //! Members of the fleet, seen by probes and digests.
 
+mod exchange;
+mod listing;
+pub mod message;
+pub mod options;
+mod probe;
+pub mod roster;
+pub mod service;
+pub mod table;
 pub mod view;
 
+pub use message::{DomainSummary, MemberDigest, MemberMessage, MemberRecord};
+pub use options::MemberTiming;
+pub use roster::choose_by_rendezvous;
+pub use service::{
+    AnnounceVersion, DumpMembers, LeaveFleet, MembershipOptions, MembershipReport,
+    MembershipService, ReportVersion, SubscribeVersions, start,
+};
+pub use table::{MemberCounters, MemberInput, MemberOutput, MemberTable, PeerVersion};
 pub use view::{Member, MemberState, MemberView};
