Batch: files, jobs, chunk leases and their runner

A first working version of the batch slice: upload, create, run, poll, read and cancel.

- Leases, runs of a chunk, order of jobs and the judgement of lost holders are plain state machines.
- A job is accepted by one write after all chunk objects are stored.
Object names carry a random part, so that racing creates with one idempotency key cannot overwrite each other's items.
- One claim takes several chunks by one write, and every write of a VM also renews its holder row, so a busy VM needs no writes for leases.

Checked by tests in virtual time for the whole path over HTTP, ranges, bad lines, resends through two VMs, and 1 to 5,000 items on 1 to 3 VMs.

--- /dev/null
+++ b/crates/batch/src/chunk.rs
@@ -0,0 +1,582 @@
+//! The task that runs one held chunk: calls, segments and commits.
+
+use crate::items::ItemSet;
+use crate::lease::{ChunkLease, LeaseInput, LeaseOutput, LeaseWrite};
+use crate::lines::{ItemRoute, check_line};
+use crate::outcome::{
+    ItemResult, ItemRule, answer_line, attempts_used, judge, outcome_unknown, problem_line,
+};
+use crate::results::{input_lines, item_id};
+use crate::rows::{ChunkRow, JobState, SegmentEntry, input_name, segment_name};
+use crate::run::{ChunkRun, RunEnd, RunStep};
+use crate::watch::{ChunkSignal, JobContext, UNSAVED_LIMIT_BYTES, VmState};
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::{FuturesUnordered, StreamExt as _};
+use plantainmill_core::{Problem, ResultCode, Uptime};
+use plantainmill_dispatch::TrafficClass;
+use plantainmill_platform::{CommitOutcome, StoreError};
+use plantainmill_proxy::{TargetRequest, WholeAnswer};
+use plantainmill_schema::openai::BatchLine;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// First wait after a failed store call.
+const STORE_WAIT_FIRST: Duration = Duration::from_millis(500);
+/// Longest wait between two tries of a store call.
+const STORE_WAIT_LIMIT: Duration = Duration::from_secs(10);
+/// A chunk none of whose items finds a place for this long is released, so that it holds back nobody.
+const STALL_RELEASE: Duration = Duration::from_mins(1);
+/// How often a paused task looks whether memory is free again.
+const PAUSE_CHECK: Duration = Duration::from_secs(1);
+/// Time limit of items whose service is not in the configuration; the call itself reports that.
+const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
+/// Bytes of an item's body that choose the target by prefix.
+const PREFIX_BYTES: usize = 512;
+
+/// How a chunk task ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ChunkEnd {
+    /// All items are committed.
+    Done,
+    /// Committed what was done and released the rest.
+    Released,
+    /// Released because no item found a place.
+    Stalled,
+    /// Another holder has a later epoch.
+    Lost,
+    /// The job has ended.
+    Stopped,
+}
+
+/// Answer of an item's call; none if it was not sent.
+type ItemAnswer = (usize, Option<Result<WholeAnswer, Problem>>);
+
+/// A held chunk.
+pub(crate) struct ChunkTask {
+    state: Rc<VmState>,
+    context: Rc<JobContext>,
+    pub(crate) chunk: u32,
+    lease: ChunkLease,
+    signal: watch::Receiver<ChunkSignal>,
+    started_at: Uptime,
+}
+
+/// The running part of a task.
+struct TaskRun {
+    task: ChunkTask,
+    lines: Vec<Bytes>,
+    run: ChunkRun,
+    calls: FuturesUnordered<LocalBoxFuture<'static, ItemAnswer>>,
+    results: BTreeMap<usize, ItemResult>,
+    result_bytes: usize,
+}
+
+impl ChunkTask {
+    pub(crate) fn new(
+        state: Rc<VmState>,
+        context: Rc<JobContext>,
+        chunk: u32,
+        lease: ChunkLease,
+        signal: watch::Receiver<ChunkSignal>,
+    ) -> ChunkTask {
+        let started_at = state.now();
+        ChunkTask {
+            state,
+            context,
+            chunk,
+            lease,
+            signal,
+            started_at,
+        }
+    }
+
+    pub(crate) fn key(&self) -> (CompactString, u32) {
+        (self.context.job.clone(), self.chunk)
+    }
+
+    /// Runs the chunk to its end.
+    pub(crate) async fn run(mut self) -> ChunkEnd {
+        let lines = match self.read_input().await {
+            Ok(lines) => lines,
+            Err(end) => return end,
+        };
+        let state = Rc::clone(&self.state);
+        let key = self.key();
+        let started_at = self.started_at;
+        let items = lines.len();
+        let mut run = TaskRun::new(self, lines);
+        let end = run.drive().await;
+        state
+            .unsaved
+            .set(state.unsaved.get().saturating_sub(run.result_bytes));
+        if end == ChunkEnd::Done {
+            let millis = state.now().saturating_sub(started_at).as_millis().max(1);
+            let held = state.active.borrow().len().max(1);
+            let pace = items as u128 * held as u128 * 1_000 / millis;
+            state
+                .pace
+                .set(u64::try_from(pace).unwrap_or(u64::MAX).max(1));
+        }
+        tracing::debug!(job = %key.0, chunk = key.1, ?end, "chunk task ended");
+        end
+    }
+
+    async fn read_input(&mut self) -> Result<Vec<Bytes>, ChunkEnd> {
+        let name = input_name(&self.context.job, &self.context.row.nonce, self.chunk);
+        let store = self.state.store.clone();
+        let mut signal = self.signal.clone();
+        let mut wait = STORE_WAIT_FIRST;
+        loop {
+            if *signal.borrow_and_update() == ChunkSignal::Cancel {
+                return Err(ChunkEnd::Stopped);
+            }
+            match store.get_object(&name).await {
+                Ok(content) => {
+                    let lines = input_lines(&content).map(|line| content.slice_ref(line));
+                    return Ok(lines.collect());
+                }
+                Err(problem) if problem.code == ResultCode::RowInvalid => {
+                    tracing::error!(object = %name, "a chunk's input is missing");
+                    return Err(ChunkEnd::Stalled);
+                }
+                Err(_) => {}
+            }
+            tokio::select! {
+                () = actix_rt::time::sleep(wait) => {}
+                _ = signal.changed() => {}
+            }
+            wait = (wait * 2).min(STORE_WAIT_LIMIT);
+        }
+    }
+}
+
+impl TaskRun {
+    fn new(task: ChunkTask, lines: Vec<Bytes>) -> TaskRun {
+        let config = task.state.store.config.load();
+        let is_once = |line: &Bytes| {
+            let item = check_line(line).ok();
+            let service = item.as_ref().and_then(service_of);
+            let spec = service.and_then(|service| config.services.get(service));
+            spec.is_some_and(|spec| !spec.repeatable)
+        };
+        let numbered = lines.iter().enumerate();
+        let once: ItemSet = numbered
+            .filter(|(_, line)| is_once(line))
+            .map(|(item, _)| item)
+            .collect();
+        let row = task.lease.row().cloned();
+        let row = row.unwrap_or_else(|| ChunkRow::claimed(None, &task.state.holder));
+        let attempts = config.defaults.item_attempts;
+        let run = ChunkRun::new(&row, lines.len(), once, attempts, task.state.now());
+        TaskRun {
+            task,
+            lines,
+            run,
+            calls: FuturesUnordered::new(),
+            results: BTreeMap::new(),
+            result_bytes: 0,
+        }
+    }
+
+    fn state(&self) -> &VmState {
+        &self.task.state
+    }
+
+    async fn drive(&mut self) -> ChunkEnd {
+        let now = self.state().now();
+        for item in self.run.unknown_items().iter() {
+            self.fail(item, &outcome_unknown());
+            self.run.finish(item, now);
+        }
+        loop {
+            if let Err(end) = self.advance().await {
+                return end;
+            }
+        }
+    }
+
+    /// Takes one step; `Err` ends the task.
+    async fn advance(&mut self) -> Result<(), ChunkEnd> {
+        let signal = *self.task.signal.borrow();
+        if signal == ChunkSignal::Cancel {
+            return Err(ChunkEnd::Stopped);
+        }
+        let now = self.state().now();
+        let stalled = self.run.stalled_for(now) >= STALL_RELEASE && self.run.running() == 0;
+        if signal == ChunkSignal::Release || stalled {
+            return self.release(stalled).await;
+        }
+        if self.state().unsaved.get() >= UNSAVED_LIMIT_BYTES {
+            return self.pause().await;
+        }
+        match self.run.next(now) {
+            RunStep::Start(item) => {
+                self.start(item);
+                Ok(())
+            }
+            RunStep::Announce(items) => self.save(items, false).await,
+            RunStep::SaveAttempts => self.save(ItemSet::default(), false).await,
+            RunStep::Complete => {
+                self.save(ItemSet::default(), false).await?;
+                Err(ChunkEnd::Done)
+            }
+            RunStep::Wait(due) => {
+                let limit = now + STALL_RELEASE;
+                self.wait(due.map_or(limit, |due| due.min(limit))).await;
+                Ok(())
+            }
+        }
+    }
+
+    async fn release(&mut self, stalled: bool) -> Result<(), ChunkEnd> {
+        if self.run.running() > 0 {
+            let limit = self.state().now() + PAUSE_CHECK;
+            self.wait(limit).await;
+            return Ok(());
+        }
+        self.save(ItemSet::default(), true).await?;
+        if stalled {
+            return Err(ChunkEnd::Stalled);
+        }
+        Err(ChunkEnd::Released)
+    }
+
+    /// Unsaved results have reached the bound: commits this chunk's, or waits for others to commit theirs.
+    async fn pause(&mut self) -> Result<(), ChunkEnd> {
+        self.state().store.meters.memory_pauses.add(1, &[]);
+        if !self.results.is_empty() {
+            return self.save(ItemSet::default(), false).await;
+        }
+        let limit = self.state().now() + PAUSE_CHECK;
+        self.wait(limit).await;
+        Ok(())
+    }
+
+    /// Waits for the end of a call, a signal, or a time.
+    async fn wait(&mut self, until: Uptime) {
+        let delay = until.saturating_sub(self.state().now());
+        let mut answer = None;
+        tokio::select! {
+            Some(ended) = self.calls.next(), if !self.calls.is_empty() => answer = Some(ended),
+            _ = self.task.signal.changed() => {}
+            () = actix_rt::time::sleep(delay) => {}
+        }
+        if let Some(ended) = answer {
+            self.ended(ended);
+        }
+    }
+
+    fn start(&mut self, item: usize) {
+        let state = Rc::clone(&self.task.state);
+        let signal = self.task.signal.clone();
+        let line = self.lines.get(item).cloned().unwrap_or_default();
+        let organisation = self.task.context.row.organisation.clone();
+        let call = async move {
+            let _permit = state.slots.acquire().await;
+            if *signal.borrow() != ChunkSignal::Run {
+                return (item, None);
+            }
+            let request = to_request(&state, &line, organisation);
+            let answer = match request {
+                Ok(request) => state.caller.call(request).await,
+                Err(problem) => Err(problem),
+            };
+            (item, Some(answer))
+        };
+        self.calls.push(Box::pin(call));
+    }
+
+    fn ended(&mut self, (item, answer): ItemAnswer) {
+        let now = self.state().now();
+        let Some(answer) = answer else {
+            self.run.not_sent(item);
+            return;
+        };
+        let rule = ItemRule {
+            repeatable: !self.run.is_once(item),
+            last_attempt: self.run.is_last_attempt(item),
+        };
+        let end = judge(&answer, rule);
+        let meters = &self.state().store.meters;
+        match end {
+            RunEnd::Deferred => meters.items_deferred.add(1, &[]),
+            RunEnd::Suspect => meters.attempts_lost.add(1, &[]),
+            RunEnd::Finished => self.finish(item, &answer, rule),
+        }
+        self.run.ended(item, end, now);
+    }
+
+    fn finish(&mut self, item: usize, answer: &Result<WholeAnswer, Problem>, rule: ItemRule) {
+        match answer {
+            Ok(answer) => {
+                let id = self.item_id(item);
+                let result = answer_line(&id, &self.custom_id(item), answer);
+                self.keep(item, result);
+            }
+            Err(problem)
+                if rule.last_attempt && problem.executed != plantainmill_core::Executed::No =>
+            {
+                self.fail(item, &attempts_used(problem));
+            }
+            Err(problem) => self.fail(item, problem),
+        }
+    }
+
+    fn fail(&mut self, item: usize, problem: &Problem) {
+        let id = self.item_id(item);
+        let result = problem_line(&id, &self.custom_id(item), problem);
+        self.keep(item, result);
+    }
+
+    fn keep(&mut self, item: usize, result: ItemResult) {
+        let meters = &self.state().store.meters;
+        if result.completed {
+            meters.items_completed.add(1, &[]);
+        } else {
+            meters.items_failed.add(1, &[]);
+        }
+        let bytes = result.line.len();
+        self.result_bytes += bytes;
+        let unsaved = &self.state().unsaved;
+        unsaved.set(unsaved.get() + bytes);
+        self.results.insert(item, result);
+    }
+
+    fn item_id(&self, item: usize) -> String {
+        item_id(&self.task.context.job, self.task.chunk, item)
+    }
+
+    fn custom_id(&self, item: usize) -> String {
+        let line = self.lines.get(item).map(|line| check_line(line));
+        let parsed = line.and_then(Result::ok);
+        parsed.map(|line| line.custom_id).unwrap_or_default()
+    }
+
+    /// Writes the results as a segment and then the chunk row. Running calls go on meanwhile.
+    async fn save(&mut self, announced: ItemSet, release: bool) -> Result<(), ChunkEnd> {
+        let results = std::mem::take(&mut self.results);
+        let (row, segment) = self.next_row(&results, announced, release)?;
+        let (state, context) = (Rc::clone(&self.task.state), Rc::clone(&self.task.context));
+        let chunk = self.task.chunk;
+        let bytes: usize = results.values().map(|result| result.line.len()).sum();
+        drop(results);
+        let mut ended = Vec::new();
+        let outcome = {
+            let lease = &mut self.task.lease;
+            let persist = persist(&state, &context, chunk, lease, row, segment);
+            tokio::pin!(persist);
+            loop {
+                tokio::select! {
+                    outcome = &mut persist => break outcome,
+                    Some(answer) = self.calls.next(), if !self.calls.is_empty() => ended.push(answer),
+                    _ = self.task.signal.changed() => {
+                        if *self.task.signal.borrow() == ChunkSignal::Cancel {
+                            break Err(ChunkEnd::Stopped);
+                        }
+                    }
+                }
+            }
+        };
+        outcome?;
+        self.result_bytes -= bytes;
+        state.unsaved.set(state.unsaved.get().saturating_sub(bytes));
+        state.store.meters.commits.add(1, &[]);
+        if let Some(row) = self.task.lease.row() {
+            self.run.saved(row);
+        }
+        for answer in ended {
+            self.ended(answer);
+        }
+        Ok(())
+    }
+
+    fn next_row(
+        &self,
+        results: &BTreeMap<usize, ItemResult>,
+        announced: ItemSet,
+        release: bool,
+    ) -> Result<(ChunkRow, Option<(CompactString, Bytes)>), ChunkEnd> {
+        let mut row = self.task.lease.next_row().ok_or(ChunkEnd::Lost)?;
+        row.attempts = self.run.attempts();
+        row.started = row.started.union(announced);
+        if release {
+            row.started = self.run.started_on_release();
+            row.held = false;
+        }
+        let mut segment = None;
+        if !results.is_empty() {
+            let context = &self.task.context;
+            let name = segment_name(&context.job, &context.row.nonce, self.task.chunk, &row);
+            let (entry, lines) = new_segment(name.clone(), results);
+            row.charges += results.len() as u64;
+            row.segments.push(entry);
+            segment = Some((name, lines));
+        }
+        row.done = row.finished().len() >= self.lines.len();
+        Ok((row, segment))
+    }
+}
+
+/// Puts results into the form of a segment object.
+fn new_segment(
+    name: CompactString,
+    results: &BTreeMap<usize, ItemResult>,
+) -> (SegmentEntry, Bytes) {
+    let mut content = BytesMut::new();
+    let mut add = |completed: bool| -> ItemSet {
+        let wanted = results
+            .iter()
+            .filter(|(_, result)| result.completed == completed);
+        wanted
+            .map(|(item, result)| {
+                content.extend_from_slice(&result.line);
+                *item
+            })
+            .collect()
+    };
+    let completed = add(true);
+    let failed = add(false);
+    let lines = results.values().filter(|result| result.completed);
+    let output_bytes: u64 = lines.map(|result| result.line.len() as u64).sum();
+    let entry = SegmentEntry {
+        name,
+        completed,
+        failed,
+        output_bytes,
+        error_bytes: content.len() as u64 - output_bytes,
+    };
+    (entry, content.freeze())
+}
+
+/// Writes the segment, then the row, until the outcome is certain.
+async fn persist(
+    state: &VmState,
+    context: &JobContext,
+    chunk: u32,
+    lease: &mut ChunkLease,
+    row: ChunkRow,
+    segment: Option<(CompactString, Bytes)>,
+) -> Result<(), ChunkEnd> {
+    if let Some((name, content)) = segment {
+        let mut wait = STORE_WAIT_FIRST;
+        while state
+            .store
+            .objects
+            .put(&name, content.clone())
+            .await
+            .is_err()
+        {
+            state.store.meters.store_retries.add(1, &[]);
+            pause_for(&mut wait).await;
+        }
+    }
+    let output = lease.step(LeaseInput::Save(row));
+    drive_lease(state, &context.job, chunk, lease, output).await
+}
+
+/// Carries out the outputs of a lease until its write is settled.
+pub(crate) async fn drive_lease(
+    state: &VmState,
+    job: &str,
+    chunk: u32,
+    lease: &mut ChunkLease,
+    mut output: LeaseOutput,
+) -> Result<(), ChunkEnd> {
+    let mut wait = STORE_WAIT_FIRST;
+    loop {
+        let input = match output {
+            LeaseOutput::Write(write) => commit(state, job, chunk, &write).await,
+            LeaseOutput::Read => read_rows(state, job, chunk).await,
+            LeaseOutput::Saved => return Ok(()),
+            LeaseOutput::Stopped => return Err(ChunkEnd::Stopped),
+            LeaseOutput::Lost | LeaseOutput::Ignored => return Err(ChunkEnd::Lost),
+        };
+        if input == LeaseInput::Retry {
+            state.store.meters.store_retries.add(1, &[]);
+            pause_for(&mut wait).await;
+        }
+        output = lease.step(input);
+    }
+}
+
+async fn commit(state: &VmState, job: &str, chunk: u32, write: &LeaseWrite) -> LeaseInput {
+    let table_write = state.job_write(job, write.job_revision);
+    let table_write = VmState::chunk_write(table_write, job, chunk, write.revision, &write.row);
+    match state.store.table.commit(table_write).await {
+        Ok(CommitOutcome::Committed { revision }) => LeaseInput::Committed { revision },
+        Ok(CommitOutcome::Conflict { .. }) => LeaseInput::Conflict,
+        Err(StoreError::Unavailable(_)) => LeaseInput::Retry,
+        Err(_) => LeaseInput::Unknown,
+    }
+}
+
+/// Reads the job row first: if the job runs and the chunk row read later is unchanged, a repeat is safe.
+async fn read_rows(state: &VmState, job: &str, chunk: u32) -> LeaseInput {
+    let Ok(found) = state.store.read_job(job).await else {
+        return LeaseInput::Retry;
+    };
+    let key = crate::rows::chunk_key(job, chunk);
+    let Ok(chunk) = state.store.read::<ChunkRow>(&key).await else {
+        return LeaseInput::Retry;
+    };
+    let running = found.filter(|(_, row)| row.state == JobState::Running);
+    LeaseInput::Found {
+        chunk,
+        job_revision: running.map(|(revision, _)| revision),
+    }
+}
+
+async fn pause_for(wait: &mut Duration) {
+    actix_rt::time::sleep(*wait).await;
+    *wait = (*wait * 2).min(STORE_WAIT_LIMIT);
+}
+
+/// Service that an item calls.
+fn service_of(item: &BatchLine) -> Option<&str> {
+    match ItemRoute::parse(&item.url)? {
+        ItemRoute::Model => item.body.get("model").and_then(serde_json::Value::as_str),
+        ItemRoute::Service { service, .. } => Some(service),
+    }
+}
+
+/// The request of an item, free of anything the caller sent beside the line.
+fn to_request(
+    state: &VmState,
+    line: &[u8],
+    organisation: CompactString,
+) -> Result<TargetRequest, Problem> {
+    let invalid = |reason: String| Problem::new(ResultCode::ItemFailed, reason);
+    let item = check_line(line).map_err(invalid)?;
+    let service = service_of(&item).ok_or_else(|| invalid("no service".to_owned()))?;
+    let config = state.store.config.load();
+    let spec = config.services.get(service);
+    let timeout = spec.map_or(DEFAULT_TIMEOUT, |spec| {
+        Duration::from_millis(spec.timeout_ms)
+    });
+    let path = match ItemRoute::parse(&item.url) {
+        Some(ItemRoute::Service { path, .. }) => path.to_owned(),
+        _ => item.url.clone(),
+    };
+    let body = serde_json::to_vec(&item.body).unwrap_or_default();
+    let prefix = &body[..body.len().min(PREFIX_BYTES)];
+    Ok(TargetRequest {
+        service: CompactString::from(service),
+        organisation: Some(organisation),
+        class: TrafficClass::Batch,
+        method: CompactString::const_new("POST"),
+        path,
+        headers: vec![(
+            CompactString::const_new("content-type"),
+            CompactString::const_new("application/json"),
+        )],
+        prefix_hash: Some(xxh3_64(prefix)),
+        body: Bytes::from(body),
+        deadline: state.now() + timeout,
+        idempotency_key: None,
+    })
+}
--- /dev/null
+++ b/crates/batch/src/jobs.rs
@@ -0,0 +1,227 @@
+//! Reading, listing, cancelling and finishing jobs.
+
+use crate::order::{JobProgress, is_late};
+use crate::rows::{
+    ChunkRow, ItemCounts, JobRow, JobState, cancel_key, error_file_id, expiry_key, job_key,
+    open_key, output_file_id, prefix_end,
+};
+use crate::store::{JobStore, Versioned, store_problem, to_value};
+use compact_str::CompactString;
+use plantainmill_core::{JobId, Problem, ResultCode};
+use plantainmill_platform::{CommitOutcome, Expected, StoreError, TableWrite};
+use plantainmill_schema::openai::{BatchCounts, BatchList, BatchObject};
+use serde_json::json;
+
+/// Most jobs in one page of a list.
+pub const LIST_LIMIT: u32 = 100;
+/// Tries of a cancel or finish against other changes of the row.
+const CHANGE_TRIES: u32 = 5;
+
+/// The answer for a job that does not exist or belongs to another organisation.
+#[must_use]
+pub fn unknown_batch(id: &str) -> Problem {
+    Problem::new(ResultCode::UnknownBatch, format!("no batch {id:?}"))
+}
+
+/// Sums the counts of chunk rows.
+#[must_use]
+pub fn sum_counts(chunks: &[(u32, Versioned<ChunkRow>)]) -> ItemCounts {
+    let counts = chunks.iter().map(|(_, (_, row))| row.counts());
+    counts.fold(ItemCounts::default(), ItemCounts::plus)
+}
+
+impl JobStore {
+    /// Reads the row of a job of `organisation`.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownBatch`, or the problem of the store.
+    pub async fn owned_job(
+        &self,
+        organisation: &str,
+        id: &str,
+    ) -> Result<Versioned<JobRow>, Problem> {
+        let found = self.read_job(id).await?;
+        found
+            .filter(|(_, row)| row.organisation == organisation)
+            .ok_or_else(|| unknown_batch(id))
+    }
+
+    /// Counts of a job: from its row once it has ended, else from its chunks.
+    ///
+    /// # Errors
+    ///
+    /// The problem of the store.
+    pub async fn job_counts(&self, id: &str, row: &JobRow) -> Result<ItemCounts, Problem> {
+        if row.state == JobState::Completed {
+            return Ok(row.counts);
+        }
+        Ok(sum_counts(&self.read_chunks(id).await?))
+    }
+
+    /// The `OpenAI` form of a job, with its progress.
+    ///
+    /// # Errors
+    ///
+    /// The problem of the store.
+    pub async fn job_object(&self, id: &str, row: &JobRow) -> Result<BatchObject, Problem> {
+        let counts = self.job_counts(id, row).await?;
+        let progress = JobProgress {
+            created_at: row.created_at,
+            due_at: row.due_at,
+            ended_at: row.ended_at,
+            items: row.items,
+            finished: counts.completed + counts.failed,
+        };
+        let (status, completed_at, cancelled_at) = match row.state {
+            JobState::Running => ("in_progress", None, None),
+            JobState::Completed => ("completed", row.ended_at, None),
+            JobState::Cancelled => ("cancelled", None, row.ended_at),
+        };
+        let has_errors = counts.failed > 0 || row.state == JobState::Cancelled;
+        Ok(BatchObject {
+            cancelled_at,
+            completed_at,
+            completion_window: row.completion_window.to_string(),
+            created_at: row.created_at,
+            due_at: Some(row.due_at),
+            endpoint: row.endpoint.to_string(),
+            error_file_id: has_errors.then(|| error_file_id(id).to_string()),
+            id: id.to_owned(),
+            input_file_id: row.input_file_id.to_string(),
+            late: is_late(progress, self.now_unix()),
+            metadata: row.metadata.clone(),
+            object: "batch".to_owned(),
+            output_file_id: Some(output_file_id(id).to_string()),
+            request_counts: BatchCounts {
+                completed: counts.completed,
+                failed: counts.failed,
+                total: row.items,
+            },
+            status: status.to_owned(),
+        })
+    }
+
+    /// Lists the jobs of an organisation, newest first, from after the job `after`.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownBatch` when `after` is not known, or the problem of the store.
+    pub async fn list_jobs(
+        &self,
+        organisation: &str,
+        after: Option<&str>,
+        limit: u32,
+    ) -> Result<BatchList, Problem> {
+        let limit = limit.clamp(1, LIST_LIMIT);
+        let prefix = format!("jobs/{organisation}/");
+        let start = match after {
+            None => CompactString::from(&prefix),
+            Some(after) => {
+                let (_, row) = self.owned_job(organisation, after).await?;
+                // The key that follows directly: `!` sorts after the end of the key.
+                let mut start = crate::rows::listing_key(organisation, row.created_at, after);
+                start.push('!');
+                start
+            }
+        };
+        let rows = self.range(&start, &prefix_end(&prefix), limit + 1).await?;
+        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let mut data = Vec::new();
+        for entry in rows.iter().take(limit) {
+            let job = entry.key.rsplit('/').next().unwrap_or_default();
+            if let Some((_, row)) = self.read_job(job).await? {
+                data.push(self.job_object(job, &row).await?);
+            }
+        }
+        Ok(BatchList {
+            data,
+            has_more: rows.len() > limit,
+            object: "list".to_owned(),
+        })
+    }
+
+    /// Cancels a job. After this returns no result of it is committed any more.
+    ///
+    /// # Errors
+    ///
+    /// `BatchEnded` when it was completed before, `UnknownBatch`, or the problem of the store.
+    pub async fn cancel_job(&self, organisation: &str, id: &str) -> Result<JobRow, Problem> {
+        for _ in 0..CHANGE_TRIES {
+            let (revision, row) = self.owned_job(organisation, id).await?;
+            match row.state {
+                JobState::Cancelled => return Ok(row),
+                JobState::Completed => {
+                    let reason = "the batch was completed before it could be cancelled";
+                    return Err(Problem::new(ResultCode::BatchEnded, reason));
+                }
+                JobState::Running => {}
+            }
+            let counts = sum_counts(&self.read_chunks(id).await?);
+            let ended = self.ended_row(&row, JobState::Cancelled, counts);
+            let write = self.end_write(id, revision, &ended);
+            let cancelled_at = ended.ended_at.unwrap_or_default();
+            let write = write.put(cancel_key(cancelled_at, id), json!({ "job": id }));
+            if self.change(write).await? {
+                return Ok(ended);
+            }
+        }
+        Err(Problem::new(
+            ResultCode::StoreUnknown,
+            "the cancel could not be confirmed",
+        ))
+    }
+
+    /// Marks a job as completed if all its chunks are done; true when it has ended.
+    ///
+    /// # Errors
+    ///
+    /// The problem of the store.
+    pub async fn finish_job(
+        &self,
+        id: &JobId,
+        revision: u64,
+        row: &JobRow,
+        chunks: &[(u32, Versioned<ChunkRow>)],
+    ) -> Result<bool, Problem> {
+        let done = chunks.iter().filter(|(_, (_, row))| row.done).count();
+        if done < usize::try_from(row.chunks).unwrap_or(usize::MAX) {
+            return Ok(false);
+        }
+        let ended = self.ended_row(row, JobState::Completed, sum_counts(chunks));
+        let changed = self.change(self.end_write(id, revision, &ended)).await?;
+        if changed {
+            self.meters.jobs_finished.add(1, &[]);
+        }
+        Ok(changed)
+    }
+
+    fn ended_row(&self, row: &JobRow, state: JobState, counts: ItemCounts) -> JobRow {
+        JobRow {
+            state,
+            counts,
+            ended_at: Some(self.now_unix()),
+            ..row.clone()
+        }
+    }
+
+    /// The write that ends a job: it leaves the list of open jobs and enters the list of things to delete.
+    fn end_write(&self, id: &str, revision: u64, row: &JobRow) -> TableWrite {
+        let retention = self.config.load().defaults.result_retention_s;
+        let expires_at = row.ended_at.unwrap_or_default() + retention;
+        TableWrite::new()
+            .expect(job_key(id), Expected::Revision(revision))
+            .put(job_key(id), to_value(row))
+            .put(expiry_key(expires_at, "job", id), json!({}))
+            .delete(open_key(row.due_at, id))
+    }
+
+    /// Commits a change; false when it has to be decided anew from the row, also when the answer was lost.
+    async fn change(&self, write: TableWrite) -> Result<bool, Problem> {
+        match self.table.commit(write).await {
+            Ok(CommitOutcome::Committed { .. }) => Ok(true),
+            Ok(CommitOutcome::Conflict { .. }) | Err(StoreError::Unknown(_)) => Ok(false),
+            Err(error) => Err(store_problem(&error)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/batch/src/sweep.rs
@@ -0,0 +1,140 @@
+//! Deletes what has passed its retention, and the leftovers of unfinished uploads and creates.
+
+use crate::rows::{JobRow, JobState, chunk_key, file_key, job_key, listing_key, prefix_end};
+use crate::store::{CHUNK_ROWS_LIMIT, JobStore, store_problem};
+use plantainmill_core::Problem;
+use plantainmill_platform::TableWrite;
+
+/// Expired things handled in one sweep.
+const SWEEP_LIMIT: u32 = 20;
+/// Rows deleted by one write.
+const DELETE_GROUP: usize = 500;
+
+/// What an expiry row names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Expired<'a> {
+    Job(&'a str),
+    File(&'a str),
+    /// Pieces of an upload that was not completed, or of a deleted file.
+    Upload(&'a str),
+    /// Objects of a create that was not completed.
+    Accept {
+        job: &'a str,
+        nonce: &'a str,
+    },
+}
+
+/// Parses `expire/{time}/{kind}/{id}`.
+fn parse_expiry(key: &str) -> Option<Expired<'_>> {
+    let mut parts = key.split('/').skip(2);
+    let (kind, id) = (parts.next()?, parts.next()?);
+    match kind {
+        "job" => Some(Expired::Job(id)),
+        "file" => Some(Expired::File(id)),
+        "upload" => Some(Expired::Upload(id)),
+        "accept" => Some(Expired::Accept {
+            job: id,
+            nonce: parts.next()?,
+        }),
+        _ => None,
+    }
+}
+
+impl JobStore {
+    /// Deletes some of what has expired. Several VMs may do so at once, since deletes can be repeated.
+    ///
+    /// # Errors
+    ///
+    /// The problem of the store; the rest is deleted by the next sweep.
+    pub async fn sweep(&self) -> Result<u64, Problem> {
+        let end = format!("expire/{:012}0", self.now_unix());
+        let rows = self.range("expire/", &end, SWEEP_LIMIT).await?;
+        let mut count = 0;
+        for row in &rows {
+            let Some(expired) = parse_expiry(&row.key) else {
+                self.meters.malformed.add(1, &[]);
+                continue;
+            };
+            let write = self.delete_expired(expired).await?.delete(row.key.clone());
+            self.commit_delete(write).await?;
+            count += 1;
+        }
+        self.meters.expired.add(count, &[]);
+        Ok(count)
+    }
+
+    /// Deletes what an expiry row stands for, but for the rows in the returned write.
+    async fn delete_expired(&self, expired: Expired<'_>) -> Result<TableWrite, Problem> {
+        let write = TableWrite::new();
+        match expired {
+            Expired::Job(job) => self.delete_job(job).await,
+            Expired::File(id) => {
+                self.delete_objects(&format!("file/{id}/")).await?;
+                Ok(write.delete(file_key(id)))
+            }
+            Expired::Upload(id) => {
+                self.delete_objects(&format!("file/{id}/")).await?;
+                Ok(write)
+            }
+            Expired::Accept { job, nonce } => {
+                let found = self.read_job(job).await?;
+                if found.is_none_or(|(_, row)| row.nonce != nonce) {
+                    self.delete_objects(&format!("batch/{job}/{nonce}/"))
+                        .await?;
+                }
+                Ok(write)
+            }
+        }
+    }
+
+    async fn delete_job(&self, job: &str) -> Result<TableWrite, Problem> {
+        let Some((_, row)) = self.read_job(job).await? else {
+            return Ok(TableWrite::new());
+        };
+        self.delete_objects(&format!("batch/{job}/")).await?;
+        let prefix = format!("chunk/{job}/");
+        let start = chunk_key(job, 0);
+        let end = prefix_end(&prefix);
+        let chunks = self.range(&start, &end, CHUNK_ROWS_LIMIT).await?;
+        for group in chunks.chunks(DELETE_GROUP) {
+            let write = TableWrite {
+                deletes: group.iter().map(|row| row.key.clone()).collect(),
+                ..TableWrite::new()
+            };
+            self.commit_delete(write).await?;
+        }
+        Ok(Self::job_deletes(job, &row))
+    }
+
+    fn job_deletes(job: &str, row: &JobRow) -> TableWrite {
+        let write = TableWrite::new().delete(job_key(job)).delete(listing_key(
+            &row.organisation,
+            row.created_at,
+            job,
+        ));
+        if row.state == JobState::Cancelled {
+            let cancelled_at = row.ended_at.unwrap_or_default();
+            return write.delete(crate::rows::cancel_key(cancelled_at, job));
+        }
+        write
+    }
+
+    /// Deletes all objects whose name starts with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// The problem of the store.
+    pub async fn delete_objects(&self, prefix: &str) -> Result<(), Problem> {
+        let names = self.objects.list(prefix).await;
+        for name in names.map_err(|error| store_problem(&error))? {
+            let deleted = self.objects.delete(&name).await;
+            deleted.map_err(|error| store_problem(&error))?;
+        }
+        Ok(())
+    }
+
+    async fn commit_delete(&self, write: TableWrite) -> Result<(), Problem> {
+        let outcome = self.table.commit(write).await;
+        outcome.map(|_| ()).map_err(|error| store_problem(&error))
+    }
+}
--- /dev/null
+++ b/crates/batch/tests/all/support/caller.rs
@@ -0,0 +1,128 @@
+//! Targets that follow a script and record every call.
+
+use super::store::FaultStore;
+use bytes::Bytes;
+use futures_util::FutureExt as _;
+use futures_util::future::LocalBoxFuture;
+use plantainmill_core::Problem;
+use plantainmill_proxy::{StreamAnswer, TargetCaller, TargetRequest, WholeAnswer};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What a target does with one call.
+#[derive(Clone, Debug)]
+pub enum CallPlan {
+    Answer(u16),
+    Fail(Problem),
+    /// The VM that calls dies during the call.
+    KillVm,
+}
+
+/// Decides what a target does.
+type PlanFn = dyn Fn(u64, u32, usize) -> CallPlan;
+
+/// Script and record of all targets.
+pub struct TargetScript {
+    /// Decides about a call from the item's number, the count of its earlier calls, and the calls in flight.
+    pub plan: RefCell<Rc<PlanFn>>,
+    pub latency: Cell<Duration>,
+    /// Calls by item number.
+    pub calls: RefCell<BTreeMap<u64, u32>>,
+    pub running: Cell<usize>,
+    pub last_start: Cell<Option<tokio::time::Instant>>,
+    pub answer_bytes: Cell<usize>,
+}
+
+impl Default for TargetScript {
+    fn default() -> TargetScript {
+        TargetScript {
+            plan: RefCell::new(Rc::new(|_, _, _| CallPlan::Answer(200))),
+            latency: Cell::new(Duration::from_millis(100)),
+            calls: RefCell::default(),
+            running: Cell::default(),
+            last_start: Cell::default(),
+            answer_bytes: Cell::default(),
+        }
+    }
+}
+
+impl TargetScript {
+    pub fn set_plan(&self, plan: impl Fn(u64, u32, usize) -> CallPlan + 'static) {
+        *self.plan.borrow_mut() = Rc::new(plan);
+    }
+
+    pub fn calls_of(&self, item: u64) -> u32 {
+        self.calls.borrow().get(&item).copied().unwrap_or(0)
+    }
+
+    pub fn total_calls(&self) -> u64 {
+        self.calls
+            .borrow()
+            .values()
+            .map(|count| u64::from(*count))
+            .sum()
+    }
+}
+
+/// Counts a call as running until it ends or is dropped.
+struct RunningCall(Rc<TargetScript>);
+
+impl Drop for RunningCall {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+/// The caller of one VM.
+pub struct ScriptedCaller {
+    pub script: Rc<TargetScript>,
+    pub store: FaultStore,
+}
+
+impl TargetCaller for ScriptedCaller {
+    fn call(&self, request: TargetRequest) -> LocalBoxFuture<'_, Result<WholeAnswer, Problem>> {
+        let script = Rc::clone(&self.script);
+        async move {
+            let body: serde_json::Value = serde_json::from_slice(&request.body).unwrap();
+            let item = body["n"].as_u64().unwrap();
+            let earlier = script.calls_of(item);
+            *script.calls.borrow_mut().entry(item).or_default() += 1;
+            script.last_start.set(Some(tokio::time::Instant::now()));
+            script.running.set(script.running.get() + 1);
+            let running = RunningCall(Rc::clone(&script));
+            tokio::time::sleep(script.latency.get()).await;
+            let plan = Rc::clone(&script.plan.borrow());
+            let plan = plan(item, earlier, script.running.get());
+            if matches!(plan, CallPlan::KillVm) {
+                self.store.set_dead(true);
+            }
+            drop(running);
+            while self.store.is_dead() {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+            }
+            match plan {
+                CallPlan::Fail(problem) => Err(problem),
+                CallPlan::Answer(status) => Ok(answer(item, status, script.answer_bytes.get())),
+                CallPlan::KillVm => Ok(answer(item, 200, 0)),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn stream(&self, _: TargetRequest) -> LocalBoxFuture<'_, Result<StreamAnswer, Problem>> {
+        unreachable!("batch items are read whole")
+    }
+}
+
+fn answer(item: u64, status: u16, padding: usize) -> WholeAnswer {
+    let text = "x".repeat(padding);
+    WholeAnswer {
+        status,
+        headers: Vec::new(),
+        body: Bytes::from(format!("{{\"n\":{item},\"text\":\"{text}\"}}")),
+        target: None,
+        first_byte: Duration::ZERO,
+    }
+}
