--- /dev/null
+++ b/crates/admission/src/exchange.rs
@@ -0,0 +1,358 @@
+//! Messages between VMs: loans, and the witness's part in leases.
+
+use crate::lease::SlotLease;
+use crate::lender::{LENDER_MARGIN, LOAN_TIME, LentLoan, LoanKey, LoanPart};
+use crate::message::{AdmissionMessage, LoanReport, VmStart};
+use crate::output::Output;
+use crate::state::{RESERVE_HORIZON_S, RateState, may_act};
+use plantainmill_core::{OrganisationId, Uptime, VmId};
+use plantainmill_membership::MemberState;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A slot whose lease ends sooner lends nothing.
+const LEAST_LIFETIME: Duration = Duration::from_millis(500);
+/// Time for which a lender is not asked that holds no slot of the organisation.
+const WRONG_HOLDER_TIME: Duration = Duration::from_secs(1);
+/// Shortest time for which a lender without tokens is not asked.
+const LEAST_AVOID: Duration = Duration::from_millis(20);
+/// A refusing lender is asked again after this time even if its bucket fills more slowly, since loans may return.
+const MOST_AVOID: Duration = Duration::from_secs(2);
+
+/// A grant as it arrives.
+struct GrantReceived {
+    loan: u64,
+    organisation: OrganisationId,
+    tokens: u32,
+    lifetime: Duration,
+    wait: Duration,
+    holder: bool,
+}
+
+impl RateState {
+    /// Takes in a message of another VM.
+    pub fn receive(
+        &mut self,
+        from: &VmStart,
+        message: AdmissionMessage,
+        now: Uptime,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            AdmissionMessage::Borrow {
+                loan,
+                organisation,
+                tokens,
+                reports,
+            } => {
+                self.resolve_loans(from, &reports, now);
+                let key = LoanKey {
+                    borrower: from.clone(),
+                    loan,
+                };
+                self.lend(key, organisation, tokens, now, out);
+            }
+            AdmissionMessage::Grant {
+                loan,
+                organisation,
+                tokens,
+                lifetime_ms,
+                wait_ms,
+                holder,
+            } => {
+                let grant = GrantReceived {
+                    loan,
+                    organisation,
+                    tokens,
+                    lifetime: Duration::from_millis(u64::from(lifetime_ms)),
+                    wait: Duration::from_millis(u64::from(wait_ms)),
+                    holder,
+                };
+                self.take_grant(&from.vm, &grant, now, out);
+            }
+            AdmissionMessage::Report { reports } => self.resolve_loans(from, &reports, now),
+            AdmissionMessage::RowsChanged => self.schedule.want_rows = true,
+            other => self.receive_lease(from, other, now, out),
+        }
+    }
+
+    /// Messages about leases.
+    fn receive_lease(
+        &mut self,
+        from: &VmStart,
+        message: AdmissionMessage,
+        now: Uptime,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            AdmissionMessage::Renew {
+                slot,
+                epoch,
+                witness,
+                request,
+            } => {
+                let granted = self.witnesses.renew(&slot, epoch, witness, now);
+                let message = AdmissionMessage::Renewed {
+                    slot,
+                    epoch,
+                    request,
+                    granted,
+                };
+                self.send(&from.vm, message, now, out);
+            }
+            AdmissionMessage::Consent {
+                slot,
+                epoch,
+                witness,
+                request,
+            } => {
+                let granted = self.witnesses.consent(&slot, epoch, witness, now);
+                let message = AdmissionMessage::Consented {
+                    slot,
+                    epoch,
+                    request,
+                    granted,
+                };
+                self.send(&from.vm, message, now, out);
+            }
+            AdmissionMessage::Renewed {
+                slot,
+                epoch,
+                request,
+                granted,
+            } => {
+                if let Some(lease) = self.leases.get_mut(&slot) {
+                    lease.renewed(&from.vm, epoch, request, granted);
+                }
+            }
+            AdmissionMessage::Consented {
+                slot,
+                epoch,
+                request,
+                granted,
+            } => {
+                let mut local = Vec::new();
+                self.with_lease(&slot, now, |lease: &mut SlotLease, context| {
+                    lease.consented(&from.vm, epoch, request, granted, context, &mut local);
+                });
+                self.route(local, now, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Turns the wishes of leases into outputs.
+    pub(crate) fn route(&mut self, local: Vec<Output>, now: Uptime, out: &mut Vec<Output>) {
+        for output in local {
+            match output {
+                Output::ReadRows { .. } => self.schedule.want_rows = true,
+                Output::ReadVms => self.schedule.want_vms = true,
+                Output::RowsChanged => self.tell_domain(out),
+                Output::Renew {
+                    slot,
+                    epoch,
+                    witness,
+                    request,
+                } => {
+                    let message = AdmissionMessage::Renew {
+                        slot,
+                        epoch,
+                        witness: witness.incarnation,
+                        request,
+                    };
+                    self.send(&witness.vm, message, now, out);
+                }
+                Output::Consent {
+                    slot,
+                    epoch,
+                    witness,
+                    request,
+                } => {
+                    let message = AdmissionMessage::Consent {
+                        slot,
+                        epoch,
+                        witness: witness.incarnation,
+                        request,
+                    };
+                    self.send(&witness.vm, message, now, out);
+                }
+                other => out.push(other),
+            }
+        }
+    }
+
+    /// Sends a message, or takes it in when it is for this VM.
+    fn send(&mut self, to: &VmId, message: AdmissionMessage, now: Uptime, out: &mut Vec<Output>) {
+        if *to == self.own.vm {
+            let own = self.own.clone();
+            self.receive(&own, message, now, out);
+            return;
+        }
+        let to = to.clone();
+        out.push(Output::Send { to, message });
+    }
+
+    fn tell_domain(&self, out: &mut Vec<Output>) {
+        let peers = self.members.iter().filter(|member| {
+            member.peer.domain == self.domain && member.state != MemberState::Dead
+        });
+        out.extend(peers.map(|member| Output::Send {
+            to: member.peer.id.clone(),
+            message: AdmissionMessage::RowsChanged,
+        }));
+    }
+
+    /// Answers a request for a loan. A repeated request gets the same answer.
+    fn lend(
+        &mut self,
+        key: LoanKey,
+        organisation: OrganisationId,
+        wanted: u32,
+        now: Uptime,
+        out: &mut Vec<Output>,
+    ) {
+        let earlier = self.loans.find(&key).cloned();
+        let loan = earlier.unwrap_or_else(|| self.new_loan(&organisation, wanted, now));
+        let (left, wait) = self.own_tokens(&organisation, now);
+        let holder = left > 0 || wait.is_some() || loan.tokens() > 0;
+        let message = AdmissionMessage::Grant {
+            loan: key.loan,
+            organisation,
+            tokens: loan.tokens(),
+            lifetime_ms: millis(loan.lifetime),
+            wait_ms: millis(wait.unwrap_or(MOST_AVOID)),
+            holder,
+        };
+        let to = key.borrower.vm.clone();
+        if loan.tokens() > 0 {
+            self.loans.insert(key, loan);
+        }
+        out.push(Output::Send { to, message });
+    }
+
+    fn new_loan(&mut self, organisation: &OrganisationId, wanted: u32, now: Uptime) -> LentLoan {
+        let mut wanted = self.lendable(organisation, wanted, now);
+        let mut parts = Vec::new();
+        let mut lifetime = LOAN_TIME;
+        for (slot, buckets) in &mut self.held {
+            let left = may_act(&self.leases, self.leaving.as_ref(), slot, now);
+            if left < LEAST_LIFETIME || wanted == 0 {
+                continue;
+            }
+            let bucket = buckets.bucket(organisation, &self.basis, now);
+            let tokens = bucket.map_or(0, |bucket| bucket.lend(wanted, now));
+            if tokens > 0 {
+                wanted -= tokens;
+                lifetime = lifetime.min(left);
+                parts.push(LoanPart {
+                    slot: slot.clone(),
+                    epoch: self.leases.get(slot).map_or(0, SlotLease::epoch),
+                    tokens,
+                });
+            }
+        }
+        let loan = LentLoan {
+            organisation: organisation.clone(),
+            parts,
+            lifetime,
+            expiry: now + lifetime + LENDER_MARGIN,
+        };
+        self.counts.tokens_lent += u64::from(loan.tokens());
+        loan
+    }
+
+    /// Tokens that may be lent: what own demand needs soon is kept.
+    fn lendable(&mut self, organisation: &OrganisationId, wanted: u32, now: Uptime) -> u32 {
+        if self.draining {
+            return 0;
+        }
+        let (own, _) = self.own_tokens(organisation, now);
+        let demand = self.demands.get_mut(organisation);
+        let rate = demand.map_or(0.0, |demand| demand.rate(now));
+        let mut reserve = 0;
+        while reserve < own && f64::from(reserve + 1) <= rate * RESERVE_HORIZON_S {
+            reserve += 1;
+        }
+        wanted.min(own - reserve)
+    }
+
+    fn take_grant(
+        &mut self,
+        from: &VmId,
+        grant: &GrantReceived,
+        now: Uptime,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(demand) = self.demands.get_mut(&grant.organisation) else {
+            return;
+        };
+        let late = demand.granted(from, grant.loan, grant.tokens, grant.lifetime, now);
+        self.reports
+            .extend(late.map(|report| (from.clone(), report)));
+        if grant.tokens == 0 {
+            let time = if grant.holder {
+                grant.wait.clamp(LEAST_AVOID, MOST_AVOID)
+            } else {
+                self.schedule.want_rows = true;
+                WRONG_HOLDER_TIME
+            };
+            demand.avoid(from.clone(), now + time);
+        }
+        if self.waiting.contains(&grant.organisation) {
+            self.serve(&grant.organisation, now, out);
+        }
+    }
+
+    fn resolve_loans(&mut self, from: &VmStart, reports: &[LoanReport], now: Uptime) {
+        for report in reports {
+            let key = LoanKey {
+                borrower: from.clone(),
+                loan: report.loan,
+            };
+            if let Some(loan) = self.loans.resolve(&key) {
+                self.resolve_parts(&loan, report.returned, now);
+            }
+        }
+    }
+
+    /// Loans that were not reported in time count as spent.
+    pub(crate) fn expire_loans(&mut self, now: Uptime) {
+        for loan in self.loans.expire(now) {
+            self.counts.tokens_lost += u64::from(loan.tokens());
+            self.resolve_parts(&loan, 0, now);
+        }
+    }
+
+    fn resolve_parts(&mut self, loan: &LentLoan, returned: u32, now: Uptime) {
+        let mut returned = returned;
+        for part in &loan.parts {
+            let epoch = self.leases.get(&part.slot).map_or(0, SlotLease::epoch);
+            let back = returned.min(part.tokens);
+            returned -= back;
+            let buckets = self
+                .held
+                .get_mut(&part.slot)
+                .filter(|_| epoch == part.epoch);
+            let bucket = buckets.and_then(|buckets| buckets.existing(&loan.organisation));
+            if let Some(bucket) = bucket {
+                bucket.resolve(part.tokens, back, now);
+            }
+        }
+    }
+
+    pub(crate) fn send_reports(&mut self, out: &mut Vec<Output>) {
+        let mut by_lender: BTreeMap<VmId, Vec<LoanReport>> = BTreeMap::new();
+        for (lender, report) in self.reports.drain(..) {
+            by_lender.entry(lender).or_default().push(report);
+        }
+        for (to, reports) in by_lender {
+            let message = AdmissionMessage::Report { reports };
+            out.push(Output::Send { to, message });
+        }
+    }
+}
+
+/// Whole milliseconds, rounded down so that a lifetime is never told longer than it is.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/admission/src/lease.rs
+++ b/crates/admission/src/lease.rs
@@ -7,7 +7,7 @@
 use crate::message::{SlotRow, VmStart};
 use crate::output::{CommitTag, Output};
 use crate::split::SlotId;
-use plantainmill_core::Uptime;
+use plantainmill_core::{Uptime, VmId};
 use plantainmill_platform::{CommitOutcome, Expected, StoreError, TableWrite};
 use std::time::Duration;
 
@@ -21,6 +21,8 @@
 pub const RENEW_INTERVAL: Duration = Duration::from_secs(3);
 /// Time without an answer after which the other way of renewal is used as well.
 pub const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// With less left than this, a renewal through the table is overdue: `LEASE_TIME - RENEW_INTERVAL - ANSWER_TIME`.
+const BEHIND_TIME: Duration = Duration::from_secs(6);
 /// Time between attempts to claim a slot.
 pub const CLAIM_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -165,6 +167,12 @@
         self.read_first
     }
 
+    /// The slot is not held and nothing is in flight.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.phase == LeasePhase::Watching && self.pending.is_none()
+    }
+
     /// Time for which this VM may still act for the slot.
     #[must_use]
     pub fn time_left(&self, now: Uptime) -> Duration {
@@ -267,23 +275,24 @@
             Ok(CommitOutcome::Conflict { .. }) => {
                 self.valid_until = Uptime::ZERO;
                 self.read_first = true;
-                out.push(Output::ReadRows);
+                out.push(Output::ReadRows { read: 0 });
             }
             Err(StoreError::Unavailable(_)) => self.not_written(&write),
             Err(_) => {
                 self.read_first = true;
-                out.push(Output::ReadRows);
+                out.push(Output::ReadRows { read: 0 });
             }
         }
         true
     }
 
     /// Takes in the witness's answer to a renewal.
-    pub fn renewed(&mut self, epoch: u64, request: u64, granted: bool) {
+    pub fn renewed(&mut self, from: &VmId, epoch: u64, request: u64, granted: bool) {
         let Some((_, sent)) = self.renewal.take_if(|(number, _)| *number == request) else {
             return;
         };
-        if granted && self.is_held() && epoch == self.epoch() && self.witness_known {
+        let named = self.witness().is_some_and(|witness| witness.vm == *from);
+        if granted && named && self.is_held() && epoch == self.epoch() {
             self.valid_until = self.valid_until.max(sent + LEASE_TIME);
         }
     }
@@ -291,6 +300,7 @@
     /// Takes in the witness's answer to a request for consent.
     pub fn consented(
         &mut self,
+        from: &VmId,
         epoch: u64,
         request: u64,
         granted: bool,
@@ -298,8 +308,17 @@
         out: &mut Vec<Output>,
     ) {
         let asked = self.consent.take_if(|(number, _)| *number == request);
+        let seen = self.seen.as_ref();
+        let named = seen.and_then(|seen| seen.row.witness.as_ref());
+        let by_witness = named.is_some_and(|witness| witness.vm == *from);
         let free = self.phase == LeasePhase::Watching && self.is_free();
-        if asked.is_some() && granted && free && epoch == self.epoch() && context.may_claim {
+        if asked.is_some()
+            && granted
+            && by_witness
+            && free
+            && epoch == self.epoch()
+            && context.may_claim
+        {
             self.claim(true, context, out);
         }
     }
@@ -337,7 +356,7 @@
             self.write(WriteKind::Renew, row, context.now, out);
         }
         let left = self.valid_until.saturating_sub(context.now);
-        let behind = left + RENEW_INTERVAL + ANSWER_TIME < LEASE_TIME;
+        let behind = left < BEHIND_TIME;
         let asked = self
             .renewal
             .is_some_and(|(_, sent)| context.now < sent + ANSWER_TIME);
--- a/crates/admission/src/output.rs
+++ b/crates/admission/src/output.rs
@@ -44,7 +44,10 @@
         request: u64,
     },
     /// Read the rows of the layout and of all slots.
-    ReadRows,
+    ReadRows {
+        /// Comes back with the rows. Zero until the read is issued.
+        read: u64,
+    },
     /// Read the VM list.
     ReadVms,
     /// Ask the witness of a slot to renew its lease.
--- /dev/null
+++ b/crates/admission/src/service.rs
@@ -0,0 +1,382 @@
+//! The actor that owns the slots of one VM, and the handle that the gateway uses.
+
+use crate::limiter::{RateLimiter, RateVerdict};
+use crate::message::{AdmissionMessage, VmStart};
+use crate::output::Output;
+use crate::split::LAYOUT_KEY;
+use crate::state::{RateCounts, RateDecision, RateSettings, RateState};
+use actix::prelude::*;
+use futures_util::FutureExt as _;
+use futures_util::future::LocalBoxFuture;
+use opentelemetry::metrics::Meter;
+use plantainmill_config::ConfigView;
+use plantainmill_core::{Clock, DomainName, Incarnation, OrganisationId, Uptime, VmId};
+use plantainmill_membership::MemberView;
+use plantainmill_mesh::{Channel, FrameReceived, RegisterChannel, SendFrame};
+use plantainmill_platform::{TableStore, VmList};
+use plantainmill_timer::{Subscribe, Tick};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time between ticks. It bounds how late a waiting request sees a new own token.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest graceful stop: a loan's lifetime and some answers of the table.
+pub const STOP_LIMIT: Duration = Duration::from_secs(4);
+/// First and last key of the rows that are read; the layout's key comes first.
+const ROWS_END: &str = "slot0";
+/// Rows read at once; more slots than this are not supported.
+const ROWS_LIMIT: u32 = 10_000;
+/// Time to return when the actor has stopped under a waiting request.
+const STOPPED_RETRY: Duration = Duration::from_secs(1);
+
+/// What a [`RateService`] is built from.
+pub struct RateParts {
+    /// This VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Configuration in force.
+    pub config: ConfigView,
+    /// View of the fleet.
+    pub members: MemberView,
+    /// The mesh, for sending.
+    pub mesh: Recipient<SendFrame>,
+    /// The mesh, for receiving.
+    pub channels: Recipient<RegisterChannel>,
+    /// The timer service.
+    pub timer: Recipient<Subscribe>,
+    /// The table.
+    pub table: Arc<dyn TableStore>,
+    /// The VM list.
+    pub vms: Arc<dyn VmList>,
+    /// Clock.
+    pub clock: Arc<dyn Clock>,
+    /// Where the counters go.
+    pub meter: Meter,
+    /// Settings.
+    pub settings: RateSettings,
+}
+
+/// State and waiting requests under one lock.
+struct RateCore {
+    state: RateState,
+    callers: HashMap<u64, oneshot::Sender<RateVerdict>>,
+}
+
+/// What the actor and its handles share.
+struct RateShared {
+    core: Mutex<RateCore>,
+    clock: Arc<dyn Clock>,
+}
+
+impl RateShared {
+    fn lock(&self) -> MutexGuard<'_, RateCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn counts(&self) -> RateCounts {
+        self.lock().state.counts()
+    }
+}
+
+/// Outputs of a decision that a handle made.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct PerformOutputs(Vec<Output>);
+
+/// Stops the service: slots are released. The answer is `false` when that did not end in time.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct StopRates;
+
+/// The actor. It does the I/O of the decision code.
+pub struct RateService {
+    shared: Arc<RateShared>,
+    parts: RateParts,
+    stop: Option<StopInProgress>,
+}
+
+/// A graceful stop that is going on.
+struct StopInProgress {
+    limit: Uptime,
+    done: oneshot::Sender<bool>,
+}
+
+/// Handle of a [`RateService`]. Clones share the same state; requests with own tokens are decided without the actor.
+#[derive(Clone)]
+pub struct SlotLimiter {
+    shared: Arc<RateShared>,
+    service: Addr<RateService>,
+}
+
+impl RateService {
+    /// Starts the service on the current arbiter and gives its handle.
+    #[must_use]
+    pub fn launch(parts: RateParts) -> SlotLimiter {
+        let own = VmStart {
+            vm: parts.vm.clone(),
+            incarnation: parts.incarnation,
+        };
+        let state = RateState::new(own, parts.domain.clone(), parts.settings);
+        let core = RateCore {
+            state,
+            callers: HashMap::new(),
+        };
+        let shared = Arc::new(RateShared {
+            core: Mutex::new(core),
+            clock: Arc::clone(&parts.clock),
+        });
+        observe_counts(&parts.meter, &shared);
+        let service = RateService {
+            shared: Arc::clone(&shared),
+            parts,
+            stop: None,
+        };
+        SlotLimiter {
+            shared,
+            service: service.start(),
+        }
+    }
+
+    /// Runs `act` on the state and carries out its outputs.
+    fn run(
+        &mut self,
+        context: &mut Context<Self>,
+        act: impl FnOnce(&mut RateState, Uptime, &mut Vec<Output>),
+    ) {
+        let now = self.shared.clock.uptime();
+        let mut out = Vec::new();
+        act(&mut self.shared.lock().state, now, &mut out);
+        self.perform(out, context);
+    }
+
+    fn perform(&mut self, out: Vec<Output>, context: &mut Context<Self>) {
+        for output in out {
+            match output {
+                Output::Answer { wait, verdict } => self.answer(wait, verdict),
+                Output::Send { to, message } => self.send(to, &message),
+                Output::ReadRows { read } => self.read_rows(read, context),
+                Output::ReadVms => self.read_vms(context),
+                Output::Commit { tag, write } => {
+                    let table = Arc::clone(&self.parts.table);
+                    let call = async move { table.commit(write).await };
+                    let handled = call.into_actor(self).map(move |outcome, service, context| {
+                        service.run(context, |state, now, out| {
+                            state.committed(&tag, &outcome, now, out);
+                        });
+                    });
+                    context.spawn(handled);
+                }
+                // The state turns these into messages before they come here.
+                Output::Consent { .. } | Output::Renew { .. } | Output::RowsChanged => {}
+            }
+        }
+    }
+
+    fn answer(&self, wait: u64, verdict: RateVerdict) {
+        if let Some(caller) = self.shared.lock().callers.remove(&wait) {
+            // A caller that has gone away needs no answer.
+            let _ = caller.send(verdict);
+        }
+    }
+
+    fn send(&self, to: VmId, message: &AdmissionMessage) {
+        self.parts.mesh.do_send(SendFrame {
+            to,
+            channel: Channel::Admission,
+            body: message.encode(),
+        });
+    }
+
+    fn read_rows(&self, read: u64, context: &mut Context<Self>) {
+        let table = Arc::clone(&self.parts.table);
+        let call = async move { table.range(LAYOUT_KEY, ROWS_END, ROWS_LIMIT).await };
+        let handled = call.into_actor(self).map(move |rows, service, context| {
+            service.run(context, |state, now, out| {
+                state.rows_read(read, rows, now, out);
+            });
+        });
+        context.spawn(handled);
+    }
+
+    fn read_vms(&self, context: &mut Context<Self>) {
+        let list = Arc::clone(&self.parts.vms);
+        let call = async move { list.list().await };
+        let handled = call.into_actor(self).map(|vms, service, context| {
+            service.run(context, |state, now, _| state.vms_read(vms, now));
+        });
+        context.spawn(handled);
+    }
+
+    fn check_stop(&mut self, now: Uptime) {
+        let drained = self.shared.lock().state.is_drained();
+        let ended = |stop: &mut StopInProgress| drained || now >= stop.limit;
+        if let Some(stop) = self.stop.take_if(ended) {
+            let _ = stop.done.send(drained);
+        }
+    }
+}
+
+impl Actor for RateService {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        let address = context.address();
+        self.parts.channels.do_send(RegisterChannel {
+            channel: Channel::Admission,
+            recipient: address.clone().recipient(),
+        });
+        self.parts.timer.do_send(Subscribe {
+            interval: TICK_INTERVAL,
+            recipient: address.recipient(),
+        });
+    }
+}
+
+impl Handler<Tick> for RateService {
+    type Result = ();
+
+    fn handle(&mut self, _tick: Tick, context: &mut Self::Context) {
+        let config = self.parts.config.load();
+        let members = self.parts.members.load();
+        self.run(context, |state, now, out| {
+            state.set_config(config, now);
+            state.set_members(members);
+            state.tick(now, out);
+        });
+        let now = self.shared.clock.uptime();
+        self.check_stop(now);
+    }
+}
+
+impl Handler<FrameReceived> for RateService {
+    type Result = ();
+
+    fn handle(&mut self, frame: FrameReceived, context: &mut Self::Context) {
+        let from = VmStart {
+            vm: frame.from,
+            incarnation: frame.incarnation,
+        };
+        let message = AdmissionMessage::decode(&frame.body);
+        self.run(context, |state, now, out| match message {
+            Some(message) => state.receive(&from, message, now, out),
+            None => state.count_malformed(),
+        });
+    }
+}
+
+impl Handler<PerformOutputs> for RateService {
+    type Result = ();
+
+    fn handle(&mut self, message: PerformOutputs, context: &mut Self::Context) {
+        self.perform(message.0, context);
+    }
+}
+
+impl Handler<StopRates> for RateService {
+    type Result = ResponseFuture<bool>;
+
+    fn handle(&mut self, _message: StopRates, context: &mut Self::Context) -> Self::Result {
+        let (done, ended) = oneshot::channel();
+        let limit = self.shared.clock.uptime() + STOP_LIMIT;
+        self.stop = Some(StopInProgress { limit, done });
+        self.run(context, RateState::drain);
+        ended.map(|result| result.unwrap_or(false)).boxed_local()
+    }
+}
+
+impl SlotLimiter {
+    /// Releases all slots; to be called once no request needs a decision any more. Gives `false` when that did
+    /// not end in time.
+    pub async fn stop(&self) -> bool {
+        self.service.send(StopRates).await.unwrap_or(false)
+    }
+
+    /// Counts since the start.
+    #[must_use]
+    pub fn counts(&self) -> RateCounts {
+        self.shared.counts()
+    }
+
+    /// All held slots have agreed shares, so the VM is ready to admit.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.shared.lock().state.is_settled()
+    }
+
+    fn decide(
+        &self,
+        organisation: &OrganisationId,
+    ) -> Result<RateVerdict, oneshot::Receiver<RateVerdict>> {
+        let mut out = Vec::new();
+        let result = {
+            let now = self.shared.clock.uptime();
+            let mut core = self.shared.lock();
+            match core.state.admit(organisation, now, &mut out) {
+                RateDecision::Decided(verdict) => Ok(verdict),
+                RateDecision::Waits(wait) => {
+                    let (sender, receiver) = oneshot::channel();
+                    core.callers.insert(wait, sender);
+                    Err(receiver)
+                }
+            }
+        };
+        if !out.is_empty() {
+            self.service.do_send(PerformOutputs(out));
+        }
+        result
+    }
+}
+
+impl RateLimiter for SlotLimiter {
+    fn admit(&self, organisation: &OrganisationId) -> LocalBoxFuture<'_, RateVerdict> {
+        let decision = self.decide(organisation);
+        async move {
+            match decision {
+                Ok(verdict) => verdict,
+                Err(receiver) => receiver.await.unwrap_or(RateVerdict::Refused {
+                    retry_after: STOPPED_RETRY,
+                }),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn dump(&self) -> LocalBoxFuture<'_, Value> {
+        let now = self.shared.clock.uptime();
+        let state = self.shared.lock().state.dump(now);
+        async move { state }.boxed_local()
+    }
+}
+
+/// Publishes the counts.
+fn observe_counts(meter: &Meter, shared: &Arc<RateShared>) {
+    type Pick = fn(&RateCounts) -> u64;
+    let picks: [(&'static str, Pick); 10] = [
+        ("plantainmill_rate_admitted", |counts| counts.admitted),
+        ("plantainmill_rate_refused", |counts| counts.refused),
+        ("plantainmill_rate_waited", |counts| counts.waited),
+        ("plantainmill_rate_loans_asked", |counts| counts.loans_asked),
+        ("plantainmill_rate_tokens_lent", |counts| counts.tokens_lent),
+        ("plantainmill_rate_tokens_lost", |counts| counts.tokens_lost),
+        ("plantainmill_rate_slots_taken", |counts| counts.slots_taken),
+        ("plantainmill_rate_slots_lost", |counts| counts.slots_lost),
+        ("plantainmill_rate_malformed", |counts| counts.malformed),
+        ("plantainmill_rate_store_failures", |counts| {
+            counts.store_failures
+        }),
+    ];
+    for (name, pick) in picks {
+        let shared = Arc::clone(shared);
+        let counter = meter.u64_observable_counter(name);
+        // The meter's provider keeps the callback alive.
+        let _registered = counter
+            .with_callback(move |observer| observer.observe(pick(&shared.counts()), &[]))
+            .build();
+    }
+}
--- a/crates/admission/src/slots.rs
+++ b/crates/admission/src/slots.rs
@@ -33,21 +33,28 @@
 #[derive(Debug)]
 pub struct SlotBuckets {
     slot: SlotId,
+    /// The slot was never held before, so untouched buckets are full.
+    fresh: bool,
     /// Since when untouched buckets fill; none before the rows agreed once.
     filling_since: Option<Uptime>,
     others: HashMap<OrganisationId, OtherWidths>,
     buckets: HashMap<OrganisationId, TokenBucket>,
+    /// When organisations were removed. Created again, they fill from then on.
+    removed: HashMap<OrganisationId, Uptime>,
 }
 
 impl SlotBuckets {
-    /// Buckets of a slot that has just been taken: without tokens, and not filling until the rows agree.
+    /// Buckets of a slot that has just been taken: without tokens unless it is `fresh`, and not filling until the
+    /// rows agree.
     #[must_use]
-    pub fn new(slot: SlotId) -> SlotBuckets {
+    pub fn new(slot: SlotId, fresh: bool) -> SlotBuckets {
         SlotBuckets {
             slot,
+            fresh,
             filling_since: None,
             others: HashMap::new(),
             buckets: HashMap::new(),
+            removed: HashMap::new(),
         }
     }
 
@@ -77,13 +84,11 @@
         basis: &SplitBasis,
         now: Uptime,
     ) -> Option<&mut TokenBucket> {
-        let since = self.filling_since?;
+        self.filling_since?;
         if !self.buckets.contains_key(organisation) {
             let spec = basis.config.organisations.get(organisation)?;
             let share = self.share(organisation, Some(spec), &basis.layout);
-            let mut bucket = TokenBucket::empty(share, since);
-            bucket.set_share(share, now);
-            self.buckets.insert(organisation.clone(), bucket);
+            self.insert_bucket(organisation, share, now);
         }
         self.buckets.get_mut(organisation)
     }
@@ -107,17 +112,24 @@
         now: Uptime,
     ) {
         let new = basis.config.organisations.get(organisation);
-        self.keep_bucket(organisation, old, &basis.layout, now);
+        if old.is_some() && !self.buckets.contains_key(organisation) {
+            let share = self.share(organisation, old, &basis.layout);
+            self.insert_bucket(organisation, share, now);
+        }
         self.note_widths(organisation, old, new, &basis.layout);
         let share = self.share(organisation, new, &basis.layout);
         if let Some(bucket) = self.buckets.get_mut(organisation) {
             bucket.set_share(share, now);
         }
+        if new.is_none() {
+            self.removed.insert(organisation.clone(), now);
+        }
     }
 
     /// The layout changed: nothing fills until the rows agree. Lent tokens keep counting.
     pub fn suspend(&mut self, now: Uptime) {
         self.filling_since = None;
+        self.fresh = false;
         for bucket in self.buckets.values_mut() {
             bucket.set_share(Share::default(), now);
         }
@@ -145,24 +157,18 @@
         }
     }
 
-    /// Makes the implicit bucket explicit before its share changes. That of a new organisation starts empty, so
-    /// that deleting and creating an organisation gives no tokens.
-    fn keep_bucket(
-        &mut self,
-        organisation: &OrganisationId,
-        old: Option<&OrganisationSpec>,
-        layout: &SlotLayout,
-        now: Uptime,
-    ) {
+    /// Makes the bucket of an organisation explicit that was not used since the slot was taken or the
+    /// organisation was removed.
+    fn insert_bucket(&mut self, organisation: &OrganisationId, share: Share, now: Uptime) {
         let Some(since) = self.filling_since else {
             return;
         };
-        if self.buckets.contains_key(organisation) {
-            return;
-        }
-        let share = self.share(organisation, old, layout);
-        let start = if old.is_some() { since } else { now };
-        let mut bucket = TokenBucket::empty(share, start);
+        let bucket = match self.removed.get(organisation) {
+            Some(removed) => TokenBucket::empty(share, since.max(*removed)),
+            None if self.fresh => TokenBucket::full(share, since),
+            None => TokenBucket::empty(share, since),
+        };
+        let mut bucket = bucket;
         bucket.set_share(share, now);
         self.buckets.insert(organisation.clone(), bucket);
     }
--- a/crates/admission/src/split.rs
+++ b/crates/admission/src/split.rs
@@ -1,11 +1,11 @@
 //! How an organisation's rate and burst are split over slots.
 
 use compact_str::{CompactString, format_compact};
-use plantainmill_config::OrganisationSpec;
+use plantainmill_config::{FleetConfig, OrganisationSpec};
 use plantainmill_core::DomainName;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
 /// Row with the layout of the slots.
 pub const LAYOUT_KEY: &str = "slot-layout";
@@ -40,6 +40,8 @@
 /// The slots of the fleet. All VMs agree on it through the row [`LAYOUT_KEY`].
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SlotLayout {
+    /// Raised by every change. Slots of the first generation that were never held start with full buckets.
+    pub generation: u64,
     /// Number of slots by failure domain.
     pub domains: BTreeMap<DomainName, u16>,
 }
@@ -90,6 +92,26 @@
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
+    /// Digest of how every organisation of `config` is split. The full width is the common case and is left out.
+    #[must_use]
+    pub fn digest(&self, config: &FleetConfig) -> u64 {
+        let full = self.count();
+        let mut digest = Xxh3::new();
+        for slot in self.slots() {
+            digest.update(slot.row_key().as_bytes());
+            digest.update(&[0]);
+        }
+        for (id, spec) in config.organisations.iter() {
+            let width = self.width(spec);
+            if width != full {
+                digest.update(id.as_bytes());
+                digest.update(&[0]);
+                digest.update(&width.to_le_bytes());
+            }
+        }
+        digest.digest()
+    }
+
     /// Number of slots that `spec`'s rate is split over.
     #[must_use]
     pub fn width(&self, spec: &OrganisationSpec) -> u32 {
--- /dev/null
+++ b/crates/admission/tests/all/fleet.rs
@@ -0,0 +1,607 @@
+//! A fleet of decision states in virtual time, with a mesh that delays, loses and repeats messages.
+
+use futures_util::FutureExt as _;
+use plantainmill_admission::limiter::RateVerdict;
+use plantainmill_admission::message::{AdmissionMessage, VmStart};
+use plantainmill_admission::output::{CommitTag, Output};
+use plantainmill_admission::state::{RateDecision, RateSettings, RateState};
+use plantainmill_config::{FleetConfig, OrganisationSpec};
+use plantainmill_core::{OrganisationId, Uptime, VmId};
+use plantainmill_fakes::{MemoryPlatform, PlatformFault};
+use plantainmill_membership::{Member, MemberState};
+use plantainmill_mesh::MeshPeer;
+use plantainmill_platform::{
+    CommitOutcome, RowEntry, StoreError, TableStore, TableWrite, VmEntry, VmList, VmState,
+};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between ticks of a VM.
+pub const TICK: Duration = Duration::from_millis(20);
+
+/// Deterministic random numbers (SplitMix64).
+#[derive(Clone, Debug)]
+pub struct Draw(pub u64);
+
+impl Draw {
+    /// The next number.
+    pub fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// A number below `limit`.
+    pub fn below(&mut self, limit: u64) -> u64 {
+        self.next() % limit.max(1)
+    }
+
+    /// True with probability `percent`.
+    pub fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+
+    /// A number in 0..1.
+    pub fn unit(&mut self) -> f64 {
+        f64::from(u32::try_from(self.next() >> 32).unwrap_or(0)) / (f64::from(u32::MAX) + 1.0)
+    }
+}
+
+/// Faults of the mesh, in percent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MeshFaults {
+    pub lost: u64,
+    pub repeated: u64,
+    /// Messages that come up to 15 s late.
+    pub late: u64,
+}
+
+enum Event {
+    Tick(usize),
+    Deliver {
+        to: usize,
+        from: VmStart,
+        message: AdmissionMessage,
+    },
+    Rows {
+        vm: usize,
+        incarnation: u64,
+        read: u64,
+    },
+    RowsAnswer {
+        vm: usize,
+        incarnation: u64,
+        read: u64,
+        rows: Result<Vec<RowEntry>, StoreError>,
+    },
+    Commit {
+        vm: usize,
+        incarnation: u64,
+        tag: CommitTag,
+        write: TableWrite,
+    },
+    CommitAnswer {
+        vm: usize,
+        incarnation: u64,
+        tag: CommitTag,
+        outcome: Result<CommitOutcome, StoreError>,
+    },
+    Vms {
+        vm: usize,
+        incarnation: u64,
+    },
+}
+
+/// One simulated VM.
+pub struct SimVm {
+    pub id: VmId,
+    pub domain: usize,
+    pub incarnation: u64,
+    pub state: RateState,
+    pub config: Arc<FleetConfig>,
+    /// Ended, or not started.
+    pub down: bool,
+    /// Paused until then: nothing is handled before, everything afterwards.
+    pub paused_until: Uptime,
+}
+
+/// A verdict with its time.
+#[derive(Clone, Debug)]
+pub struct Decision {
+    pub time: Uptime,
+    pub vm: usize,
+    pub organisation: OrganisationId,
+    pub wait: Option<u64>,
+    pub admitted: bool,
+}
+
+/// The fleet.
+pub struct SimFleet {
+    pub now: Uptime,
+    pub vms: Vec<SimVm>,
+    pub platform: MemoryPlatform,
+    pub faults: MeshFaults,
+    pub draw: Draw,
+    pub domains: usize,
+    /// Domains that are cut off from the others and from the platform.
+    pub cut: BTreeSet<usize>,
+    /// The store answers nobody.
+    pub store_fault: PlatformFault,
+    pub decisions: Vec<Decision>,
+    waits: BTreeMap<(usize, u64, u64), OrganisationId>,
+    queue: BinaryHeap<Reverse<(Uptime, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next_event: u64,
+    pub messages: u64,
+    pub bytes: u64,
+    /// Loan messages only.
+    pub loan_messages: u64,
+    pub loan_bytes: u64,
+}
+
+pub fn domain_name(domain: usize) -> String {
+    format!("domain-{domain}")
+}
+
+/// A configuration with these organisations.
+pub fn config(version: u64, organisations: &[(&str, f64, u32)]) -> Arc<FleetConfig> {
+    let entries = organisations.iter().map(|(id, rate, burst)| {
+        let spec = OrganisationSpec {
+            rate: *rate,
+            burst: *burst,
+            weight: 1,
+        };
+        (OrganisationId::from(*id), spec)
+    });
+    Arc::new(FleetConfig {
+        version,
+        organisations: Arc::new(entries.collect()),
+        ..FleetConfig::default()
+    })
+}
+
+impl SimFleet {
+    /// `per_domain` VMs in each of `domains` failure domains.
+    pub fn new(
+        domains: usize,
+        per_domain: usize,
+        config: &Arc<FleetConfig>,
+        seed: u64,
+    ) -> SimFleet {
+        let mut fleet = SimFleet {
+            now: Uptime::from_secs(1),
+            vms: Vec::new(),
+            platform: MemoryPlatform::default(),
+            faults: MeshFaults::default(),
+            draw: Draw(seed),
+            domains,
+            cut: BTreeSet::new(),
+            store_fault: PlatformFault::None,
+            decisions: Vec::new(),
+            waits: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+            messages: 0,
+            bytes: 0,
+            loan_messages: 0,
+            loan_bytes: 0,
+        };
+        for index in 0..domains * per_domain {
+            let domain = index % domains;
+            let id = VmId::from(format!("vm-{index}"));
+            fleet.vms.push(new_vm(id, domain, 1, config));
+            let offset = Duration::from_millis(fleet.draw.below(20));
+            let time = fleet.now + offset;
+            fleet.push(time, Event::Tick(index));
+        }
+        fleet.list_vms();
+        fleet.publish_members();
+        fleet
+    }
+
+    /// Writes the platform's VM list from the VMs that are not down.
+    pub fn list_vms(&self) {
+        let live = self.vms.iter().filter(|vm| !vm.down);
+        let entries = live.map(|vm| VmEntry {
+            id: vm.id.clone(),
+            domain: domain_name(vm.domain).into(),
+            region: "region".into(),
+            mesh: "127.0.0.1:1".parse().unwrap(),
+            state: VmState::Live,
+        });
+        self.platform.set_vms(entries.collect());
+    }
+
+    /// Gives every VM the true member view.
+    pub fn publish_members(&mut self) {
+        let all: Vec<Member> = self.vms.iter().map(member_of).collect();
+        for vm in &mut self.vms {
+            let others = all.iter().filter(|member| member.peer.id != vm.id);
+            let view = others.cloned().collect();
+            vm.state.set_members(Arc::new(view));
+        }
+    }
+
+    /// Ends a VM at once.
+    pub fn kill(&mut self, vm: usize) {
+        self.vms[vm].down = true;
+    }
+
+    /// Starts a VM anew, without memory.
+    pub fn restart(&mut self, vm: usize) {
+        let old = &self.vms[vm];
+        let next = new_vm(old.id.clone(), old.domain, old.incarnation + 1, &old.config);
+        self.vms[vm] = next;
+    }
+
+    /// Pauses a VM.
+    pub fn pause(&mut self, vm: usize, time: Duration) {
+        self.vms[vm].paused_until = self.now + time;
+    }
+
+    /// Gives a VM a configuration.
+    pub fn configure(&mut self, vm: usize, config: &Arc<FleetConfig>) {
+        self.vms[vm].config = Arc::clone(config);
+    }
+
+    /// Gives all VMs a configuration.
+    pub fn configure_all(&mut self, config: &Arc<FleetConfig>) {
+        for vm in &mut self.vms {
+            vm.config = Arc::clone(config);
+        }
+    }
+
+    /// A request arrives at a VM. Nothing happens when it is down or paused.
+    pub fn request(&mut self, vm: usize, organisation: &str) {
+        let organisation = OrganisationId::from(organisation);
+        if self.vms[vm].down || self.vms[vm].paused_until > self.now {
+            return;
+        }
+        let mut out = Vec::new();
+        match self.vms[vm].state.admit(&organisation, self.now, &mut out) {
+            RateDecision::Decided(verdict) => self.decide(vm, organisation, None, verdict),
+            RateDecision::Waits(wait) => {
+                let incarnation = self.vms[vm].incarnation;
+                self.waits.insert((vm, incarnation, wait), organisation);
+            }
+        }
+        self.perform(vm, out);
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waits.len()
+    }
+
+    /// Runs until `time`.
+    pub fn run_until(&mut self, time: Uptime) {
+        while let Some(Reverse((due, number))) = self.queue.peek().copied() {
+            if due > time {
+                break;
+            }
+            self.queue.pop();
+            self.now = due;
+            if let Some(event) = self.events.remove(&number) {
+                self.handle(event);
+            }
+        }
+        self.now = time;
+    }
+
+    /// Runs for `time`.
+    pub fn run(&mut self, time: Duration) {
+        self.run_until(self.now + time);
+    }
+
+    fn decide(
+        &mut self,
+        vm: usize,
+        organisation: OrganisationId,
+        wait: Option<u64>,
+        verdict: RateVerdict,
+    ) {
+        self.decisions.push(Decision {
+            time: self.now,
+            vm,
+            organisation,
+            wait,
+            admitted: verdict == RateVerdict::Admitted,
+        });
+    }
+
+    fn push(&mut self, time: Uptime, event: Event) {
+        self.next_event += 1;
+        self.events.insert(self.next_event, event);
+        self.queue.push(Reverse((time, self.next_event)));
+    }
+
+    /// Time at which a VM can handle something, or none when it is down.
+    fn handling_time(&self, vm: usize) -> Uptime {
+        self.vms[vm].paused_until.max(self.now)
+    }
+
+    fn reaches_store(&self, vm: usize) -> bool {
+        !self.cut.contains(&self.vms[vm].domain)
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (self.vms[from].domain, self.vms[to].domain);
+        from == to || !(self.cut.contains(&from) || self.cut.contains(&to))
+    }
+
+    /// Postpones an event of a paused VM.
+    fn postponed(&mut self, vm: usize, event: Event) -> Option<Event> {
+        let time = self.handling_time(vm);
+        if time > self.now {
+            self.push(time, event);
+            return None;
+        }
+        Some(event)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let vm = match &event {
+            Event::Tick(vm) => *vm,
+            Event::Deliver { to, .. } => *to,
+            Event::RowsAnswer { vm, .. } | Event::CommitAnswer { vm, .. } => *vm,
+            Event::Rows { .. } | Event::Commit { .. } | Event::Vms { .. } => {
+                self.handle_store(event);
+                return;
+            }
+        };
+        if self.vms[vm].down {
+            if matches!(event, Event::Tick(_)) {
+                let time = self.now + TICK;
+                self.push(time, event);
+            }
+            return;
+        }
+        let Some(event) = self.postponed(vm, event) else {
+            return;
+        };
+        let now = self.now;
+        let mut out = Vec::new();
+        let state = &mut self.vms[vm];
+        match event {
+            Event::Tick(_) => {
+                let config = Arc::clone(&state.config);
+                state.state.set_config(config, now);
+                state.state.tick(now, &mut out);
+                self.push(now + TICK, Event::Tick(vm));
+            }
+            Event::Deliver { from, message, .. } => {
+                state.state.receive(&from, message, now, &mut out)
+            }
+            Event::RowsAnswer {
+                incarnation,
+                read,
+                rows,
+                ..
+            } if incarnation == state.incarnation => {
+                state.state.rows_read(read, rows, now, &mut out);
+            }
+            Event::CommitAnswer {
+                incarnation,
+                tag,
+                outcome,
+                ..
+            } if incarnation == state.incarnation => {
+                state.state.committed(&tag, &outcome, now, &mut out);
+            }
+            _ => {}
+        }
+        self.perform(vm, out);
+    }
+
+    fn handle_store(&mut self, event: Event) {
+        let delay = Duration::from_millis(1 + self.draw.below(10));
+        let answer_time = self.now + delay;
+        match event {
+            Event::Rows {
+                vm,
+                incarnation,
+                read,
+            } => {
+                let reached = self.reaches_store(vm);
+                self.platform.set_fault(if reached {
+                    self.store_fault
+                } else {
+                    PlatformFault::Down
+                });
+                let rows = self
+                    .platform
+                    .range("slot-layout", "slot0", 1_000)
+                    .now_or_never()
+                    .unwrap();
+                self.push(
+                    answer_time,
+                    Event::RowsAnswer {
+                        vm,
+                        incarnation,
+                        read,
+                        rows,
+                    },
+                );
+            }
+            Event::Commit {
+                vm,
+                incarnation,
+                tag,
+                write,
+            } => {
+                let reached = self.reaches_store(vm);
+                self.platform.set_fault(if reached {
+                    self.store_fault
+                } else {
+                    PlatformFault::Down
+                });
+                let outcome = self.platform.commit(write).now_or_never().unwrap();
+                self.push(
+                    answer_time,
+                    Event::CommitAnswer {
+                        vm,
+                        incarnation,
+                        tag,
+                        outcome,
+                    },
+                );
+            }
+            Event::Vms { vm, incarnation } => {
+                let reached = self.reaches_store(vm) && self.store_fault == PlatformFault::None;
+                self.platform.set_fault(if reached {
+                    PlatformFault::None
+                } else {
+                    PlatformFault::Down
+                });
+                let list = self.platform.list().now_or_never().unwrap();
+                let target = &mut self.vms[vm];
+                if !target.down && target.incarnation == incarnation {
+                    target.state.vms_read(list, self.now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn perform(&mut self, vm: usize, out: Vec<Output>) {
+        let incarnation = self.vms[vm].incarnation;
+        for output in out {
+            let soon = self.now + Duration::from_millis(1 + self.draw.below(10));
+            match output {
+                Output::Answer { wait, verdict } => {
+                    let organisation = self.waits.remove(&(vm, incarnation, wait)).unwrap();
+                    self.decide(vm, organisation, Some(wait), verdict);
+                }
+                Output::Send { to, message } => self.send(vm, &to, &message),
+                Output::ReadRows { read } => self.push(
+                    soon,
+                    Event::Rows {
+                        vm,
+                        incarnation,
+                        read,
+                    },
+                ),
+                Output::ReadVms => self.push(soon, Event::Vms { vm, incarnation }),
+                Output::Commit { tag, write } => {
+                    self.push(
+                        soon,
+                        Event::Commit {
+                            vm,
+                            incarnation,
+                            tag,
+                            write,
+                        },
+                    );
+                }
+                other => panic!("not routed: {other:?}"),
+            }
+        }
+    }
+
+    fn send(&mut self, vm: usize, to: &VmId, message: &AdmissionMessage) {
+        let from = VmStart {
+            vm: self.vms[vm].id.clone(),
+            incarnation: self.vms[vm].incarnation,
+        };
+        let size = u64::try_from(message.encode().len()).unwrap();
+        self.messages += 1;
+        self.bytes += size;
+        if matches!(
+            message,
+            AdmissionMessage::Borrow { .. }
+                | AdmissionMessage::Grant { .. }
+                | AdmissionMessage::Report { .. }
+        ) {
+            self.loan_messages += 1;
+            self.loan_bytes += size;
+        }
+        let Some(to) = self.vms.iter().position(|other| other.id == *to) else {
+            return;
+        };
+        let copies = 1 + u64::from(self.draw.chance(self.faults.repeated));
+        for _ in 0..copies {
+            if !self.reaches(vm, to) || self.draw.chance(self.faults.lost) {
+                continue;
+            }
+            let mut delay = 1 + self.draw.below(2);
+            if self.vms[vm].domain / 2 != self.vms[to].domain / 2 {
+                delay = 20 + self.draw.below(3);
+            }
+            if self.draw.chance(self.faults.late) {
+                delay += self.draw.below(15_000);
+            }
+            let time = self.now + Duration::from_millis(delay);
+            let message = message.clone();
+            self.push(
+                time,
+                Event::Deliver {
+                    to,
+                    from: from.clone(),
+                    message,
+                },
+            );
+        }
+    }
+}
+
+fn new_vm(id: VmId, domain: usize, incarnation: u64, config: &Arc<FleetConfig>) -> SimVm {
+    let own = VmStart {
+        vm: id.clone(),
+        incarnation,
+    };
+    let state = RateState::new(own, domain_name(domain).into(), RateSettings::default());
+    SimVm {
+        id,
+        domain,
+        incarnation,
+        state,
+        config: Arc::clone(config),
+        down: false,
+        paused_until: Uptime::ZERO,
+    }
+}
+
+fn member_of(vm: &SimVm) -> Member {
+    let state = if vm.down {
+        MemberState::Dead
+    } else {
+        MemberState::Live
+    };
+    Member {
+        peer: MeshPeer {
+            id: vm.id.clone(),
+            domain: domain_name(vm.domain).into(),
+            region: "region".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+        },
+        incarnation: vm.incarnation,
+        state,
+    }
+}
+
+/// Most admitted above `rate * window + burst` in any window; zero or less is within the bound.
+///
+/// It is the overflow of a bucket that starts full and gives a token at each admission.
+pub fn excess(decisions: &[Decision], organisation: &str, rate: f64, burst: u32) -> f64 {
+    let mut times: Vec<Uptime> = decisions
+        .iter()
+        .filter(|decision| decision.admitted && decision.organisation == organisation)
+        .map(|decision| decision.time)
+        .collect();
+    times.sort_unstable();
+    let mut level = f64::from(burst);
+    let mut last = Uptime::ZERO;
+    let mut worst = f64::MIN;
+    for time in times {
+        let elapsed = time.checked_sub(last).unwrap().as_secs_f64();
+        level = (level + rate * elapsed).min(f64::from(burst)) - 1.0;
+        last = time;
+        worst = worst.max(-level);
+    }
+    worst
+}
--- /dev/null
+++ b/crates/admission/tests/all/keys.rs
@@ -0,0 +1,193 @@
+//! Caller keys: the header, the look-up and the re-check limit.
+
+use plantainmill_admission::KeyIndex;
+use plantainmill_admission::key::{HEADER_LIMIT_BYTES, parse_bearer};
+use plantainmill_config::{
+    ConfigView, ExceptionSpec, FleetConfig, KeySpec, OrganisationSpec, Subject,
+};
+use plantainmill_core::secret::hash_secret;
+use plantainmill_core::{ManualClock, ResultCode};
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Default of `key_recheck_limit_s`.
+const RECHECK_LIMIT: Duration = Duration::from_secs(900);
+
+fn key(organisation: &str, secret: &str, expires_at: Option<u64>) -> KeySpec {
+    KeySpec {
+        organisation: organisation.into(),
+        hash: hash_secret(secret),
+        label: "test".into(),
+        expires_at,
+    }
+}
+
+fn sample() -> FleetConfig {
+    let organisation = OrganisationSpec {
+        rate: 1.0,
+        burst: 1,
+        weight: 1,
+    };
+    let mut config = FleetConfig {
+        version: 1,
+        organisations: Arc::new([("kandy".into(), organisation)].into()),
+        keys: Arc::new(
+            [
+                ("k1".into(), key("kandy", "secret-1", None)),
+                ("k2".into(), key("kandy", "secret-2", Some(100))),
+                ("k3".into(), key("missing", "secret-3", None)),
+            ]
+            .into(),
+        ),
+        ..FleetConfig::default()
+    };
+    config.rebuild_index();
+    config
+}
+
+fn index(config: FleetConfig) -> (KeyIndex, ConfigView, ManualClock) {
+    let view = ConfigView::default();
+    view.publish(config);
+    let clock = ManualClock::default();
+    let index = KeyIndex::new(view.clone(), Arc::new(clock.clone()));
+    (index, view, clock)
+}
+
+fn refusal(index: &KeyIndex, header: &str) -> ResultCode {
+    index.authenticate([header.as_bytes()]).unwrap_err().code
+}
+
+/// Guards against a malformed header that is taken for a key, or that ends the process.
+#[rstest]
+#[case::no_scheme("secret-1")]
+#[case::basic("Basic c2VjcmV0")]
+#[case::empty("Bearer ")]
+#[case::two_words("Bearer secret-1 secret-2")]
+#[case::control("Bearer secret\u{1}")]
+#[case::not_ascii("Bearer sécret")]
+#[case::comma("Bearer secret-1,secret-2")]
+fn malformed_header(#[case] header: &str) {
+    let problem = parse_bearer([header.as_bytes()]).unwrap_err();
+    assert_eq!(problem.code, ResultCode::BadHeader);
+    assert_eq!(problem.field.as_deref(), Some("authorization"));
+}
+
+/// Guards against bytes outside of UTF-8.
+#[test]
+fn broken_bytes() {
+    let header: &[u8] = b"Bearer \xff\xfe";
+    assert_eq!(
+        parse_bearer([header]).unwrap_err().code,
+        ResultCode::BadHeader
+    );
+}
+
+/// Guards against a request that carries two keys and runs for either organisation.
+#[test]
+fn repeated_header() {
+    let headers: [&[u8]; 2] = [b"Bearer secret-1", b"Bearer secret-1"];
+    assert_eq!(
+        parse_bearer(headers).unwrap_err().code,
+        ResultCode::BadHeader
+    );
+}
+
+/// Guards against hashing headers without a bound.
+#[test]
+fn oversized_header() {
+    let fits = format!("Bearer {}", "a".repeat(HEADER_LIMIT_BYTES - 7));
+    assert!(parse_bearer([fits.as_bytes()]).is_ok());
+    let long = format!("{fits}a");
+    let problem = parse_bearer([long.as_bytes()]).unwrap_err();
+    assert_eq!(problem.code, ResultCode::BadHeader);
+}
+
+/// Guards against an open door when no header comes.
+#[test]
+fn missing_header() {
+    let problem = parse_bearer([]).unwrap_err();
+    assert_eq!(problem.code, ResultCode::KeyMissing);
+}
+
+/// A good key gives its organisation, whatever the case of the scheme.
+#[test]
+fn good_key() {
+    let (index, _, _) = index(sample());
+    let owner = index.authenticate([b"bEaReR secret-1".as_slice()]).unwrap();
+    assert_eq!(owner.organisation, "kandy");
+    assert_eq!(owner.key, "k1");
+}
+
+/// Guards against keys that outlive their organisation, and against look-alikes.
+#[rstest]
+#[case::unknown("Bearer secret-9")]
+#[case::prefix("Bearer secret-")]
+#[case::without_organisation("Bearer secret-3")]
+fn unknown_key(#[case] header: &str) {
+    let (index, _, _) = index(sample());
+    assert_eq!(refusal(&index, header), ResultCode::KeyUnknown);
+}
+
+/// Guards against a key that works after its expiry.
+#[test]
+fn expired_key() {
+    let (index, view, clock) = index(sample());
+    clock.advance(Duration::from_secs(100));
+    view.mark_checked(Duration::from_secs(100));
+    assert!(index.authenticate([b"Bearer secret-2".as_slice()]).is_ok());
+    clock.advance(Duration::from_secs(1));
+    assert_eq!(refusal(&index, "Bearer secret-2"), ResultCode::KeyUnknown);
+}
+
+/// Guards against a withdrawn key that still works.
+#[test]
+fn withdrawn_key() {
+    let (index, view, _) = index(sample());
+    assert!(index.authenticate([b"Bearer secret-1".as_slice()]).is_ok());
+    let mut next = sample();
+    next.version = 2;
+    Arc::make_mut(&mut next.keys).remove("k1");
+    next.rebuild_index();
+    view.publish(next);
+    assert_eq!(refusal(&index, "Bearer secret-1"), ResultCode::KeyUnknown);
+    assert_eq!(index.dump(), serde_json::json!({}));
+}
+
+/// Guards against a VM that is cut off and accepts keys beyond the limit.
+#[test]
+fn recheck_limit() {
+    let (index, view, clock) = index(sample());
+    clock.advance(RECHECK_LIMIT);
+    assert!(index.authenticate([b"Bearer secret-1".as_slice()]).is_ok());
+    clock.advance(Duration::from_millis(1));
+    assert_eq!(refusal(&index, "Bearer secret-1"), ResultCode::KeyUnchecked);
+    view.mark_checked(RECHECK_LIMIT);
+    assert!(index.authenticate([b"Bearer secret-1".as_slice()]).is_ok());
+}
+
+/// Guards against an exception to the limit that is not applied.
+#[test]
+fn recheck_exception() {
+    let mut config = sample();
+    let exception = ExceptionSpec {
+        subject: Subject::Organisation("kandy".into()),
+        setting: "key_recheck_limit_s".into(),
+        value: 5,
+        reason: "short outings".into(),
+    };
+    config.exceptions = Arc::new([("e1".into(), exception)].into());
+    let (index, _, clock) = index(config);
+    clock.advance(Duration::from_secs(6));
+    assert_eq!(refusal(&index, "Bearer secret-1"), ResultCode::KeyUnchecked);
+}
+
+/// The dump gives the last use of each key, and refused requests are no use.
+#[test]
+fn last_use() {
+    let (index, _, clock) = index(sample());
+    clock.advance(Duration::from_secs(7));
+    index.authenticate([b"Bearer secret-1".as_slice()]).unwrap();
+    refusal(&index, "Bearer secret-3");
+    assert_eq!(index.dump(), serde_json::json!({ "k1": 7 }));
+}
--- /dev/null
+++ b/crates/admission/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of keys and rates: one file per feature, in virtual time and with fixed seeds.
+
+mod address;
+mod bound;
+mod fleet;
+mod keys;
+mod service;
