Configuration log, replica, validation and service

The configuration had a model and a view but no way to change or spread it.

ConfigReplica applies entries in order, repairs gaps from peers and the store, and never goes back.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,12 +1,36 @@
 //! Fleet configuration: model, validation, log and propagation.
 
 pub mod change;
+pub mod diff;
+pub mod entry;
+mod handlers;
+pub mod log;
+pub mod message;
 pub mod model;
+pub mod pieces;
+mod propose;
+pub mod receipt;
+mod references;
+pub mod replica;
+pub mod service;
+pub mod validate;
 pub mod view;
+pub mod wire;
 
 pub use change::{ConfigChange, ConfigEdit, ResourceKind};
+pub use diff::{describe_edits, edits_between};
+pub use entry::{ConfigSnapshot, LogEntry, LogHead};
+pub use log::{AppendOutcome, ConfigLog, HeadRow};
+pub use message::{
+    DumpConfig, ListHistory, ProposeChange, ReadyReport, ReadySource, ReadyState, RollbackTo,
+};
 pub use model::{
     DefaultsSpec, ExceptionSpec, FleetConfig, KeySpec, OrganisationSpec, ServiceKind, ServiceSpec,
     Subject, TargetSpec,
 };
+pub use receipt::ChangeReceipt;
+pub use replica::{ConfigInput, ConfigOutput, ConfigReplica, ReplicaCounters, StoreState};
+pub use service::{ConfigOptions, ConfigService, start};
+pub use validate::{join_problems, validate_edits};
 pub use view::ConfigView;
+pub use wire::ConfigMessage;
--- /dev/null
+++ b/crates/config/src/replica.rs
@@ -0,0 +1,487 @@
+//! The configuration of one VM: a state machine without I/O or clocks.
+
+use crate::entry::{ConfigSnapshot, LogEntry, LogHead};
+use crate::model::FleetConfig;
+use crate::wire::ConfigMessage;
+use compact_str::CompactString;
+use plantainmill_core::{Uptime, VmId};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Entries kept to answer peers. At 7,300 changes a day they reach back about three hours.
+const RECENT_LIMIT: usize = 1_024;
+/// Entries that came early and wait for those before them.
+const EARLY_LIMIT: usize = 256;
+/// Entries in one answer.
+const ANSWER_LIMIT: usize = 64;
+/// Wait for an answer to a request for missing entries.
+pub const ASK_LIMIT: Duration = Duration::from_millis(600);
+/// How long the version that a peer reported counts.
+pub const PEER_LIMIT: Duration = Duration::from_mins(1);
+/// Missing entries from which on a snapshot is read before the log.
+pub const SNAPSHOT_GAP: u64 = 512;
+
+/// What a replica is told.
+#[derive(Clone, Debug)]
+pub enum ConfigInput {
+    /// Time has passed.
+    Tick,
+    /// A message came from a peer.
+    Received {
+        /// Sender.
+        from: VmId,
+        /// Message.
+        message: ConfigMessage,
+    },
+    /// A peer reported its version in a digest.
+    PeerVersion {
+        /// Peer.
+        from: VmId,
+        /// Its version.
+        version: u64,
+        /// When the peer at the latest knew that version to be current.
+        checked_at: Option<Uptime>,
+    },
+    /// The head was read from the table.
+    HeadRead {
+        /// The head.
+        head: LogHead,
+        /// When the read began.
+        asked_at: Uptime,
+    },
+    /// Entries were read from the log or committed by this VM.
+    EntriesRead {
+        /// The entries.
+        entries: Vec<LogEntry>,
+    },
+    /// A snapshot was read from the object store or a peer.
+    SnapshotRead {
+        /// The snapshot.
+        snapshot: ConfigSnapshot,
+    },
+    /// A read of the store failed.
+    StoreFailed,
+}
+
+/// What a replica wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ConfigOutput {
+    /// Send a message.
+    Send {
+        /// Receiver.
+        to: VmId,
+        /// Message.
+        message: ConfigMessage,
+    },
+    /// Put the replica's configuration in force.
+    Publish,
+    /// The version in force was current at this time.
+    Checked(Uptime),
+    /// Read the log after this version.
+    ReadLog {
+        /// Version held.
+        after: u64,
+        /// Read the newest snapshot first.
+        snapshot: bool,
+    },
+    /// Ask this peer for its snapshot.
+    FetchSnapshot {
+        /// Peer.
+        from: VmId,
+    },
+    /// A peer has this version in force.
+    Confirmed {
+        /// Peer.
+        from: VmId,
+        /// Version.
+        version: u64,
+    },
+}
+
+/// Events counted by a replica.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+pub struct ReplicaCounters {
+    /// Changes applied.
+    pub applied: u64,
+    /// Entries that were already applied.
+    pub duplicates: u64,
+    /// Entries that came before their predecessor.
+    pub early: u64,
+    /// Requests for missing entries sent to peers.
+    pub asked: u64,
+    /// Requests for missing entries made to the store.
+    pub reads: u64,
+    /// Snapshots taken.
+    pub snapshots: u64,
+    /// Entries and heads of another history than this VM's.
+    pub forked: u64,
+    /// Reads of a head below the version held.
+    pub reverted: u64,
+    /// Failed reads of the store.
+    pub store_failures: u64,
+}
+
+/// Relation of the table to the configuration held.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoreState {
+    /// Not read yet.
+    Unread,
+    /// The last read succeeded.
+    Readable,
+    /// The last read failed.
+    Failing,
+    /// The table holds an older version, or another history, than this VM.
+    Reverted,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerReport {
+    version: u64,
+    at: Uptime,
+}
+
+/// The configuration of one VM.
+pub struct ConfigReplica {
+    config: FleetConfig,
+    operation: CompactString,
+    recent: VecDeque<LogEntry>,
+    early: BTreeMap<u64, LogEntry>,
+    peers: BTreeMap<VmId, PeerReport>,
+    store: StoreState,
+    head: Option<LogHead>,
+    checked_at: Option<Uptime>,
+    asked_at: Option<Uptime>,
+    attempts: usize,
+    counters: ReplicaCounters,
+    outputs: Vec<ConfigOutput>,
+}
+
+impl Default for ConfigReplica {
+    fn default() -> ConfigReplica {
+        ConfigReplica {
+            config: FleetConfig::default(),
+            operation: CompactString::default(),
+            recent: VecDeque::new(),
+            early: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            store: StoreState::Unread,
+            head: None,
+            checked_at: None,
+            asked_at: None,
+            attempts: 0,
+            counters: ReplicaCounters::default(),
+            outputs: Vec::new(),
+        }
+    }
+}
+
+impl ConfigReplica {
+    /// Takes an input and returns what is to be done.
+    pub fn handle(&mut self, input: ConfigInput, now: Uptime) -> Vec<ConfigOutput> {
+        let before = self.config.version;
+        match input {
+            ConfigInput::Tick => self.tick(now),
+            ConfigInput::Received { from, message } => self.receive(from, message, now),
+            ConfigInput::PeerVersion {
+                from,
+                version,
+                checked_at,
+            } => self.take_report(&from, version, checked_at, now),
+            ConfigInput::HeadRead { head, asked_at } => self.take_head(head, asked_at, now),
+            ConfigInput::EntriesRead { entries } => {
+                self.asked_at = None;
+                self.take_entries(entries);
+            }
+            ConfigInput::SnapshotRead { snapshot } => self.take_snapshot(snapshot),
+            ConfigInput::StoreFailed => self.note_failure(),
+        }
+        if self.config.version > before {
+            self.attempts = 0;
+            self.outputs.insert(0, ConfigOutput::Publish);
+            self.repair(now);
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The configuration held.
+    #[must_use]
+    pub fn config(&self) -> &FleetConfig {
+        &self.config
+    }
+
+    /// Version and operation of the configuration held.
+    #[must_use]
+    pub fn head(&self) -> LogHead {
+        LogHead {
+            version: self.config.version,
+            operation: self.operation.clone(),
+        }
+    }
+
+    /// The configuration held, as a snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> ConfigSnapshot {
+        ConfigSnapshot {
+            operation: self.operation.clone(),
+            config: self.config.clone(),
+        }
+    }
+
+    /// Relation of the table to the configuration held.
+    #[must_use]
+    pub fn store_state(&self) -> StoreState {
+        self.store
+    }
+
+    /// Head as last read from the table.
+    #[must_use]
+    pub fn store_head(&self) -> Option<&LogHead> {
+        self.head.as_ref()
+    }
+
+    /// When the version held was last known to be current.
+    #[must_use]
+    pub fn checked_at(&self) -> Option<Uptime> {
+        self.checked_at
+    }
+
+    /// Events counted so far.
+    #[must_use]
+    pub fn counters(&self) -> ReplicaCounters {
+        self.counters
+    }
+
+    /// Peers that reported a version lately, and the newest of these versions.
+    #[must_use]
+    pub fn newest_of_peers(&self, now: Uptime) -> (usize, u64) {
+        let fresh = self
+            .peers
+            .values()
+            .filter(|report| now.saturating_sub(report.at) <= PEER_LIMIT);
+        fresh.fold((0, 0), |(count, newest), report| {
+            (count + 1, newest.max(report.version))
+        })
+    }
+
+    fn tick(&mut self, now: Uptime) {
+        self.peers
+            .retain(|_, report| now.saturating_sub(report.at) <= PEER_LIMIT);
+        self.repair(now);
+    }
+
+    fn receive(&mut self, from: VmId, message: ConfigMessage, now: Uptime) {
+        match message {
+            ConfigMessage::Push { entry } => self.take_push(from, entry, now),
+            ConfigMessage::Confirm { version } => {
+                self.take_report(&from, version, None, now);
+                self.outputs.push(ConfigOutput::Confirmed { from, version });
+            }
+            ConfigMessage::Ask { after } => self.answer(from, after),
+            ConfigMessage::Entries { entries, version } => {
+                self.take_answer(from, entries, version, now);
+            }
+            // Pieces of snapshots are handled outside: they are transport, not state.
+            ConfigMessage::AskPiece { .. } | ConfigMessage::Piece { .. } => {}
+        }
+    }
+
+    fn take_push(&mut self, from: VmId, entry: LogEntry, now: Uptime) {
+        let version = entry.change.version;
+        self.note_peer(&from, version, now);
+        self.take_entries(vec![entry]);
+        if self.config.version >= version {
+            let version = self.config.version;
+            let message = ConfigMessage::Confirm { version };
+            self.outputs.push(ConfigOutput::Send { to: from, message });
+        } else {
+            self.repair(now);
+        }
+    }
+
+    fn take_answer(&mut self, from: VmId, entries: Vec<LogEntry>, version: u64, now: Uptime) {
+        self.asked_at = None;
+        self.note_peer(&from, version, now);
+        let empty = entries.is_empty();
+        self.take_entries(entries);
+        if empty && version > self.config.version {
+            // The peer no longer holds the next entry. With the store away its snapshot is the only source.
+            if self.store == StoreState::Readable {
+                self.read_log(now);
+            } else {
+                self.asked_at = Some(now);
+                self.outputs.push(ConfigOutput::FetchSnapshot { from });
+            }
+        }
+    }
+
+    fn answer(&mut self, to: VmId, after: u64) {
+        let next = after.saturating_add(1);
+        let oldest = self.recent.front().map(|entry| entry.change.version);
+        let holds_next = oldest.is_some_and(|oldest| oldest <= next);
+        let newer = self
+            .recent
+            .iter()
+            .filter(|entry| holds_next && entry.change.version >= next);
+        let message = ConfigMessage::Entries {
+            entries: newer.take(ANSWER_LIMIT).cloned().collect(),
+            version: self.config.version,
+        };
+        self.outputs.push(ConfigOutput::Send { to, message });
+    }
+
+    fn take_entries(&mut self, entries: Vec<LogEntry>) {
+        for entry in entries {
+            self.take_entry(entry);
+        }
+        while let Some(entry) = self.early.remove(&(self.config.version + 1)) {
+            if !self.apply(entry) {
+                break;
+            }
+        }
+        let version = self.config.version;
+        self.early.retain(|early, _| *early > version);
+    }
+
+    fn take_entry(&mut self, entry: LogEntry) {
+        let version = entry.change.version;
+        let current = self.config.version;
+        if version <= current {
+            self.counters.duplicates += 1;
+            if version == current && entry.change.operation != self.operation {
+                self.counters.forked += 1;
+            }
+            return;
+        }
+        if version == current + 1 {
+            self.apply(entry);
+            return;
+        }
+        self.counters.early += 1;
+        self.early.insert(version, entry);
+        if self.early.len() > EARLY_LIMIT {
+            self.early.pop_last();
+        }
+    }
+
+    /// Applies the entry after the version held, unless it belongs to another history.
+    fn apply(&mut self, entry: LogEntry) -> bool {
+        if entry.parent != self.operation {
+            self.counters.forked += 1;
+            return false;
+        }
+        self.config = self.config.applied(&entry.change);
+        self.operation.clone_from(&entry.change.operation);
+        self.counters.applied += 1;
+        self.recent.push_back(entry);
+        if self.recent.len() > RECENT_LIMIT {
+            self.recent.pop_front();
+        }
+        true
+    }
+
+    fn take_snapshot(&mut self, snapshot: ConfigSnapshot) {
+        if snapshot.config.version <= self.config.version {
+            return;
+        }
+        self.counters.snapshots += 1;
+        self.config = snapshot.config;
+        self.operation = snapshot.operation;
+        self.recent.clear();
+        self.take_entries(Vec::new());
+    }
+
+    fn take_head(&mut self, head: LogHead, asked_at: Uptime, now: Uptime) {
+        let current = self.config.version;
+        let forked = head.version == current && head.operation != self.operation;
+        self.store = StoreState::Readable;
+        if head.version < current || forked {
+            self.store = StoreState::Reverted;
+            self.counters.reverted += 1;
+        }
+        if self.store == StoreState::Readable && head.version == current {
+            self.check(asked_at);
+        }
+        self.head = Some(head);
+        self.repair(now);
+    }
+
+    fn check(&mut self, at: Uptime) {
+        if self.checked_at.is_some_and(|checked| checked >= at) {
+            return;
+        }
+        self.checked_at = Some(at);
+        self.outputs.push(ConfigOutput::Checked(at));
+    }
+
+    fn note_peer(&mut self, from: &VmId, version: u64, now: Uptime) {
+        let report = PeerReport { version, at: now };
+        self.peers.insert(from.clone(), report);
+    }
+
+    fn take_report(&mut self, from: &VmId, version: u64, checked_at: Option<Uptime>, now: Uptime) {
+        self.note_peer(from, version, now);
+        if version == self.config.version
+            && let Some(at) = checked_at
+        {
+            self.check(at);
+        }
+        self.repair(now);
+    }
+
+    fn note_failure(&mut self) {
+        self.asked_at = None;
+        self.counters.store_failures += 1;
+        if self.store != StoreState::Reverted {
+            self.store = StoreState::Failing;
+        }
+    }
+
+    /// Says whether a newer version is known to exist.
+    #[must_use]
+    pub fn is_behind(&self, now: Uptime) -> bool {
+        let current = self.config.version;
+        let stored = self.head.as_ref().map_or(0, |head| head.version);
+        self.newest_of_peers(now).1 > current || stored > current || !self.early.is_empty()
+    }
+
+    /// Requests what is missing: from peers that have it in turn, and every third time from the store.
+    fn repair(&mut self, now: Uptime) {
+        let waits = self
+            .asked_at
+            .is_some_and(|at| now.saturating_sub(at) < ASK_LIMIT);
+        if waits || !self.is_behind(now) {
+            return;
+        }
+        let current = self.config.version;
+        let newer: Vec<VmId> = self
+            .peers
+            .iter()
+            .filter(|(_, report)| report.version > current)
+            .map(|(id, _)| id.clone())
+            .collect();
+        let attempt = self.attempts;
+        self.attempts += 1;
+        if newer.is_empty() || attempt % 3 == 2 {
+            self.read_log(now);
+            return;
+        }
+        self.asked_at = Some(now);
+        self.counters.asked += 1;
+        let to = newer[attempt % newer.len()].clone();
+        let message = ConfigMessage::Ask { after: current };
+        self.outputs.push(ConfigOutput::Send { to, message });
+    }
+
+    fn read_log(&mut self, now: Uptime) {
+        self.asked_at = Some(now);
+        self.counters.reads += 1;
+        let after = self.config.version;
+        let stored = self.head.as_ref().map_or(0, |head| head.version);
+        let newest = stored.max(self.newest_of_peers(now).1);
+        self.outputs.push(ConfigOutput::ReadLog {
+            after,
+            snapshot: after == 0 || newest.saturating_sub(after) > SNAPSHOT_GAP,
+        });
+    }
+}
