Calls of targets over HTTP: HttpCaller

Cause: gateway and batch need a TargetCaller that says truthfully whether a request ran. Change: HttpCaller tries targets under tickets, retries only what did not run or may be repeated, hedges where a service asks for it, checks that answers are whole and belong to their request, passes streams on event by event, and records calls that may not be repeated in the table. Connections report their end as an error, because awc takes the end of a connection for the end of a body. Conclusion: the interface can be wired; the failure tests come next.

--- a/crates/fakes/src/listener.rs
+++ b/crates/fakes/src/listener.rs
@@ -31,6 +31,8 @@
         let Some(stream) = connection.downcast_ref::<TcpStream>() else {
             return;
         };
+        // Small events would wait for the acknowledgement of the one before.
+        let _ = stream.set_nodelay(true);
         let Ok(handle) = stream.as_fd().try_clone_to_owned() else {
             return;
         };
--- /dev/null
+++ b/crates/proxy/src/headers.rs
@@ -0,0 +1,115 @@
+//! Which headers reach a target, and which of its headers reach the caller.
+
+use awc::http::header::HeaderMap;
+use compact_str::CompactString;
+
+/// Names and values, names in lower case.
+pub(crate) type HeaderList = Vec<(CompactString, CompactString)>;
+
+/// Ties an answer to its request.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Milliseconds that are left for the answer.
+pub(crate) const DEADLINE_HEADER: &str = "plantainmill-deadline-ms";
+
+/// Headers that belong to one connection, or that the client sets itself.
+const CONNECTION_HEADERS: &[&str] = &[
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "http2-settings",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Headers that are replaced, or that would disclose the caller or mix organisations at a target.
+const DROPPED_HEADERS: &[&str] = &[
+    // A compressed answer could not be checked.
+    "accept-encoding",
+    "forwarded",
+    // Two organisations may use the same key, and the target cannot tell them apart.
+    "idempotency-key",
+    "openai-project",
+    REQUEST_ID_HEADER,
+];
+
+/// Parts of names of headers with keys or the caller's organisation.
+const SECRET_PARTS: &[&str] = &[
+    "api-key",
+    "api_key",
+    "apikey",
+    "auth-token",
+    "access-token",
+    "authorization",
+    "cookie",
+    "organisation",
+    "organization",
+    "secret",
+];
+
+/// Prefixes of headers that are the system's own or disclose the caller's address.
+const DROPPED_PREFIXES: &[&str] = &["plantainmill-", "x-forwarded-"];
+
+/// Headers of an answer that are passed on.
+const ANSWER_HEADERS: &[&str] = &[
+    "accept-ranges",
+    "allow",
+    "cache-control",
+    "content-disposition",
+    "content-encoding",
+    "content-language",
+    "content-range",
+    "content-type",
+    "etag",
+    "expires",
+    "last-modified",
+    "location",
+    "openai-processing-ms",
+    "openai-version",
+    "retry-after",
+    "vary",
+];
+
+/// The headers of a request that a target may see.
+pub(crate) fn request_headers(headers: &HeaderList) -> HeaderList {
+    let connection = headers.iter().filter(|(name, _)| name == "connection");
+    let listed: Vec<CompactString> = connection
+        .flat_map(|(_, value)| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase().into())
+        .collect();
+    let allowed = headers.iter().filter(|(name, _)| {
+        let name = name.to_ascii_lowercase();
+        is_request_header(&name) && !listed.contains(&name)
+    });
+    allowed.cloned().collect()
+}
+
+fn is_request_header(name: &str) -> bool {
+    let is_secret = SECRET_PARTS.iter().any(|part| name.contains(part));
+    let is_own = DROPPED_PREFIXES
+        .iter()
+        .any(|prefix| name.starts_with(prefix));
+    !is_secret && !is_own && !CONNECTION_HEADERS.contains(&name) && !DROPPED_HEADERS.contains(&name)
+}
+
+/// The headers of an answer that may be passed on.
+pub(crate) fn answer_headers(headers: &HeaderMap) -> HeaderList {
+    let allowed = headers
+        .iter()
+        .filter(|(name, _)| ANSWER_HEADERS.contains(&name.as_str()));
+    let pairs = allowed.filter_map(|(name, value)| {
+        let value = value.to_str().ok()?;
+        Some((name.as_str().into(), value.into()))
+    });
+    pairs.collect()
+}
+
+/// The text of the header `name`.
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,5 +1,22 @@
 //! Calls of targets: retries, streams, idempotent calls, truthful outcomes.
 
 pub mod caller;
+pub mod limits;
+
+mod body;
+mod context;
+mod events;
+mod exchange;
+mod headers;
+mod hedge;
+mod http_caller;
+mod live;
+mod meters;
+mod recorded;
+mod records;
+mod transport;
 
 pub use caller::{StreamAnswer, TargetCaller, TargetRequest, WholeAnswer};
+pub use events::error_event;
+pub use http_caller::HttpCaller;
+pub use limits::CallLimits;
--- /dev/null
+++ b/crates/proxy/src/transport.rs
@@ -0,0 +1,104 @@
+//! The HTTP client of a thread, on connections that report a cut as an error.
+
+use crate::limits::CONNECT_TIMEOUT;
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::http::Uri;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Time that an idle connection to a target is kept; below the 75 s after which servers usually close it.
+const KEEP_ALIVE: Duration = Duration::from_secs(15);
+
+/// A connection whose end is an error.
+///
+/// `awc` takes the end of a connection for the end of a body, even of a chunked one that has no last chunk. As a
+/// body without a length cannot be told from a cut one, a connection that ends while an answer is read is always
+/// a failure.
+#[derive(Debug)]
+pub(crate) struct StrictStream {
+    inner: TcpStream,
+}
+
+impl AsyncRead for StrictStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buffer.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        let is_end = buffer.filled().len() == filled && buffer.remaining() > 0;
+        if is_end {
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for StrictStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(context, buffer)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
+
+impl ActixStream for StrictStream {
+    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.inner, context)
+    }
+
+    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.inner, context)
+    }
+}
+
+thread_local! {
+    static CLIENT: awc::Client = new_client();
+}
+
+/// The client of this thread. Connections are pooled per thread, because `awc` clients cannot move.
+pub(crate) fn client() -> awc::Client {
+    CLIENT.with(Clone::clone)
+}
+
+fn new_client() -> awc::Client {
+    let connect = fn_service(connect);
+    let connector = awc::Connector::new()
+        .connector(connect)
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(KEEP_ALIVE)
+        // The dispatcher bounds the requests in flight.
+        .limit(0);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .disable_timeout()
+        .no_default_headers()
+        .finish()
+}
+
+async fn connect(info: ConnectInfo<Uri>) -> Result<Connection<Uri, StrictStream>, ConnectError> {
+    let address = info.addrs().next().ok_or(ConnectError::NoRecords)?;
+    let inner = TcpStream::connect(address)
+        .await
+        .map_err(ConnectError::Io)?;
+    inner.set_nodelay(true).map_err(ConnectError::Io)?;
+    let stream = StrictStream { inner };
+    Ok(Connection::new(info.request().clone(), stream))
+}
