Property tests of the rate bound over random schedules

Cause: the bound has to hold under any order of faults. Change: a simulated fleet in virtual time and properties with fixed seeds over losses, repeats, late messages, pauses, restarts, drains, cuts, table faults and configuration changes.

--- a/crates/admission/tests/all/fleet.rs
+++ b/crates/admission/tests/all/fleet.rs
@@ -244,6 +244,17 @@
         self.vms[vm].paused_until = self.now + time;
     }
 
+    /// Starts the graceful stop of a VM.
+    pub fn drain(&mut self, vm: usize) {
+        if self.vms[vm].down || self.vms[vm].paused_until > self.now {
+            return;
+        }
+        let mut out = Vec::new();
+        let now = self.now;
+        self.vms[vm].state.drain(now, &mut out);
+        self.perform(vm, out);
+    }
+
     /// Gives a VM a configuration.
     pub fn configure(&mut self, vm: usize, config: &Arc<FleetConfig>) {
         self.vms[vm].config = Arc::clone(config);
--- /dev/null
+++ b/crates/admission/tests/all/interleavings.rs
@@ -0,0 +1,181 @@
+//! No interleaving of faults admits more than rate x window + burst in any window.
+
+use crate::fleet::{MeshFaults, SimFleet, config, excess};
+use plantainmill_config::FleetConfig;
+use plantainmill_fakes::PlatformFault;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Runs of each property.
+const CASES: u32 = 32;
+/// VMs: two in each of three failure domains, so that every slot has one possible witness.
+const DOMAINS: usize = 3;
+const PER_DOMAIN: usize = 2;
+const VMS: usize = DOMAINS * PER_DOMAIN;
+/// Rounding of the oracle's floating-point sums.
+const ROUNDING: f64 = 1e-6;
+/// Time between requests while the fleet runs.
+const REQUEST_STEP: Duration = Duration::from_millis(25);
+
+/// One step of a schedule.
+#[derive(Clone, Debug)]
+enum Step {
+    Run { millis: u64 },
+    Burst { vm: usize, requests: u32 },
+    Pause { vm: usize, millis: u64 },
+    Restart { vm: usize },
+    Kill { vm: usize },
+    Drain { vm: usize },
+    Cut { domain: usize },
+    Heal,
+    Store(PlatformFault),
+    Mesh { lost: u64, repeated: u64, late: u64 },
+    Configure { vms: u8, version: usize },
+    ShowMembers,
+    ListVms,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let vm = 0..VMS;
+    let faults = prop_oneof![
+        3 => Just(PlatformFault::None),
+        1 => Just(PlatformFault::Down),
+        1 => Just(PlatformFault::AnswerLost),
+    ];
+    prop_oneof![
+        8 => (100_u64..14_000).prop_map(|millis| Step::Run { millis }),
+        3 => (vm.clone(), 1_u32..60).prop_map(|(vm, requests)| Step::Burst { vm, requests }),
+        3 => (vm.clone(), 500_u64..30_000).prop_map(|(vm, millis)| Step::Pause { vm, millis }),
+        1 => vm.clone().prop_map(|vm| Step::Restart { vm }),
+        1 => vm.clone().prop_map(|vm| Step::Kill { vm }),
+        1 => vm.prop_map(|vm| Step::Drain { vm }),
+        1 => (0..DOMAINS).prop_map(|domain| Step::Cut { domain }),
+        1 => Just(Step::Heal),
+        2 => faults.prop_map(Step::Store),
+        2 => (0_u64..40, 0_u64..40, 0_u64..30)
+            .prop_map(|(lost, repeated, late)| Step::Mesh { lost, repeated, late }),
+        2 => (any::<u8>(), 0_usize..5).prop_map(|(vms, version)| Step::Configure { vms, version }),
+        2 => Just(Step::ShowMembers),
+        1 => Just(Step::ListVms),
+    ]
+}
+
+/// Versions that a schedule may put in force. Widths grow, shrink, and the organisation goes and comes back.
+fn versions() -> Vec<Arc<FleetConfig>> {
+    let small = ("small", 1.0 / 60.0, 1);
+    vec![
+        config(1, &[small, ("large", 12.0, 30)]),
+        config(2, &[small, ("large", 12.0, 2)]),
+        config(3, &[small]),
+        config(4, &[small, ("large", 6.0, 5)]),
+        config(5, &[small, ("large", 12.0, 1)]),
+    ]
+}
+
+fn apply(fleet: &mut SimFleet, step: &Step, versions: &[Arc<FleetConfig>]) {
+    match *step {
+        Step::Run { millis } => run(fleet, Duration::from_millis(millis)),
+        Step::Burst { vm, requests } => (0..requests).for_each(|_| fleet.request(vm, "large")),
+        Step::Pause { vm, millis } => fleet.pause(vm, Duration::from_millis(millis)),
+        Step::Restart { vm } => fleet.restart(vm),
+        Step::Kill { vm } => fleet.kill(vm),
+        Step::Drain { vm } => fleet.drain(vm),
+        Step::Cut { domain } => {
+            fleet.cut.insert(domain);
+        }
+        Step::Heal => fleet.cut.clear(),
+        Step::Store(fault) => fleet.store_fault = fault,
+        Step::Mesh {
+            lost,
+            repeated,
+            late,
+        } => {
+            fleet.faults = MeshFaults {
+                lost,
+                repeated,
+                late,
+            };
+        }
+        Step::Configure { vms, version } => {
+            for vm in (0..VMS).filter(|vm| vms & (1 << vm) != 0) {
+                if versions[version].version > fleet.vms[vm].config.version {
+                    fleet.configure(vm, &versions[version]);
+                }
+            }
+        }
+        Step::ShowMembers => fleet.publish_members(),
+        Step::ListVms => fleet.list_vms(),
+    }
+}
+
+fn run(fleet: &mut SimFleet, time: Duration) {
+    let end = fleet.now + time;
+    while fleet.now < end {
+        let vm = usize::try_from(fleet.draw.below(6)).unwrap();
+        fleet.request(vm, "large");
+        fleet.request(vm, "small");
+        fleet.run(REQUEST_STEP);
+    }
+}
+
+fn check(seed: u64, steps: &[Step]) -> Result<SimFleet, TestCaseError> {
+    let versions = versions();
+    let mut fleet = SimFleet::new(DOMAINS, PER_DOMAIN, &versions[0], seed);
+    run(&mut fleet, Duration::from_secs(3));
+    for step in steps {
+        apply(&mut fleet, step, &versions);
+    }
+    run(&mut fleet, Duration::from_secs(15));
+    let small = excess(&fleet.decisions, "small", 1.0 / 60.0, 1);
+    prop_assert!(small <= ROUNDING, "small: {small} above the bound");
+    let large = excess(&fleet.decisions, "large", 12.0, 30);
+    prop_assert!(large <= ROUNDING, "large: {large} above the bound");
+    Ok(fleet)
+}
+
+fn runner(seed: u8) -> TestRunner {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(
+        config,
+        TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]),
+    )
+}
+
+/// Guards against any order of losses, repeats, pauses, takeovers, cuts and changes that admits too much.
+#[test]
+fn any_schedule() {
+    let schedules = (any::<u64>(), prop::collection::vec(step(), 5..25));
+    let result = runner(1).run(&schedules, |(seed, steps)| check(seed, &steps).map(drop));
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
+
+/// Guards against a bound that holds only because nothing is admitted: pauses and mesh faults alone leave the
+/// fleet serving.
+#[test]
+fn schedules_serve() {
+    let pauses = (0..VMS, 500_u64..30_000).prop_map(|(vm, millis)| Step::Pause { vm, millis });
+    let runs = (1_000_u64..9_000).prop_map(|millis| Step::Run { millis });
+    let mesh = (0_u64..20).prop_map(|lost| Step::Mesh {
+        lost,
+        repeated: 10,
+        late: 5,
+    });
+    let steps = prop::collection::vec(prop_oneof![1 => pauses, 3 => runs, 1 => mesh], 5..15);
+    let result = runner(2).run(&(any::<u64>(), steps), |(seed, steps)| {
+        let fleet = check(seed, &steps)?;
+        let admitted = fleet
+            .decisions
+            .iter()
+            .filter(|decision| decision.admitted)
+            .count();
+        prop_assert!(admitted >= 60, "{admitted} admitted in at least 18 s");
+        Ok(())
+    });
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod address;
 mod bound;
 mod fleet;
+mod interleavings;
 mod keys;
 mod service;
