Whole path: gateway, administration API, node, command line, load driver

Cause: a user could not yet get a request served from one end to the other. Change: caller routes with key, rate, deadline and graceful stop; administration API with ETag, history, rollback and apply; one VM wired from all slices; dev fleet on loopback; bench driver; tests of the whole path; operators' page.

--- /dev/null
+++ b/crates/admin/src/keys.rs
@@ -0,0 +1,100 @@
+//! Keys of organisations: issue, list, withdraw.
+
+use crate::operator::{authenticate, expected_version};
+use crate::receipt::{answer, propose, tagged};
+use crate::resources::{DeleteBody, parse_body, read_reason};
+use crate::state::AdminState;
+use actix_web::{HttpRequest, HttpResponse, web};
+use plantainmill_config::{ConfigEdit, KeySpec, ProposeChange, ResourceKind};
+use plantainmill_core::secret::{hash_secret, new_id, new_secret};
+use plantainmill_core::{Problem, ResultCode};
+use plantainmill_schema::admin::KeyCreate;
+use serde_json::{Value, json};
+
+/// Start of every caller key, so that leaked keys can be searched for.
+const SECRET_PREFIX: &str = "pm-";
+/// Start of every key id.
+const ID_PREFIX: &str = "key-";
+
+pub(crate) async fn list(
+    request: HttpRequest,
+    place: web::Path<String>,
+    state: web::Data<AdminState>,
+) -> Result<HttpResponse, Problem> {
+    authenticate(&request, &state)?;
+    let organisation = place.into_inner();
+    let config = state.view.load();
+    let keys = config
+        .keys
+        .iter()
+        .filter(|(_, key)| key.organisation == organisation);
+    let entries: Vec<Value> = keys
+        .map(|(id, key)| json!({"id": id, "label": key.label, "expires_at": key.expires_at}))
+        .collect();
+    Ok(tagged(config.version, &json!({ "keys": entries })))
+}
+
+/// Issues a key and shows its secret, this once. Only the hash is kept.
+pub(crate) async fn issue(
+    request: HttpRequest,
+    place: web::Path<String>,
+    payload: web::Bytes,
+    state: web::Data<AdminState>,
+) -> Result<HttpResponse, Problem> {
+    let author = authenticate(&request, &state)?;
+    let body: KeyCreate = parse_body(&payload)?;
+    let id = new_id(ID_PREFIX);
+    let secret = new_secret(SECRET_PREFIX);
+    let spec = KeySpec {
+        organisation: place.into_inner().into(),
+        hash: hash_secret(&secret),
+        label: body.label.into(),
+        expires_at: body.expires_at,
+    };
+    let change = ProposeChange {
+        edits: vec![ConfigEdit::PutKey {
+            id: id.clone(),
+            spec,
+        }],
+        author,
+        reason: read_reason(Some(body.reason))?,
+        // A new key replaces nothing, so it needs no condition on the version.
+        expected_version: None,
+        dry_run: false,
+    };
+    let receipt = propose(&state, change).await?;
+    Ok(answer(&receipt, json!({"id": id, "secret": secret})))
+}
+
+pub(crate) async fn withdraw(
+    request: HttpRequest,
+    place: web::Path<(String, String)>,
+    payload: web::Bytes,
+    state: web::Data<AdminState>,
+) -> Result<HttpResponse, Problem> {
+    let author = authenticate(&request, &state)?;
+    let expected_version = expected_version(&request)?;
+    let (organisation, key) = place.into_inner();
+    let config = state.view.load();
+    let belongs = config
+        .keys
+        .get(key.as_str())
+        .is_some_and(|spec| spec.organisation == organisation);
+    if !belongs {
+        let reason = format!("{organisation} has no key {key}");
+        return Err(Problem::new(ResultCode::UnknownResource, reason));
+    }
+    let body: DeleteBody = parse_body(&payload)?;
+    let change = ProposeChange {
+        edits: vec![ConfigEdit::Delete {
+            kind: ResourceKind::Key,
+            id: key.into(),
+        }],
+        author,
+        reason: read_reason(body.reason)?,
+        expected_version,
+        dry_run: false,
+    };
+    let receipt = propose(&state, change).await?;
+    Ok(answer(&receipt, Value::Null))
+}
--- a/crates/batch/src/jobs.rs
+++ b/crates/batch/src/jobs.rs
@@ -8,7 +8,7 @@
 use crate::store::{JobStore, Versioned, store_problem, to_value};
 use compact_str::CompactString;
 use plantainmill_core::{JobId, Problem, ResultCode};
-use plantainmill_platform::{CommitOutcome, Expected, StoreError, TableWrite};
+use plantainmill_platform::{CommitOutcome, Expected, RowEntry, StoreError, TableWrite};
 use plantainmill_schema::openai::{BatchCounts, BatchList, BatchObject};
 use serde_json::json;
 
@@ -126,6 +126,11 @@
             }
         };
         let rows = self.range(&start, &prefix_end(&prefix), limit + 1).await?;
+        self.listed_jobs(&rows, limit).await
+    }
+
+    /// The jobs that the first `limit` of `rows` name; a further row means that there are more.
+    async fn listed_jobs(&self, rows: &[RowEntry], limit: u32) -> Result<BatchList, Problem> {
         let limit = usize::try_from(limit).unwrap_or(usize::MAX);
         let mut data = Vec::new();
         for entry in rows.iter().take(limit) {
@@ -141,6 +146,17 @@
         })
     }
 
+    /// Lists up to `limit` jobs of all organisations, for operators.
+    ///
+    /// # Errors
+    ///
+    /// The problem of the store.
+    pub async fn list_all(&self, limit: u32) -> Result<BatchList, Problem> {
+        let prefix = "jobs/";
+        let rows = self.range(prefix, &prefix_end(prefix), limit + 1).await?;
+        self.listed_jobs(&rows, limit).await
+    }
+
     /// Cancels a job. After this returns no result of it is committed any more.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/gateway/src/drain.rs
@@ -0,0 +1,88 @@
+//! Requests in flight and the steps of a graceful stop.
+
+use plantainmill_core::{Problem, ResultCode};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// When a caller that was refused by a stopping VM may try another one.
+const DRAIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Shared by all workers of a VM. Clones share the same state.
+#[derive(Clone, Debug, Default)]
+pub struct DrainState {
+    inner: Arc<DrainInner>,
+}
+
+#[derive(Debug, Default)]
+struct DrainInner {
+    leaving: AtomicBool,
+    refusing: AtomicBool,
+    in_flight: AtomicUsize,
+    ready: AtomicBool,
+}
+
+/// Counts one request until it is dropped.
+#[derive(Debug)]
+pub struct FlightGuard {
+    inner: Arc<DrainInner>,
+}
+
+impl DrainState {
+    /// Tells the balancer that the VM may be used.
+    pub fn set_ready(&self, ready: bool) {
+        self.inner.ready.store(ready, Ordering::Release);
+    }
+
+    /// First step of a stop: the VM reports not ready and still serves what the balancer sends.
+    pub fn start_leaving(&self) {
+        self.inner.leaving.store(true, Ordering::Release);
+    }
+
+    /// Second step, after the balancer has noticed: new requests are refused.
+    pub fn start_refusing(&self) {
+        self.inner.refusing.store(true, Ordering::Release);
+    }
+
+    /// Whether the balancer may send requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.inner.ready.load(Ordering::Acquire) && !self.inner.leaving.load(Ordering::Acquire)
+    }
+
+    /// Whether the VM is stopping.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.inner.leaving.load(Ordering::Acquire)
+    }
+
+    /// Requests being served.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.inner.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Registers a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses it when the VM is past the time that the balancer needs to notice a stop.
+    pub fn enter(&self) -> Result<FlightGuard, Problem> {
+        // The request is counted before the check, so that a stop that sees zero requests cannot miss one.
+        self.inner.in_flight.fetch_add(1, Ordering::AcqRel);
+        let guard = FlightGuard {
+            inner: Arc::clone(&self.inner),
+        };
+        if self.inner.refusing.load(Ordering::Acquire) {
+            let problem = Problem::new(ResultCode::Draining, "this VM is stopping");
+            return Err(problem.with_retry_after(DRAIN_RETRY_AFTER));
+        }
+        Ok(guard)
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.inner.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/node/src/parts.rs
@@ -0,0 +1,362 @@
+//! Builds the parts of a VM and stops them in order.
+
+use crate::dump::NodeDump;
+use crate::listeners::Listeners;
+use actix::{Actor as _, Addr};
+use plantainmill_admin::{AdminState, NodeMetrics};
+use plantainmill_admission::{
+    AddressLimiter, KeyIndex, RateParts, RateService, RateSettings, SlotLimiter,
+};
+use plantainmill_batch::{BatchHandle, BatchParts, BatchService, StopBatch};
+use plantainmill_config::{ConfigOptions, ConfigService, ConfigView, ReadyState};
+use plantainmill_core::clock::Uptime;
+use plantainmill_core::{Clock, Incarnation, SystemClock};
+use plantainmill_dispatch::node::NodePlace;
+use plantainmill_dispatch::{DispatchHandle, DispatchParts, DispatchService, Dispatcher};
+use plantainmill_gateway::{DrainState, GatewayParts};
+use plantainmill_membership::{
+    LeaveFleet, MemberTiming, MemberView, MembershipOptions, MembershipService,
+};
+use plantainmill_mesh::{FleetSecret, IDLE_LIMIT, MeshOptions, MeshPeer, MeshService, StopMesh};
+use plantainmill_placement::{PlacementOptions, PlacementService, StopPlacement};
+use plantainmill_platform::http::{ClientSettings, HttpEngine, HttpObjects, HttpPlatform};
+use plantainmill_platform::{ObjectStore, TableStore};
+use plantainmill_proxy::{HttpCaller, TargetCaller};
+use plantainmill_settings::{NodeSettings, OperatorKey};
+use plantainmill_timer::TimerService;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, UNIX_EPOCH};
+use tokio::sync::Notify;
+
+/// Time between looks at the readiness of the configuration.
+const READY_INTERVAL: Duration = Duration::from_millis(50);
+/// Seconds in a minute, for rates given per minute.
+const MINUTE: Duration = Duration::from_mins(1);
+
+/// What all parts are built from.
+struct NodeBase {
+    settings: NodeSettings,
+    incarnation: Incarnation,
+    clock: Arc<dyn Clock>,
+    timer: Addr<TimerService>,
+    platform: Arc<HttpPlatform>,
+    objects: Arc<dyn ObjectStore>,
+    metrics: NodeMetrics,
+    view: ConfigView,
+    members: MemberView,
+}
+
+/// The running parts of a VM.
+pub(crate) struct NodeParts {
+    base: NodeBase,
+    drain: DrainState,
+    mesh: Addr<MeshService>,
+    membership: Addr<MembershipService>,
+    config: Addr<ConfigService>,
+    rates: SlotLimiter,
+    dispatch: DispatchHandle,
+    batch: BatchHandle,
+    placement: Addr<PlacementService>,
+    keys: Arc<KeyIndex>,
+}
+
+impl NodeParts {
+    /// Starts all parts on the current actix system.
+    pub(crate) fn start(
+        settings: NodeSettings,
+        listeners: &Listeners,
+        drain: &DrainState,
+    ) -> anyhow::Result<NodeParts> {
+        let base = NodeBase::new(settings)?;
+        let mesh = base.start_mesh(listeners)?;
+        let membership = base.start_membership(listeners, &mesh);
+        let config = base.start_config(base.own_peer(listeners), &mesh, &membership);
+        let rates = RateService::launch(base.rate_parts(&mesh));
+        let dispatch = base.start_dispatch(&mesh);
+        let batch = BatchService::launch(base.batch_parts(&mesh, &dispatch));
+        let placement = PlacementService::new(base.placement_options()).start();
+        let keys = KeyIndex::new(base.view.clone(), Arc::clone(&base.clock));
+        Ok(NodeParts {
+            base,
+            drain: drain.clone(),
+            mesh,
+            membership,
+            config,
+            rates,
+            dispatch,
+            batch,
+            placement,
+            keys: Arc::new(keys),
+        })
+    }
+
+    /// What the operator routes work with.
+    pub(crate) fn admin_state(&self, stop: &Arc<Notify>) -> AdminState {
+        let operators: Vec<OperatorKey> = self.base.settings.operator_keys.clone();
+        AdminState {
+            vm: self.base.settings.vm.id.clone(),
+            operators: Arc::new(operators),
+            view: self.base.view.clone(),
+            config: self.config.clone(),
+            members: self.base.members.clone(),
+            clock: Arc::clone(&self.base.clock),
+            metrics: self.base.metrics.clone(),
+            dump: Arc::new(self.dump()),
+            stop: Arc::clone(stop),
+        }
+    }
+
+    fn dump(&self) -> NodeDump {
+        NodeDump {
+            vm: self.base.settings.vm.clone(),
+            incarnation: self.base.incarnation,
+            drain: self.drain.clone(),
+            mesh: self.mesh.clone(),
+            membership: self.membership.clone(),
+            config: self.config.clone(),
+            rates: Arc::new(self.rates.clone()),
+            dispatch: Arc::new(self.dispatch.clone()),
+            batch: self.batch.clone(),
+            placement: self.placement.clone(),
+            keys: Arc::clone(&self.keys),
+        }
+    }
+
+    /// What the caller routes work with.
+    pub(crate) fn gateway_parts(&self) -> GatewayParts {
+        let limits = &self.base.settings.limits;
+        let factory = self.base.caller_factory(&self.dispatch);
+        GatewayParts {
+            view: self.base.view.clone(),
+            keys: Arc::clone(&self.keys),
+            limiter: Arc::new(self.rates.clone()),
+            addresses: Arc::new(AddressLimiter::default()),
+            clock: Arc::clone(&self.base.clock),
+            drain: self.drain.clone(),
+            body_limit_bytes: limits.body_bytes,
+            caller_factory: factory,
+        }
+    }
+
+    /// What the file and batch routes work with.
+    pub(crate) fn batch_handle(&self) -> BatchHandle {
+        self.batch.clone()
+    }
+
+    /// Follows the readiness of the configuration until the VM stops.
+    pub(crate) fn watch_readiness(&self) -> impl Future<Output = ()> + 'static {
+        let config = self.config.clone();
+        let drain = self.drain.clone();
+        async move {
+            while !drain.is_leaving() {
+                let report = config.send(ReadyState).await;
+                drain.set_ready(report.is_ok_and(|report| report.ready));
+                actix_rt::time::sleep(READY_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Tells the other VMs that this one is leaving.
+    pub(crate) async fn announce_leaving(&self) {
+        let _ = self.membership.send(LeaveFleet).await;
+    }
+
+    /// Stops batch work within `limit`: running items finish, results are committed, chunks are released.
+    pub(crate) async fn stop_batch(&self, limit: Duration) {
+        let left = self.batch.service().send(StopBatch { limit }).await;
+        if let Ok(count @ 1..) = left {
+            tracing::warn!(count, "chunks were not released; they lapse");
+        }
+    }
+
+    /// Releases what the VM holds and stops the remaining parts.
+    pub(crate) async fn stop_services(&self) {
+        let _ = self.placement.send(StopPlacement).await;
+        self.rates.stop().await;
+        let _ = self.mesh.send(StopMesh).await;
+    }
+}
+
+impl NodeBase {
+    fn new(settings: NodeSettings) -> anyhow::Result<NodeBase> {
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let client = ClientSettings {
+            timeout: settings.platform.timeout,
+            ..ClientSettings::default()
+        };
+        Ok(NodeBase {
+            incarnation: incarnation_of(clock.as_ref()),
+            timer: TimerService::new(Arc::clone(&clock)).start(),
+            platform: Arc::new(HttpPlatform::new(&settings.platform.table, client)),
+            objects: Arc::new(HttpObjects::new(&settings.platform.objects, client)),
+            metrics: NodeMetrics::new()?,
+            view: ConfigView::default(),
+            members: MemberView::default(),
+            clock,
+            settings,
+        })
+    }
+
+    fn table(&self) -> Arc<dyn TableStore> {
+        Arc::clone(&self.platform) as Arc<dyn TableStore>
+    }
+
+    fn start_mesh(&self, listeners: &Listeners) -> anyhow::Result<Addr<MeshService>> {
+        plantainmill_mesh::start(MeshOptions {
+            own: self.settings.vm.id.clone(),
+            incarnation: self.incarnation,
+            secret: FleetSecret::new(self.settings.fleet_secrets.clone()),
+            listener: listeners.mesh()?,
+            idle_limit: IDLE_LIMIT,
+            timer: Some(self.timer.clone()),
+        })
+    }
+
+    fn own_peer(&self, listeners: &Listeners) -> MeshPeer {
+        let vm = &self.settings.vm;
+        MeshPeer {
+            id: vm.id.clone(),
+            domain: vm.domain.clone(),
+            region: vm.region.clone(),
+            address: listeners.addresses().mesh,
+        }
+    }
+
+    fn start_membership(
+        &self,
+        listeners: &Listeners,
+        mesh: &Addr<MeshService>,
+    ) -> Addr<MembershipService> {
+        plantainmill_membership::start(MembershipOptions {
+            own: self.own_peer(listeners),
+            incarnation: self.incarnation,
+            timing: MemberTiming::default(),
+            seed: self.incarnation,
+            clock: Arc::clone(&self.clock),
+            mesh: mesh.clone(),
+            timer: self.timer.clone(),
+            list: Arc::clone(&self.platform) as _,
+            view: self.members.clone(),
+        })
+    }
+
+    fn start_config(
+        &self,
+        own: MeshPeer,
+        mesh: &Addr<MeshService>,
+        membership: &Addr<MembershipService>,
+    ) -> Addr<ConfigService> {
+        plantainmill_config::start(ConfigOptions {
+            own,
+            clock: Arc::clone(&self.clock),
+            table: self.table(),
+            objects: Arc::clone(&self.objects),
+            mesh: mesh.clone(),
+            membership: membership.clone(),
+            members: self.members.clone(),
+            timer: self.timer.clone(),
+            view: self.view.clone(),
+        })
+    }
+
+    fn rate_parts(&self, mesh: &Addr<MeshService>) -> RateParts {
+        RateParts {
+            vm: self.settings.vm.id.clone(),
+            domain: self.settings.vm.domain.clone(),
+            incarnation: self.incarnation,
+            config: self.view.clone(),
+            members: self.members.clone(),
+            mesh: mesh.clone().recipient(),
+            channels: mesh.clone().recipient(),
+            timer: self.timer.clone().recipient(),
+            table: self.table(),
+            vms: Arc::clone(&self.platform) as _,
+            clock: Arc::clone(&self.clock),
+            meter: self.metrics.meter(),
+            settings: RateSettings::default(),
+        }
+    }
+
+    fn start_dispatch(&self, mesh: &Addr<MeshService>) -> DispatchHandle {
+        let vm = &self.settings.vm;
+        let service = DispatchService::new(DispatchParts {
+            place: NodePlace {
+                vm: vm.id.clone(),
+                domain: vm.domain.clone(),
+                region: vm.region.clone(),
+                seed: self.incarnation,
+            },
+            config: self.view.clone(),
+            members: self.members.clone(),
+            mesh: mesh.clone().recipient(),
+            channels: mesh.clone().recipient(),
+            timer: self.timer.clone().recipient(),
+            engine: Arc::new(HttpEngine),
+            clock: Arc::clone(&self.clock),
+            meter: self.metrics.meter(),
+        });
+        let handle = service.handle();
+        service.start();
+        handle
+    }
+
+    /// Makes one caller of targets per thread.
+    fn caller_factory(&self, dispatch: &DispatchHandle) -> plantainmill_gateway::CallerFactory {
+        let view = self.view.clone();
+        let dispatcher: Arc<dyn Dispatcher> = Arc::new(dispatch.clone());
+        let table = self.table();
+        let clock = Arc::clone(&self.clock);
+        let meter = self.metrics.meter();
+        Arc::new(move || {
+            let caller = HttpCaller::new(
+                view.clone(),
+                Arc::clone(&dispatcher),
+                Arc::clone(&table),
+                Arc::clone(&clock),
+                &meter,
+            );
+            Rc::new(caller) as Rc<dyn TargetCaller>
+        })
+    }
+
+    fn batch_parts(&self, mesh: &Addr<MeshService>, dispatch: &DispatchHandle) -> BatchParts {
+        BatchParts {
+            vm: self.settings.vm.id.clone(),
+            incarnation: self.incarnation,
+            config: self.view.clone(),
+            members: self.members.clone(),
+            mesh_send: mesh.clone().recipient(),
+            mesh_register: mesh.clone().recipient(),
+            timer: self.timer.clone().recipient(),
+            table: self.table(),
+            objects: Arc::clone(&self.objects),
+            caller: (self.caller_factory(dispatch))(),
+            clock: Arc::clone(&self.clock),
+            meter: self.metrics.meter(),
+        }
+    }
+
+    fn placement_options(&self) -> PlacementOptions {
+        let loads = self.settings.limits.domain_loads_per_minute.max(1);
+        let loads = u32::try_from(loads).unwrap_or(u32::MAX);
+        PlacementOptions {
+            vm: self.settings.vm.id.clone(),
+            domain: self.settings.vm.domain.clone(),
+            load_interval: MINUTE / loads,
+            view: self.view.clone(),
+            table: self.table(),
+            weights: Arc::clone(&self.platform) as _,
+            engines: Arc::new(HttpEngine),
+            clock: Arc::clone(&self.clock),
+            timer: self.timer.clone(),
+            meter: self.metrics.meter(),
+        }
+    }
+}
+
+/// The start of this process in microseconds since the Unix epoch, which rises from start to start.
+fn incarnation_of(clock: &dyn Clock) -> Incarnation {
+    let since: Uptime = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -92,7 +92,7 @@
     }
     let url = format!("http://{address}{}", context.request.path);
     let uri = Uri::try_from(url).map_err(|error| bad(format!("path: {error}")))?;
-    let mut request = client().request(method, uri);
+    let mut request = client().request(method, uri).address(address);
     for (name, value) in &context.headers {
         request = request.append_header((name.as_str(), value.as_str()));
     }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -51,6 +51,10 @@
     pub file_bytes: usize,
     /// Connections from callers at a time.
     pub connections: usize,
+    /// Threads that serve callers.
+    pub workers: usize,
+    /// Loads from the weight store per minute, for this VM's failure domain.
+    pub domain_loads_per_minute: u64,
     /// Time from not ready until new requests are refused, for the balancer to notice.
     pub balancer_wait: Duration,
     /// Time for requests to finish at a stop before they are cut.
@@ -78,6 +82,8 @@
 const BODY_DEFAULT_BYTES: u64 = 8 * MIB;
 const FILE_DEFAULT_BYTES: u64 = 512 * MIB;
 const CONNECTIONS_DEFAULT: u64 = 10_000;
+const WORKERS_DEFAULT: u64 = 2;
+const DOMAIN_LOADS_DEFAULT: u64 = 12;
 const BALANCER_WAIT_DEFAULT_MS: u64 = 5_000;
 const DRAIN_DEFAULT_MS: u64 = 120_000;
 const TIMEOUT_DEFAULT_MS: u64 = 3_000;
@@ -259,6 +265,13 @@
         &(1..1_000_001),
         CONNECTIONS_DEFAULT,
     );
+    let workers = reader.number(&mut section, "workers", &(1..65), WORKERS_DEFAULT);
+    let domain_loads_per_minute = reader.number(
+        &mut section,
+        "domain_loads_per_minute",
+        &(1..6_001),
+        DOMAIN_LOADS_DEFAULT,
+    );
     let balancer_wait = read_millis(
         reader,
         &mut section,
@@ -271,6 +284,8 @@
         body_bytes: to_usize(body),
         file_bytes: to_usize(file),
         connections: to_usize(connections),
+        workers: to_usize(workers),
+        domain_loads_per_minute,
         balancer_wait,
         drain,
     }
@@ -332,6 +347,8 @@
             body_bytes: to_usize(BODY_DEFAULT_BYTES),
             file_bytes: to_usize(FILE_DEFAULT_BYTES),
             connections: to_usize(CONNECTIONS_DEFAULT),
+            workers: to_usize(WORKERS_DEFAULT),
+            domain_loads_per_minute: DOMAIN_LOADS_DEFAULT,
             balancer_wait: Duration::from_millis(BALANCER_WAIT_DEFAULT_MS),
             drain: Duration::from_millis(DRAIN_DEFAULT_MS),
         }
--- /dev/null
+++ b/src/commands/check.rs
@@ -0,0 +1,49 @@
+//! `plantainmill check`: validates a settings file or a fleet configuration.
+
+use anyhow::{Context as _, bail};
+use clap::Args;
+use plantainmill_settings::NodeSettings;
+use std::path::PathBuf;
+
+/// Options of `check`.
+#[derive(Args, Debug)]
+pub struct CheckArgs {
+    /// Settings of a VM, or a fleet configuration, in TOML. A file with a `[vm]` table is taken as settings.
+    file: PathBuf,
+}
+
+/// Prints every error with file, line and field.
+pub fn run(args: &CheckArgs) -> anyhow::Result<()> {
+    let file = args.file.display().to_string();
+    let text =
+        std::fs::read_to_string(&args.file).with_context(|| format!("cannot read {file}"))?;
+    let errors = if is_settings(&text) {
+        check_settings(args)
+    } else {
+        check_fleet(&file, &text)
+    };
+    for error in &errors {
+        println!("{error}");
+    }
+    if !errors.is_empty() {
+        bail!("{} errors in {file}", errors.len());
+    }
+    println!("{file}: no errors");
+    Ok(())
+}
+
+fn is_settings(text: &str) -> bool {
+    text.lines().any(|line| line.trim() == "[vm]")
+}
+
+fn check_settings(args: &CheckArgs) -> Vec<String> {
+    let problems = NodeSettings::load(&args.file).err().unwrap_or_default();
+    problems.iter().map(ToString::to_string).collect()
+}
+
+fn check_fleet(file: &str, text: &str) -> Vec<String> {
+    let problems = plantainmill_config::parse_fleet_file(file, text)
+        .err()
+        .unwrap_or_default();
+    problems.iter().map(ToString::to_string).collect()
+}
--- /dev/null
+++ b/src/commands/codes.rs
@@ -0,0 +1,28 @@
+//! `plantainmill codes`: the table of result codes.
+
+use clap::Args;
+use plantainmill_core::ResultCode;
+
+/// Options of `codes`.
+#[derive(Args, Debug)]
+pub struct CodesArgs {
+    /// Print the Markdown page `docs/result-codes.md`.
+    #[arg(long)]
+    markdown: bool,
+}
+
+/// Prints the table.
+pub fn run(args: &CodesArgs) -> anyhow::Result<()> {
+    if args.markdown {
+        print!("{}", plantainmill_core::code::markdown_page());
+        return Ok(());
+    }
+    for code in ResultCode::ALL {
+        let entry = code.entry();
+        println!(
+            "{} {} {} {}",
+            entry.number, entry.http_status, entry.name, entry.meaning
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/commands/serve.rs
@@ -0,0 +1,64 @@
+//! `plantainmill serve`: one VM of the fleet.
+
+use anyhow::{Context as _, bail};
+use clap::Args;
+use plantainmill_node::{Node, StopReport};
+use plantainmill_settings::{NodeSettings, SettingsProblem};
+use std::path::PathBuf;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Options of `serve`.
+#[derive(Args, Debug)]
+pub struct ServeArgs {
+    /// Settings of the VM in TOML.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+/// Serves until SIGTERM or SIGINT, then stops gracefully; a second signal ends the process at once.
+pub fn run(args: &ServeArgs) -> anyhow::Result<()> {
+    let settings = NodeSettings::load(&args.settings).map_err(report_problems)?;
+    actix_rt::System::new().block_on(serve(settings))
+}
+
+fn report_problems(problems: Vec<SettingsProblem>) -> anyhow::Error {
+    for problem in &problems {
+        eprintln!("{problem}");
+    }
+    anyhow::anyhow!("{} errors in the settings", problems.len())
+}
+
+async fn serve(settings: NodeSettings) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
+    let node = Node::start(settings)?;
+    tracing::info!(
+        callers = %node.addresses().callers,
+        operators = %node.addresses().operators,
+        mesh = %node.addresses().mesh,
+        "serving"
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = node.stop_requested() => {}
+    }
+    tracing::info!("stopping");
+    let in_flight = node.in_flight();
+    tokio::select! {
+        report = node.stop() => finish(&report),
+        _ = terminate.recv() => bail!("second signal: {in_flight} requests were in flight and are cut"),
+        _ = interrupt.recv() => bail!("second signal: {in_flight} requests were in flight and are cut"),
+    }
+}
+
+fn finish(report: &StopReport) -> anyhow::Result<()> {
+    if report.cut_requests > 0 {
+        bail!(
+            "{} requests were cut at the time limit",
+            report.cut_requests
+        );
+    }
+    tracing::info!("stopped, no request was cut");
+    Ok(())
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,11 @@
-//! Tests of the whole path over loopback.
+//! Tests of the whole path over loopback, with ports chosen by the system.
+
+mod support;
+
+mod batch_jobs;
+mod command_line;
+mod config_changes;
+mod graceful_stop;
+mod online_calls;
+mod rate_limits;
+mod vm_loss;
