Test the configuration service over loopback

Three VMs with real actors: a change is confirmed by name, a cut VM is named and still catches up from the store, rollback makes a new version, refusals carry their codes, and a starting VM takes the version of its peers while its store is down.

--- /dev/null
+++ b/crates/config/tests/common/mod.rs
@@ -0,0 +1,148 @@
+//! A few VMs in one process: real actors and loopback connections over a platform in memory.
+
+use actix::{Actor as _, Addr};
+use plantainmill_config::{ConfigOptions, ConfigService, ConfigView, ReadyState};
+use plantainmill_core::{Clock, SystemClock};
+use plantainmill_fakes::MemoryPlatform;
+use plantainmill_membership::{MemberTiming, MemberView, MembershipOptions};
+use plantainmill_mesh::{FleetSecret, IDLE_LIMIT, MeshOptions, MeshPeer, MeshService, StopMesh};
+use plantainmill_platform::{VmEntry, VmState};
+use plantainmill_timer::TimerService;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pauses before a condition counts as never reached.
+const WAIT_STEPS: u32 = 1_500;
+const WAIT_STEP: Duration = Duration::from_millis(20);
+
+/// One VM.
+pub struct TestVm {
+    pub peer: MeshPeer,
+    pub mesh: Addr<MeshService>,
+    pub config: Addr<ConfigService>,
+    pub view: ConfigView,
+    pub members: MemberView,
+}
+
+pub fn bind() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a loopback port is free")
+}
+
+pub fn peer_at(id: &str, domain: &str, listener: &TcpListener) -> MeshPeer {
+    MeshPeer {
+        id: id.into(),
+        domain: domain.into(),
+        region: "central".into(),
+        address: listener.local_addr().expect("the listener is bound"),
+    }
+}
+
+pub fn list_entry(peer: &MeshPeer) -> VmEntry {
+    VmEntry {
+        id: peer.id.clone(),
+        domain: peer.domain.clone(),
+        region: peer.region.clone(),
+        mesh: peer.address,
+        state: VmState::Live,
+    }
+}
+
+/// Starts `ids` on one platform, in two failure domains.
+pub fn start_fleet(ids: &[&str], platform: &MemoryPlatform) -> Vec<TestVm> {
+    let bound: Vec<(MeshPeer, TcpListener)> = ids
+        .iter()
+        .zip(["north", "south"].iter().cycle())
+        .map(|(id, domain)| {
+            let listener = bind();
+            (peer_at(id, domain, &listener), listener)
+        })
+        .collect();
+    platform.set_vms(bound.iter().map(|(peer, _)| list_entry(peer)).collect());
+    bound
+        .into_iter()
+        .zip(1..)
+        .map(|((peer, listener), seed)| start_vm(peer, listener, platform, platform, seed))
+        .collect()
+}
+
+/// Starts a VM that reads the VM list of `platform` and the table and objects of `stores`.
+pub fn start_vm(
+    peer: MeshPeer,
+    listener: TcpListener,
+    platform: &MemoryPlatform,
+    stores: &MemoryPlatform,
+    incarnation: u64,
+) -> TestVm {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let timer = TimerService::new(Arc::clone(&clock)).start();
+    let mesh = plantainmill_mesh::start(MeshOptions {
+        own: peer.id.clone(),
+        incarnation,
+        secret: FleetSecret::new(vec!["fleet".into()]),
+        listener,
+        idle_limit: IDLE_LIMIT,
+        timer: Some(timer.clone()),
+    })
+    .expect("the listener works");
+    let members = MemberView::default();
+    let membership = plantainmill_membership::start(MembershipOptions {
+        own: peer.clone(),
+        incarnation,
+        timing: MemberTiming::default(),
+        seed: incarnation,
+        clock: Arc::clone(&clock),
+        mesh: mesh.clone(),
+        timer: timer.clone(),
+        list: Arc::new(platform.clone()),
+        view: members.clone(),
+    });
+    let view = ConfigView::default();
+    let config = plantainmill_config::start(ConfigOptions {
+        own: peer.clone(),
+        clock,
+        table: Arc::new(stores.clone()),
+        objects: Arc::new(stores.clone()),
+        mesh: mesh.clone(),
+        membership,
+        members: members.clone(),
+        timer,
+        view: view.clone(),
+    });
+    TestVm {
+        peer,
+        mesh,
+        config,
+        view,
+        members,
+    }
+}
+
+impl TestVm {
+    /// Takes the VM off the network.
+    pub async fn stop_mesh(&self) {
+        let _ = self.mesh.send(StopMesh).await;
+    }
+
+    pub async fn wait_ready(&self) {
+        for _ in 0..WAIT_STEPS {
+            let report = self.config.send(ReadyState).await;
+            if report.expect("the service runs").ready {
+                return;
+            }
+            actix_rt::time::sleep(WAIT_STEP).await;
+        }
+        panic!("{} did not become ready", self.peer.id);
+    }
+}
+
+/// Waits until `reached` holds.
+pub async fn wait_until(what: &str, reached: impl Fn() -> bool) {
+    for _ in 0..WAIT_STEPS {
+        if reached() {
+            return;
+        }
+        actix_rt::time::sleep(WAIT_STEP).await;
+    }
+    panic!("never reached: {what}");
+}
--- /dev/null
+++ b/crates/config/tests/service.rs
@@ -0,0 +1,159 @@
+//! The configuration service over real actors and loopback connections.
+
+mod common;
+
+use common::{start_fleet, wait_until};
+use plantainmill_config::{
+    ChangeReceipt, ConfigEdit, DumpConfig, ListHistory, OrganisationSpec, ProposeChange,
+    ReadySource, ReadyState, RollbackTo,
+};
+use plantainmill_core::{Problem, ResultCode};
+use plantainmill_fakes::{MemoryPlatform, PlatformFault};
+use rstest::rstest;
+
+fn put_organisation(id: &str, rate: f64) -> ConfigEdit {
+    ConfigEdit::PutOrganisation {
+        id: id.into(),
+        spec: OrganisationSpec {
+            rate,
+            burst: 5,
+            weight: 1,
+        },
+    }
+}
+
+fn change(edits: Vec<ConfigEdit>) -> ProposeChange {
+    ProposeChange {
+        edits,
+        author: "operator".into(),
+        reason: "test".to_owned(),
+        expected_version: None,
+        dry_run: false,
+    }
+}
+
+async fn propose(vm: &common::TestVm, message: ProposeChange) -> Result<ChangeReceipt, Problem> {
+    vm.config.send(message).await.expect("the service runs")
+}
+
+async fn ready_fleet(platform: &MemoryPlatform) -> Vec<common::TestVm> {
+    let fleet = start_fleet(&["a", "b", "c"], platform);
+    for vm in &fleet {
+        vm.wait_ready().await;
+    }
+    fleet
+}
+
+/// A change that one VM accepts has to reach the others and be confirmed by name.
+#[actix_rt::test]
+async fn change_confirmed() {
+    let platform = MemoryPlatform::default();
+    let fleet = ready_fleet(&platform).await;
+    let receipt = propose(&fleet[0], change(vec![put_organisation("kandy", 4.0)])).await;
+    let receipt = receipt.expect("the change is valid");
+    assert_eq!(receipt.version, 1);
+    assert_eq!(receipt.confirmed, ["a", "b", "c"]);
+    assert!(receipt.unconfirmed.is_empty());
+    for vm in &fleet {
+        assert!(vm.view.load().organisations.contains_key("kandy"));
+    }
+}
+
+/// A member that cannot be reached is named in the receipt, and the change is durable all the same.
+#[actix_rt::test]
+async fn cut_named() {
+    let platform = MemoryPlatform::default();
+    let fleet = ready_fleet(&platform).await;
+    fleet[2].stop_mesh().await;
+    let receipt = propose(&fleet[0], change(vec![put_organisation("kandy", 4.0)])).await;
+    let receipt = receipt.expect("the change is valid");
+    assert_eq!(receipt.unconfirmed, ["c"]);
+    // The cut VM still reads the head itself.
+    wait_until("c holds version 1", || fleet[2].view.load().version == 1).await;
+}
+
+/// Rollback makes a new version; it never lowers the version.
+#[actix_rt::test]
+async fn rollback_forward() {
+    let platform = MemoryPlatform::default();
+    let fleet = ready_fleet(&platform).await;
+    for rate in [1.0, 2.0] {
+        let answer = propose(&fleet[0], change(vec![put_organisation("kandy", rate)])).await;
+        answer.expect("the change is valid");
+    }
+    let rollback = RollbackTo {
+        version: 1,
+        author: "operator".into(),
+        reason: "wrong rate".to_owned(),
+        expected_version: Some(2),
+        dry_run: false,
+    };
+    let receipt = fleet[1].config.send(rollback).await.expect("it runs");
+    assert_eq!(receipt.expect("the rollback is valid").version, 3);
+    let config = fleet[1].view.load();
+    assert!((config.organisations["kandy"].rate - 1.0).abs() < f64::EPSILON);
+    let history = fleet[2].config.send(ListHistory { limit: 2 }).await;
+    let history = history.expect("it runs").expect("the log is readable");
+    let versions: Vec<u64> = history.iter().map(|change| change.version).collect();
+    assert_eq!(versions, [3, 2]);
+}
+
+/// A dry run, a stale version, a bad edit and a store outage write nothing and say why.
+#[rstest]
+#[case::stale(
+    Some(7),
+    put_organisation("kandy", 1.0),
+    PlatformFault::None,
+    ResultCode::VersionMismatch
+)]
+#[case::invalid(None, put_organisation("kandy", -1.0), PlatformFault::None, ResultCode::ConfigInvalid)]
+#[case::down(
+    None,
+    put_organisation("kandy", 1.0),
+    PlatformFault::Down,
+    ResultCode::StoreUnavailable
+)]
+#[actix_rt::test]
+async fn refusal_numbered(
+    #[case] expected_version: Option<u64>,
+    #[case] edit: ConfigEdit,
+    #[case] fault: PlatformFault,
+    #[case] code: ResultCode,
+) {
+    let platform = MemoryPlatform::default();
+    let fleet = ready_fleet(&platform).await;
+    platform.set_fault(fault);
+    let mut message = change(vec![edit]);
+    message.expected_version = expected_version;
+    let problem = propose(&fleet[0], message)
+        .await
+        .expect_err("it is refused");
+    assert_eq!(problem.code, code);
+    assert_eq!(fleet[0].view.load().version, 0);
+}
+
+/// A starting VM takes the newest version from peers while the store is down, and reports that.
+#[actix_rt::test]
+async fn peers_suffice() {
+    let platform = MemoryPlatform::default();
+    let fleet = ready_fleet(&platform).await;
+    let answer = propose(&fleet[0], change(vec![put_organisation("kandy", 1.0)])).await;
+    answer.expect("the change is valid");
+    let listener = common::bind();
+    let peer = common::peer_at("d", "north", &listener);
+    let mut entries: Vec<_> = fleet
+        .iter()
+        .map(|vm| common::list_entry(&vm.peer))
+        .collect();
+    entries.push(common::list_entry(&peer));
+    platform.set_vms(entries);
+    let stores = MemoryPlatform::default();
+    stores.set_fault(PlatformFault::Down);
+    let late = common::start_vm(peer, listener, &platform, &stores, 9);
+    late.wait_ready().await;
+    let report = late.config.send(ReadyState).await.expect("it runs");
+    assert_eq!(report.version, 1);
+    assert_eq!(report.source, ReadySource::Peers);
+    let dump = late.config.send(DumpConfig).await.expect("it runs");
+    assert_eq!(dump["sizes"]["organisations"], 1);
+}
