Parse fleet files into edits with file, line and field in errors

Operators describe the fleet in TOML; nothing read it.

Every section becomes edits by the bodies of the administration schema.

--- /dev/null
+++ b/crates/config/src/bodies.rs
@@ -0,0 +1,106 @@
+//! Conversion of the bodies of the administration API and of fleet files into the model.
+
+use crate::model::{
+    DefaultsSpec, ExceptionSpec, KeySpec, OrganisationSpec, ServiceKind, ServiceSpec, Subject,
+    TargetSpec,
+};
+use plantainmill_core::{Problem, ResultCode};
+use plantainmill_schema::admin;
+
+/// The service that `body` describes.
+#[must_use]
+pub fn service_spec(body: &admin::ServiceBody) -> ServiceSpec {
+    ServiceSpec {
+        kind: match body.kind {
+            admin::ServiceKind::Model => ServiceKind::Model,
+            admin::ServiceKind::Plain => ServiceKind::Plain,
+        },
+        open: body.open,
+        repeatable: body.repeatable,
+        hedge: body.hedge,
+        timeout_ms: body.timeout_ms.get(),
+        least_replicas: body.least_replicas,
+        most_replicas: body.most_replicas,
+    }
+}
+
+/// The target that `body` describes.
+///
+/// # Errors
+///
+/// Fails when the address is not an IP number and a port.
+pub fn target_spec(body: &admin::TargetBody) -> Result<TargetSpec, Problem> {
+    let address = body.address.parse().map_err(|_| {
+        let reason = format!("must be ip:port, is {:?}", body.address);
+        Problem::new(ResultCode::ConfigInvalid, reason).with_field("address")
+    })?;
+    Ok(TargetSpec {
+        service: body.service.as_str().into(),
+        address,
+        domain: body.domain.as_str().into(),
+        region: body.region.as_str().into(),
+        concurrency: body.concurrency.get(),
+        checks_fencing: body.checks_fencing,
+        leaving: body.state == Some(admin::TargetState::Leaving),
+    })
+}
+
+/// The organisation that `body` describes.
+#[must_use]
+pub fn organisation_spec(body: &admin::OrganisationBody) -> OrganisationSpec {
+    OrganisationSpec {
+        rate: body.rate,
+        burst: body.burst.get(),
+        weight: body.weight.get(),
+    }
+}
+
+/// The key that `body` describes.
+#[must_use]
+pub fn key_spec(body: &admin::KeyBody) -> KeySpec {
+    KeySpec {
+        organisation: body.organisation.as_str().into(),
+        hash: body.hash.as_str().into(),
+        label: body.label.as_str().into(),
+        expires_at: body.expires_at,
+    }
+}
+
+/// The defaults that `body` describes.
+#[must_use]
+pub fn defaults_spec(body: &admin::DefaultsBody) -> DefaultsSpec {
+    DefaultsSpec {
+        key_recheck_limit_s: body.key_recheck_limit_s.get(),
+        queue_wait_ms: body.queue_wait_ms,
+        retry_budget_percent: body.retry_budget_percent,
+        item_attempts: body.item_attempts.get(),
+        result_retention_s: body.result_retention_s.get(),
+        link_bytes_per_s: body.link_bytes_per_s,
+        open_rate_per_s: body.open_rate_per_s.get(),
+    }
+}
+
+/// The exception that `body` describes.
+///
+/// # Errors
+///
+/// Fails when the subject is neither `organisation/ID` nor `service/ID`.
+pub fn exception_spec(body: &admin::ExceptionBody) -> Result<ExceptionSpec, Problem> {
+    let subject = match body.subject.split_once('/') {
+        Some(("organisation", id)) => Subject::Organisation(id.into()),
+        Some(("service", id)) => Subject::Service(id.into()),
+        _ => {
+            let reason = format!(
+                "must be organisation/ID or service/ID, is {:?}",
+                body.subject
+            );
+            return Err(Problem::new(ResultCode::ConfigInvalid, reason).with_field("subject"));
+        }
+    };
+    Ok(ExceptionSpec {
+        subject,
+        setting: body.setting.as_str().into(),
+        value: body.value,
+        reason: body.reason.clone(),
+    })
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,8 +1,10 @@
 //! Fleet configuration: model, validation, log and propagation.
 
+pub mod bodies;
 pub mod change;
 pub mod diff;
 pub mod entry;
+pub mod fleet_file;
 mod handlers;
 pub mod log;
 pub mod message;
@@ -20,6 +22,7 @@
 pub use change::{ConfigChange, ConfigEdit, ResourceKind};
 pub use diff::{describe_edits, edits_between};
 pub use entry::{ConfigSnapshot, LogEntry, LogHead};
+pub use fleet_file::{FileError, FleetFile, parse_fleet_file};
 pub use log::{AppendOutcome, ConfigLog, HeadRow};
 pub use message::{
     DumpConfig, ListHistory, ProposeChange, ReadyReport, ReadySource, ReadyState, RollbackTo,
