--- /dev/null
+++ b/crates/mesh/tests/guard.rs
@@ -0,0 +1,99 @@
+//! Which received frames are delivered.
+
+use bytes::Bytes;
+use plantainmill_mesh::{Channel, DropReason, FleetSecret, FrameGuard, MeshFrame};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn secret(words: &[&str]) -> FleetSecret {
+    FleetSecret::new(words.iter().copied().map(Into::into).collect())
+}
+
+fn frame(to: &str, incarnation: u64) -> MeshFrame {
+    MeshFrame {
+        version: 1,
+        from: "a".into(),
+        to: to.into(),
+        incarnation,
+        channel: Channel::Config,
+        body: Bytes::from_static(b"body"),
+    }
+}
+
+fn guard() -> FrameGuard {
+    FrameGuard::new("b".into(), secret(&["old"]))
+}
+
+/// A recorded frame must not pass at a third VM, and a frame of this VM must not come back to it.
+#[rstest]
+#[case::third(frame("c", 1), DropReason::Misaddressed)]
+#[case::reflected(MeshFrame { from: "b".into(), ..frame("b", 1) }, DropReason::Replayed)]
+#[case::format(MeshFrame { version: 2, ..frame("b", 1) }, DropReason::Version)]
+fn frame_dropped(#[case] frame: MeshFrame, #[case] reason: DropReason) {
+    let content = secret(&["old"]).seal(&frame);
+    assert_eq!(guard().accept(&content), Err(reason));
+}
+
+/// After a VM was replaced at the same id, frames of the earlier one are replays.
+#[test]
+fn older_incarnation() {
+    let mut guard = guard();
+    let sealed = |incarnation| secret(&["old"]).seal(&frame("b", incarnation));
+    assert!(guard.accept(&sealed(5)).is_ok());
+    assert!(guard.accept(&sealed(6)).is_ok());
+    assert_eq!(guard.accept(&sealed(5)), Err(DropReason::Replayed));
+    assert!(guard.accept(&sealed(6)).is_ok());
+    assert_eq!(guard.incarnation_of(&"a".into()), Some(6));
+}
+
+/// A frame with a forged later incarnation must not lock the real sender out.
+#[test]
+fn forged_incarnation() {
+    let mut guard = guard();
+    let forged = secret(&["guess"]).seal(&frame("b", 99));
+    assert_eq!(guard.accept(&forged), Err(DropReason::Foreign));
+    assert!(guard.accept(&secret(&["old"]).seal(&frame("b", 1))).is_ok());
+}
+
+/// In each step of a rotation all VMs accept each other, whichever has already taken the step.
+#[test]
+fn secret_rotation() {
+    let steps = [&["old"][..], &["old", "new"], &["new", "old"], &["new"]];
+    for pair in steps.windows(2) {
+        for (sender, receiver) in [(0, 1), (1, 0)] {
+            let mut guard = FrameGuard::new("b".into(), secret(pair[receiver]));
+            let content = secret(pair[sender]).seal(&frame("b", 1));
+            assert!(guard.accept(&content).is_ok(), "{pair:?}");
+        }
+    }
+    let mut guard = FrameGuard::new("b".into(), secret(&["new"]));
+    let content = secret(&["old"]).seal(&frame("b", 1));
+    assert_eq!(guard.accept(&content), Err(DropReason::Foreign));
+}
+
+proptest! {
+    /// No content makes the guard panic or pass.
+    #[test]
+    fn garbage_dropped(content in proptest::collection::vec(any::<u8>(), 0..200)) {
+        prop_assert!(guard().accept(&content).is_err());
+    }
+
+    /// A changed byte anywhere in a frame is found.
+    #[test]
+    fn flip_found(position in 0_usize..80, flip in 1_u8..=255) {
+        let mut content = secret(&["old"]).seal(&frame("b", 1)).to_vec();
+        let index = position % content.len();
+        content[index] ^= flip;
+        prop_assert_eq!(guard().accept(&content), Err(DropReason::Foreign));
+    }
+
+    /// Signed content that is no frame, as of a VM with another program, is counted as malformed.
+    #[test]
+    fn signed_garbage(body in proptest::collection::vec(any::<u8>(), 0..60)) {
+        use hmac::{Hmac, KeyInit as _, Mac as _};
+        let mut mac = Hmac::<sha2::Sha256>::new_from_slice(b"old").expect("any length");
+        mac.update(&body);
+        let content = [mac.finalize().into_bytes().as_slice(), &body].concat();
+        prop_assert_eq!(guard().accept(&content), Err(DropReason::Malformed));
+    }
+}
