--- a/crates/membership/src/options.rs
+++ b/crates/membership/src/options.rs
@@ -50,6 +50,8 @@
 pub const UPDATE_LIMIT: usize = 6;
 /// Members that are asked to probe for this VM.
 pub const INDIRECT_PROBES: usize = 2;
+/// Suspects that are asked in one period; it bounds the traffic when a rack fails.
+pub const SUSPECTS_ASKED: usize = 4;
 /// Relays of each domain.
 pub const RELAYS: usize = 2;
 /// Records in one message.
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -1,7 +1,7 @@
 //! Probes of the member table: direct, through others, and what follows from silence.
 
 use crate::message::MemberMessage;
-use crate::options::{DEAD_PROBE_EVERY, INDIRECT_PROBES};
+use crate::options::{DEAD_PROBE_EVERY, INDIRECT_PROBES, SUSPECTS_ASKED};
 use crate::table::MemberTable;
 use crate::view::MemberState;
 use plantainmill_core::{Uptime, VmId};
@@ -75,11 +75,25 @@
             self.suspect(&pending.target, now);
         }
         self.probe.last_probe = Some(now);
+        self.ask_suspects(now);
         if let Some(target) = self.next_target() {
             self.start_probe(target, now);
         }
     }
 
+    /// Tells suspects what they are suspected of and asks for a sign of life, once per period. Without this a
+    /// refutation has to find its way by random probes and often comes after the suspicion has expired.
+    fn ask_suspects(&mut self, now: Uptime) {
+        let mut suspects = self.neighbours(|state| state == MemberState::Suspect);
+        suspects.shuffle(&mut self.rng);
+        for suspect in suspects.into_iter().take(SUSPECTS_ASKED) {
+            let sequence = self.probe.number(&suspect, now);
+            let digest = self.digest_for(&suspect, now);
+            self.counters.asked += 1;
+            self.send(&suspect, MemberMessage::Probe { sequence, digest });
+        }
+    }
+
     fn start_probe(&mut self, target: VmId, now: Uptime) {
         let sequence = self.probe.number(&target, now);
         let digest = self.digest_for(&target, now);
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -79,6 +79,8 @@
     pub probes: u64,
     /// Probes without a direct answer in time, repeated through other members.
     pub indirect: u64,
+    /// Probes that told a suspect of its suspicion.
+    pub asked: u64,
     /// Members that became suspect here.
     pub suspected: u64,
     /// Members that became dead here.
--- /dev/null
+++ b/crates/membership/tests/common/mod.rs
@@ -0,0 +1,232 @@
+//! A message queue between member tables that delays, drops and repeats messages in virtual time.
+
+use plantainmill_core::Uptime;
+use plantainmill_membership::{
+    Member, MemberInput, MemberMessage, MemberOutput, MemberState, MemberTable, MemberTiming,
+    PeerVersion,
+};
+use plantainmill_mesh::MeshPeer;
+use plantainmill_platform::{VmEntry, VmState};
+use rand::rngs::SmallRng;
+use rand::{RngExt as _, SeedableRng as _};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+pub const STEP: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(200);
+
+struct Envelope {
+    from: usize,
+    to: usize,
+    incarnation: u64,
+    message: MemberMessage,
+}
+
+/// One VM.
+pub struct TestNode {
+    pub peer: MeshPeer,
+    pub incarnation: u64,
+    pub table: MemberTable,
+    pub running: bool,
+    pub versions: Vec<PeerVersion>,
+    pub bytes: usize,
+}
+
+/// Several VMs and the queue between them.
+pub struct TestQueue {
+    pub nodes: Vec<TestNode>,
+    pub now: Uptime,
+    pub cut: BTreeSet<(usize, usize)>,
+    pub loss_percent: u32,
+    pub repeat_percent: u32,
+    pub listed: Vec<usize>,
+    waiting: BTreeMap<(Uptime, u64), Envelope>,
+    numbers: u64,
+    rng: SmallRng,
+}
+
+pub fn new_peer(index: usize, domain: &str) -> MeshPeer {
+    MeshPeer {
+        id: format!("vm{index}").into(),
+        domain: domain.into(),
+        region: "central".into(),
+        address: (
+            [127, 0, 0, 1],
+            7_000 + u16::try_from(index).expect("few VMs"),
+        )
+            .into(),
+    }
+}
+
+impl TestQueue {
+    /// `sizes` gives the number of VMs in each domain.
+    pub fn new(sizes: &[usize], seed: u64) -> TestQueue {
+        let domains = sizes
+            .iter()
+            .enumerate()
+            .flat_map(|(domain, size)| std::iter::repeat_n(domain, *size));
+        let nodes: Vec<TestNode> = domains
+            .enumerate()
+            .map(|(index, domain)| new_node(index, &format!("domain{domain}"), 1_000))
+            .collect();
+        TestQueue {
+            listed: (0..nodes.len()).collect(),
+            nodes,
+            now: Duration::from_secs(1),
+            cut: BTreeSet::new(),
+            loss_percent: 0,
+            repeat_percent: 0,
+            waiting: BTreeMap::new(),
+            numbers: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            if self.now.as_millis().is_multiple_of(TICK.as_millis()) {
+                for index in 0..self.nodes.len() {
+                    self.feed(index, MemberInput::Tick);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.waiting.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let envelope = entry.remove();
+            if self.cut.contains(&(envelope.from, envelope.to)) {
+                continue;
+            }
+            let input = MemberInput::Received {
+                from: self.nodes[envelope.from].peer.id.clone(),
+                incarnation: envelope.incarnation,
+                message: envelope.message,
+            };
+            self.feed(envelope.to, input);
+        }
+    }
+
+    pub fn feed(&mut self, index: usize, input: MemberInput) {
+        if !self.nodes[index].running {
+            return;
+        }
+        let outputs = self.nodes[index].table.handle(input, self.now);
+        for output in outputs {
+            match output {
+                MemberOutput::Send { to, message } => self.post(index, &to, &message),
+                MemberOutput::ReadList => {
+                    let entries = self.entries();
+                    self.feed(index, MemberInput::Listed { entries });
+                }
+                MemberOutput::PeerVersion(report) => self.nodes[index].versions.push(report),
+                MemberOutput::Changed => {}
+            }
+        }
+    }
+
+    fn entries(&self) -> Vec<VmEntry> {
+        let listed = self.listed.iter().map(|index| &self.nodes[*index].peer);
+        listed
+            .map(|peer| VmEntry {
+                id: peer.id.clone(),
+                domain: peer.domain.clone(),
+                region: peer.region.clone(),
+                mesh: peer.address,
+                state: VmState::Live,
+            })
+            .collect()
+    }
+
+    fn post(&mut self, from: usize, to: &str, message: &MemberMessage) {
+        let mut content = Vec::new();
+        ciborium::into_writer(message, &mut content).expect("messages encode");
+        self.nodes[from].bytes += content.len();
+        let Some(to) = self.nodes.iter().position(|node| node.peer.id == to) else {
+            return;
+        };
+        let copies = 1 + u32::from(self.draw(self.repeat_percent));
+        for _ in 0..copies {
+            if self.draw(self.loss_percent) {
+                continue;
+            }
+            let delay = Duration::from_millis(self.rng.random_range(1..60));
+            self.numbers += 1;
+            let envelope = Envelope {
+                from,
+                to,
+                incarnation: self.nodes[from].incarnation,
+                message: message.clone(),
+            };
+            self.waiting
+                .insert((self.now + delay, self.numbers), envelope);
+        }
+    }
+
+    fn draw(&mut self, percent: u32) -> bool {
+        percent > 0 && self.rng.random_ratio(percent, 100)
+    }
+
+    /// Cuts all messages from `from` to `to`.
+    pub fn cut_between(&mut self, from: &[usize], to: &[usize]) {
+        for sender in from {
+            self.cut
+                .extend(to.iter().map(|receiver| (*sender, *receiver)));
+        }
+    }
+
+    /// Replaces a VM at the same id and address.
+    pub fn replace(&mut self, index: usize, incarnation: u64) {
+        let domain = self.nodes[index].peer.domain.clone();
+        self.nodes[index] = new_node(index, &domain, incarnation);
+    }
+
+    /// What `viewer` holds of `subject`.
+    pub fn member(&self, viewer: usize, subject: usize) -> Option<Member> {
+        let id = &self.nodes[subject].peer.id;
+        let members = self.nodes[viewer].table.members();
+        members.into_iter().find(|member| member.peer.id == *id)
+    }
+
+    pub fn state(&self, viewer: usize, subject: usize) -> Option<MemberState> {
+        self.member(viewer, subject).map(|member| member.state)
+    }
+
+    /// Says whether every VM of `viewers` holds `state` of every other one of `subjects`.
+    pub fn all_hold(&self, viewers: &[usize], subjects: &[usize], state: MemberState) -> bool {
+        let pairs = viewers
+            .iter()
+            .flat_map(|viewer| subjects.iter().map(move |subject| (*viewer, *subject)));
+        pairs
+            .filter(|(viewer, subject)| viewer != subject)
+            .all(|(viewer, subject)| self.state(viewer, subject) == Some(state))
+    }
+
+    pub fn deaths(&self) -> u64 {
+        let nodes = self.nodes.iter();
+        nodes.map(|node| node.table.counters().died).sum()
+    }
+}
+
+fn new_node(index: usize, domain: &str, incarnation: u64) -> TestNode {
+    let peer = new_peer(index, domain);
+    TestNode {
+        table: MemberTable::new(
+            peer.clone(),
+            incarnation,
+            MemberTiming::default(),
+            incarnation + index as u64,
+        ),
+        peer,
+        incarnation,
+        running: true,
+        versions: Vec::new(),
+        bytes: 0,
+    }
+}
