--- a/crates/config/src/fleet_file.rs
+++ b/crates/config/src/fleet_file.rs
@@ -91,8 +91,8 @@
 
 impl FileParser<'_> {
     fn line_at(&self, offset: usize) -> usize {
-        let before = self.text.as_bytes().get(..offset).unwrap_or_default();
-        before.iter().filter(|byte| **byte == b'\n').count() + 1
+        let before = self.text.get(..offset).unwrap_or_default();
+        before.matches('\n').count() + 1
     }
 
     fn add_error(&mut self, line: usize, field: &str, reason: &str) {
--- a/crates/config/src/handlers.rs
+++ b/crates/config/src/handlers.rs
@@ -2,6 +2,7 @@
 
 use crate::change::ConfigChange;
 use crate::diff::edits_between;
+use crate::entry::LogEntry;
 use crate::log::ConfigLog;
 use crate::message::{
     ConfigReport, DumpConfig, ListHistory, ProposeChange, ReadyReport, ReadySource, ReadyState,
@@ -16,6 +17,7 @@
 use actix::prelude::*;
 use plantainmill_core::clock::unix_seconds;
 use plantainmill_core::{Problem, ResultCode, Uptime, VmId};
+use plantainmill_membership::MemberState;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -109,6 +111,26 @@
         }
     }
 
+    /// Pushes entries read from the log to the domain, if this VM reads the head for it.
+    pub(crate) fn forward(&mut self, entries: Vec<LogEntry>) {
+        if !self.is_poller() {
+            return;
+        }
+        let members = self.options.members.load();
+        let neighbours: Vec<VmId> = members
+            .iter()
+            .filter(|member| member.peer.domain == self.options.own.domain)
+            .filter(|member| member.state != MemberState::Dead)
+            .map(|member| member.peer.id.clone())
+            .collect();
+        for entry in entries {
+            let message = ConfigMessage::Push { entry };
+            for neighbour in &neighbours {
+                self.push(neighbour.clone(), &message);
+            }
+        }
+    }
+
     fn push(&mut self, to: VmId, message: &ConfigMessage) {
         self.counters.pushes += 1;
         self.send(to, message);
@@ -149,19 +171,6 @@
         receiver
     }
 
-    fn proposal(&self, request: ChangeRequest) -> ChangeProposal {
-        let head = self.replica.head();
-        ChangeProposal {
-            log: self.log.clone(),
-            config: self.replica.config().clone(),
-            operation: head.operation,
-            request,
-            clock: Arc::clone(&self.options.clock),
-            entries: Vec::new(),
-            head: None,
-        }
-    }
-
     fn request(&self, message: ProposeChange) -> ChangeRequest {
         ChangeRequest {
             operation: new_operation(),
@@ -180,7 +189,7 @@
         context: &mut Context<Self>,
     ) -> Result<oneshot::Receiver<ChangeReceipt>, Problem> {
         let entries = outcome.entries;
-        self.feed(ConfigInput::EntriesRead { entries }, context);
+        self.feed(ConfigInput::Committed { entries }, context);
         if let Some(seen) = outcome.head {
             let input = ConfigInput::HeadRead {
                 head: seen.head,
@@ -199,7 +208,9 @@
     }
 
     fn propose(&self, request: ChangeRequest) -> ReceiptFuture {
-        let proposal = self.proposal(request);
+        let held = self.replica.snapshot();
+        let clock = Arc::clone(&self.options.clock);
+        let proposal = ChangeProposal::new(self.log.clone(), held, request, clock);
         let running = proposal.run().into_actor(self);
         let taking =
             running.map(|outcome, service, context| service.take_outcome(outcome, context));
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod message;
 pub mod model;
 pub mod pieces;
-mod propose;
+pub mod propose;
 pub mod receipt;
 mod references;
 pub mod replica;
@@ -31,6 +31,7 @@
     DefaultsSpec, ExceptionSpec, FleetConfig, KeySpec, OrganisationSpec, ServiceKind, ServiceSpec,
     Subject, TargetSpec,
 };
+pub use propose::{ChangeDone, ChangeOutcome, ChangeProposal, ChangeRequest};
 pub use receipt::ChangeReceipt;
 pub use replica::{ConfigInput, ConfigOutput, ConfigReplica, ReplicaCounters, StoreState};
 pub use service::{ConfigOptions, ConfigService, start};
--- a/crates/config/src/propose.rs
+++ b/crates/config/src/propose.rs
@@ -2,13 +2,14 @@
 
 use crate::change::{ConfigChange, ConfigEdit};
 use crate::diff::describe_edits;
-use crate::entry::{LogEntry, LogHead};
+use crate::entry::{ConfigSnapshot, LogEntry, LogHead};
 use crate::log::{AppendOutcome, ConfigLog, HeadRow, READ_LIMIT};
 use crate::model::FleetConfig;
 use crate::validate::{join_problems, validate_edits};
 use compact_str::CompactString;
-use plantainmill_core::{Executed, Problem, ResultCode, Uptime};
+use plantainmill_core::{Clock, Executed, Problem, ResultCode, Uptime};
 use plantainmill_platform::StoreError;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Tries of a change without expected version against other writers.
@@ -20,57 +21,85 @@
 
 /// A change as an operator asks for it.
 #[derive(Clone, Debug)]
-pub(crate) struct ChangeRequest {
+pub struct ChangeRequest {
     /// Drawn once for all tries, so that a late write of an earlier try is recognised.
-    pub(crate) operation: CompactString,
-    pub(crate) edits: Vec<ConfigEdit>,
-    pub(crate) author: CompactString,
-    pub(crate) reason: String,
-    pub(crate) expected_version: Option<u64>,
-    pub(crate) dry_run: bool,
+    pub operation: CompactString,
+    /// Edits that take effect together.
+    pub edits: Vec<ConfigEdit>,
+    /// Operator.
+    pub author: CompactString,
+    /// Why.
+    pub reason: String,
+    /// Version the operator has seen; `None` for whatever is current.
+    pub expected_version: Option<u64>,
+    /// Check only.
+    pub dry_run: bool,
     /// Unix seconds.
-    pub(crate) time: u64,
+    pub time: u64,
 }
 
 /// What came of a request.
 #[derive(Debug)]
-pub(crate) struct ChangeOutcome {
+pub struct ChangeOutcome {
     /// Entries read from the log on the way, then the committed one.
-    pub(crate) entries: Vec<LogEntry>,
+    pub entries: Vec<LogEntry>,
     /// Head as last read.
-    pub(crate) head: Option<HeadSeen>,
+    pub head: Option<HeadSeen>,
     /// The committed entry with its diff, the diff of a dry run, or the problem.
-    pub(crate) result: Result<ChangeDone, Problem>,
+    pub result: Result<ChangeDone, Problem>,
 }
 
 /// A head and when its read began.
 #[derive(Clone, Debug)]
-pub(crate) struct HeadSeen {
-    pub(crate) head: LogHead,
-    pub(crate) asked_at: Uptime,
+pub struct HeadSeen {
+    /// The head.
+    pub head: LogHead,
+    /// When its read began.
+    pub asked_at: Uptime,
 }
 
 /// A change that was accepted, or checked in a dry run.
 #[derive(Debug)]
-pub(crate) struct ChangeDone {
-    pub(crate) committed: Option<LogEntry>,
-    pub(crate) diff: Vec<String>,
+pub struct ChangeDone {
+    /// The committed entry; absent after a dry run.
+    pub committed: Option<LogEntry>,
+    /// What the change does, one line for each edit.
+    pub diff: Vec<String>,
 }
 
 /// A change on its way to the log.
-pub(crate) struct ChangeProposal {
-    pub(crate) log: ConfigLog,
-    pub(crate) config: FleetConfig,
-    pub(crate) operation: CompactString,
-    pub(crate) request: ChangeRequest,
-    pub(crate) clock: std::sync::Arc<dyn plantainmill_core::Clock>,
-    pub(crate) entries: Vec<LogEntry>,
-    pub(crate) head: Option<HeadSeen>,
+pub struct ChangeProposal {
+    log: ConfigLog,
+    config: FleetConfig,
+    operation: CompactString,
+    request: ChangeRequest,
+    clock: Arc<dyn Clock>,
+    entries: Vec<LogEntry>,
+    head: Option<HeadSeen>,
 }
 
 impl ChangeProposal {
+    /// A proposal of `request` on top of the configuration `held`.
+    #[must_use]
+    pub fn new(
+        log: ConfigLog,
+        held: ConfigSnapshot,
+        request: ChangeRequest,
+        clock: Arc<dyn Clock>,
+    ) -> ChangeProposal {
+        ChangeProposal {
+            log,
+            config: held.config,
+            operation: held.operation,
+            request,
+            clock,
+            entries: Vec::new(),
+            head: None,
+        }
+    }
+
     /// Runs the proposal to its end.
-    pub(crate) async fn run(mut self) -> ChangeOutcome {
+    pub async fn run(mut self) -> ChangeOutcome {
         let result = self.commit().await;
         ChangeOutcome {
             entries: self.entries,
--- a/crates/config/src/replica.rs
+++ b/crates/config/src/replica.rs
@@ -14,6 +14,8 @@
 const EARLY_LIMIT: usize = 256;
 /// Entries in one answer.
 const ANSWER_LIMIT: usize = 64;
+/// Entries read at once that are still forwarded; more of them are left to the digests.
+const FORWARD_LIMIT: usize = 16;
 /// Wait for an answer to a request for missing entries.
 pub const ASK_LIMIT: Duration = Duration::from_millis(600);
 /// How long the version that a peer reported counts.
@@ -49,11 +51,16 @@
         /// When the read began.
         asked_at: Uptime,
     },
-    /// Entries were read from the log or committed by this VM.
+    /// Entries were read from the log.
     EntriesRead {
         /// The entries.
         entries: Vec<LogEntry>,
     },
+    /// This VM committed the last of these entries and pushes it to all members itself.
+    Committed {
+        /// The entries.
+        entries: Vec<LogEntry>,
+    },
     /// A snapshot was read from the object store or a peer.
     SnapshotRead {
         /// The snapshot.
@@ -89,6 +96,12 @@
         /// Peer.
         from: VmId,
     },
+    /// Push these entries to the domain if this VM reads the head for it. The accepting VM may be cut off from
+    /// the domain, and digests alone take longer than 3 s to reach 23 VMs.
+    Forward {
+        /// The entries.
+        entries: Vec<LogEntry>,
+    },
     /// A peer has this version in force.
     Confirmed {
         /// Peer.
@@ -189,10 +202,8 @@
                 checked_at,
             } => self.take_report(&from, version, checked_at, now),
             ConfigInput::HeadRead { head, asked_at } => self.take_head(head, asked_at, now),
-            ConfigInput::EntriesRead { entries } => {
-                self.asked_at = None;
-                self.take_entries(entries);
-            }
+            ConfigInput::EntriesRead { entries } => self.take_read(entries),
+            ConfigInput::Committed { entries } => self.take_entries(entries),
             ConfigInput::SnapshotRead { snapshot } => self.take_snapshot(snapshot),
             ConfigInput::StoreFailed => self.note_failure(),
         }
@@ -286,6 +297,21 @@
         }
     }
 
+    fn take_read(&mut self, entries: Vec<LogEntry>) {
+        self.asked_at = None;
+        let before = self.config.version;
+        // A VM without a check is starting: what is new to it is old to others.
+        let steady = self.checked_at.is_some() && entries.len() <= FORWARD_LIMIT;
+        let read = if steady { entries.clone() } else { Vec::new() };
+        self.take_entries(entries);
+        let after = self.config.version;
+        let applied = |entry: &LogEntry| (before + 1..=after).contains(&entry.change.version);
+        let entries: Vec<LogEntry> = read.into_iter().filter(applied).collect();
+        if !entries.is_empty() {
+            self.outputs.push(ConfigOutput::Forward { entries });
+        }
+    }
+
     fn take_push(&mut self, from: VmId, entry: LogEntry, now: Uptime) {
         let version = entry.change.version;
         self.note_peer(&from, version, now);
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -131,6 +131,7 @@
             ConfigOutput::Checked(at) => self.options.view.mark_checked(at),
             ConfigOutput::ReadLog { after, snapshot } => self.read_log(after, snapshot, context),
             ConfigOutput::FetchSnapshot { from } => self.start_fetch(from),
+            ConfigOutput::Forward { entries } => self.forward(entries),
             ConfigOutput::Confirmed { from, version } => self.take_confirmation(&from, version),
         }
     }
--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/all/common.rs
@@ -22,7 +22,6 @@
     pub mesh: Addr<MeshService>,
     pub config: Addr<ConfigService>,
     pub view: ConfigView,
-    pub members: MemberView,
 }
 
 pub fn bind() -> TcpListener {
@@ -105,7 +104,7 @@
         objects: Arc::new(stores.clone()),
         mesh: mesh.clone(),
         membership,
-        members: members.clone(),
+        members,
         timer,
         view: view.clone(),
     });
@@ -114,7 +113,6 @@
         mesh,
         config,
         view,
-        members,
     }
 }
 
--- a/crates/config/tests/service.rs
+++ b/crates/config/tests/all/service.rs
@@ -1,8 +1,6 @@
 //! The configuration service over real actors and loopback connections.
 
-mod common;
-
-use common::{start_fleet, wait_until};
+use crate::common::{start_fleet, wait_until};
 use plantainmill_config::{
     ChangeReceipt, ConfigEdit, DumpConfig, ListHistory, OrganisationSpec, ProposeChange,
     ReadySource, ReadyState, RollbackTo,
@@ -32,11 +30,14 @@
     }
 }
 
-async fn propose(vm: &common::TestVm, message: ProposeChange) -> Result<ChangeReceipt, Problem> {
+async fn propose(
+    vm: &crate::common::TestVm,
+    message: ProposeChange,
+) -> Result<ChangeReceipt, Problem> {
     vm.config.send(message).await.expect("the service runs")
 }
 
-async fn ready_fleet(platform: &MemoryPlatform) -> Vec<common::TestVm> {
+async fn ready_fleet(platform: &MemoryPlatform) -> Vec<crate::common::TestVm> {
     let fleet = start_fleet(&["a", "b", "c"], platform);
     for vm in &fleet {
         vm.wait_ready().await;
@@ -139,17 +140,17 @@
     let fleet = ready_fleet(&platform).await;
     let answer = propose(&fleet[0], change(vec![put_organisation("kandy", 1.0)])).await;
     answer.expect("the change is valid");
-    let listener = common::bind();
-    let peer = common::peer_at("d", "north", &listener);
+    let listener = crate::common::bind();
+    let peer = crate::common::peer_at("d", "north", &listener);
     let mut entries: Vec<_> = fleet
         .iter()
-        .map(|vm| common::list_entry(&vm.peer))
+        .map(|vm| crate::common::list_entry(&vm.peer))
         .collect();
-    entries.push(common::list_entry(&peer));
+    entries.push(crate::common::list_entry(&peer));
     platform.set_vms(entries);
     let stores = MemoryPlatform::default();
     stores.set_fault(PlatformFault::Down);
-    let late = common::start_vm(peer, listener, &platform, &stores, 9);
+    let late = crate::common::start_vm(peer, listener, &platform, &stores, 9);
     late.wait_ready().await;
     let report = late.config.send(ReadyState).await.expect("it runs");
     assert_eq!(report.version, 1);
--- a/crates/membership/tests/listing.rs
+++ b/crates/membership/tests/all/listing.rs
@@ -1,8 +1,6 @@
 //! Rejoining, leaving and the VM list.
 
-mod common;
-
-use common::TestQueue;
+use crate::common::TestQueue;
 use plantainmill_membership::MemberInput;
 use plantainmill_membership::MemberState::{Dead, Leaving, Live};
 use rstest::rstest;
--- /dev/null
+++ b/crates/membership/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Failure tests of the member table.
+
+mod common;
+mod listing;
+mod partition;
+mod probes;
--- a/crates/membership/tests/partition.rs
+++ b/crates/membership/tests/all/partition.rs
@@ -1,8 +1,6 @@
 //! Partitions inside a domain and between domains.
 
-mod common;
-
-use common::TestQueue;
+use crate::common::TestQueue;
 use plantainmill_membership::MemberState::{Dead, Live};
 use rstest::rstest;
 use std::time::Duration;
@@ -37,7 +35,7 @@
     let mut queue = TestQueue::new(&[8], seed);
     queue.run(Duration::from_secs(10));
     cut(&mut queue, side);
-    queue.run(Duration::from_secs(60));
+    queue.run(Duration::from_mins(1));
     if matches!(side, CutSide::Both) {
         assert!(queue.all_hold(&LEFT, &RIGHT, Dead));
         assert!(queue.all_hold(&LEFT, &LEFT, Live));
--- a/crates/membership/tests/probes.rs
+++ b/crates/membership/tests/all/probes.rs
@@ -1,8 +1,6 @@
 //! Probes, suspicion and refutation.
 
-mod common;
-
-use common::TestQueue;
+use crate::common::TestQueue;
 use plantainmill_membership::MemberState::{Dead, Live};
 use rstest::rstest;
 use std::time::Duration;
@@ -56,7 +54,7 @@
     queue.cut_between(&[7], &ALL[..7]);
     queue.cut_between(&ALL[..7], &[7]);
     for _ in 0..100 {
-        queue.run(common::STEP);
+        queue.run(crate::common::STEP);
         if queue.nodes[..7]
             .iter()
             .any(|node| node.table.counters().suspected > 0)
