--- a/crates/admin/src/apply.rs
+++ b/crates/admin/src/apply.rs
@@ -32,7 +32,9 @@
 ) -> Result<HttpResponse, Problem> {
     let author = authenticate(&request, &state)?;
     let body: ApplyBody = parse_body(&payload)?;
-    let edits = parse_fleet_file(&body.file, &body.toml).map_err(|problems| {
+    let config = state.view.load();
+    let parsed = parse_fleet_file(&body.file, &body.toml, &config);
+    let file = parsed.map_err(|problems| {
         let named: Vec<String> = problems
             .iter()
             .take(ERRORS_NAMED)
@@ -42,7 +44,7 @@
         Problem::new(ResultCode::ConfigInvalid, reason).with_field("toml")
     })?;
     let change = ProposeChange {
-        edits,
+        edits: file.edits,
         author,
         reason: read_reason(body.reason)?,
         expected_version: expected_version(&request)?,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,6 @@
 //! Fleet configuration: model, validation, log and propagation.
 
-pub mod body;
+pub mod bodies;
 pub mod change;
 pub mod diff;
 pub mod entry;
@@ -10,7 +10,7 @@
 pub mod message;
 pub mod model;
 pub mod pieces;
-mod propose;
+pub mod propose;
 pub mod receipt;
 mod references;
 pub mod replica;
@@ -19,11 +19,11 @@
 pub mod view;
 pub mod wire;
 
-pub use body::{defaults_from_body, edit_from_body};
+pub use bodies::{defaults_from_body, edit_from_body};
 pub use change::{ConfigChange, ConfigEdit, ResourceKind};
 pub use diff::{describe_edits, edits_between};
 pub use entry::{ConfigSnapshot, LogEntry, LogHead};
-pub use fleet_file::parse_fleet_file;
+pub use fleet_file::{FileError, FleetFile, parse_fleet_file};
 pub use log::{AppendOutcome, ConfigLog, HeadRow};
 pub use message::{
     DumpConfig, ListHistory, ProposeChange, ReadyReport, ReadySource, ReadyState, RollbackTo,
@@ -32,6 +32,7 @@
     DefaultsSpec, ExceptionSpec, FleetConfig, KeySpec, OrganisationSpec, ServiceKind, ServiceSpec,
     Subject, TargetSpec,
 };
+pub use propose::{ChangeDone, ChangeOutcome, ChangeProposal, ChangeRequest};
 pub use receipt::ChangeReceipt;
 pub use replica::{ConfigInput, ConfigOutput, ConfigReplica, ReplicaCounters, StoreState};
 pub use service::{ConfigOptions, ConfigService, start};
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -2,6 +2,7 @@
 
 use anyhow::{Context as _, bail};
 use clap::Args;
+use plantainmill_config::{FleetConfig, parse_fleet_file};
 use plantainmill_settings::NodeSettings;
 use std::path::PathBuf;
 
@@ -42,7 +43,7 @@
 }
 
 fn check_fleet(file: &str, text: &str) -> Vec<String> {
-    let problems = plantainmill_config::parse_fleet_file(file, text)
+    let problems = parse_fleet_file(file, text, &FleetConfig::default())
         .err()
         .unwrap_or_default();
     problems.iter().map(ToString::to_string).collect()
