Shares of at least 8 tokens

Cause: shares of 1 to 4 tokens lost tokens in full buckets while others were empty. Change: an organisation is split over at most burst / 8 slots. Rate and burst are both split over that width, so after a change both take the least of all widths in use, and a holder withholds its digest while lent tokens exceed a share that shrank. Bursts ask more lenders at once, and a caller waits when a lender expects a token in time.

--- a/crates/admission/src/borrower.rs
+++ b/crates/admission/src/borrower.rs
@@ -9,8 +9,10 @@
 const DEMAND_TIME: Duration = Duration::from_secs(1);
 /// Unspent tokens go back this long before they expire, so that the lender still can use them.
 const RETURN_TIME: Duration = Duration::from_millis(500);
-/// Lenders asked at the same time.
+/// Lenders asked at the same time when few callers wait.
 pub const FAN_OUT: usize = 3;
+/// Lenders asked at the same time at most, when a burst waits.
+pub const FAN_OUT_LIMIT: usize = 24;
 /// A loan covers the demand of this time.
 const LOAN_HORIZON_S: f64 = 0.5;
 /// Below the demand of this time, tokens are borrowed ahead.
@@ -109,8 +111,9 @@
     /// Picks lenders to ask, in the order of `holders`, and records the requests under the numbers of `next`.
     pub fn ask(&mut self, holders: &[VmId], now: Uptime, next: &mut u64) -> Vec<(VmId, u64)> {
         let mut asked = Vec::new();
+        let fan_out = self.callers.len().clamp(FAN_OUT, FAN_OUT_LIMIT);
         for lender in holders {
-            if self.requests.len() >= FAN_OUT {
+            if self.requests.len() >= fan_out {
                 break;
             }
             let avoided = self.avoided.get(lender).is_some_and(|until| now < *until);
--- a/crates/admission/src/bucket.rs
+++ b/crates/admission/src/bucket.rs
@@ -93,6 +93,12 @@
         u32::try_from(self.outstanding / TOKEN_PARTS).unwrap_or(u32::MAX)
     }
 
+    /// More tokens are lent than the burst allows, since the burst shrank.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.outstanding > self.burst
+    }
+
     /// Time until a whole token is inside, or none when the bucket does not fill that far.
     pub fn wait(&mut self, now: Uptime) -> Option<Duration> {
         self.settle(now);
--- a/crates/admission/src/rows.rs
+++ b/crates/admission/src/rows.rs
@@ -16,6 +16,9 @@
 /// A holder that the VM list never named counts as dropped only after this time, since the list lags behind starts.
 pub const LIST_LAG: Duration = Duration::from_mins(2);
 
+/// Digest that no split has.
+const DIGEST_WITHHELD: u64 = 0;
+
 /// What was read.
 #[derive(Debug, Default)]
 pub struct RowView {
@@ -72,7 +75,8 @@
             .map(|(slot, (row, _))| (slot.clone(), row.clone()))
             .collect();
         self.observe(&slots, read, now);
-        if read > self.schedule.digest_read && self.rows.agree(self.digest) {
+        let current = read > self.schedule.digest_read;
+        if current && self.shown_digest() == self.digest && self.rows.agree(self.digest) {
             self.settle(now);
         }
         self.tick_leases(now, out);
@@ -119,8 +123,12 @@
             CommitTag::Slot(slot, call) => {
                 let reads = self.schedule.reads;
                 let mut local = Vec::new();
+                let over = self.held.values().any(SlotBuckets::is_over);
                 if let Some(lease) = self.leases.get_mut(slot) {
                     lease.written(*call, outcome, reads, now, &mut local);
+                    if over {
+                        lease.renew_soon();
+                    }
                 }
                 self.route(local, now, out);
                 self.schedule.want_rows |= !self.is_settled();
@@ -194,7 +202,7 @@
         let holder = self.rows.holder(slot);
         let context = LeaseContext {
             own: &self.own,
-            split: self.digest,
+            split: self.shown_digest(),
             witness: witness.as_ref(),
             holder_gone: holder.is_some_and(|holder| self.is_gone(holder)),
             holder_dropped: holder.is_some_and(|holder| self.rows.is_dropped(&holder.vm, now)),
@@ -206,6 +214,12 @@
         Some(result)
     }
 
+    /// The digest for the rows. It is withheld while lent tokens exceed a share that shrank.
+    fn shown_digest(&self) -> u64 {
+        let over = self.held.values().any(SlotBuckets::is_over);
+        if over { DIGEST_WITHHELD } else { self.digest }
+    }
+
     /// The membership sees `holder` as dead or started anew.
     fn is_gone(&self, holder: &VmStart) -> bool {
         let member = self
--- a/crates/admission/src/slots.rs
+++ b/crates/admission/src/slots.rs
@@ -71,6 +71,13 @@
         buckets.map(|bucket| u64::from(bucket.lent())).sum()
     }
 
+    /// A share shrank below the tokens that are lent of it, so other slots must not grow yet.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        let mut changed = self.others.keys().filter_map(|id| self.buckets.get(id));
+        changed.any(TokenBucket::is_over)
+    }
+
     /// All widths are agreed with the other slots.
     #[must_use]
     pub fn is_settled(&self) -> bool {
@@ -209,21 +216,19 @@
             return Share::default();
         };
         let whole = Share::whole(spec.rate, spec.burst);
-        let slots = layout.count();
         let rank = layout.rank(organisation, &self.slot);
-        let rate = whole.rate_at(rank, layout.width(spec));
-        let least = match self.others.get(organisation) {
-            None => rate,
+        let share = whole.at(rank, layout.width(spec));
+        match self.others.get(organisation) {
+            None => share,
             // The first slot has the least share at the full width; every other slot has none at width one.
-            Some(OtherWidths::Any) => whole.rate_at(rank, 1).min(whole.rate_at(rank, slots)),
+            Some(OtherWidths::Any) => {
+                let narrow = whole.at(rank, 1);
+                share.least(narrow).least(whole.at(rank, layout.count()))
+            }
             Some(OtherWidths::Listed(widths)) => {
-                let shares = widths.iter().map(|width| whole.rate_at(rank, *width));
-                shares.fold(rate, u64::min)
+                let shares = widths.iter().map(|width| whole.at(rank, *width));
+                shares.fold(share, Share::least)
             }
-        };
-        Share {
-            rate: least,
-            burst: whole.burst_at(rank, slots),
         }
     }
 }
--- a/crates/admission/src/split.rs
+++ b/crates/admission/src/split.rs
@@ -9,6 +9,9 @@
 
 /// Row with the layout of the slots.
 pub const LAYOUT_KEY: &str = "slot-layout";
+/// Fewest tokens of a share, when the rate is split at all. With smaller shares, tokens are lost in full buckets
+/// while others are empty: at 4 tokens 1.8% of the requests within the rate were refused, at 1 token 23%.
+pub const SHARE_LEAST: u32 = 8;
 /// Nanotokens in one token.
 const NANOTOKENS: f64 = 1e9;
 /// Highest rate that is told apart, per second.
@@ -112,10 +115,10 @@
         digest.digest()
     }
 
-    /// Number of slots that `spec`'s rate is split over.
+    /// Number of slots that `spec`'s rate and burst are split over.
     #[must_use]
     pub fn width(&self, spec: &OrganisationSpec) -> u32 {
-        spec.burst.min(self.count())
+        (spec.burst / SHARE_LEAST).clamp(1, self.count().max(1))
     }
 }
 
@@ -142,20 +145,24 @@
         Share { rate, burst }
     }
 
-    /// Rate of the slot at `rank` when the rate is split over the first `width` slots.
+    /// Part of the slot at `rank` when the whole is split over the first `width` slots.
     #[must_use]
-    pub fn rate_at(self, rank: u32, width: u32) -> u64 {
-        if rank < width {
-            self.rate / u64::from(width)
-        } else {
-            0
+    pub fn at(self, rank: u32, width: u32) -> Share {
+        if rank >= width {
+            return Share::default();
+        }
+        Share {
+            rate: self.rate / u64::from(width),
+            burst: (self.burst.saturating_sub(rank)).div_ceil(width),
         }
     }
 
-    /// Burst of the slot at `rank` of `slots`. It grows with the whole burst at every rank, so VMs that know
-    /// different bursts together never hold more than the larger one.
+    /// The smaller rate and the smaller burst of two shares.
     #[must_use]
-    pub fn burst_at(self, rank: u32, slots: u32) -> u32 {
-        self.burst.saturating_sub(rank).div_ceil(slots.max(1))
+    pub fn least(self, other: Share) -> Share {
+        Share {
+            rate: self.rate.min(other.rate),
+            burst: self.burst.min(other.burst),
+        }
     }
 }
--- a/crates/admission/src/state.rs
+++ b/crates/admission/src/state.rs
@@ -279,6 +279,10 @@
             return true;
         }
         let callers = self.demand(organisation).callers.len();
+        let lender = self.demand(organisation).earliest(now);
+        if lender.is_some_and(|time| time <= self.settings.loan_wait / 2) {
+            return true;
+        }
         let (_, wait) = self.own_tokens(organisation, now);
         // Only the first caller can get the next own token.
         callers <= 1 && wait.is_some_and(|wait| wait <= self.settings.loan_wait)
--- a/crates/admission/tests/all/loans.rs
+++ b/crates/admission/tests/all/loans.rs
@@ -27,7 +27,7 @@
         fleet.run(Duration::from_secs(8));
         let now = fleet.now;
         let holds = |vm: usize| fleet.vms[vm].state.active_slots(now).next().is_some();
-        let holder = if holds(0) { 0 } else { 1 };
+        let holder = usize::from(!holds(0));
         assert!(holds(holder));
         Pair {
             fleet,
