--- a/crates/admission/tests/all/fleet.rs
+++ b/crates/admission/tests/all/fleet.rs
@@ -4,6 +4,7 @@
 use plantainmill_admission::limiter::RateVerdict;
 use plantainmill_admission::message::{AdmissionMessage, VmStart};
 use plantainmill_admission::output::{CommitTag, Output};
+use plantainmill_admission::split::SlotId;
 use plantainmill_admission::state::{RateDecision, RateSettings, RateState};
 use plantainmill_config::{FleetConfig, OrganisationSpec};
 use plantainmill_core::{OrganisationId, Uptime, VmId};
@@ -21,7 +22,7 @@
 /// Time between ticks of a VM.
 pub const TICK: Duration = Duration::from_millis(20);
 
-/// Deterministic random numbers (SplitMix64).
+/// Deterministic random numbers (`SplitMix64`).
 #[derive(Clone, Debug)]
 pub struct Draw(pub u64);
 
@@ -44,11 +45,6 @@
     pub fn chance(&mut self, percent: u64) -> bool {
         self.below(100) < percent
     }
-
-    /// A number in 0..1.
-    pub fn unit(&mut self) -> f64 {
-        f64::from(u32::try_from(self.next() >> 32).unwrap_or(0)) / (f64::from(u32::MAX) + 1.0)
-    }
 }
 
 /// Faults of the mesh, in percent.
@@ -101,6 +97,7 @@
     pub id: VmId,
     pub domain: usize,
     pub incarnation: u64,
+    pub slots: u16,
     pub state: RateState,
     pub config: Arc<FleetConfig>,
     /// Ended, or not started.
@@ -113,9 +110,9 @@
 #[derive(Clone, Debug)]
 pub struct Decision {
     pub time: Uptime,
-    pub vm: usize,
     pub organisation: OrganisationId,
-    pub wait: Option<u64>,
+    /// Number of the request in the fleet.
+    pub label: u64,
     pub admitted: bool,
 }
 
@@ -126,21 +123,25 @@
     pub platform: MemoryPlatform,
     pub faults: MeshFaults,
     pub draw: Draw,
-    pub domains: usize,
     /// Domains that are cut off from the others and from the platform.
     pub cut: BTreeSet<usize>,
-    /// The store answers nobody.
+    /// VMs that reach neither other VMs nor the platform.
+    pub isolated: BTreeSet<usize>,
+    /// VMs that do not reach the platform.
+    pub storeless: BTreeSet<usize>,
+    /// VMs that the others wrongly see as dead.
+    pub suspected: BTreeSet<usize>,
+    /// Fault of the store for all VMs.
     pub store_fault: PlatformFault,
     pub decisions: Vec<Decision>,
-    waits: BTreeMap<(usize, u64, u64), OrganisationId>,
+    waits: BTreeMap<(usize, u64, u64), (u64, OrganisationId)>,
+    next_label: u64,
     queue: BinaryHeap<Reverse<(Uptime, u64)>>,
     events: BTreeMap<u64, Event>,
     next_event: u64,
-    pub messages: u64,
-    pub bytes: u64,
-    /// Loan messages only.
-    pub loan_messages: u64,
-    pub loan_bytes: u64,
+    /// Loan messages sent, and their bytes without the frame.
+    pub loan_messages: u32,
+    pub loan_bytes: u32,
 }
 
 pub fn domain_name(domain: usize) -> String {
@@ -171,6 +172,17 @@
         per_domain: usize,
         config: &Arc<FleetConfig>,
         seed: u64,
+    ) -> SimFleet {
+        SimFleet::with_slots(domains, per_domain, 4, config, seed)
+    }
+
+    /// A fleet with `slots` slots in each failure domain.
+    pub fn with_slots(
+        domains: usize,
+        per_domain: usize,
+        slots: u16,
+        config: &Arc<FleetConfig>,
+        seed: u64,
     ) -> SimFleet {
         let mut fleet = SimFleet {
             now: Uptime::from_secs(1),
@@ -178,23 +190,24 @@
             platform: MemoryPlatform::default(),
             faults: MeshFaults::default(),
             draw: Draw(seed),
-            domains,
             cut: BTreeSet::new(),
+            isolated: BTreeSet::new(),
+            storeless: BTreeSet::new(),
+            suspected: BTreeSet::new(),
             store_fault: PlatformFault::None,
             decisions: Vec::new(),
             waits: BTreeMap::new(),
+            next_label: 0,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             next_event: 0,
-            messages: 0,
-            bytes: 0,
             loan_messages: 0,
             loan_bytes: 0,
         };
         for index in 0..domains * per_domain {
             let domain = index % domains;
             let id = VmId::from(format!("vm-{index}"));
-            fleet.vms.push(new_vm(id, domain, 1, config));
+            fleet.vms.push(new_vm(id, domain, 1, slots, config));
             let offset = Duration::from_millis(fleet.draw.below(20));
             let time = fleet.now + offset;
             fleet.push(time, Event::Tick(index));
@@ -219,7 +232,9 @@
 
     /// Gives every VM the true member view.
     pub fn publish_members(&mut self) {
-        let all: Vec<Member> = self.vms.iter().map(member_of).collect();
+        let vms = self.vms.iter().enumerate();
+        let members = vms.map(|(index, vm)| member_of(vm, self.suspected.contains(&index)));
+        let all: Vec<Member> = members.collect();
         for vm in &mut self.vms {
             let others = all.iter().filter(|member| member.peer.id != vm.id);
             let view = others.cloned().collect();
@@ -235,7 +250,13 @@
     /// Starts a VM anew, without memory.
     pub fn restart(&mut self, vm: usize) {
         let old = &self.vms[vm];
-        let next = new_vm(old.id.clone(), old.domain, old.incarnation + 1, &old.config);
+        let next = new_vm(
+            old.id.clone(),
+            old.domain,
+            old.incarnation + 1,
+            old.slots,
+            &old.config,
+        );
         self.vms[vm] = next;
     }
 
@@ -260,33 +281,37 @@
         self.vms[vm].config = Arc::clone(config);
     }
 
-    /// Gives all VMs a configuration.
-    pub fn configure_all(&mut self, config: &Arc<FleetConfig>) {
-        for vm in &mut self.vms {
-            vm.config = Arc::clone(config);
-        }
-    }
-
-    /// A request arrives at a VM. Nothing happens when it is down or paused.
-    pub fn request(&mut self, vm: usize, organisation: &str) {
+    /// A request arrives at a VM and gets a number; none when the VM is down or paused.
+    pub fn request(&mut self, vm: usize, organisation: &str) -> Option<u64> {
         let organisation = OrganisationId::from(organisation);
         if self.vms[vm].down || self.vms[vm].paused_until > self.now {
-            return;
+            return None;
         }
+        self.next_label += 1;
+        let label = self.next_label;
         let mut out = Vec::new();
-        match self.vms[vm].state.admit(&organisation, self.now, &mut out) {
-            RateDecision::Decided(verdict) => self.decide(vm, organisation, None, verdict),
+        let now = self.now;
+        match self.vms[vm].state.admit(&organisation, now, &mut out) {
+            RateDecision::Decided(verdict) => self.decide(label, organisation, verdict),
             RateDecision::Waits(wait) => {
                 let incarnation = self.vms[vm].incarnation;
-                self.waits.insert((vm, incarnation, wait), organisation);
+                self.waits
+                    .insert((vm, incarnation, wait), (label, organisation));
             }
         }
         self.perform(vm, out);
+        Some(label)
     }
 
-    /// Requests that wait.
-    pub fn waiting(&self) -> usize {
-        self.waits.len()
+    /// Slots with more than one VM that may act for them.
+    pub fn doubled_slots(&self) -> Vec<SlotId> {
+        let mut seen = BTreeSet::new();
+        let live = self.vms.iter().filter(|vm| !vm.down);
+        let active = live.flat_map(|vm| vm.state.active_slots(self.now));
+        active
+            .filter(|slot| !seen.insert((*slot).clone()))
+            .cloned()
+            .collect()
     }
 
     /// Runs until `time`.
@@ -309,18 +334,11 @@
         self.run_until(self.now + time);
     }
 
-    fn decide(
-        &mut self,
-        vm: usize,
-        organisation: OrganisationId,
-        wait: Option<u64>,
-        verdict: RateVerdict,
-    ) {
+    fn decide(&mut self, label: u64, organisation: OrganisationId, verdict: RateVerdict) {
         self.decisions.push(Decision {
             time: self.now,
-            vm,
             organisation,
-            wait,
+            label,
             admitted: verdict == RateVerdict::Admitted,
         });
     }
@@ -337,10 +355,14 @@
     }
 
     fn reaches_store(&self, vm: usize) -> bool {
-        !self.cut.contains(&self.vms[vm].domain)
+        let cut = self.cut.contains(&self.vms[vm].domain);
+        !(cut || self.isolated.contains(&vm) || self.storeless.contains(&vm))
     }
 
     fn reaches(&self, from: usize, to: usize) -> bool {
+        if self.isolated.contains(&from) || self.isolated.contains(&to) {
+            return false;
+        }
         let (from, to) = (self.vms[from].domain, self.vms[to].domain);
         from == to || !(self.cut.contains(&from) || self.cut.contains(&to))
     }
@@ -357,9 +379,8 @@
 
     fn handle(&mut self, event: Event) {
         let vm = match &event {
-            Event::Tick(vm) => *vm,
             Event::Deliver { to, .. } => *to,
-            Event::RowsAnswer { vm, .. } | Event::CommitAnswer { vm, .. } => *vm,
+            Event::Tick(vm) | Event::RowsAnswer { vm, .. } | Event::CommitAnswer { vm, .. } => *vm,
             Event::Rows { .. } | Event::Commit { .. } | Event::Vms { .. } => {
                 self.handle_store(event);
                 return;
@@ -386,7 +407,7 @@
                 self.push(now + TICK, Event::Tick(vm));
             }
             Event::Deliver { from, message, .. } => {
-                state.state.receive(&from, message, now, &mut out)
+                state.state.receive(&from, message, now, &mut out);
             }
             Event::RowsAnswer {
                 incarnation,
@@ -485,8 +506,9 @@
             let soon = self.now + Duration::from_millis(1 + self.draw.below(10));
             match output {
                 Output::Answer { wait, verdict } => {
-                    let organisation = self.waits.remove(&(vm, incarnation, wait)).unwrap();
-                    self.decide(vm, organisation, Some(wait), verdict);
+                    let key = (vm, incarnation, wait);
+                    let (label, organisation) = self.waits.remove(&key).unwrap();
+                    self.decide(label, organisation, verdict);
                 }
                 Output::Send { to, message } => self.send(vm, &to, &message),
                 Output::ReadRows { read } => self.push(
@@ -519,9 +541,7 @@
             vm: self.vms[vm].id.clone(),
             incarnation: self.vms[vm].incarnation,
         };
-        let size = u64::try_from(message.encode().len()).unwrap();
-        self.messages += 1;
-        self.bytes += size;
+        let size = u32::try_from(message.encode().len()).unwrap();
         if matches!(
             message,
             AdmissionMessage::Borrow { .. }
@@ -560,16 +580,27 @@
     }
 }
 
-fn new_vm(id: VmId, domain: usize, incarnation: u64, config: &Arc<FleetConfig>) -> SimVm {
+fn new_vm(
+    id: VmId,
+    domain: usize,
+    incarnation: u64,
+    slots: u16,
+    config: &Arc<FleetConfig>,
+) -> SimVm {
     let own = VmStart {
         vm: id.clone(),
         incarnation,
     };
-    let state = RateState::new(own, domain_name(domain).into(), RateSettings::default());
+    let settings = RateSettings {
+        slots_per_domain: slots,
+        ..RateSettings::default()
+    };
+    let state = RateState::new(own, domain_name(domain).into(), settings);
     SimVm {
         id,
         domain,
         incarnation,
+        slots,
         state,
         config: Arc::clone(config),
         down: false,
@@ -577,8 +608,8 @@
     }
 }
 
-fn member_of(vm: &SimVm) -> Member {
-    let state = if vm.down {
+fn member_of(vm: &SimVm, suspected: bool) -> Member {
+    let state = if vm.down || suspected {
         MemberState::Dead
     } else {
         MemberState::Live
