--- a/crates/dispatch/src/node/acquire.rs
+++ b/crates/dispatch/src/node/acquire.rs
@@ -10,7 +10,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Owners asked at the same time when all targets are full.
+/// Owners that an online request waits for when all targets are full. Batch requests wait for one, which saves
+/// messages; the search for free slots moves them.
 pub(super) const ASK_LIMIT: usize = 2;
 /// Requests per class that wait on this VM because no owner answers.
 const PARKED_LIMIT: usize = 256;
@@ -164,10 +165,19 @@
             class: request.class,
             organisation: request.organisation.clone(),
             wait_ms: u32::try_from(wait).unwrap_or(u32::MAX),
+            flexible: self.is_flexible(request),
         };
         self.send(&owner, &target, body, now);
     }
 
+    /// Whether any target will do, so that the owner may choose.
+    fn is_flexible(&self, request: &TicketRequest) -> bool {
+        let service = self.services.get(&request.service);
+        let mut members = service.into_iter().flat_map(|service| &service.members);
+        let any_ejected = members.any(|index| self.views[*index].health.is_ejected());
+        request.prefix_hash.is_none() && request.excluded.is_empty() && !any_ejected
+    }
+
     /// Retries the requests that wait on this VM, online ones first.
     pub(super) fn retry_parked(&mut self, now: Uptime) {
         for class in [TrafficClass::Online, TrafficClass::Batch] {
@@ -296,7 +306,10 @@
             let Some(owner) = view.owner.clone() else {
                 continue;
             };
-            if granted != Some(ask.index) {
+            // An owner that granted another target than asked for has nothing queued.
+            let by_owner = granted.and_then(|index| self.views[index].owner.as_ref());
+            let answered = !ask.queued && by_owner == Some(&owner);
+            if granted != Some(ask.index) && !answered {
                 let target = view.id.clone();
                 self.send(&owner, &target, MessageBody::Cancel { request: id }, now);
             }
--- a/crates/dispatch/src/node/fleet.rs
+++ b/crates/dispatch/src/node/fleet.rs
@@ -10,6 +10,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// Targets of a service in a domain that share an owner, on average.
+const GROUP_SIZE: u64 = 8;
+
 impl DispatchNode {
     /// Puts a configuration and a member view in force, if they differ from the current ones.
     pub fn apply(&mut self, config: &Arc<FleetConfig>, members: &Arc<Vec<Member>>, now: Uptime) {
@@ -87,10 +90,11 @@
             .map_or(1, Vec::len);
         self.sharers = u32::try_from(own).unwrap_or(u32::MAX);
         let members = Arc::clone(&self.members);
+        let groups = self.owner_keys();
         for index in 0..self.views.len() {
             let view = &mut self.views[index];
             view.machine_leaving = is_machine_leaving(view, &members);
-            let key = rendezvous::key_of(&view.id);
+            let key = groups[index];
             let vms = by_domain.get(view.spec.domain.as_str());
             let vms = vms.into_iter().flatten().map(VmId::as_str);
             let owner = rendezvous::owner_of(vms, key).map(VmId::from);
@@ -105,6 +109,23 @@
         self.retry_parked(now);
     }
 
+    /// Rendezvous keys of the targets' owners. Up to [`GROUP_SIZE`] targets of a service in a domain share an owner,
+    /// which can then grant a slot of any of them.
+    fn owner_keys(&self) -> Vec<u64> {
+        let mut sizes: HashMap<(&str, &str), u64> = HashMap::new();
+        for view in self.views.iter().filter(|view| !view.removed) {
+            let place = (view.spec.service.as_str(), view.spec.domain.as_str());
+            *sizes.entry(place).or_default() += 1;
+        }
+        let keys = self.views.iter().map(|view| {
+            let (service, domain) = (view.spec.service.as_str(), view.spec.domain.as_str());
+            let size = sizes.get(&(service, domain)).copied().unwrap_or(1);
+            let group = rendezvous::key_of(&view.id) % size.div_ceil(GROUP_SIZE);
+            rendezvous::score(service, rendezvous::key_of(domain).wrapping_add(group))
+        });
+        keys.collect()
+    }
+
     fn live_vms_by_domain(&self) -> HashMap<String, Vec<VmId>> {
         let mut by_domain: HashMap<String, Vec<VmId>> = HashMap::new();
         let own = by_domain.entry(self.place.domain.to_string()).or_default();
--- a/crates/dispatch/src/node/owner.rs
+++ b/crates/dispatch/src/node/owner.rs
@@ -40,6 +40,8 @@
             return;
         }
         let ask = self.ask_of(from, &body);
+        let other = self.redirect(target, &body, now);
+        let target = other.as_ref().unwrap_or(target);
         let Some(queue) = self.queues.get_mut(target) else {
             return;
         };
@@ -150,6 +152,32 @@
         true
     }
 
+    /// Another target of the same service on this VM that has a free slot, if the wanted one has none.
+    fn redirect(&self, target: &TargetId, body: &MessageBody, now: Uptime) -> Option<TargetId> {
+        let MessageBody::Ask {
+            class,
+            flexible: true,
+            ..
+        } = body
+        else {
+            return None;
+        };
+        let wanted = self.queues.get(target)?;
+        if wanted.spare(*class, now) > 0 {
+            return None;
+        }
+        let service = &self.views[*self.index.get(target)?].spec.service;
+        let others = self.queues.iter().filter(|(other, _)| {
+            let view = self.index.get(*other).map(|index| &self.views[*index]);
+            view.is_some_and(|view| {
+                view.spec.service == *service && view.owner.as_ref() == Some(&self.place.vm)
+            })
+        });
+        let others = others.map(|(other, queue)| (queue.spare(*class, now), other));
+        let (spare, other) = others.max_by_key(|(spare, _)| *spare)?;
+        (spare > 0).then(|| other.clone())
+    }
+
     fn refuse_foreign(&mut self, from: &VmId, target: &TargetId, body: &MessageBody, now: Uptime) {
         if let MessageBody::Ask { request, .. } = body {
             let refusal = MessageBody::Refuse {
@@ -168,6 +196,7 @@
             class,
             organisation,
             wait_ms,
+            ..
         } = body
         else {
             return None;
--- a/crates/dispatch/src/node/replies.rs
+++ b/crates/dispatch/src/node/replies.rs
@@ -1,7 +1,7 @@
 //! Answers of owners.
 
 use super::acquire::ASK_LIMIT;
-use super::{DispatchNode, DispatchOutput, NO_OUTCOME};
+use super::{DispatchNode, DispatchOutput, NO_OUTCOME, is_batch};
 use crate::message::{MessageBody, QueueLoad, RequestId, TicketId};
 use crate::ticket_queue::TICKET_DURATION;
 use plantainmill_core::{TargetId, Uptime, VmId};
@@ -102,8 +102,9 @@
             return;
         }
         let asked = self.pending.get(&granted.request).is_some_and(|pending| {
+            let owner = &self.views[index].owner;
             let mut asks = pending.asks.iter();
-            asks.any(|ask| ask.index == index)
+            asks.any(|ask| self.views[ask.index].owner == *owner)
         });
         let pending = if asked && !self.views[index].is_leaving(now) {
             self.pending.remove(&granted.request)
@@ -130,7 +131,7 @@
         for ask in &mut pending.asks {
             ask.queued |= ask.index == index;
         }
-        if pending.asks.len() < ASK_LIMIT {
+        if pending.asks.len() < ASK_LIMIT && !is_batch(pending.request.class) {
             self.advance(request, false, now);
         }
     }
--- a/crates/dispatch/src/node/tick.rs
+++ b/crates/dispatch/src/node/tick.rs
@@ -16,6 +16,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// A request that waits this long looks for a further target with a free slot.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Requests that look for a further target per tick. It bounds the messages of a long batch queue.
+const SEARCHES_PER_TICK: usize = 2;
 /// Owners asked for one request at most, those found by later searches included.
 const SEARCH_LIMIT: usize = 2 * ASK_LIMIT;
 
@@ -55,8 +57,8 @@
                 && pending.asks.len() < SEARCH_LIMIT
                 && now >= pending.chosen + SEARCH_INTERVAL
         });
-        let waiting = waiting.map(|(id, _)| *id).collect::<Vec<_>>();
-        for id in waiting {
+        let waiting = waiting.map(|(id, _)| *id).take(SEARCHES_PER_TICK);
+        for id in waiting.collect::<Vec<_>>() {
             self.advance(id, true, now);
         }
     }
--- a/crates/dispatch/src/selector.rs
+++ b/crates/dispatch/src/selector.rs
@@ -15,7 +15,8 @@
 /// Order of preference. Within a rank, affinity or load decides.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum CandidateRank {
-    Free(Distance),
+    /// A slot is free; targets where batch work would have to give way to it come later.
+    Free(Distance, bool),
     Full(Distance),
     /// The owner does not answer: the target may be cut off as well.
     Silent(Distance),
@@ -171,7 +172,8 @@
     if view.is_full(batch, now) {
         (!context.only_free).then_some(CandidateRank::Full(view.distance))
     } else {
-        Some(CandidateRank::Free(view.distance))
+        let preempts = !batch && request.prefix_hash.is_none() && view.needs_preemption(now);
+        Some(CandidateRank::Free(view.distance, preempts))
     }
 }
 
--- a/crates/dispatch/src/target_view.rs
+++ b/crates/dispatch/src/target_view.rs
@@ -129,6 +129,13 @@
         known && room <= self.in_flight.saturating_sub(self.in_flight_at_load)
     }
 
+    /// Whether a batch request would have to give way to a further online request, as far as is known.
+    #[must_use]
+    pub fn needs_preemption(&self, now: Uptime) -> bool {
+        let known = self.load_at.is_some_and(|at| now < at + LOAD_DURATION);
+        known && self.load.spare <= self.in_flight.saturating_sub(self.in_flight_at_load)
+    }
+
     /// Requests at the target, as far as is known, relative to its concurrency.
     #[must_use]
     pub fn relative_load(&self, now: Uptime) -> u32 {
--- a/crates/dispatch/src/ticket_queue.rs
+++ b/crates/dispatch/src/ticket_queue.rs
@@ -17,6 +17,8 @@
 const QUEUE_LIMIT: usize = 512;
 /// A waiting request that is not renewed for this long is dropped: its VM is gone.
 const ASK_DURATION: Duration = Duration::from_secs(3);
+/// One slot in this many, over all targets, is kept free of batch work for online arrivals.
+const RESERVE_PART: u32 = 32;
 /// Holding time of a ticket assumed before the first release.
 const INITIAL_HOLD: Duration = Duration::from_secs(1);
 /// Weight of a new holding time in the average.
@@ -78,6 +80,8 @@
     tickets: BTreeMap<TicketId, IssuedTicket>,
     online: FairQueue<WaitingAsk>,
     batch: FairQueue<WaitingAsk>,
+    /// Decides whether this target rounds its reserve up.
+    reserve_lot: u32,
     mean_hold: Duration,
     next_ticket: TicketId,
     leaving: bool,
@@ -100,6 +104,7 @@
             tickets: BTreeMap::new(),
             online: FairQueue::default(),
             batch: FairQueue::default(),
+            reserve_lot: u32::try_from(first_ticket % u64::from(RESERVE_PART)).unwrap_or(0),
             mean_hold: INITIAL_HOLD,
             next_ticket: first_ticket,
             leaving: false,
@@ -272,11 +277,23 @@
         QueueLoad {
             used,
             free: self.limit(now).saturating_sub(online + queued),
+            spare: self.limit(now).saturating_sub(used + queued),
             idle: self.batch_limit(now).saturating_sub(used),
             queued,
         }
     }
 
+    /// Slots that a request of `class` gets without waiting and without preempting another.
+    #[must_use]
+    pub fn spare(&self, class: TrafficClass, now: Uptime) -> u32 {
+        let load = self.load(now);
+        match class {
+            TrafficClass::Online => load.spare,
+            TrafficClass::Batch if self.batch.is_empty() && self.online.is_empty() => load.idle,
+            TrafficClass::Batch => 0,
+        }
+    }
+
     fn used(&self) -> u32 {
         u32::try_from(self.tickets.len()).unwrap_or(u32::MAX)
     }
--- a/crates/dispatch/src/ticket_queue/grants.rs
+++ b/crates/dispatch/src/ticket_queue/grants.rs
@@ -1,14 +1,12 @@
 //! Grants, preemptions and recalls.
 
-use super::{IssuedTicket, TICKET_DURATION, TicketQueue, WaitingAsk};
+use super::{IssuedTicket, RESERVE_PART, TICKET_DURATION, TicketQueue, WaitingAsk};
 use crate::dispatcher::TrafficClass;
 use crate::message::{MessageBody, TicketId};
 use plantainmill_core::{Uptime, VmId};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// One slot in this many is kept free of batch work for online arrivals, and at least one.
-const RESERVE_PART: u32 = 32;
 /// A preemption is sent again after this time without a release.
 const PREEMPT_REPEAT: Duration = Duration::from_millis(200);
 
@@ -46,7 +44,7 @@
     /// Requests at the target up to which batch work is granted.
     pub(super) fn batch_limit(&self, now: Uptime) -> u32 {
         let limit = self.limit(now);
-        let reserve = (limit / RESERVE_PART).max(1);
+        let reserve = (limit + self.reserve_lot) / RESERVE_PART;
         // A target of a single slot could otherwise never run batch work.
         limit.saturating_sub(reserve).max(1)
     }
--- a/crates/dispatch/src/window.rs
+++ b/crates/dispatch/src/window.rs
@@ -8,8 +8,13 @@
 const INITIAL_SIZE: u32 = 4;
 /// Smallest window; below one request a target would never be measured again.
 const LEAST_SIZE: f64 = 1.0;
-/// A first byte later than this multiple of the fastest recent one counts as congestion.
-const SLOW_FACTOR: f64 = 2.5;
+/// Weight of a new first-byte time in the average. Single times differ with the length of the prompt: compared one
+/// by one with the fastest, they cut windows of idle engines by a fifth.
+const AVERAGE_GAIN: f64 = 0.1;
+/// Samples before the average is compared: one short prompt at the start would make all later ones look slow.
+const FIRST_SAMPLES: u32 = 20;
+/// An average above this multiple of the lowest recent average counts as congestion.
+const SLOW_FACTOR: f64 = 1.5;
 /// Jitter that never counts as congestion, however fast the target is.
 const SLOW_ALLOWANCE: Duration = Duration::from_millis(25);
 /// Share of the window that is left after congestion.
@@ -22,8 +27,8 @@
 const DECREASE_PAUSE: Duration = Duration::from_millis(500);
 /// Part of the window that has to be in use before it grows.
 const USED_PART: f64 = 0.75;
-/// The fastest first byte is forgotten at this rate per observation, so that a lasting change is learned.
-const FASTEST_DRIFT: f64 = 1.002;
+/// The lowest average is forgotten at this rate per observation, so that a lasting change is learned.
+const LOWEST_DRIFT: f64 = 1.000_5;
 
 /// Limits the requests in flight to one target: additive increase, multiplicative decrease.
 #[derive(Clone, Debug)]
@@ -32,7 +37,11 @@
     ceiling: f64,
     /// Width that the engine reports as not slowing its requests.
     capacity: f64,
-    fastest: Option<Duration>,
+    /// Recent average of first-byte times, in seconds.
+    average: Option<f64>,
+    samples: u32,
+    /// Lowest recent average, in seconds.
+    lowest: f64,
     decreased_at: Option<Uptime>,
 }
 
@@ -51,7 +60,9 @@
             size: f64::from(size).clamp(LEAST_SIZE, ceiling),
             ceiling,
             capacity: f64::INFINITY,
-            fastest: None,
+            average: None,
+            samples: 0,
+            lowest: f64::INFINITY,
             decreased_at: None,
         }
     }
@@ -73,11 +84,16 @@
 
     /// Takes in the time to the first byte of an answer, with the requests that were in flight.
     pub fn on_first_byte(&mut self, first_byte: Duration, in_flight: u32, now: Uptime) {
-        let fastest = self.fastest.map_or(first_byte, |fastest| {
-            first_byte.min(fastest.mul_f64(FASTEST_DRIFT))
-        });
-        self.fastest = Some(fastest);
-        if first_byte > fastest.mul_f64(SLOW_FACTOR) + SLOW_ALLOWANCE {
+        let sample = first_byte.as_secs_f64();
+        let average = self.average.unwrap_or(sample);
+        let average = average + AVERAGE_GAIN * (sample - average);
+        self.average = Some(average);
+        self.samples = self.samples.saturating_add(1);
+        if self.samples <= FIRST_SAMPLES {
+            return;
+        }
+        self.lowest = average.min(self.lowest * LOWEST_DRIFT);
+        if average > self.lowest * SLOW_FACTOR + SLOW_ALLOWANCE.as_secs_f64() {
             self.decrease(SLOW_DECREASE, now);
         } else {
             self.grow(in_flight);
