Dispatch failure tests; batch gives way where the least work is lost

Two faults were found by tests: the affinity bound moved prompts off idle targets, because it was not rounded up to whole requests and standing tickets counted as load.

--- a/crates/dispatch/examples/dispatch_comparison/main.rs
+++ b/crates/dispatch/examples/dispatch_comparison/main.rs
@@ -79,7 +79,7 @@
         rates: greedy,
         surge: 1.0,
         batch: false,
-        time: Duration::from_secs(60),
+        time: Duration::from_mins(1),
     };
     let figures = run(name, config, scenario.clone());
     print(
--- a/crates/dispatch/src/node/fleet.rs
+++ b/crates/dispatch/src/node/fleet.rs
@@ -91,10 +91,9 @@
         self.sharers = u32::try_from(own).unwrap_or(u32::MAX);
         let members = Arc::clone(&self.members);
         let groups = self.owner_keys();
-        for index in 0..self.views.len() {
+        for (index, key) in groups.into_iter().enumerate() {
             let view = &mut self.views[index];
             view.machine_leaving = is_machine_leaving(view, &members);
-            let key = groups[index];
             let vms = by_domain.get(view.spec.domain.as_str());
             let vms = vms.into_iter().flatten().map(VmId::as_str);
             let owner = rendezvous::owner_of(vms, key).map(VmId::from);
--- a/crates/dispatch/src/node/owner.rs
+++ b/crates/dispatch/src/node/owner.rs
@@ -1,14 +1,20 @@
 //! The part of the owner: queues of targets.
 
 use super::DispatchNode;
+use crate::dispatcher::TrafficClass;
 use crate::message::{MessageBody, QueueLoad};
 use crate::rendezvous;
 use crate::target_view::Distance;
 use crate::ticket_queue::{OwnerReply, RenewBody, TicketAsk, TicketQueue};
-use plantainmill_core::{OrganisationId, TargetId, Uptime, VmId};
+use plantainmill_core::{OrganisationId, ServiceName, TargetId, Uptime, VmId};
 use plantainmill_platform::LoadReport;
+use std::collections::HashMap;
 use std::time::Duration;
 
+/// One slot in this many, over the targets of a service on one owner, is kept free of batch work. In the comparison
+/// one in 32 gave 0.896 and one in 64 gave 0.902 of the idle capacity to batch work, at the same online latency.
+const RESERVE_PART: u32 = 64;
+
 impl DispatchNode {
     /// Takes in the load report of a target; none when it could not be read.
     pub fn report(&mut self, target: &TargetId, report: Option<&LoadReport>, now: Uptime) {
@@ -100,6 +106,7 @@
 
     /// Expires tickets, and closes empty queues of targets that this VM no longer owns.
     pub(super) fn tick_queues(&mut self, now: Uptime) {
+        self.set_reserves(now);
         let targets = self.queues.keys().cloned().collect::<Vec<_>>();
         for target in targets {
             let index = self.index.get(&target).copied();
@@ -120,6 +127,32 @@
         }
     }
 
+    /// Shares the reserve for online arrivals out over the targets of each service that this VM owns.
+    fn set_reserves(&mut self, now: Uptime) {
+        let mut groups: HashMap<ServiceName, (u32, u32)> = HashMap::new();
+        let mut left: HashMap<ServiceName, u32> = HashMap::new();
+        for (target, queue) in &self.queues {
+            if let Some(&index) = self.index.get(target) {
+                let service = self.views[index].spec.service.clone();
+                let (slots, targets) = groups.entry(service).or_default();
+                *slots += queue.limit(now);
+                *targets += 1;
+            }
+        }
+        for (target, queue) in &mut self.queues {
+            let Some(&index) = self.index.get(target) else {
+                continue;
+            };
+            let service = &self.views[index].spec.service;
+            let (slots, targets) = groups.get(service).copied().unwrap_or_default();
+            let wanted = slots.div_ceil(RESERVE_PART);
+            let left = left.entry(service.clone()).or_insert(wanted);
+            let share = wanted.div_ceil(targets.max(1)).min(*left);
+            *left -= share;
+            queue.set_reserve(share);
+        }
+    }
+
     pub(super) fn send_replies(
         &mut self,
         target: &TargetId,
@@ -173,9 +206,16 @@
                 view.spec.service == *service && view.owner.as_ref() == Some(&self.place.vm)
             })
         });
-        let others = others.map(|(other, queue)| (queue.spare(*class, now), other));
-        let (spare, other) = others.max_by_key(|(spare, _)| *spare)?;
-        (spare > 0).then(|| other.clone())
+        // Without a free slot, the newest batch ticket of the group gives way: that loses the least work.
+        let others = others.map(|(other, queue)| {
+            let spare = queue.spare(*class, now);
+            let newest = queue
+                .newest_batch()
+                .filter(|_| *class == TrafficClass::Online);
+            ((spare, newest), other)
+        });
+        let (best, other) = others.max_by_key(|(best, _)| *best)?;
+        (best > (0, None)).then(|| other.clone())
     }
 
     fn refuse_foreign(&mut self, from: &VmId, target: &TargetId, body: &MessageBody, now: Uptime) {
--- a/crates/dispatch/src/selector.rs
+++ b/crates/dispatch/src/selector.rs
@@ -95,9 +95,10 @@
         let count = u32::try_from(self.best.len()).unwrap_or(1);
         let step = self.best.iter().map(|index| context.step(*index)).max();
         let step = step.unwrap_or(1);
-        // The mean counts the request itself, and one request always fits an idle target.
-        let bound = (total + step) / count * AFFINITY_BOUND_PERCENT / 100;
-        let bound = bound.max(step);
+        // The mean counts the request itself. The bound is rounded up to whole requests: without that, one request at
+        // each target would already put all of them above it.
+        let bound = (total + step).saturating_mul(AFFINITY_BOUND_PERCENT) / (100 * count);
+        let bound = bound.next_multiple_of(step);
         let within = self.best.iter().copied();
         let within = within.filter(|index| context.load(*index) + context.step(*index) <= bound);
         let chosen =
--- a/crates/dispatch/src/ticket_queue.rs
+++ b/crates/dispatch/src/ticket_queue.rs
@@ -17,8 +17,6 @@
 const QUEUE_LIMIT: usize = 512;
 /// A waiting request that is not renewed for this long is dropped: its VM is gone.
 const ASK_DURATION: Duration = Duration::from_secs(3);
-/// One slot in this many, over all targets, is kept free of batch work for online arrivals.
-const RESERVE_PART: u32 = 32;
 /// Holding time of a ticket assumed before the first release.
 const INITIAL_HOLD: Duration = Duration::from_secs(1);
 /// Weight of a new holding time in the average.
@@ -69,6 +67,8 @@
     granted: Uptime,
     expires: Uptime,
     preempted: Option<Uptime>,
+    /// It was standing at the latest renewal.
+    idle: bool,
 }
 
 /// State machine of the queue.
@@ -80,8 +80,8 @@
     tickets: BTreeMap<TicketId, IssuedTicket>,
     online: FairQueue<WaitingAsk>,
     batch: FairQueue<WaitingAsk>,
-    /// Decides whether this target rounds its reserve up.
-    reserve_lot: u32,
+    /// Slots kept free of batch work for online arrivals.
+    reserve: u32,
     mean_hold: Duration,
     next_ticket: TicketId,
     leaving: bool,
@@ -104,7 +104,7 @@
             tickets: BTreeMap::new(),
             online: FairQueue::default(),
             batch: FairQueue::default(),
-            reserve_lot: u32::try_from(first_ticket % u64::from(RESERVE_PART)).unwrap_or(0),
+            reserve: 1,
             mean_hold: INITIAL_HOLD,
             next_ticket: first_ticket,
             leaving: false,
@@ -120,6 +120,11 @@
         self.window.set_ceiling(concurrency);
     }
 
+    /// Sets the slots that are kept free of batch work.
+    pub fn set_reserve(&mut self, reserve: u32) {
+        self.reserve = reserve;
+    }
+
     /// Stops or resumes new work.
     pub fn set_leaving(&mut self, leaving: bool, now: Uptime) -> Vec<OwnerReply> {
         if leaving && !self.leaving {
@@ -275,7 +280,8 @@
         let online = used - self.batch_running();
         let queued = u32::try_from(self.online.len()).unwrap_or(u32::MAX);
         QueueLoad {
-            used,
+            // Standing tickets hold a slot, but they are no load of the target.
+            used: used - self.idle(),
             free: self.limit(now).saturating_sub(online + queued),
             spare: self.limit(now).saturating_sub(used + queued),
             idle: self.batch_limit(now).saturating_sub(used),
@@ -294,6 +300,15 @@
         }
     }
 
+    /// When the newest batch ticket that could give way was granted.
+    #[must_use]
+    pub fn newest_batch(&self) -> Option<Uptime> {
+        let tickets = self.tickets.values().rev();
+        let mut batch = tickets
+            .filter(|ticket| ticket.class == TrafficClass::Batch && ticket.preempted.is_none());
+        batch.next().map(|ticket| ticket.granted)
+    }
+
     fn used(&self) -> u32 {
         u32::try_from(self.tickets.len()).unwrap_or(u32::MAX)
     }
@@ -304,6 +319,12 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    fn idle(&self) -> u32 {
+        let tickets = self.tickets.values();
+        let count = tickets.filter(|ticket| ticket.idle).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     fn batch_running(&self) -> u32 {
         let tickets = self.tickets.values();
         let count = tickets
@@ -418,9 +439,11 @@
             granted: now,
             expires,
             preempted: None,
+            idle: false,
         });
         if held.vm == *vm {
             held.expires = expires;
+            held.idle = false;
         }
     }
 
@@ -430,6 +453,7 @@
             return false;
         };
         held.expires = now + TICKET_DURATION;
+        held.idle = true;
         held.keep
     }
 
--- a/crates/dispatch/src/ticket_queue/grants.rs
+++ b/crates/dispatch/src/ticket_queue/grants.rs
@@ -1,6 +1,6 @@
 //! Grants, preemptions and recalls.
 
-use super::{IssuedTicket, RESERVE_PART, TICKET_DURATION, TicketQueue, WaitingAsk};
+use super::{IssuedTicket, TICKET_DURATION, TicketQueue, WaitingAsk};
 use crate::dispatcher::TrafficClass;
 use crate::message::{MessageBody, TicketId};
 use plantainmill_core::{Uptime, VmId};
@@ -44,9 +44,8 @@
     /// Requests at the target up to which batch work is granted.
     pub(super) fn batch_limit(&self, now: Uptime) -> u32 {
         let limit = self.limit(now);
-        let reserve = (limit + self.reserve_lot) / RESERVE_PART;
         // A target of a single slot could otherwise never run batch work.
-        limit.saturating_sub(reserve).max(1)
+        limit.saturating_sub(self.reserve).max(1)
     }
 
     fn preempt(&mut self, now: Uptime) {
@@ -92,6 +91,7 @@
             granted: now,
             expires: now + TICKET_DURATION,
             preempted: None,
+            idle: false,
         };
         self.tickets.insert(self.next_ticket, ticket);
         self.peaks[0] = self.peaks[0].max(self.used());
--- a/crates/dispatch/tests/all/harness.rs
+++ b/crates/dispatch/tests/all/harness.rs
@@ -37,6 +37,8 @@
     pub states: Vec<MemberState>,
     /// Targets of the calls in flight.
     pub running: BTreeMap<Call, TargetId>,
+    /// Targets of all calls.
+    pub granted_on: BTreeMap<Call, TargetId>,
     pub refused: BTreeMap<Call, Problem>,
     pub granted_at: BTreeMap<Call, Uptime>,
     pub preempted: BTreeSet<Call>,
@@ -74,6 +76,7 @@
             config: Arc::new(config),
             states: vec![MemberState::Live; places.len()],
             running: BTreeMap::new(),
+            granted_on: BTreeMap::new(),
             refused: BTreeMap::new(),
             granted_at: BTreeMap::new(),
             preempted: BTreeSet::new(),
@@ -117,6 +120,15 @@
         self.collect(index);
     }
 
+    /// Gives the last VM, which then must not be used, another id.
+    pub fn rename_last(&mut self, id: &str) {
+        if let Some(place) = self.places.last_mut() {
+            place.0 = id.into();
+            // It is of another domain, so that it owns no target.
+            place.1 = "elsewhere";
+        }
+    }
+
     /// Submits a request on a VM.
     pub fn acquire(&mut self, vm: usize, request: TicketRequest) -> Call {
         let id = self.nodes[vm].acquire(request, self.now);
@@ -203,6 +215,7 @@
                 DispatchOutput::Granted {
                     request, target, ..
                 } => {
+                    self.granted_on.insert((vm, request), target.clone());
                     self.running.insert((vm, request), target);
                     self.granted_at.insert((vm, request), self.now);
                 }
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -1,6 +1,13 @@
 //! Failure tests of dispatch, one module per feature.
 
 mod baseline;
+mod ejection;
+mod fairness;
 mod harness;
+mod leaving;
+mod placement;
+mod preemption;
+mod retries;
 mod support;
 mod tickets;
+mod window;
--- a/crates/dispatch/tests/all/support.rs
+++ b/crates/dispatch/tests/all/support.rs
@@ -2,7 +2,7 @@
 
 use compact_str::{CompactString, format_compact};
 use plantainmill_config::FleetConfig;
-use plantainmill_config::model::{ServiceKind, ServiceSpec, TargetSpec};
+use plantainmill_config::model::{OrganisationSpec, ServiceKind, ServiceSpec, TargetSpec};
 use plantainmill_core::Uptime;
 use plantainmill_dispatch::{TicketRequest, TrafficClass};
 use std::net::SocketAddr;
@@ -62,3 +62,13 @@
         is_retry: false,
     }
 }
+
+/// Adds an organisation.
+pub fn add_organisation(config: &mut FleetConfig, id: &str, weight: u32) {
+    let spec = OrganisationSpec {
+        rate: 100.0,
+        burst: 100,
+        weight,
+    };
+    Arc::make_mut(&mut config.organisations).insert(id.into(), spec);
+}
--- /dev/null
+++ b/crates/dispatch/tests/all/window.rs
@@ -0,0 +1,85 @@
+//! The concurrency window.
+
+use plantainmill_dispatch::window::ConcurrencyWindow;
+use plantainmill_platform::LoadReport;
+use rstest::rstest;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+fn report(present: u32, width: u32, capacity: u32) -> LoadReport {
+    LoadReport {
+        running: present.min(width),
+        waiting: present.saturating_sub(width),
+        capacity,
+        models: Vec::new(),
+        leaving: false,
+    }
+}
+
+/// Guards against a window that oscillates or grows without bound when reports are a second old. The engine decodes
+/// 12 requests and reports no capacity, so the window has to be learned from requests that wait inside.
+#[rstest]
+fn lagging_reports() {
+    let mut window = ConcurrencyWindow::new(32);
+    let mut reports = VecDeque::new();
+    let mut sizes = Vec::new();
+    for step in 0..240_u64 {
+        let now = Duration::from_millis(500 * step);
+        let present = window.size();
+        reports.push_back(report(present, 12, 0));
+        if reports.len() > 2 {
+            let old = reports.pop_front().unwrap();
+            window.on_report(&old, present, now);
+        }
+        assert!(window.size() <= 32);
+        sizes.push(window.size());
+    }
+    let late = &sizes[60..];
+    assert!(late.iter().all(|size| (8..=16).contains(size)), "{late:?}");
+}
+
+/// Guards against a window above the engine's own capacity or above the configured concurrency.
+#[rstest]
+#[case(10, 16, 10)]
+#[case(32, 16, 16)]
+fn limits_kept(#[case] concurrency: u32, #[case] capacity: u32, #[case] expected: u32) {
+    let mut window = ConcurrencyWindow::new(concurrency);
+    for step in 0..200_u64 {
+        let size = window.size();
+        window.on_report(
+            &report(size, 64, capacity),
+            size,
+            Duration::from_millis(500 * step),
+        );
+        window.on_first_byte(
+            Duration::from_millis(50),
+            size,
+            Duration::from_millis(500 * step),
+        );
+    }
+    assert_eq!(window.size(), expected);
+}
+
+/// Guards against windows of idle engines that shrink because prompts differ in length, also when the first prompt
+/// was the shortest.
+#[rstest]
+fn prompts_differ() {
+    let mut window = ConcurrencyWindow::with_size(16, 16);
+    for step in 0..2_000_u64 {
+        let first_byte = Duration::from_millis(100 + step * 37 % 200);
+        window.on_first_byte(first_byte, 16, Duration::from_millis(50 * step));
+    }
+    assert_eq!(window.size(), 16);
+}
+
+/// Guards against a window that does not yield when first bytes become slow.
+#[rstest]
+fn slow_answers() {
+    let mut window = ConcurrencyWindow::with_size(16, 16);
+    for step in 0..400_u64 {
+        let millis = if step < 100 { 100 } else { 400 };
+        let now = Duration::from_millis(50 * step);
+        window.on_first_byte(Duration::from_millis(millis), 16, now);
+    }
+    assert!(window.size() <= 8, "{}", window.size());
+}
