Fewer messages of waiting batch requests; refusals without a tour of owners

Cause: each waiting batch request asked further owners twice a second whose load was not known, and a refused request asked all owners of a service in turn. Change: a search goes only to targets known to have a free slot; three refusals end a request; tests of the actor and its handle.

--- a/crates/dispatch/src/node.rs
+++ b/crates/dispatch/src/node.rs
@@ -102,6 +102,7 @@
     /// Targets that were asked and did not grant.
     tried: Vec<usize>,
     retry_after: Option<Duration>,
+    refusals: u32,
     /// When a further target was last looked for.
     chosen: Uptime,
 }
--- a/crates/dispatch/src/node/acquire.rs
+++ b/crates/dispatch/src/node/acquire.rs
@@ -15,6 +15,8 @@
 pub(super) const ASK_LIMIT: usize = 2;
 /// Requests per class that wait on this VM because no owner answers.
 const PARKED_LIMIT: usize = 256;
+/// Owners that may refuse a request before it is refused. A refusal must not wait for a tour of all owners.
+const REFUSAL_LIMIT: u32 = 3;
 /// When a refused request has a chance again, unless an owner said otherwise.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -43,6 +45,7 @@
             asks: Vec::new(),
             tried: Vec::new(),
             retry_after: None,
+            refusals: 0,
             chosen: now,
         };
         self.pending.insert(id, pending);
@@ -226,7 +229,12 @@
         now: Uptime,
     ) -> Placement {
         pending.chosen = now;
-        let Some(index) = self.choose(pending, only_free, now) else {
+        let choice = if pending.refusals < REFUSAL_LIMIT {
+            self.choose(pending, only_free, now)
+        } else {
+            None
+        };
+        let Some(index) = choice else {
             return self.place_without_target(pending, now);
         };
         let view = &mut self.views[index];
--- a/crates/dispatch/src/node/replies.rs
+++ b/crates/dispatch/src/node/replies.rs
@@ -146,6 +146,7 @@
             return;
         }
         pending.tried.push(index);
+        pending.refusals += u32::from(!self.views[index].is_leaving(now));
         let earlier = pending.retry_after.unwrap_or(delay);
         pending.retry_after = Some(earlier.min(delay));
         self.advance(request, false, now);
--- a/crates/dispatch/src/selector.rs
+++ b/crates/dispatch/src/selector.rs
@@ -40,7 +40,7 @@
     pub link: &'a mut LinkBudget,
     /// VMs that share a target without an owner.
     pub sharers: u32,
-    /// Only targets with a free slot.
+    /// Only targets that are known to have a free slot.
     pub only_free: bool,
     /// Time.
     pub now: Uptime,
@@ -170,8 +170,10 @@
         let limit = if batch { (limit - 1).max(1) } else { limit };
         return (view.in_flight < limit).then_some(CandidateRank::Silent(view.distance));
     }
-    if view.is_full(batch, now) {
-        (!context.only_free).then_some(CandidateRank::Full(view.distance))
+    if context.only_free && !view.is_free(batch, now) {
+        None
+    } else if view.is_full(batch, now) {
+        Some(CandidateRank::Full(view.distance))
     } else {
         let preempts = !batch && request.prefix_hash.is_none() && view.needs_preemption(now);
         Some(CandidateRank::Free(view.distance, preempts))
--- a/crates/dispatch/src/target_view.rs
+++ b/crates/dispatch/src/target_view.rs
@@ -129,6 +129,19 @@
         known && room <= self.in_flight.saturating_sub(self.in_flight_at_load)
     }
 
+    /// Whether the queue is known to have a slot.
+    #[must_use]
+    pub fn is_free(&self, batch: bool, now: Uptime) -> bool {
+        let known = self.load_at.is_some_and(|at| now < at + LOAD_DURATION);
+        known
+            && !self.is_full(batch, now)
+            && (if batch {
+                self.load.idle
+            } else {
+                self.load.free
+            }) > 0
+    }
+
     /// Whether a batch request would have to give way to a further online request, as far as is known.
     #[must_use]
     pub fn needs_preemption(&self, now: Uptime) -> bool {
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod preemption;
 mod retries;
+mod service;
 mod support;
 mod tickets;
 mod window;
