More requests served by standing tickets

Cause: a gateway compared two random targets and paid a round trip even when a third had a standing ticket; tickets were kept only below half of the window. Change: targets with a standing ticket are preferred at about the same load; tickets are kept below three quarters of the window; the example prints the share granted without a round trip.

--- a/crates/dispatch/examples/dispatch_comparison/main.rs
+++ b/crates/dispatch/examples/dispatch_comparison/main.rs
@@ -32,6 +32,13 @@
     let capacity = online_capacity(usize::from(REPLICAS));
     compare_batch(name, "surges", config, rates(0.4 * capacity), 1.8);
     compare_batch(name, "steady", config, rates(0.5 * capacity), 1.0);
+    let light = Scenario {
+        rates: rates(0.1 * capacity),
+        surge: 1.0,
+        batch: false,
+        time: Duration::from_secs(80),
+    };
+    print_traffic(name, "light load", &run(name, config, light));
     compare_overload(name, config, capacity);
 }
 
@@ -164,6 +171,12 @@
 fn print_traffic(name: &str, load: &str, figures: &Figures) {
     let requests = to_f64(figures.granted).max(1.0);
     let seconds = 80.0 * 12.0;
+    let immediate = to_f64(figures.immediate) / requests;
+    print(
+        name,
+        &format!("granted without a round trip, {load}"),
+        immediate,
+    );
     print(
         name,
         &format!("messages per request, {load}"),
--- a/crates/dispatch/examples/dispatch_comparison/world.rs
+++ b/crates/dispatch/examples/dispatch_comparison/world.rs
@@ -52,6 +52,8 @@
     pub batch_possible: f64,
     pub preempted: u64,
     pub granted: u64,
+    /// Requests granted without a message.
+    pub immediate: u64,
     pub messages: u64,
     pub bytes: u64,
     pub most_present: usize,
@@ -219,6 +221,7 @@
         let Some(request) = self.requests.get_mut(&call) else {
             return;
         };
+        let immediate = request.arrived == self.now;
         request.sent = self.now;
         request.target = Some(target.clone());
         self.next_sequence += 1;
@@ -236,6 +239,7 @@
         self.starts.entry(due).or_default().push((target, sequence));
         if self.measured(self.now) {
             self.figures.granted += 1;
+            self.figures.immediate += u64::from(immediate);
         }
     }
 
--- a/crates/dispatch/src/selector.rs
+++ b/crates/dispatch/src/selector.rs
@@ -107,26 +107,41 @@
         chosen.or_else(|| least.min_by_key(|index| context.load(*index)))
     }
 
-    /// The less loaded of two random targets; about equal loads go to a standing ticket.
+    /// The less loaded of two random targets; a standing ticket is preferred at about the same load.
     fn by_load(&mut self, context: &SelectionContext<'_>) -> usize {
-        let first = self.best[self.random.random_range(0..self.best.len())];
-        let second = self.best[self.random.random_range(0..self.best.len())];
-        let standing = |index: usize| context.views[index].holding.has_standing(context.now);
-        let (low, high) = if context.load(second) < context.load(first) {
-            (second, first)
-        } else {
-            (first, second)
-        };
-        let about_equal = context.load(high) <= context.load(low) + context.step(high);
-        if about_equal && standing(high) && !standing(low) {
-            high
+        let best = std::mem::take(&mut self.best);
+        let chosen = self.less_loaded(&best, context);
+        let standing = best
+            .iter()
+            .copied()
+            .filter(|index| context.is_ready(*index));
+        let standing = standing.collect::<Vec<_>>();
+        self.best = best;
+        if context.is_ready(chosen) || standing.is_empty() {
+            return chosen;
+        }
+        let ready = self.less_loaded(&standing, context);
+        let about_equal = context.load(ready) <= context.load(chosen) + context.step(ready);
+        if about_equal { ready } else { chosen }
+    }
+
+    fn less_loaded(&mut self, indices: &[usize], context: &SelectionContext<'_>) -> usize {
+        let first = indices[self.random.random_range(0..indices.len())];
+        let second = indices[self.random.random_range(0..indices.len())];
+        if context.load(second) < context.load(first) {
+            second
         } else {
-            low
+            first
         }
     }
 }
 
 impl SelectionContext<'_> {
+    /// Whether a standing ticket for the target is ready.
+    fn is_ready(&self, index: usize) -> bool {
+        self.views[index].holding.has_standing(self.now)
+    }
+
     fn load(&self, index: usize) -> u32 {
         self.views[index].relative_load(self.now)
     }
--- a/crates/dispatch/src/ticket_queue/grants.rs
+++ b/crates/dispatch/src/ticket_queue/grants.rs
@@ -82,7 +82,7 @@
         self.next_ticket += 1;
         let light = self.online.is_empty()
             && self.batch.is_empty()
-            && (self.used() + self.external) * 2 < self.limit(now);
+            && (self.used() + self.external) * 4 < self.limit(now) * 3;
         let ticket = IssuedTicket {
             vm: ask.vm,
             request: ask.request,
