--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod baseline;
 mod ejection;
 mod fairness;
+mod faults;
 mod harness;
 mod leaving;
 mod placement;
