--- a/crates/dispatch/src/node/acquire.rs
+++ b/crates/dispatch/src/node/acquire.rs
@@ -10,10 +10,13 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Owners asked at the same time when all targets are full.
+/// Owners that an online request waits for when all targets are full. Batch requests wait for one, which saves
+/// messages; the search for free slots moves them.
 pub(super) const ASK_LIMIT: usize = 2;
 /// Requests per class that wait on this VM because no owner answers.
 const PARKED_LIMIT: usize = 256;
+/// Owners that may refuse a request before it is refused. A refusal must not wait for a tour of all owners.
+const REFUSAL_LIMIT: u32 = 3;
 /// When a refused request has a chance again, unless an owner said otherwise.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -42,6 +45,7 @@
             asks: Vec::new(),
             tried: Vec::new(),
             retry_after: None,
+            refusals: 0,
             chosen: now,
         };
         self.pending.insert(id, pending);
@@ -164,10 +168,19 @@
             class: request.class,
             organisation: request.organisation.clone(),
             wait_ms: u32::try_from(wait).unwrap_or(u32::MAX),
+            flexible: self.is_flexible(request),
         };
         self.send(&owner, &target, body, now);
     }
 
+    /// Whether any target will do, so that the owner may choose.
+    fn is_flexible(&self, request: &TicketRequest) -> bool {
+        let service = self.services.get(&request.service);
+        let mut members = service.into_iter().flat_map(|service| &service.members);
+        let any_ejected = members.any(|index| self.views[*index].health.is_ejected());
+        request.prefix_hash.is_none() && request.excluded.is_empty() && !any_ejected
+    }
+
     /// Retries the requests that wait on this VM, online ones first.
     pub(super) fn retry_parked(&mut self, now: Uptime) {
         for class in [TrafficClass::Online, TrafficClass::Batch] {
@@ -216,7 +229,12 @@
         now: Uptime,
     ) -> Placement {
         pending.chosen = now;
-        let Some(index) = self.choose(pending, only_free, now) else {
+        let choice = if pending.refusals < REFUSAL_LIMIT {
+            self.choose(pending, only_free, now)
+        } else {
+            None
+        };
+        let Some(index) = choice else {
             return self.place_without_target(pending, now);
         };
         let view = &mut self.views[index];
@@ -296,7 +314,10 @@
             let Some(owner) = view.owner.clone() else {
                 continue;
             };
-            if granted != Some(ask.index) {
+            // An owner that granted another target than asked for has nothing queued.
+            let by_owner = granted.and_then(|index| self.views[index].owner.as_ref());
+            let answered = !ask.queued && by_owner == Some(&owner);
+            if granted != Some(ask.index) && !answered {
                 let target = view.id.clone();
                 self.send(&owner, &target, MessageBody::Cancel { request: id }, now);
             }
--- a/crates/dispatch/src/selector.rs
+++ b/crates/dispatch/src/selector.rs
@@ -15,7 +15,8 @@
 /// Order of preference. Within a rank, affinity or load decides.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum CandidateRank {
-    Free(Distance),
+    /// A slot is free; targets where batch work would have to give way to it come later.
+    Free(Distance, bool),
     Full(Distance),
     /// The owner does not answer: the target may be cut off as well.
     Silent(Distance),
@@ -39,7 +40,7 @@
     pub link: &'a mut LinkBudget,
     /// VMs that share a target without an owner.
     pub sharers: u32,
-    /// Only targets with a free slot.
+    /// Only targets that are known to have a free slot.
     pub only_free: bool,
     /// Time.
     pub now: Uptime,
@@ -94,9 +95,10 @@
         let count = u32::try_from(self.best.len()).unwrap_or(1);
         let step = self.best.iter().map(|index| context.step(*index)).max();
         let step = step.unwrap_or(1);
-        // The mean counts the request itself, and one request always fits an idle target.
-        let bound = (total + step) / count * AFFINITY_BOUND_PERCENT / 100;
-        let bound = bound.max(step);
+        // The mean counts the request itself. The bound is rounded up to whole requests: without that, one request at
+        // each target would already put all of them above it.
+        let bound = (total + step).saturating_mul(AFFINITY_BOUND_PERCENT) / (100 * count);
+        let bound = bound.next_multiple_of(step);
         let within = self.best.iter().copied();
         let within = within.filter(|index| context.load(*index) + context.step(*index) <= bound);
         let chosen =
@@ -105,26 +107,41 @@
         chosen.or_else(|| least.min_by_key(|index| context.load(*index)))
     }
 
-    /// The less loaded of two random targets; about equal loads go to a standing ticket.
+    /// The less loaded of two random targets; a standing ticket is preferred at about the same load.
     fn by_load(&mut self, context: &SelectionContext<'_>) -> usize {
-        let first = self.best[self.random.random_range(0..self.best.len())];
-        let second = self.best[self.random.random_range(0..self.best.len())];
-        let standing = |index: usize| context.views[index].holding.has_standing(context.now);
-        let (low, high) = if context.load(second) < context.load(first) {
-            (second, first)
-        } else {
-            (first, second)
-        };
-        let about_equal = context.load(high) <= context.load(low) + context.step(high);
-        if about_equal && standing(high) && !standing(low) {
-            high
+        let best = std::mem::take(&mut self.best);
+        let chosen = self.less_loaded(&best, context);
+        let standing = best
+            .iter()
+            .copied()
+            .filter(|index| context.is_ready(*index));
+        let standing = standing.collect::<Vec<_>>();
+        self.best = best;
+        if context.is_ready(chosen) || standing.is_empty() {
+            return chosen;
+        }
+        let ready = self.less_loaded(&standing, context);
+        let about_equal = context.load(ready) <= context.load(chosen) + context.step(ready);
+        if about_equal { ready } else { chosen }
+    }
+
+    fn less_loaded(&mut self, indices: &[usize], context: &SelectionContext<'_>) -> usize {
+        let first = indices[self.random.random_range(0..indices.len())];
+        let second = indices[self.random.random_range(0..indices.len())];
+        if context.load(second) < context.load(first) {
+            second
         } else {
-            low
+            first
         }
     }
 }
 
 impl SelectionContext<'_> {
+    /// Whether a standing ticket for the target is ready.
+    fn is_ready(&self, index: usize) -> bool {
+        self.views[index].holding.has_standing(self.now)
+    }
+
     fn load(&self, index: usize) -> u32 {
         self.views[index].relative_load(self.now)
     }
@@ -168,10 +185,13 @@
         let limit = if batch { (limit - 1).max(1) } else { limit };
         return (view.in_flight < limit).then_some(CandidateRank::Silent(view.distance));
     }
-    if view.is_full(batch, now) {
-        (!context.only_free).then_some(CandidateRank::Full(view.distance))
+    if context.only_free && !view.is_free(batch, now) {
+        None
+    } else if view.is_full(batch, now) {
+        Some(CandidateRank::Full(view.distance))
     } else {
-        Some(CandidateRank::Free(view.distance))
+        let preempts = !batch && request.prefix_hash.is_none() && view.needs_preemption(now);
+        Some(CandidateRank::Free(view.distance, preempts))
     }
 }
 
--- a/crates/dispatch/src/ticket_queue.rs
+++ b/crates/dispatch/src/ticket_queue.rs
@@ -67,6 +67,8 @@
     granted: Uptime,
     expires: Uptime,
     preempted: Option<Uptime>,
+    /// It was standing at the latest renewal.
+    idle: bool,
 }
 
 /// State machine of the queue.
@@ -78,6 +80,8 @@
     tickets: BTreeMap<TicketId, IssuedTicket>,
     online: FairQueue<WaitingAsk>,
     batch: FairQueue<WaitingAsk>,
+    /// Slots kept free of batch work for online arrivals.
+    reserve: u32,
     mean_hold: Duration,
     next_ticket: TicketId,
     leaving: bool,
@@ -100,6 +104,7 @@
             tickets: BTreeMap::new(),
             online: FairQueue::default(),
             batch: FairQueue::default(),
+            reserve: 1,
             mean_hold: INITIAL_HOLD,
             next_ticket: first_ticket,
             leaving: false,
@@ -115,6 +120,11 @@
         self.window.set_ceiling(concurrency);
     }
 
+    /// Sets the slots that are kept free of batch work.
+    pub fn set_reserve(&mut self, reserve: u32) {
+        self.reserve = reserve;
+    }
+
     /// Stops or resumes new work.
     pub fn set_leaving(&mut self, leaving: bool, now: Uptime) -> Vec<OwnerReply> {
         if leaving && !self.leaving {
@@ -270,13 +280,35 @@
         let online = used - self.batch_running();
         let queued = u32::try_from(self.online.len()).unwrap_or(u32::MAX);
         QueueLoad {
-            used,
+            // Standing tickets hold a slot, but they are no load of the target.
+            used: used - self.idle(),
             free: self.limit(now).saturating_sub(online + queued),
+            spare: self.limit(now).saturating_sub(used + queued),
             idle: self.batch_limit(now).saturating_sub(used),
             queued,
         }
     }
 
+    /// Slots that a request of `class` gets without waiting and without preempting another.
+    #[must_use]
+    pub fn spare(&self, class: TrafficClass, now: Uptime) -> u32 {
+        let load = self.load(now);
+        match class {
+            TrafficClass::Online => load.spare,
+            TrafficClass::Batch if self.batch.is_empty() && self.online.is_empty() => load.idle,
+            TrafficClass::Batch => 0,
+        }
+    }
+
+    /// When the newest batch ticket that could give way was granted.
+    #[must_use]
+    pub fn newest_batch(&self) -> Option<Uptime> {
+        let tickets = self.tickets.values().rev();
+        let mut batch = tickets
+            .filter(|ticket| ticket.class == TrafficClass::Batch && ticket.preempted.is_none());
+        batch.next().map(|ticket| ticket.granted)
+    }
+
     fn used(&self) -> u32 {
         u32::try_from(self.tickets.len()).unwrap_or(u32::MAX)
     }
@@ -287,6 +319,12 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    fn idle(&self) -> u32 {
+        let tickets = self.tickets.values();
+        let count = tickets.filter(|ticket| ticket.idle).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     fn batch_running(&self) -> u32 {
         let tickets = self.tickets.values();
         let count = tickets
@@ -401,9 +439,11 @@
             granted: now,
             expires,
             preempted: None,
+            idle: false,
         });
         if held.vm == *vm {
             held.expires = expires;
+            held.idle = false;
         }
     }
 
@@ -413,6 +453,7 @@
             return false;
         };
         held.expires = now + TICKET_DURATION;
+        held.idle = true;
         held.keep
     }
 
--- a/crates/dispatch/src/ticket_queue/grants.rs
+++ b/crates/dispatch/src/ticket_queue/grants.rs
@@ -7,8 +7,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// One slot in this many is kept free of batch work for online arrivals, and at least one.
-const RESERVE_PART: u32 = 32;
 /// A preemption is sent again after this time without a release.
 const PREEMPT_REPEAT: Duration = Duration::from_millis(200);
 
@@ -46,9 +44,8 @@
     /// Requests at the target up to which batch work is granted.
     pub(super) fn batch_limit(&self, now: Uptime) -> u32 {
         let limit = self.limit(now);
-        let reserve = (limit / RESERVE_PART).max(1);
         // A target of a single slot could otherwise never run batch work.
-        limit.saturating_sub(reserve).max(1)
+        limit.saturating_sub(self.reserve).max(1)
     }
 
     fn preempt(&mut self, now: Uptime) {
@@ -85,7 +82,7 @@
         self.next_ticket += 1;
         let light = self.online.is_empty()
             && self.batch.is_empty()
-            && (self.used() + self.external) * 2 < self.limit(now);
+            && (self.used() + self.external) * 4 < self.limit(now) * 3;
         let ticket = IssuedTicket {
             vm: ask.vm,
             request: ask.request,
@@ -94,6 +91,7 @@
             granted: now,
             expires: now + TICKET_DURATION,
             preempted: None,
+            idle: false,
         };
         self.tickets.insert(self.next_ticket, ticket);
         self.peaks[0] = self.peaks[0].max(self.used());
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -1,6 +1,15 @@
 //! Failure tests of dispatch, one module per feature.
 
 mod baseline;
+mod ejection;
+mod fairness;
+mod faults;
 mod harness;
+mod leaving;
+mod placement;
+mod preemption;
+mod retries;
+mod service;
 mod support;
 mod tickets;
+mod window;
