--- a/crates/batch/tests/all/order.rs
+++ b/crates/batch/tests/all/order.rs
@@ -159,10 +159,11 @@
 fn retention_ends() {
     run_virtual(async {
         let world = World::new();
+        let retention = 8 * 3_600;
+        world.set_retention(retention);
         world.start_vm("vm-1", 1);
         let job = world.submit(300).await;
         world.check_completed(&job, 300).await;
-        let retention = world.config.load().defaults.result_retention_s;
         let before_end = Duration::from_secs(retention - 3_600);
         tokio::time::sleep(before_end).await;
         assert_eq!(world.lines(&format!("file-{job}-output")).await.len(), 300);
--- a/crates/batch/tests/all/search.rs
+++ b/crates/batch/tests/all/search.rs
@@ -34,7 +34,7 @@
     holders: [Option<Holder>; 2],
     losses: u8,
     /// Row at the moment of the cancel.
-    at_cancel: Option<Option<ChunkRow>>,
+    at_cancel: Option<ChunkRow>,
 }
 
 fn holder_id(index: usize) -> HolderId {
@@ -201,7 +201,7 @@
         model.cancelled = true;
         model.job_revision = model.next_revision;
         model.next_revision += 1;
-        model.at_cancel = Some(self.row.as_ref().map(|(_, row)| row.clone()));
+        model.at_cancel = self.row.as_ref().map(|(_, row)| row.clone());
         next.push(model);
     }
 
@@ -217,9 +217,10 @@
                 "charges differ: {self:?}"
             );
         }
-        if let Some(at_cancel) = &self.at_cancel {
+        if self.cancelled {
             let row = self.row.as_ref().map(|(_, row)| row);
-            assert_eq!(row, at_cancel.as_ref(), "the row changed after the cancel");
+            let at_cancel = self.at_cancel.as_ref();
+            assert_eq!(row, at_cancel, "the row changed after the cancel");
         }
         for (index, holder) in self.holders.iter().enumerate() {
             let Some(holder) = holder else {
--- a/crates/batch/tests/all/support/world.rs
+++ b/crates/batch/tests/all/support/world.rs
@@ -197,6 +197,14 @@
         self.publish(&dead);
     }
 
+    /// Changes how long results are kept.
+    pub fn set_retention(&self, seconds: u64) {
+        let mut config = FleetConfig::clone(&self.config.load());
+        config.version += 1;
+        Arc::make_mut(&mut config.defaults).result_retention_s = seconds;
+        self.config.publish(config);
+    }
+
     /// Operations over the store without faults.
     pub fn reader(&self) -> JobStore {
         JobStore::new(
