--- a/crates/batch/src/chunk.rs
+++ b/crates/batch/src/chunk.rs
@@ -9,7 +9,7 @@
 use crate::results::{input_lines, item_id};
 use crate::rows::{ChunkRow, JobState, SegmentEntry, input_name, segment_name};
 use crate::run::{ChunkRun, RunEnd, RunStep};
-use crate::watch::{ChunkSignal, JobContext, UNSAVED_LIMIT_BYTES, VmState};
+use crate::watch::{CHUNKS_RUNNING, ChunkSignal, JobContext, UNSAVED_LIMIT_BYTES, VmState};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use futures_util::future::LocalBoxFuture;
@@ -63,7 +63,6 @@
     pub(crate) chunk: u32,
     lease: ChunkLease,
     signal: watch::Receiver<ChunkSignal>,
-    started_at: Uptime,
 }
 
 /// The running part of a task.
@@ -84,14 +83,12 @@
         lease: ChunkLease,
         signal: watch::Receiver<ChunkSignal>,
     ) -> ChunkTask {
-        let started_at = state.now();
         ChunkTask {
             state,
             context,
             chunk,
             lease,
             signal,
-            started_at,
         }
     }
 
@@ -101,13 +98,19 @@
 
     /// Runs the chunk to its end.
     pub(crate) async fn run(mut self) -> ChunkEnd {
+        let state = Rc::clone(&self.state);
+        let mut signal = self.signal.clone();
+        // A chunk that waits for its turn does not delay a stop or a cancel.
+        let _turn = tokio::select! {
+            turn = state.turns.acquire() => turn.ok(),
+            _ = signal.wait_for(|signal| *signal != ChunkSignal::Run) => None,
+        };
         let lines = match self.read_input().await {
             Ok(lines) => lines,
             Err(end) => return end,
         };
-        let state = Rc::clone(&self.state);
         let key = self.key();
-        let started_at = self.started_at;
+        let started_at = state.now();
         let items = lines.len();
         let mut run = TaskRun::new(self, lines);
         let end = run.drive().await;
@@ -116,7 +119,7 @@
             .set(state.unsaved.get().saturating_sub(run.result_bytes));
         if end == ChunkEnd::Done {
             let millis = state.now().saturating_sub(started_at).as_millis().max(1);
-            let held = state.active.borrow().len().max(1);
+            let held = state.active.borrow().len().clamp(1, CHUNKS_RUNNING);
             let pace = items as u128 * held as u128 * 1_000 / millis;
             state
                 .pace
--- a/crates/batch/src/claim.rs
+++ b/crates/batch/src/claim.rs
@@ -94,7 +94,8 @@
         let chunks: ChunkRows = chunks.into_iter().collect();
         self.read_holders(&chunks).await?;
         let free = self.free_chunks(&open.job, &row, &chunks);
-        let size = claim_size(free.len(), self.live_vms(), self.room());
+        let total = usize::try_from(row.chunks).unwrap_or(usize::MAX);
+        let size = claim_size(total, self.live_vms(), self.room());
         let chosen = choose_chunks(&self.holder.vm, &open.job, free, size);
         if chosen.is_empty() {
             return Ok(Vec::new());
--- a/crates/batch/src/jobs.rs
+++ b/crates/batch/src/jobs.rs
@@ -185,7 +185,9 @@
         chunks: &[(u32, Versioned<ChunkRow>)],
     ) -> Result<bool, Problem> {
         let done = chunks.iter().filter(|(_, (_, row))| row.done).count();
-        if done < usize::try_from(row.chunks).unwrap_or(usize::MAX) {
+        if row.state != JobState::Running
+            || done < usize::try_from(row.chunks).unwrap_or(usize::MAX)
+        {
             return Ok(false);
         }
         let ended = self.ended_row(row, JobState::Completed, sum_counts(chunks));
--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -94,10 +94,11 @@
     free
 }
 
-/// How many chunks one claim takes: an even share of the free ones, so that all VMs get some.
+/// Most chunks that one claim takes: an even share of all chunks of the job. A share of the free ones would shrink
+/// with each claim and leave the last VMs to claim chunk by chunk.
 #[must_use]
-pub fn claim_size(free: usize, vms: usize, room: usize) -> usize {
-    free.div_ceil(vms.max(1)).min(room)
+pub fn claim_size(chunks: usize, vms: usize, room: usize) -> usize {
+    chunks.div_ceil(vms.max(1)).min(room)
 }
 
 /// Progress of a job, as seen by a reader.
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -6,7 +6,7 @@
 use crate::notice::BatchNotice;
 use crate::rows::{HolderId, JobRow, cancel_key};
 use crate::store::JobStore;
-use crate::watch::{CHUNKS_HELD, ITEMS_IN_FLIGHT, VmState};
+use crate::watch::{CHUNKS_RUNNING, ITEMS_IN_FLIGHT, VmState};
 use actix::prelude::*;
 use opentelemetry::metrics::Meter;
 use plantainmill_config::ConfigView;
@@ -96,6 +96,11 @@
     pub limit: Duration,
 }
 
+/// Ends the actor at once and drops its tasks, when the limit of a stop has passed. Other VMs resume the chunks.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct HaltBatch;
+
 /// State for the dump.
 #[derive(Clone, Copy, Debug, Message)]
 #[rtype(result = "serde_json::Value")]
@@ -177,6 +182,7 @@
             members: parts.members,
             caller: parts.caller,
             slots: Arc::new(Semaphore::new(ITEMS_IN_FLIGHT)),
+            turns: Semaphore::new(CHUNKS_RUNNING),
             unsaved: Cell::default(),
             beat: Cell::default(),
             wrote_at: Cell::default(),
@@ -212,7 +218,7 @@
     fn poll(&mut self, now: Uptime, context: &mut Context<Self>) {
         self.state.drop_signals();
         let held = self.state.active.borrow().len();
-        if !self.claiming && held < CHUNKS_HELD && now >= self.next_round {
+        if !self.claiming && self.state.wants_chunks() && now >= self.next_round {
             self.claim(context);
         }
         if held > 0 && !self.polling && now >= self.next_cancel_poll {
@@ -263,12 +269,31 @@
         context.spawn(run.map(move |end, service, context| {
             service.state.active.borrow_mut().remove(&key);
             service.count_end(end, &key.0);
-            if !service.claiming && !service.state.stopping.get() {
+            if end == ChunkEnd::Done && !service.state.holds_job(&key.0) {
+                service.finish(key.0.clone(), context);
+            }
+            let may_claim = !service.claiming && !service.state.stopping.get();
+            if may_claim && service.state.wants_chunks() {
                 service.claim(context);
             }
         }));
     }
 
+    /// Ends the job if this VM's last chunk of it was the last one of all.
+    fn finish(&mut self, job: JobId, context: &mut Context<Self>) {
+        let store = self.state.store.clone();
+        let finish = async move {
+            let Ok(Some((revision, row))) = store.read_job(&job).await else {
+                return;
+            };
+            if let Ok(chunks) = store.read_chunks(&job).await {
+                // What fails here is done by a claim round of any VM.
+                let _ = store.finish_job(&job, revision, &row, &chunks).await;
+            }
+        };
+        context.spawn(finish.into_actor(self));
+    }
+
     fn count_end(&mut self, end: ChunkEnd, job: &JobId) {
         let state = &self.state;
         let meters = &state.store.meters;
@@ -428,6 +453,14 @@
     }
 }
 
+impl Handler<HaltBatch> for BatchService {
+    type Result = ();
+
+    fn handle(&mut self, _: HaltBatch, context: &mut Context<Self>) {
+        context.terminate();
+    }
+}
+
 impl Handler<DumpBatch> for BatchService {
     type Result = MessageResult<DumpBatch>;
 
--- a/crates/batch/src/watch.rs
+++ b/crates/batch/src/watch.rs
@@ -17,8 +17,10 @@
 
 /// Items in flight per VM. Dispatch decides how many of them reach targets.
 pub(crate) const ITEMS_IN_FLIGHT: usize = 64;
-/// Chunks held at once per VM; enough to keep the items in flight busy while some chunks end.
-pub(crate) const CHUNKS_HELD: usize = 8;
+/// Chunks run at once per VM; enough to keep the items in flight busy while some chunks end.
+pub(crate) const CHUNKS_RUNNING: usize = 8;
+/// Chunks held at once per VM. More are claimed when half of them are done, so that one write claims several.
+pub(crate) const CHUNKS_HELD: usize = 16;
 /// Results kept in memory until they are committed, in bytes, over all chunks of a VM.
 pub(crate) const UNSAVED_LIMIT_BYTES: usize = 32 * 1024 * 1024;
 
@@ -47,6 +49,8 @@
     pub(crate) members: MemberView,
     pub(crate) caller: Rc<dyn TargetCaller>,
     pub(crate) slots: Arc<Semaphore>,
+    /// Chunks whose input is in memory.
+    pub(crate) turns: Semaphore,
     /// Bytes of results that are not committed.
     pub(crate) unsaved: Cell<usize>,
     pub(crate) beat: Cell<u64>,
@@ -78,6 +82,17 @@
         live.count() + 1
     }
 
+    /// Whether it is time to claim more chunks.
+    pub(crate) fn wants_chunks(&self) -> bool {
+        self.active.borrow().len() <= CHUNKS_HELD / 2
+    }
+
+    /// Whether a task of this VM runs a chunk of the job.
+    pub(crate) fn holds_job(&self, job: &JobId) -> bool {
+        let active = self.active.borrow();
+        active.iter().any(|(held, _)| held == job)
+    }
+
     /// The receiver for the tasks of a job.
     pub(crate) fn subscribe(&self, job: &JobId) -> watch::Receiver<ChunkSignal> {
         let mut signals = self.signals.borrow_mut();
