Export counters of mesh, membership and configuration

Cause: these parts keep counters in their reports only, so /metrics lacked them and the mesh traffic could not be measured. Change: one observable instrument plantainmill_events with labels part and event.

--- a/crates/config/src/bodies.rs
+++ b/crates/config/src/bodies.rs
@@ -1,11 +1,15 @@
 //! Conversion of the bodies of the administration API and of fleet files into the model.
 
+use crate::change::{ConfigEdit, ResourceKind};
 use crate::model::{
     DefaultsSpec, ExceptionSpec, KeySpec, OrganisationSpec, ServiceKind, ServiceSpec, Subject,
     TargetSpec,
 };
+use compact_str::CompactString;
 use plantainmill_core::{Problem, ResultCode};
 use plantainmill_schema::admin;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 /// The service that `body` describes.
 #[must_use]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod dump;
 pub mod node;
 
+mod events;
 mod listeners;
 mod parts;
 
--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -1,6 +1,7 @@
 //! Builds the parts of a VM and stops them in order.
 
 use crate::dump::NodeDump;
+use crate::events::EventCounts;
 use crate::listeners::Listeners;
 use actix::{Actor as _, Addr};
 use plantainmill_admin::{AdminState, NodeMetrics};
@@ -72,6 +73,8 @@
         let mesh = base.start_mesh(listeners)?;
         let membership = base.start_membership(listeners, &mesh);
         let config = base.start_config(base.own_peer(listeners), &mesh, &membership);
+        let events = EventCounts::register(&base.metrics.meter());
+        actix_rt::spawn(events.follow(mesh.clone(), membership.clone(), config.clone()));
         let rates = RateService::launch(base.rate_parts(&mesh));
         let dispatch = base.start_dispatch(&mesh);
         let batch = BatchService::launch(base.batch_parts(&mesh, &dispatch));
