Failure tests of calls of targets and of idempotent calls

Cause: at most once, the truth of executed, hidden keys and whole answers have to hold under every fault of a target and of the store. The first run of the matrix showed that the custom connector got no address and every call failed to connect; requests carry their address now, and the matrix states the expected end of each case. A connection that ends before the head of an answer is target_failed and no longer answer_invalid.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -10,8 +10,8 @@
 pub mod platform_server;
 
 pub use engine::{
-    EngineFault, EngineKind, EngineOptions, EngineServer, FaultKind, RecordedRequest, RunOutcome,
-    RunningEngine,
+    EngineCounts, EngineFault, EngineKind, EngineOptions, EngineServer, FaultKind, RecordedRequest,
+    RunOutcome, RunningEngine,
 };
 pub use memory::{MemoryPlatform, PlatformFault, StoreCounts};
 pub use platform_server::{PlatformOptions, PlatformServer, RunningPlatform};
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -17,7 +17,7 @@
 
 /// Splits a model's stream into events.
 #[derive(Debug, Default)]
-pub(crate) struct EventReader {
+pub struct EventReader {
     buffer: BytesMut,
     /// Start of the line that is being read.
     line_start: usize,
@@ -30,11 +30,16 @@
 
 impl EventReader {
     /// Says whether the last event came.
+    #[must_use]
     pub fn is_done(&self) -> bool {
         self.done
     }
 
     /// Takes bytes and returns the whole events among those read so far, which may be none.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason when an event is malformed or comes after the last one.
     pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, String> {
         self.buffer.extend_from_slice(chunk);
         let mut whole = 0;
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -3,8 +3,10 @@
 use crate::context::{CallContext, TryFailure, TryMark};
 use crate::headers::{DEADLINE_HEADER, REQUEST_ID_HEADER, header_text};
 use crate::transport::client;
+use actix_web::error::ParseError;
 use awc::ClientRequest;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
+
 use awc::http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use awc::http::{Method, Uri};
 use bytes::Bytes;
@@ -92,7 +94,7 @@
     }
     let url = format!("http://{address}{}", context.request.path);
     let uri = Uri::try_from(url).map_err(|error| bad(format!("path: {error}")))?;
-    let mut request = client().request(method, uri);
+    let mut request = client().request(method, uri).address(address);
     for (name, value) in &context.headers {
         request = request.append_header((name.as_str(), value.as_str()));
     }
@@ -113,8 +115,8 @@
             return TryFailure::new(ResultCode::BadHeader, reason)
                 .with_outcome(CallOutcome::Abandoned);
         }
-        SendRequestError::Response(_) => {
-            let reason = format!("the answer's head is malformed or cut: {error}");
+        SendRequestError::Response(cause) if !matches!(cause, ParseError::Io(_)) => {
+            let reason = format!("the answer's head is malformed: {error}");
             return TryFailure::new(ResultCode::AnswerInvalid, reason);
         }
         _ => {}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,11 +1,11 @@
 //! Calls of targets: retries, streams, idempotent calls, truthful outcomes.
 
 pub mod caller;
+pub mod events;
 pub mod limits;
 
 mod body;
 mod context;
-mod events;
 mod exchange;
 mod headers;
 mod hedge;
@@ -17,6 +17,6 @@
 mod transport;
 
 pub use caller::{StreamAnswer, TargetCaller, TargetRequest, WholeAnswer};
-pub use events::error_event;
+pub use events::{EventReader, error_event};
 pub use http_caller::HttpCaller;
 pub use limits::CallLimits;
--- /dev/null
+++ b/crates/proxy/tests/calls.rs
@@ -0,0 +1,263 @@
+//! Retries, tickets, deadlines, and the end of a target's work when nobody waits for it.
+
+mod support;
+
+use futures_util::StreamExt as _;
+use plantainmill_config::ServiceKind;
+use plantainmill_core::{Executed, ResultCode};
+use plantainmill_dispatch::{CallOutcome, TrafficClass};
+use plantainmill_fakes::{EngineFault, FaultKind};
+use plantainmill_proxy::TargetCaller as _;
+use rstest::rstest;
+use std::error::Error;
+use std::sync::Arc;
+use std::time::Duration;
+use support::{
+    CallMode, OrderedDispatcher, TestFleet, TestResult, check_call, service_spec, short_limits,
+};
+
+fn model_fleet(targets: usize) -> Result<TestFleet, Box<dyn Error>> {
+    TestFleet::start(service_spec(ServiceKind::Model, true), targets)
+}
+
+/// Guards against more than two retries, a failed target being used again, and untruthful outcomes.
+#[rstest]
+#[case(FaultKind::CutBefore, CallOutcome::Failed)]
+#[case(FaultKind::Refuse, CallOutcome::Rejected)]
+#[case(FaultKind::Crossed, CallOutcome::Failed)]
+#[actix_rt::test]
+async fn two_retries(
+    #[case] fault: FaultKind,
+    #[case] outcome: CallOutcome,
+    #[values(CallMode::Whole, CallMode::Stream)] mode: CallMode,
+) -> TestResult {
+    let fleet = model_fleet(5)?;
+    fleet.fault_all(EngineFault::always(fault));
+    let end = fleet.run(fleet.request("retries", mode), mode).await;
+    check_call(&fleet, "retries", mode, &end);
+    let requests = fleet.dispatcher.requests();
+    let retries: Vec<bool> = requests.iter().map(|request| request.is_retry).collect();
+    assert_eq!(retries, [false, true, true]);
+    assert_eq!(requests[2].excluded, ["target-0", "target-1"]);
+    let outcomes = fleet.dispatcher.outcomes();
+    let expected = ["target-0", "target-1", "target-2"].map(|id| (id.into(), outcome));
+    assert_eq!(outcomes, expected);
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Guards against the missing ticket of a retry hiding what became of the first try.
+#[rstest]
+#[actix_rt::test]
+async fn retry_refused() -> TestResult {
+    let started = model_fleet(2)?;
+    let dispatcher = Arc::new(OrderedDispatcher {
+        targets: started.dispatcher.targets.clone(),
+        refuses_retries: true,
+        ..OrderedDispatcher::default()
+    });
+    let fleet = TestFleet::over(
+        started.service,
+        started.engines,
+        dispatcher,
+        short_limits(),
+        started.clock,
+    );
+    fleet.fault_all(EngineFault::always(FaultKind::CutBefore));
+    let mode = CallMode::Whole;
+    let end = fleet.run(fleet.request("budget", mode), mode).await;
+    assert_eq!(end.code(), Some(ResultCode::TargetFailed));
+    assert_eq!(end.executed(), Some(Executed::Unknown));
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Guards against a later try that certainly did not run hiding an earlier one that may have.
+#[rstest]
+#[actix_rt::test]
+async fn doubt_kept() -> TestResult {
+    let fleet = model_fleet(2)?;
+    fleet.engines[0].set_fault(EngineFault::always(FaultKind::CutBefore));
+    fleet.engines[1].set_fault(EngineFault::always(FaultKind::Refuse));
+    let mode = CallMode::Whole;
+    let end = fleet.run(fleet.request("doubt", mode), mode).await;
+    assert_eq!(end.code(), Some(ResultCode::TargetRefused));
+    assert_eq!(end.executed(), Some(Executed::Unknown));
+    fleet.stop().await;
+    Ok(())
+}
+
+#[rstest]
+#[actix_rt::test]
+async fn completed_outcome(
+    #[values(CallMode::Whole, CallMode::Stream)] mode: CallMode,
+) -> TestResult {
+    let fleet = model_fleet(1)?;
+    let end = fleet.run(fleet.request("outcome", mode), mode).await;
+    check_call(&fleet, "outcome", mode, &end);
+    let outcomes = fleet.dispatcher.outcomes();
+    assert_eq!(outcomes.len(), 1);
+    assert!(matches!(outcomes[0].1, CallOutcome::Completed { .. }));
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Guards against work that goes on at the target after its caller has gone away.
+#[rstest]
+#[case::no_answer(0)]
+#[case::mid_stream(2)]
+#[actix_rt::test]
+async fn dropped_call(
+    #[case] events: u32,
+    #[values(CallMode::Whole, CallMode::Stream)] mode: CallMode,
+) -> TestResult {
+    let fleet = model_fleet(1)?;
+    let after = if mode == CallMode::Whole { 0 } else { events };
+    fleet.fault_all(EngineFault::always(FaultKind::Hang).after(after));
+    tokio::select! {
+        end = fleet.run(fleet.request("dropped", mode), mode) => panic!("it ended: {end:?}"),
+        () = fleet.wait_count(1, |counts| counts.executed) => {}
+    }
+    fleet.wait_count(1, |counts| counts.cancelled).await;
+    let outcomes = fleet.dispatcher.outcomes();
+    assert_eq!(outcomes, [("target-0".into(), CallOutcome::Abandoned)]);
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Guards against a stream that a caller stopped reading staying open at the target.
+#[rstest]
+#[actix_rt::test]
+async fn dropped_stream() -> TestResult {
+    let fleet = model_fleet(1)?;
+    fleet.fault_all(EngineFault::always(FaultKind::Hang).after(2));
+    let request = fleet.request("dropped", CallMode::Stream);
+    let mut answer = fleet.caller.stream(request).await?;
+    let first = answer.chunks.next().await.ok_or("no first part")??;
+    assert!(first.starts_with(b"data: {"));
+    drop(answer);
+    fleet.wait_count(1, |counts| counts.cancelled).await;
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Guards against batch work that keeps a target after online work has asked for it.
+#[rstest]
+#[case::no_answer(0, Executed::Unknown)]
+#[case::mid_stream(2, Executed::Yes)]
+#[actix_rt::test]
+async fn preempted_call(
+    #[case] events: u32,
+    #[case] streamed: Executed,
+    #[values(CallMode::Whole, CallMode::Stream)] mode: CallMode,
+) -> TestResult {
+    let fleet = model_fleet(2)?;
+    let after = if mode == CallMode::Whole { 0 } else { events };
+    fleet.fault_all(EngineFault::always(FaultKind::Hang).after(after));
+    let mut request = fleet.request("preempted", mode);
+    request.class = TrafficClass::Batch;
+    let preempt = async {
+        fleet.wait_count(1, |counts| counts.executed).await;
+        fleet
+            .wait_count(u64::from(after), |counts| counts.tokens)
+            .await;
+        fleet.dispatcher.preempt_last();
+    };
+    let (end, ()) = tokio::join!(fleet.run(request, mode), preempt);
+    assert_eq!(end.code(), Some(ResultCode::Preempted));
+    // Whether the first events were read before the signal is a race; a call that ran never says no.
+    let executed = end.executed();
+    assert!(executed == Some(Executed::Unknown) || executed == Some(streamed));
+    fleet.wait_count(1, |counts| counts.cancelled).await;
+    assert_eq!(fleet.dispatcher.requests().len(), 1);
+    let outcomes = fleet.dispatcher.outcomes();
+    assert_eq!(outcomes, [("target-0".into(), CallOutcome::Abandoned)]);
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Guards against a caller with little time getting a target ejected, and against a hung target staying in use.
+#[rstest]
+#[case::short_of_time(60_000, ResultCode::DeadlinePassed, CallOutcome::Abandoned)]
+#[case::hung_target(200, ResultCode::TargetTimeout, CallOutcome::Failed)]
+#[actix_rt::test]
+async fn deadline_outcome(
+    #[case] service_ms: u64,
+    #[case] code: ResultCode,
+    #[case] outcome: CallOutcome,
+) -> TestResult {
+    let mut service = service_spec(ServiceKind::Model, true);
+    service.timeout_ms = service_ms;
+    let fleet = TestFleet::start(service, 1)?;
+    fleet.fault_all(EngineFault::always(FaultKind::Hang));
+    let mode = CallMode::Whole;
+    let mut request = fleet.request("deadline", mode);
+    request.deadline = fleet.clock.uptime() + Duration::from_millis(400);
+    let end = fleet.run(request, mode).await;
+    assert_eq!(end.code(), Some(code));
+    assert_eq!(end.executed(), Some(Executed::Unknown));
+    let outcomes = fleet.dispatcher.outcomes();
+    assert_eq!(outcomes, [("target-0".into(), outcome)]);
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Guards against an answer of an abandoned request reaching the next request on the same connection.
+#[rstest]
+#[actix_rt::test]
+async fn abandoned_connection() -> TestResult {
+    let mut service = service_spec(ServiceKind::Plain, false);
+    service.timeout_ms = 500;
+    let fleet = TestFleet::start(service, 1)?;
+    let mode = CallMode::Whole;
+    let warm = fleet.run(fleet.request("warm", mode), mode).await;
+    check_call(&fleet, "warm", mode, &warm);
+    fleet.fault_all(EngineFault::once(FaultKind::Late).delay_ms(1_000));
+    let late = fleet.run(fleet.request("late", mode), mode).await;
+    assert_eq!(late.code(), Some(ResultCode::TargetTimeout));
+    check_call(&fleet, "late", mode, &late);
+    let next = fleet.run(fleet.request("next", mode), mode).await;
+    check_call(&fleet, "next", mode, &next);
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Guards against input that cannot be sent being tried at every target, or counted against them.
+#[rstest]
+#[case::path("no-slash", "POST", "x-a", ResultCode::BadRequest)]
+#[case::method("/v1/completions", "PO ST", "x-a", ResultCode::BadRequest)]
+#[case::header("/v1/completions", "POST", "x a", ResultCode::BadHeader)]
+#[actix_rt::test]
+async fn bad_input(
+    #[case] path: &str,
+    #[case] method: &str,
+    #[case] header: &str,
+    #[case] code: ResultCode,
+) -> TestResult {
+    let fleet = model_fleet(2)?;
+    let mode = CallMode::Whole;
+    let mut request = fleet.request("bad", mode);
+    request.path = path.to_owned();
+    request.method = method.into();
+    request.headers.push((header.into(), "1".into()));
+    let end = fleet.run(request, mode).await;
+    assert_eq!(end.code(), Some(code));
+    assert_eq!(end.executed(), Some(Executed::No));
+    let outcomes = fleet.dispatcher.outcomes();
+    assert_eq!(outcomes, [("target-0".into(), CallOutcome::Abandoned)]);
+    fleet.stop().await;
+    Ok(())
+}
+
+#[rstest]
+#[actix_rt::test]
+async fn unknown_service() -> TestResult {
+    let fleet = model_fleet(1)?;
+    let mode = CallMode::Whole;
+    let mut request = fleet.request("unknown", mode);
+    request.service = "other".into();
+    let end = fleet.run(request, mode).await;
+    assert_eq!(end.code(), Some(ResultCode::UnknownService));
+    fleet.stop().await;
+    Ok(())
+}
