--- a/crates/fakes/src/listener.rs
+++ b/crates/fakes/src/listener.rs
@@ -7,7 +7,7 @@
 use actix_web::{App, HttpServer};
 use anyhow::Context as _;
 use std::any::Any;
-use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsFd as _;
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
@@ -147,13 +147,3 @@
         }
     }
 }
-
-/// An address of loopback on which nothing listens at the moment.
-///
-/// # Errors
-///
-/// Fails when no port is free.
-pub fn unused_address() -> anyhow::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    Ok(listener.local_addr()?)
-}
--- a/crates/proxy/src/http_caller.rs
+++ b/crates/proxy/src/http_caller.rs
@@ -210,10 +210,12 @@
     async fn acquire(&self, context: &CallContext, is_retry: bool) -> Result<TargetTicket, TryEnd> {
         let request = context.ticket_request(is_retry);
         let acquired = self.parts.dispatcher.acquire(request);
-        match timeout_at(context.deadline, acquired).await {
-            Ok(Ok(ticket)) => Ok(ticket),
+        let acquired = timeout_at(context.deadline, acquired).await;
+        // A ticket that comes at the deadline is of no use: nothing may be sent any more.
+        match acquired {
+            Ok(Ok(ticket)) if !context.time_left().is_zero() => Ok(ticket),
             Ok(Err(problem)) => Err(TryEnd::NoTicket(problem)),
-            Err(_) => {
+            _ => {
                 let reason = "no target was free in time";
                 Err(TryEnd::NoTicket(
                     context.new_problem(context.deadline_code, reason),
--- a/crates/proxy/tests/calls.rs
+++ b/crates/proxy/tests/calls.rs
@@ -202,6 +202,23 @@
     Ok(())
 }
 
+/// Guards against a request being sent after its deadline.
+#[rstest]
+#[actix_rt::test]
+async fn passed_deadline(
+    #[values(CallMode::Whole, CallMode::Stream)] mode: CallMode,
+) -> TestResult {
+    let fleet = model_fleet(1)?;
+    let mut request = fleet.request("passed", mode);
+    request.deadline = fleet.clock.uptime();
+    let end = fleet.run(request, mode).await;
+    assert_eq!(end.code(), Some(ResultCode::DeadlinePassed));
+    assert_eq!(end.executed(), Some(Executed::No));
+    assert_eq!(fleet.engines[0].counts().executed, 0);
+    fleet.stop().await;
+    Ok(())
+}
+
 /// Guards against an answer of an abandoned request reaching the next request on the same connection.
 #[rstest]
 #[actix_rt::test]
