Batch: a failed claim round keeps its chunks; one malformed row stops one job

Cause: review of the claim round. A store error or a malformed row at a later job ended the round with the chunks that it had already claimed: they stayed marked as active and nobody ran them.

Change: the round keeps what it has claimed, a malformed row skips its job only, and the entry of an active chunk goes away with its task. A stop waits for a round under way. chunk.rs is split (commit, request).

--- a/crates/batch/examples/batch_costs.rs
+++ b/crates/batch/examples/batch_costs.rs
@@ -78,7 +78,7 @@
     }
 
     fn wall(&self) -> SystemTime {
-        UNIX_EPOCH + Duration::from_secs(1_800_000_000) + self.uptime()
+        UNIX_EPOCH + Duration::from_hours(500_000) + self.uptime()
     }
 }
 
--- a/crates/batch/src/chunk.rs
+++ b/crates/batch/src/chunk.rs
@@ -1,42 +1,34 @@
 //! The task that runs one held chunk: calls, segments and commits.
 
+use crate::commit::{STORE_WAIT_FIRST, STORE_WAIT_LIMIT, new_segment, persist};
 use crate::items::ItemSet;
-use crate::lease::{ChunkLease, LeaseInput, LeaseOutput, LeaseWrite};
-use crate::lines::{ItemRoute, check_line};
+use crate::lease::ChunkLease;
+use crate::lines::check_line;
 use crate::outcome::{
     ItemResult, ItemRule, answer_line, attempts_used, judge, outcome_unknown, problem_line,
 };
+use crate::request::{service_of, to_request};
 use crate::results::{input_lines, item_id};
-use crate::rows::{ChunkRow, JobState, SegmentEntry, input_name, segment_name};
+use crate::rows::{ChunkRow, input_name, segment_name};
 use crate::run::{ChunkRun, RunEnd, RunStep};
-use crate::watch::{CHUNKS_RUNNING, ChunkSignal, JobContext, UNSAVED_LIMIT_BYTES, VmState};
-use bytes::{Bytes, BytesMut};
+use crate::watch::{
+    ActiveChunk, CHUNKS_RUNNING, ChunkSignal, JobContext, UNSAVED_LIMIT_BYTES, VmState,
+};
+use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
-use plantainmill_core::{Problem, ResultCode, Uptime};
-use plantainmill_dispatch::TrafficClass;
-use plantainmill_platform::{CommitOutcome, StoreError};
-use plantainmill_proxy::{TargetRequest, WholeAnswer};
-use plantainmill_schema::openai::BatchLine;
+use plantainmill_core::{Executed, Problem, ResultCode, Uptime};
+use plantainmill_proxy::WholeAnswer;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use xxhash_rust::xxh3::xxh3_64;
 
-/// First wait after a failed store call.
-const STORE_WAIT_FIRST: Duration = Duration::from_millis(500);
-/// Longest wait between two tries of a store call.
-const STORE_WAIT_LIMIT: Duration = Duration::from_secs(10);
 /// A chunk none of whose items finds a place for this long is released, so that it holds back nobody.
 const STALL_RELEASE: Duration = Duration::from_mins(1);
 /// How often a paused task looks whether memory is free again.
 const PAUSE_CHECK: Duration = Duration::from_secs(1);
-/// Time limit of items whose service is not in the configuration; the call itself reports that.
-const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
-/// Bytes of an item's body that choose the target by prefix.
-const PREFIX_BYTES: usize = 512;
 
 /// How a chunk task ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,7 +52,8 @@
 pub(crate) struct ChunkTask {
     state: Rc<VmState>,
     context: Rc<JobContext>,
-    pub(crate) chunk: u32,
+    chunk: u32,
+    active: ActiveChunk,
     lease: ChunkLease,
     signal: watch::Receiver<ChunkSignal>,
 }
@@ -83,17 +76,19 @@
         lease: ChunkLease,
         signal: watch::Receiver<ChunkSignal>,
     ) -> ChunkTask {
+        let active = ActiveChunk::new(Rc::clone(&state), (context.job.clone(), chunk));
         ChunkTask {
             state,
             context,
             chunk,
+            active,
             lease,
             signal,
         }
     }
 
     pub(crate) fn key(&self) -> (CompactString, u32) {
-        (self.context.job.clone(), self.chunk)
+        self.active.key.clone()
     }
 
     /// Runs the chunk to its end.
@@ -285,7 +280,8 @@
             if is_full || *signal.borrow() != ChunkSignal::Run {
                 return (item, None);
             }
-            let request = to_request(&state, &line, organisation);
+            let config = state.store.config.load();
+            let request = to_request(&config, &line, organisation, state.now());
             let answer = match request {
                 Ok(request) => state.caller.call(request).await,
                 Err(problem) => Err(problem),
@@ -322,9 +318,7 @@
                 let result = answer_line(&id, &self.custom_id(item), answer);
                 self.keep(item, result);
             }
-            Err(problem)
-                if rule.last_attempt && problem.executed != plantainmill_core::Executed::No =>
-            {
+            Err(problem) if rule.last_attempt && problem.executed != Executed::No => {
                 self.fail(item, &attempts_used(problem));
             }
             Err(problem) => self.fail(item, problem),
@@ -425,162 +419,3 @@
         Ok((row, segment))
     }
 }
-
-/// Puts results into the form of a segment object.
-fn new_segment(
-    name: CompactString,
-    results: &BTreeMap<usize, ItemResult>,
-) -> (SegmentEntry, Bytes) {
-    let mut content = BytesMut::new();
-    let mut add = |completed: bool| -> ItemSet {
-        let wanted = results
-            .iter()
-            .filter(|(_, result)| result.completed == completed);
-        wanted
-            .map(|(item, result)| {
-                content.extend_from_slice(&result.line);
-                *item
-            })
-            .collect()
-    };
-    let completed = add(true);
-    let failed = add(false);
-    let lines = results.values().filter(|result| result.completed);
-    let output_bytes: u64 = lines.map(|result| result.line.len() as u64).sum();
-    let entry = SegmentEntry {
-        name,
-        completed,
-        failed,
-        output_bytes,
-        error_bytes: content.len() as u64 - output_bytes,
-    };
-    (entry, content.freeze())
-}
-
-/// Writes the segment, then the row, until the outcome is certain.
-async fn persist(
-    state: &VmState,
-    context: &JobContext,
-    chunk: u32,
-    lease: &mut ChunkLease,
-    row: ChunkRow,
-    segment: Option<(CompactString, Bytes)>,
-) -> Result<(), ChunkEnd> {
-    if let Some((name, content)) = segment {
-        let mut wait = STORE_WAIT_FIRST;
-        while state
-            .store
-            .objects
-            .put(&name, content.clone())
-            .await
-            .is_err()
-        {
-            state.store.meters.store_retries.add(1, &[]);
-            pause_for(&mut wait).await;
-        }
-    }
-    let output = lease.step(LeaseInput::Save(row));
-    drive_lease(state, &context.job, chunk, lease, output).await
-}
-
-/// Carries out the outputs of a lease until its write is settled.
-pub(crate) async fn drive_lease(
-    state: &VmState,
-    job: &str,
-    chunk: u32,
-    lease: &mut ChunkLease,
-    mut output: LeaseOutput,
-) -> Result<(), ChunkEnd> {
-    let mut wait = STORE_WAIT_FIRST;
-    loop {
-        let input = match output {
-            LeaseOutput::Write(write) => commit(state, job, chunk, &write).await,
-            LeaseOutput::Read => read_rows(state, job, chunk).await,
-            LeaseOutput::Saved => return Ok(()),
-            LeaseOutput::Stopped => return Err(ChunkEnd::Stopped),
-            LeaseOutput::Lost | LeaseOutput::Ignored => return Err(ChunkEnd::Lost),
-        };
-        if input == LeaseInput::Retry {
-            state.store.meters.store_retries.add(1, &[]);
-            pause_for(&mut wait).await;
-        }
-        output = lease.step(input);
-    }
-}
-
-async fn commit(state: &VmState, job: &str, chunk: u32, write: &LeaseWrite) -> LeaseInput {
-    let table_write = state.job_write(job, write.job_revision);
-    let table_write = VmState::chunk_write(table_write, job, chunk, write.revision, &write.row);
-    match state.store.table.commit(table_write).await {
-        Ok(CommitOutcome::Committed { revision }) => LeaseInput::Committed { revision },
-        Ok(CommitOutcome::Conflict { .. }) => LeaseInput::Conflict,
-        Err(StoreError::Unavailable(_)) => LeaseInput::Retry,
-        Err(_) => LeaseInput::Unknown,
-    }
-}
-
-/// Reads the job row first: if the job runs and the chunk row read later is unchanged, a repeat is safe.
-async fn read_rows(state: &VmState, job: &str, chunk: u32) -> LeaseInput {
-    let Ok(found) = state.store.read_job(job).await else {
-        return LeaseInput::Retry;
-    };
-    let key = crate::rows::chunk_key(job, chunk);
-    let Ok(chunk) = state.store.read::<ChunkRow>(&key).await else {
-        return LeaseInput::Retry;
-    };
-    let running = found.filter(|(_, row)| row.state == JobState::Running);
-    LeaseInput::Found {
-        chunk,
-        job_revision: running.map(|(revision, _)| revision),
-    }
-}
-
-async fn pause_for(wait: &mut Duration) {
-    actix_rt::time::sleep(*wait).await;
-    *wait = (*wait * 2).min(STORE_WAIT_LIMIT);
-}
-
-/// Service that an item calls.
-fn service_of(item: &BatchLine) -> Option<&str> {
-    match ItemRoute::parse(&item.url)? {
-        ItemRoute::Model => item.body.get("model").and_then(serde_json::Value::as_str),
-        ItemRoute::Service { service, .. } => Some(service),
-    }
-}
-
-/// The request of an item, free of anything the caller sent beside the line.
-fn to_request(
-    state: &VmState,
-    line: &[u8],
-    organisation: CompactString,
-) -> Result<TargetRequest, Problem> {
-    let invalid = |reason: String| Problem::new(ResultCode::ItemFailed, reason);
-    let item = check_line(line).map_err(invalid)?;
-    let service = service_of(&item).ok_or_else(|| invalid("no service".to_owned()))?;
-    let config = state.store.config.load();
-    let spec = config.services.get(service);
-    let timeout = spec.map_or(DEFAULT_TIMEOUT, |spec| {
-        Duration::from_millis(spec.timeout_ms)
-    });
-    let path = match ItemRoute::parse(&item.url) {
-        Some(ItemRoute::Service { path, .. }) => path.to_owned(),
-        _ => item.url.clone(),
-    };
-    let body = serde_json::to_vec(&item.body).unwrap_or_default();
-    let prefix = &body[..body.len().min(PREFIX_BYTES)];
-    Ok(TargetRequest {
-        service: CompactString::from(service),
-        organisation: Some(organisation),
-        class: TrafficClass::Batch,
-        method: CompactString::const_new("POST"),
-        path,
-        headers: vec![(
-            CompactString::const_new("content-type"),
-            CompactString::const_new("application/json"),
-        )],
-        prefix_hash: Some(xxh3_64(prefix)),
-        body: Bytes::from(body),
-        deadline: state.now() + timeout,
-        idempotency_key: None,
-    })
-}
--- a/crates/batch/src/claim.rs
+++ b/crates/batch/src/claim.rs
@@ -1,14 +1,15 @@
 //! Claiming chunks: which jobs, which chunks, and one write for several of them.
 
-use crate::chunk::{ChunkTask, drive_lease};
+use crate::chunk::ChunkTask;
+use crate::commit::drive_lease;
 use crate::holders::BEAT_INTERVAL;
 use crate::lease::{ChunkLease, LeaseInput, LeaseOutput, LeasePhase};
 use crate::order::{choose_chunks, claim_size, order_jobs};
 use crate::rows::{ChunkRow, HolderRow, JobRow, JobState, OpenRow};
 use crate::store::{Versioned, decode_row};
-use crate::watch::{CHUNKS_HELD, ChunkSignal, JobContext, VmState};
+use crate::watch::{CHUNKS_HELD, JobContext, VmState};
 use compact_str::CompactString;
-use plantainmill_core::{JobId, Problem};
+use plantainmill_core::{JobId, Problem, ResultCode};
 use plantainmill_platform::{CommitOutcome, StoreError};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -37,7 +38,16 @@
             if self.stopping.get() || self.room() == 0 {
                 break;
             }
-            let claimed = self.claim_job(&job).await?;
+            let claimed = match self.claim_job(&job).await {
+                Ok(claimed) => claimed,
+                Err(problem) if problem.code == ResultCode::RowInvalid => {
+                    tracing::error!(job = %job.job, %problem, "a job cannot be claimed");
+                    self.store.meters.malformed.add(1, &[]);
+                    Vec::new()
+                }
+                // What was claimed before the store failed has to run.
+                Err(_) => break,
+            };
             if claimed.is_empty() {
                 let until = self.now() + SKIP_TIME;
                 self.skipped.borrow_mut().insert(job.job.clone(), until);
@@ -219,10 +229,7 @@
             .add(organisation, held.len() as u64);
         held.into_iter()
             .map(|(chunk, lease)| {
-                let key = (context.job.clone(), chunk);
-                self.active.borrow_mut().insert(key);
                 let signal = self.subscribe(&context.job);
-                debug_assert_ne!(*signal.borrow(), ChunkSignal::Release);
                 ChunkTask::new(Rc::clone(self), Rc::clone(context), chunk, lease, signal)
             })
             .collect()
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -4,8 +4,9 @@
 //! [`JobStore`] carries the operations that HTTP handlers use.
 
 pub mod accept;
-pub mod chunk;
-pub mod claim;
+mod chunk;
+mod claim;
+mod commit;
 pub mod files;
 pub mod holders;
 pub mod items;
@@ -16,6 +17,7 @@
 pub mod notice;
 pub mod order;
 pub mod outcome;
+pub mod request;
 pub mod results;
 pub mod routes;
 pub mod rows;
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -80,7 +80,6 @@
     timer: Recipient<Subscribe>,
     next_round: Uptime,
     idle_wait: Duration,
-    claiming: bool,
     next_cancel_poll: Uptime,
     polling: bool,
     next_sweep: Uptime,
@@ -193,6 +192,7 @@
             shares: RefCell::default(),
             skipped: RefCell::default(),
             pace: Cell::new(1),
+            claiming: Cell::new(false),
             stopping: Cell::new(false),
         };
         let now = state.now();
@@ -203,7 +203,6 @@
             timer: parts.timer,
             next_round: now,
             idle_wait: IDLE_WAIT_FIRST,
-            claiming: false,
             next_cancel_poll: now,
             polling: false,
             next_sweep: now + sweep_delay(),
@@ -218,7 +217,7 @@
     fn poll(&mut self, now: Uptime, context: &mut Context<Self>) {
         self.state.drop_signals();
         let held = self.state.active.borrow().len();
-        if !self.claiming && self.state.wants_chunks() && now >= self.next_round {
+        if !self.state.claiming.get() && self.state.wants_chunks() && now >= self.next_round {
             self.claim(context);
         }
         if held > 0 && !self.polling && now >= self.next_cancel_poll {
@@ -233,11 +232,11 @@
     }
 
     fn claim(&mut self, context: &mut Context<Self>) {
-        self.claiming = true;
+        self.state.claiming.set(true);
         let round = Rc::clone(&self.state).claim_round();
         let round = round.into_actor(self);
         context.spawn(round.map(|claimed, service, context| {
-            service.claiming = false;
+            service.state.claiming.set(false);
             let tasks = claimed.unwrap_or_default();
             service.plan_round(!tasks.is_empty());
             for task in tasks {
@@ -267,12 +266,11 @@
         }
         let run = task.run().into_actor(self);
         context.spawn(run.map(move |end, service, context| {
-            service.state.active.borrow_mut().remove(&key);
             service.count_end(end, &key.0);
             if end == ChunkEnd::Done && !service.state.holds_job(&key.0) {
                 service.finish(key.0.clone(), context);
             }
-            let may_claim = !service.claiming && !service.state.stopping.get();
+            let may_claim = !service.state.claiming.get() && !service.state.stopping.get();
             if may_claim && service.state.wants_chunks() {
                 service.claim(context);
             }
@@ -445,7 +443,8 @@
         let state = Rc::clone(&self.state);
         Box::pin(async move {
             let end = state.now() + stop.limit;
-            while !state.active.borrow().is_empty() && state.now() < end {
+            let is_busy = || state.claiming.get() || !state.active.borrow().is_empty();
+            while is_busy() && state.now() < end {
                 actix_rt::time::sleep(STOP_CHECK).await;
             }
             state.active.borrow().len()
--- a/crates/batch/src/watch.rs
+++ b/crates/batch/src/watch.rs
@@ -42,6 +42,25 @@
     pub(crate) row: JobRow,
 }
 
+/// Entry of a chunk with a task; dropping it removes the entry, however the task ends.
+pub(crate) struct ActiveChunk {
+    state: Rc<VmState>,
+    pub(crate) key: (JobId, u32),
+}
+
+impl ActiveChunk {
+    pub(crate) fn new(state: Rc<VmState>, key: (JobId, u32)) -> ActiveChunk {
+        state.active.borrow_mut().insert(key.clone());
+        ActiveChunk { state, key }
+    }
+}
+
+impl Drop for ActiveChunk {
+    fn drop(&mut self) {
+        self.state.active.borrow_mut().remove(&self.key);
+    }
+}
+
 /// Shared state of one VM.
 pub(crate) struct VmState {
     pub(crate) store: JobStore,
@@ -65,6 +84,8 @@
     pub(crate) skipped: RefCell<BTreeMap<JobId, Uptime>>,
     /// Items per second of this VM, from the last chunks.
     pub(crate) pace: Cell<u64>,
+    /// A claim round is under way.
+    pub(crate) claiming: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
 }
 
