Batch: cancels after long cut-offs, stuck jobs, old holder rows

Cause: review for what grows or starves. - A holder that returned after more than ten minutes read the log of cancels only ten minutes back. It now reads from its last good poll, or from when it last held nothing. - An idle VM looked at the same 16 first jobs in every round. It now looks at 8 in order and 2 at random, and now and then at the next page of open jobs, so that jobs that cannot go on hide none behind them. - A holder whose row is missing was never judged gone, and rows of replaced VMs stayed.

--- a/crates/batch/src/claim.rs
+++ b/crates/batch/src/claim.rs
@@ -10,15 +10,19 @@
 use crate::watch::{CHUNKS_HELD, JobContext, VmState};
 use compact_str::CompactString;
 use plantainmill_core::{JobId, Problem, ResultCode};
-use plantainmill_platform::{CommitOutcome, StoreError};
-use std::collections::BTreeMap;
+use plantainmill_platform::{CommitOutcome, RowEntry, StoreError};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Open jobs read at once, those with the earliest due times.
 const OPEN_LIMIT: u32 = 1_000;
-/// Jobs whose chunk rows are read in one round.
-const JOBS_PER_ROUND: usize = 16;
+/// Jobs whose chunk rows are read in one round, in order.
+const JOBS_PER_ROUND: usize = 8;
+/// Further jobs of a round, chosen at random, so that many jobs that cannot go on hold back none behind them.
+const RANDOM_JOBS: usize = 2;
+/// One round in this many starts after the page of open jobs that was read last, if that was full.
+const NEXT_PAGE_ROUNDS: u32 = 4;
 /// How long a job with nothing to claim is not looked at again.
 const SKIP_TIME: Duration = Duration::from_secs(10);
 
@@ -34,7 +38,7 @@
     pub(crate) async fn claim_round(self: Rc<Self>) -> Result<Vec<ChunkTask>, Problem> {
         let mut tasks = Vec::new();
         let jobs = self.ordered_jobs().await?;
-        for job in jobs.into_iter().take(JOBS_PER_ROUND) {
+        for job in pick_jobs(jobs) {
             if self.stopping.get() || self.room() == 0 {
                 break;
             }
@@ -58,7 +62,7 @@
     }
 
     async fn ordered_jobs(&self) -> Result<Vec<OpenRow>, Problem> {
-        let rows = self.store.range("open/", "open0", OPEN_LIMIT).await?;
+        let rows = self.read_open().await?;
         let now = self.now();
         let mut skipped = self.skipped.borrow_mut();
         skipped.retain(|_, until| *until > now);
@@ -86,6 +90,19 @@
         ))
     }
 
+    /// Reads a page of open jobs: mostly the first one, now and then the next.
+    async fn read_open(&self) -> Result<Vec<RowEntry>, Problem> {
+        let cursor = self.open_cursor.take();
+        let next_page = rand::random_range(0..NEXT_PAGE_ROUNDS) == 0;
+        let start = cursor.filter(|_| next_page);
+        let start = start.unwrap_or_else(|| CompactString::const_new("open/"));
+        let rows = self.store.range(&start, "open0", OPEN_LIMIT).await?;
+        let is_full = rows.len() >= usize::try_from(OPEN_LIMIT).unwrap_or(usize::MAX);
+        let last = rows.last().filter(|_| is_full);
+        self.open_cursor.set(last.map(|row| row.key.clone()));
+        Ok(rows)
+    }
+
     async fn claim_job(self: &Rc<Self>, open: &OpenRow) -> Result<Vec<ChunkTask>, Problem> {
         let Some((revision, row)) = self.store.read_job(&open.job).await? else {
             return Ok(Vec::new());
@@ -121,23 +138,27 @@
     /// Reads the rows of holders when there are chunks of other holders.
     async fn read_holders(&self, chunks: &ChunkRows) -> Result<(), Problem> {
         let held = chunks.values().map(|(_, row)| row);
-        let mut others = held.filter(|row| row.held && !row.done && row.holder != self.holder);
+        let others = held.filter(|row| row.held && !row.done && row.holder != self.holder);
+        let others: BTreeSet<_> = others.map(|row| row.holder.vm.clone()).collect();
         let read_at = self.holders_read_at.get();
         let recent = read_at.is_some_and(|at| self.now() < at + BEAT_INTERVAL);
-        if recent || others.next().is_none() {
+        if recent || others.is_empty() {
             return Ok(());
         }
         let rows = self.store.range("holder/", "holder0", OPEN_LIMIT).await?;
         let now = self.now();
         let mut watch = self.holders.borrow_mut();
-        let mut current = Vec::new();
+        watch.forget_old(now);
+        let mut missing = others;
         for row in &rows {
             let vm = CompactString::from(row.key.trim_start_matches("holder/"));
             let decoded = decode_row::<HolderRow>(row).ok().map(|(_, row)| row);
             watch.observe(&vm, decoded, now);
-            current.push(vm);
+            missing.remove(&vm);
+        }
+        for vm in &missing {
+            watch.observe(vm, None, now);
         }
-        watch.retain(&current);
         self.holders_read_at.set(Some(now));
         Ok(())
     }
@@ -235,3 +256,13 @@
             .collect()
     }
 }
+
+/// The first jobs in order and a few others.
+fn pick_jobs(mut jobs: Vec<OpenRow>) -> Vec<OpenRow> {
+    let mut others = jobs.split_off(JOBS_PER_ROUND.min(jobs.len()));
+    for _ in 0..RANDOM_JOBS.min(others.len()) {
+        let index = rand::random_range(0..others.len());
+        jobs.push(others.swap_remove(index));
+    }
+    jobs
+}
--- a/crates/batch/src/holders.rs
+++ b/crates/batch/src/holders.rs
@@ -18,6 +18,9 @@
 /// not cost its results.
 pub const STALL_AFTER: Duration = Duration::from_hours(2);
 
+/// A holder that has not written for this long is forgotten.
+const FORGET_AFTER: Duration = Duration::from_hours(24);
+
 /// Last change seen of a holder's row.
 #[derive(Clone, Debug)]
 struct SeenBeat {
@@ -56,9 +59,10 @@
         silent >= if alive { STALL_AFTER } else { LAPSE_AFTER }
     }
 
-    /// Forgets holders that are not in `current`.
-    pub fn retain(&mut self, current: &[VmId]) {
-        self.seen.retain(|vm, _| current.contains(vm));
+    /// Forgets holders that have not changed for so long that all their chunks were taken over.
+    pub fn forget_old(&mut self, now: Uptime) {
+        self.seen
+            .retain(|_, seen| now.saturating_sub(seen.since) < FORGET_AFTER);
     }
 }
 
--- a/crates/batch/src/rows.rs
+++ b/crates/batch/src/rows.rs
@@ -224,6 +224,8 @@
     pub incarnation: Incarnation,
     /// Writes so far.
     pub beat: u64,
+    /// Unix seconds of the last write, for the removal of old rows only.
+    pub written_at: u64,
 }
 
 /// Key of a file row.
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -33,7 +33,7 @@
 const NOTICE_SPREAD_MS: u64 = 1_000;
 /// Time between reads of the log of cancelled jobs on a VM that holds chunks. The bar for cancel is 3 s.
 const CANCEL_POLL: Duration = Duration::from_millis(1_500);
-/// How far back the log of cancelled jobs is read, in seconds; covers clocks that differ between VMs.
+/// How far before the last poll the log of cancelled jobs is read, in seconds; covers clocks that differ between VMs.
 const CANCEL_LOOKBACK_S: u64 = 600;
 /// Most cancelled jobs read at once.
 const CANCEL_LIMIT: u32 = 1_000;
@@ -81,6 +81,8 @@
     next_round: Uptime,
     idle_wait: Duration,
     next_cancel_poll: Uptime,
+    /// Unix seconds up to which the log of cancelled jobs is known.
+    cancels_known: u64,
     polling: bool,
     next_sweep: Uptime,
     sweeping: bool,
@@ -190,6 +192,7 @@
             holders: RefCell::default(),
             holders_read_at: Cell::default(),
             shares: RefCell::default(),
+            open_cursor: Cell::default(),
             skipped: RefCell::default(),
             pace: Cell::new(1),
             claiming: Cell::new(false),
@@ -204,6 +207,7 @@
             next_round: now,
             idle_wait: IDLE_WAIT_FIRST,
             next_cancel_poll: now,
+            cancels_known: store.now_unix(),
             polling: false,
             next_sweep: now + sweep_delay(),
             sweeping: false,
@@ -220,6 +224,10 @@
         if !self.state.claiming.get() && self.state.wants_chunks() && now >= self.next_round {
             self.claim(context);
         }
+        if held == 0 {
+            // A claim expects the job row's revision, so earlier cancels need not be known.
+            self.cancels_known = self.state.store.now_unix();
+        }
         if held > 0 && !self.polling && now >= self.next_cancel_poll {
             self.poll_cancelled(context);
         }
@@ -314,21 +322,25 @@
     fn poll_cancelled(&mut self, context: &mut Context<Self>) {
         self.polling = true;
         let state = Rc::clone(&self.state);
+        let since = self.cancels_known.saturating_sub(CANCEL_LOOKBACK_S);
         let poll = async move {
-            let since = state.store.now_unix().saturating_sub(CANCEL_LOOKBACK_S);
+            let now = state.store.now_unix();
             let start = cancel_key(since, "");
             let rows = state
                 .store
                 .table
                 .range(&start, "cancel0", CANCEL_LIMIT)
                 .await;
-            for row in rows.unwrap_or_default() {
+            let rows = rows.ok()?;
+            for row in &rows {
                 let job = row.key.rsplit('/').next().unwrap_or_default();
                 state.cancel(job);
             }
+            Some(now)
         };
-        context.spawn(poll.into_actor(self).map(|(), service, _| {
+        context.spawn(poll.into_actor(self).map(|known, service, _| {
             service.polling = false;
+            service.cancels_known = known.unwrap_or(service.cancels_known);
             service.next_cancel_poll = service.state.now() + CANCEL_POLL;
         }));
     }
--- a/crates/batch/src/sweep.rs
+++ b/crates/batch/src/sweep.rs
@@ -1,15 +1,23 @@
 //! Deletes what has passed its retention, and the leftovers of unfinished uploads and creates.
 
-use crate::rows::{JobRow, JobState, chunk_key, file_key, job_key, listing_key, prefix_end};
-use crate::store::{CHUNK_ROWS_LIMIT, JobStore, store_problem};
+use crate::rows::{
+    HolderRow, JobRow, JobState, chunk_key, file_key, job_key, listing_key, prefix_end,
+};
+use crate::store::{CHUNK_ROWS_LIMIT, JobStore, decode_row, store_problem};
 use plantainmill_core::Problem;
-use plantainmill_platform::TableWrite;
+use plantainmill_platform::{Expected, TableWrite};
 
 /// Expired things handled in one sweep.
 const SWEEP_LIMIT: u32 = 20;
 /// Rows deleted by one write.
 const DELETE_GROUP: usize = 500;
 
+/// Rows of holders that have not written for this long are deleted, in seconds. Their chunks were taken over long
+/// before: three beats, or two hours for a holder that is still seen alive.
+const HOLDER_RETENTION_S: u64 = 2 * 86_400;
+/// Rows of holders read by one sweep.
+const HOLDER_LIMIT: u32 = 1_000;
+
 /// What an expiry row names.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Expired<'a> {
@@ -60,9 +68,25 @@
             count += 1;
         }
         self.meters.expired.add(count, &[]);
+        self.sweep_holders().await?;
         Ok(count)
     }
 
+    /// Deletes the rows of VMs that are gone.
+    async fn sweep_holders(&self) -> Result<(), Problem> {
+        let oldest = self.now_unix().saturating_sub(HOLDER_RETENTION_S);
+        let rows = self.range("holder/", "holder0", HOLDER_LIMIT).await?;
+        for row in &rows {
+            let decoded = decode_row::<HolderRow>(row);
+            if decoded.is_ok_and(|(_, holder)| holder.written_at < oldest) {
+                let expected = Expected::Revision(row.revision);
+                let write = TableWrite::new().expect(row.key.clone(), expected);
+                self.commit_delete(write.delete(row.key.clone())).await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Deletes what an expiry row stands for, but for the rows in the returned write.
     async fn delete_expired(&self, expired: Expired<'_>) -> Result<TableWrite, Problem> {
         let write = TableWrite::new();
--- a/crates/batch/src/watch.rs
+++ b/crates/batch/src/watch.rs
@@ -80,6 +80,8 @@
     pub(crate) holders: RefCell<HolderWatch>,
     pub(crate) holders_read_at: Cell<Option<Uptime>>,
     pub(crate) shares: RefCell<ServedShares>,
+    /// Last key of the page of open jobs that was read last, if that was full.
+    pub(crate) open_cursor: Cell<Option<CompactString>>,
     /// Jobs with nothing to claim, until this time.
     pub(crate) skipped: RefCell<BTreeMap<JobId, Uptime>>,
     /// Items per second of this VM, from the last chunks.
@@ -176,6 +178,7 @@
         let row = HolderRow {
             incarnation: self.holder.incarnation,
             beat: self.beat.get(),
+            written_at: self.store.now_unix(),
         };
         write.put(holder_key(&self.holder.vm), to_value(&row))
     }
--- a/crates/batch/tests/all/cancel.rs
+++ b/crates/batch/tests/all/cancel.rs
@@ -72,3 +72,30 @@
         assert_eq!(later, output, "a result was committed after the cancel");
     });
 }
+
+/// Guards against a holder that was cut off from store and mesh for longer than the log of cancels is read back, and
+/// that goes on with a cancelled job when it returns.
+#[test]
+fn returns_after_cancel() {
+    run_virtual(async {
+        let world = World::new();
+        world.script.latency.set(Duration::from_secs(40));
+        let first = world.start_vm("vm-1", 1);
+        let second = world.start_vm("vm-2", 1);
+        second.store.set_down(true);
+        let job = world.submit(20_000).await;
+        tokio::time::sleep(Duration::from_mins(1)).await;
+        world.switch.cut.set(true);
+        first.store.set_down(true);
+        second.store.set_down(false);
+        second.handle.cancel("kandy", &job).await.unwrap();
+        tokio::time::sleep(Duration::from_mins(15)).await;
+        assert!(
+            world.script.running.get() > 0,
+            "the cut-off holder has stopped already"
+        );
+        first.store.set_down(false);
+        tokio::time::sleep(CANCEL_BAR).await;
+        assert_eq!(world.script.running.get(), 0);
+    });
+}
--- a/crates/batch/tests/all/holders.rs
+++ b/crates/batch/tests/all/holders.rs
@@ -1,5 +1,6 @@
 //! Holders that pause, lose the store, stop or collide.
 
+use crate::support::world::{create_body, item_lines};
 use crate::support::{World, run_virtual};
 use plantainmill_batch::StopBatch;
 use plantainmill_fakes::PlatformFault;
@@ -150,3 +151,31 @@
         assert!(reads <= 3_600 / 20, "{reads} reads in an hour");
     });
 }
+
+/// Guards against many jobs of a service without targets, all due earlier, that hide the jobs behind them.
+#[test]
+fn stuck_jobs() {
+    use crate::support::CallPlan;
+    use plantainmill_core::{Problem, ResultCode};
+    run_virtual(async {
+        let world = World::new();
+        world.script.set_plan(|item, _, _| match item {
+            0..10 => CallPlan::Fail(Problem::new(ResultCode::NoTarget, "scripted")),
+            _ => CallPlan::Answer(200),
+        });
+        for _ in 0..60 {
+            world.submit(10).await;
+        }
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let lines = item_lines(20, "assistant");
+        let good: String = lines.split_inclusive('\n').skip(10).collect();
+        let file = world.upload(&good).await;
+        let body = create_body(&file);
+        let created = world.reader().create_job(&"kandy".into(), body, None).await;
+        let job = created.unwrap().0;
+        world.start_vm("vm-1", 1);
+        let row = world.wait_ended(&job).await;
+        assert_eq!(row.counts.completed, 10);
+        assert!(world.clock.elapsed() < Duration::from_hours(1));
+    });
+}
--- a/crates/batch/tests/all/order.rs
+++ b/crates/batch/tests/all/order.rs
@@ -133,6 +133,7 @@
         Some(HolderRow {
             incarnation: 1,
             beat,
+            written_at: 0,
         })
     };
     watch.observe(&holder.vm, row(4), Duration::ZERO);
