--- a/crates/batch/src/watch.rs
+++ b/crates/batch/src/watch.rs
@@ -42,6 +42,25 @@
     pub(crate) row: JobRow,
 }
 
+/// Entry of a chunk with a task; dropping it removes the entry, however the task ends.
+pub(crate) struct ActiveChunk {
+    state: Rc<VmState>,
+    pub(crate) key: (JobId, u32),
+}
+
+impl ActiveChunk {
+    pub(crate) fn new(state: Rc<VmState>, key: (JobId, u32)) -> ActiveChunk {
+        state.active.borrow_mut().insert(key.clone());
+        ActiveChunk { state, key }
+    }
+}
+
+impl Drop for ActiveChunk {
+    fn drop(&mut self) {
+        self.state.active.borrow_mut().remove(&self.key);
+    }
+}
+
 /// Shared state of one VM.
 pub(crate) struct VmState {
     pub(crate) store: JobStore,
@@ -61,10 +80,14 @@
     pub(crate) holders: RefCell<HolderWatch>,
     pub(crate) holders_read_at: Cell<Option<Uptime>>,
     pub(crate) shares: RefCell<ServedShares>,
+    /// Last key of the page of open jobs that was read last, if that was full.
+    pub(crate) open_cursor: Cell<Option<CompactString>>,
     /// Jobs with nothing to claim, until this time.
     pub(crate) skipped: RefCell<BTreeMap<JobId, Uptime>>,
     /// Items per second of this VM, from the last chunks.
     pub(crate) pace: Cell<u64>,
+    /// A claim round is under way.
+    pub(crate) claiming: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
 }
 
@@ -155,6 +178,7 @@
         let row = HolderRow {
             incarnation: self.holder.incarnation,
             beat: self.beat.get(),
+            written_at: self.store.now_unix(),
         };
         write.put(holder_key(&self.holder.vm), to_value(&row))
     }
