--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod batch;
 pub mod driver;
+pub mod latency;
 pub mod online;
 pub mod report;
 pub mod scenario;
@@ -13,5 +14,6 @@
 mod html;
 
 pub use driver::run;
+pub use latency::{LatencyPlan, LatencyReport};
 pub use report::{BenchReport, PhaseReport, compare};
 pub use scenario::{BenchEndpoints, BenchScenario};
--- a/src/commands/bench.rs
+++ b/src/commands/bench.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context as _;
 use clap::{Args, Subcommand};
-use plantainmill_bench::{BenchEndpoints, BenchReport, BenchScenario};
+use plantainmill_bench::{BenchEndpoints, BenchReport, BenchScenario, LatencyPlan};
 use std::path::{Path, PathBuf};
 
 /// Options of `bench`.
@@ -28,6 +28,21 @@
         #[arg(long)]
         html: Option<PathBuf>,
     },
+    /// Measure the latency that one VM adds to a call, against calling the target directly.
+    Latency {
+        /// File with the line that `plantainmill dev --json` prints: URLs and keys.
+        #[arg(long)]
+        endpoints: PathBuf,
+        /// URL of a target of the service `charges`.
+        #[arg(long)]
+        target: String,
+        /// Organisation whose key is used.
+        #[arg(long, default_value = "kandy")]
+        organisation: String,
+        /// Calls of each kind.
+        #[arg(long, default_value_t = 2_000)]
+        calls: usize,
+    },
     /// Compare the JSON reports of two runs.
     Compare {
         /// Earlier run.
@@ -59,6 +74,24 @@
                 write(path, &report.html())?;
             }
         }
+        BenchAction::Latency {
+            endpoints,
+            target,
+            organisation,
+            calls,
+        } => {
+            let plan = LatencyPlan {
+                organisation: organisation.clone(),
+                service: "charges".to_owned(),
+                target: target.clone(),
+                calls: *calls,
+            };
+            let endpoints: BenchEndpoints =
+                serde_json::from_str(&read(endpoints)?).context("malformed endpoints")?;
+            let measuring = plantainmill_bench::latency::measure(&plan, &endpoints);
+            let report = actix_rt::System::new().block_on(measuring)?;
+            print!("{}", report.table());
+        }
         BenchAction::Compare { before, after } => {
             let before: BenchReport = serde_json::from_str(&read(before)?)?;
             let after: BenchReport = serde_json::from_str(&read(after)?)?;
