--- a/crates/config/src/bodies.rs
+++ b/crates/config/src/bodies.rs
@@ -1,11 +1,15 @@
 //! Conversion of the bodies of the administration API and of fleet files into the model.
 
+use crate::change::{ConfigEdit, ResourceKind};
 use crate::model::{
     DefaultsSpec, ExceptionSpec, KeySpec, OrganisationSpec, ServiceKind, ServiceSpec, Subject,
     TargetSpec,
 };
+use compact_str::CompactString;
 use plantainmill_core::{Problem, ResultCode};
 use plantainmill_schema::admin;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 /// The service that `body` describes.
 #[must_use]
@@ -104,3 +108,51 @@
         reason: body.reason.clone(),
     })
 }
+
+/// The edit that writes the JSON `body` under `id`.
+///
+/// # Errors
+///
+/// Names the field that is missing, unknown or malformed.
+pub fn edit_from_body(kind: ResourceKind, id: &str, body: Value) -> Result<ConfigEdit, Problem> {
+    let id = CompactString::from(id);
+    Ok(match kind {
+        ResourceKind::Exception => ConfigEdit::PutException {
+            spec: exception_spec(&decode(body)?)?,
+            id,
+        },
+        ResourceKind::Key => ConfigEdit::PutKey {
+            spec: key_spec(&decode(body)?),
+            id,
+        },
+        ResourceKind::Organisation => ConfigEdit::PutOrganisation {
+            spec: organisation_spec(&decode(body)?),
+            id,
+        },
+        ResourceKind::Service => ConfigEdit::PutService {
+            spec: service_spec(&decode(body)?),
+            id,
+        },
+        ResourceKind::Target => ConfigEdit::PutTarget {
+            spec: target_spec(&decode(body)?)?,
+            id,
+        },
+    })
+}
+
+/// The edit that replaces the defaults by the JSON `body`; absent fields take their built-in value.
+///
+/// # Errors
+///
+/// Names the field that is unknown or malformed.
+pub fn defaults_from_body(body: Value) -> Result<ConfigEdit, Problem> {
+    Ok(ConfigEdit::PutDefaults {
+        spec: defaults_spec(&decode(body)?),
+    })
+}
+
+fn decode<T: DeserializeOwned>(body: Value) -> Result<T, Problem> {
+    serde_json::from_value(body).map_err(|error| {
+        Problem::new(ResultCode::ConfigInvalid, error.to_string()).with_field("body")
+    })
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod view;
 pub mod wire;
 
+pub use bodies::{defaults_from_body, edit_from_body};
 pub use change::{ConfigChange, ConfigEdit, ResourceKind};
 pub use diff::{describe_edits, edits_between};
 pub use entry::{ConfigSnapshot, LogEntry, LogHead};
