Bench: time histograms with fixed bounds

Cause: saturating_record does not resize a histogram, so every time of a run was clamped to the first bounds and the first token was reported as 0.002 ms.

--- a/crates/bench/src/latency.rs
+++ b/crates/bench/src/latency.rs
@@ -1,5 +1,6 @@
 //! Latency that one VM adds to a call, against calling the target directly, in one run.
 
+use crate::online::time_histogram;
 use crate::scenario::BenchEndpoints;
 use anyhow::Context as _;
 use hdrhistogram::Histogram;
@@ -73,8 +74,8 @@
     let key = endpoints.key(&plan.organisation)?;
     let client = awc::Client::new();
     let mut report = LatencyReport {
-        direct_us: Histogram::new(3)?,
-        through_us: Histogram::new(3)?,
+        direct_us: time_histogram(),
+        through_us: time_histogram(),
     };
     for call in 0..WARMUP_CALLS + plan.calls {
         let direct_time = one_call(&client, &direct, key).await?;
--- a/crates/bench/src/online.rs
+++ b/crates/bench/src/online.rs
@@ -163,21 +163,16 @@
 
 impl OnlineCounts {
     /// No requests yet.
-    ///
-    /// # Panics
-    ///
-    /// Never: three significant digits are always possible.
     #[must_use]
     pub fn new() -> OnlineCounts {
-        let histogram = || Histogram::new(3).expect("three significant digits are possible");
         OnlineCounts {
             offered: 0,
             served: 0,
             limited: 0,
             wrongful: 0,
             failed: 0,
-            first_token_us: histogram(),
-            gap_us: histogram(),
+            first_token_us: time_histogram(),
+            gap_us: time_histogram(),
         }
     }
 
@@ -207,6 +202,17 @@
     }
 }
 
+/// A histogram of microseconds up to 10 minutes. Its bounds are fixed because `saturating_record` does not
+/// resize a histogram and would clamp all times to its first bounds.
+///
+/// # Panics
+///
+/// Never: the bounds are valid.
+#[must_use]
+pub fn time_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 600_000_000, 3).expect("the bounds are valid")
+}
+
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -78,6 +78,7 @@
     ) -> PhaseReport {
         let mut all = OnlineCounts::new();
         for each in counts.values() {
+            // Adding histograms of the same bounds cannot fail.
             let _ = all.first_token_us.add(&each.first_token_us);
             let _ = all.gap_us.add(&each.gap_us);
         }
