--- a/crates/config/src/handlers.rs
+++ b/crates/config/src/handlers.rs
@@ -3,6 +3,7 @@
 use crate::change::ConfigChange;
 use crate::diff::edits_between;
 use crate::entry::LogEntry;
+use crate::events::{ConfigInput, StoreState};
 use crate::log::ConfigLog;
 use crate::message::{
     ConfigReport, DumpConfig, ListHistory, ProposeChange, ReadyReport, ReadySource, ReadyState,
@@ -11,7 +12,6 @@
 use crate::model::FleetConfig;
 use crate::propose::{ChangeDone, ChangeOutcome, ChangeProposal, ChangeRequest, read_problem};
 use crate::receipt::{ChangeReceipt, PendingReceipt, new_operation};
-use crate::replica::{ConfigInput, StoreState};
 use crate::service::{ConfigService, FIRST_ASKS, OpenReceipt};
 use crate::wire::ConfigMessage;
 use actix::prelude::*;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod change;
 pub mod diff;
 pub mod entry;
+pub mod events;
 pub mod fleet_file;
 mod handlers;
 pub mod log;
@@ -23,6 +24,7 @@
 pub use change::{ConfigChange, ConfigEdit, ResourceKind};
 pub use diff::{describe_edits, edits_between};
 pub use entry::{ConfigSnapshot, LogEntry, LogHead};
+pub use events::{ConfigInput, ConfigOutput, ReplicaCounters, StoreState};
 pub use fleet_file::{FileError, FleetFile, parse_fleet_file};
 pub use log::{AppendOutcome, ConfigLog, HeadRow};
 pub use message::{
@@ -34,7 +36,7 @@
 };
 pub use propose::{ChangeDone, ChangeOutcome, ChangeProposal, ChangeRequest};
 pub use receipt::ChangeReceipt;
-pub use replica::{ConfigInput, ConfigOutput, ConfigReplica, ReplicaCounters, StoreState};
+pub use replica::ConfigReplica;
 pub use service::{ConfigOptions, ConfigService, start};
 pub use validate::{join_problems, validate_edits};
 pub use view::ConfigView;
--- a/crates/config/src/message.rs
+++ b/crates/config/src/message.rs
@@ -2,8 +2,8 @@
 
 use crate::change::{ConfigChange, ConfigEdit};
 use crate::entry::LogHead;
+use crate::events::{ReplicaCounters, StoreState};
 use crate::receipt::ChangeReceipt;
-use crate::replica::{ReplicaCounters, StoreState};
 use actix::prelude::*;
 use compact_str::CompactString;
 use plantainmill_core::Problem;
--- a/crates/config/src/replica.rs
+++ b/crates/config/src/replica.rs
@@ -1,6 +1,7 @@
 //! The configuration of one VM: a state machine without I/O or clocks.
 
 use crate::entry::{ConfigSnapshot, LogEntry, LogHead};
+use crate::events::{ConfigInput, ConfigOutput, ReplicaCounters, StoreState};
 use crate::model::FleetConfig;
 use crate::wire::ConfigMessage;
 use compact_str::CompactString;
@@ -23,131 +24,6 @@
 /// Missing entries from which on a snapshot is read before the log.
 pub const SNAPSHOT_GAP: u64 = 512;
 
-/// What a replica is told.
-#[derive(Clone, Debug)]
-pub enum ConfigInput {
-    /// Time has passed.
-    Tick,
-    /// A message came from a peer.
-    Received {
-        /// Sender.
-        from: VmId,
-        /// Message.
-        message: ConfigMessage,
-    },
-    /// A peer reported its version in a digest.
-    PeerVersion {
-        /// Peer.
-        from: VmId,
-        /// Its version.
-        version: u64,
-        /// When the peer at the latest knew that version to be current.
-        checked_at: Option<Uptime>,
-    },
-    /// The head was read from the table.
-    HeadRead {
-        /// The head.
-        head: LogHead,
-        /// When the read began.
-        asked_at: Uptime,
-    },
-    /// Entries were read from the log.
-    EntriesRead {
-        /// The entries.
-        entries: Vec<LogEntry>,
-    },
-    /// This VM committed the last of these entries and pushes it to all members itself.
-    Committed {
-        /// The entries.
-        entries: Vec<LogEntry>,
-    },
-    /// A snapshot was read from the object store or a peer.
-    SnapshotRead {
-        /// The snapshot.
-        snapshot: ConfigSnapshot,
-    },
-    /// A read of the store failed.
-    StoreFailed,
-}
-
-/// What a replica wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ConfigOutput {
-    /// Send a message.
-    Send {
-        /// Receiver.
-        to: VmId,
-        /// Message.
-        message: ConfigMessage,
-    },
-    /// Put the replica's configuration in force.
-    Publish,
-    /// The version in force was current at this time.
-    Checked(Uptime),
-    /// Read the log after this version.
-    ReadLog {
-        /// Version held.
-        after: u64,
-        /// Read the newest snapshot first.
-        snapshot: bool,
-    },
-    /// Ask this peer for its snapshot.
-    FetchSnapshot {
-        /// Peer.
-        from: VmId,
-    },
-    /// Push these entries to the domain if this VM reads the head for it. The accepting VM may be cut off from
-    /// the domain, and digests alone take longer than 3 s to reach 23 VMs.
-    Forward {
-        /// The entries.
-        entries: Vec<LogEntry>,
-    },
-    /// A peer has this version in force.
-    Confirmed {
-        /// Peer.
-        from: VmId,
-        /// Version.
-        version: u64,
-    },
-}
-
-/// Events counted by a replica.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
-pub struct ReplicaCounters {
-    /// Changes applied.
-    pub applied: u64,
-    /// Entries that were already applied.
-    pub duplicates: u64,
-    /// Entries that came before their predecessor.
-    pub early: u64,
-    /// Requests for missing entries sent to peers.
-    pub asked: u64,
-    /// Requests for missing entries made to the store.
-    pub reads: u64,
-    /// Snapshots taken.
-    pub snapshots: u64,
-    /// Entries and heads of another history than this VM's.
-    pub forked: u64,
-    /// Reads of a head below the version held.
-    pub reverted: u64,
-    /// Failed reads of the store.
-    pub store_failures: u64,
-}
-
-/// Relation of the table to the configuration held.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum StoreState {
-    /// Not read yet.
-    Unread,
-    /// The last read succeeded.
-    Readable,
-    /// The last read failed.
-    Failing,
-    /// The table holds an older version, or another history, than this VM.
-    Reverted,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct PeerReport {
     version: u64,
@@ -163,6 +39,8 @@
     peers: BTreeMap<VmId, PeerReport>,
     store: StoreState,
     head: Option<LogHead>,
+    /// The entry after the version held belongs to another history in the table.
+    history_differs: bool,
     checked_at: Option<Uptime>,
     asked_at: Option<Uptime>,
     attempts: usize,
@@ -180,6 +58,7 @@
             peers: BTreeMap::new(),
             store: StoreState::Unread,
             head: None,
+            history_differs: false,
             checked_at: None,
             asked_at: None,
             attempts: 0,
@@ -303,7 +182,14 @@
         // A VM without a check is starting: what is new to it is old to others.
         let steady = self.checked_at.is_some() && entries.len() <= FORWARD_LIMIT;
         let read = if steady { entries.clone() } else { Vec::new() };
+        let forked = self.counters.forked;
         self.take_entries(entries);
+        if self.counters.forked > forked {
+            self.history_differs = true;
+            self.store = StoreState::Reverted;
+            // Entries after the refused one belong to the same history.
+            self.early.clear();
+        }
         let after = self.config.version;
         let applied = |entry: &LogEntry| (before + 1..=after).contains(&entry.change.version);
         let entries: Vec<LogEntry> = read.into_iter().filter(applied).collect();
@@ -419,9 +305,13 @@
 
     fn take_head(&mut self, head: LogHead, asked_at: Uptime, now: Uptime) {
         let current = self.config.version;
+        if self.head.as_ref() != Some(&head) {
+            // The table changed, perhaps because it was repaired: its entries are worth another look.
+            self.history_differs = false;
+        }
         let forked = head.version == current && head.operation != self.operation;
         self.store = StoreState::Readable;
-        if head.version < current || forked {
+        if head.version < current || forked || self.history_differs {
             self.store = StoreState::Reverted;
             self.counters.reverted += 1;
         }
@@ -468,7 +358,8 @@
     pub fn is_behind(&self, now: Uptime) -> bool {
         let current = self.config.version;
         let stored = self.head.as_ref().map_or(0, |head| head.version);
-        self.newest_of_peers(now).1 > current || stored > current || !self.early.is_empty()
+        let store_ahead = stored > current && !self.history_differs;
+        self.newest_of_peers(now).1 > current || store_ahead || !self.early.is_empty()
     }
 
     /// Requests what is missing: from peers that have it in turn, and every third time from the store.
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -2,11 +2,12 @@
 
 use crate::entry::ConfigSnapshot;
 use crate::entry::LogEntry;
+use crate::events::{ConfigInput, ConfigOutput};
 use crate::log::{ConfigLog, READ_LIMIT, SNAPSHOT_EVERY};
 use crate::message::ServiceCounters;
 use crate::pieces::{FetchStep, SnapshotFetch, SnapshotSource};
 use crate::receipt::{ChangeReceipt, PendingReceipt};
-use crate::replica::{ConfigInput, ConfigOutput, ConfigReplica};
+use crate::replica::ConfigReplica;
 use crate::view::ConfigView;
 use crate::wire::ConfigMessage;
 use actix::prelude::*;
--- a/crates/config/tests/all/store.rs
+++ b/crates/config/tests/all/store.rs
@@ -171,9 +171,12 @@
     );
     let problem = refused.await.result.expect_err("it is refused");
     assert_eq!(problem.code, ResultCode::StoreReverted);
-    if later_writes < 2 {
-        assert_eq!(replica.store_state(), StoreState::Reverted);
-    }
+    assert_eq!(replica.store_state(), StoreState::Reverted);
+    let reads = replica.counters().reads;
+    queue.run(Duration::from_secs(10));
+    // A table with another history is not read again and again.
+    let replica = &queue.nodes[0].replica;
+    assert_eq!(replica.counters().reads, reads);
     assert!(replica.counters().reverted + replica.counters().forked > 0);
 }
 
--- a/crates/membership/src/listing.rs
+++ b/crates/membership/src/listing.rs
@@ -53,6 +53,12 @@
         }
         if let Some(known) = self.roster.get_mut(&entry.id) {
             known.listed = true;
+            let member = &mut known.record.member;
+            // Until the member was heard, the list is all there is to know its address by.
+            if member.incarnation == 0 && member.peer.address != entry.mesh {
+                member.peer.address = entry.mesh;
+                self.changed = true;
+            }
             return;
         }
         let state = match entry.state {
--- a/crates/membership/tests/all/listing.rs
+++ b/crates/membership/tests/all/listing.rs
@@ -101,3 +101,15 @@
     queue.run(Duration::from_secs(20));
     assert!(queue.nodes[2].table.counters().superseded > 0);
 }
+
+/// A VM that was never heard is looked for at the address that the list names now.
+#[test]
+fn address_followed() {
+    let mut queue = TestQueue::new(&[2], 1);
+    queue.nodes[1].running = false;
+    queue.run(Duration::from_secs(1));
+    queue.nodes[1].peer.address = ([127, 0, 0, 1], 9_999).into();
+    queue.run(Duration::from_mins(3));
+    let member = queue.member(0, 1).expect("it is listed");
+    assert_eq!(member.peer.address.port(), 9_999);
+}
