Loans: one lender per caller, unspent tokens go back soon

Cause: three lenders were asked for one caller, and unspent tokens stayed with a borrower for 1.5 s, out of reach of others. Change: as many lenders are asked as callers wait; tokens unspent after 400 ms go back; the demand ahead is rounded down.

--- a/crates/admission/src/borrower.rs
+++ b/crates/admission/src/borrower.rs
@@ -7,10 +7,10 @@
 
 /// Time constant of the estimated request rate.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
-/// Unspent tokens go back this long before they expire, so that the lender still can use them.
-const RETURN_TIME: Duration = Duration::from_millis(500);
+/// Unspent tokens go back after this time, so that others can use them. It is well below the lifetime of a loan.
+const HOLD_TIME: Duration = Duration::from_millis(400);
 /// Lenders asked at the same time when few callers wait.
-pub const FAN_OUT: usize = 3;
+pub const FAN_OUT: usize = 1;
 /// Lenders asked at the same time at most, when a burst waits.
 pub const FAN_OUT_LIMIT: usize = 24;
 /// A loan covers the demand of this time.
@@ -28,6 +28,7 @@
     lender: VmId,
     loan: u64,
     left: u32,
+    taken: Uptime,
     expiry: Uptime,
 }
 
@@ -165,6 +166,7 @@
             lender: from.clone(),
             loan,
             left: tokens,
+            taken: now,
             expiry,
         });
         None
@@ -188,7 +190,7 @@
         !self.requests.is_empty()
     }
 
-    /// Gives tokens back that are about to expire, and forgets requests and lenders after their time.
+    /// Gives tokens back that were not spent soon, and forgets requests and lenders after their time.
     pub fn tidy(
         &mut self,
         now: Uptime,
@@ -263,14 +265,14 @@
     fn extract_due(&mut self, now: Uptime) -> Vec<BorrowedTokens> {
         let (due, kept) = std::mem::take(self)
             .into_iter()
-            .partition(|tokens| tokens.expiry <= now + RETURN_TIME);
+            .partition(|tokens| now.saturating_sub(tokens.taken) >= HOLD_TIME);
         *self = kept;
         Vec::from_iter::<VecDeque<BorrowedTokens>>(due)
     }
 }
 
-/// Whole tokens, rounded up.
+/// Whole tokens, rounded down.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Clamped to a small range.
 fn whole(tokens: f64) -> u32 {
-    tokens.ceil().clamp(0.0, f64::from(LOAN_LIMIT)) as u32
+    tokens.floor().clamp(0.0, f64::from(LOAN_LIMIT)) as u32
 }
