--- a/crates/admission/tests/all/fleet.rs
+++ b/crates/admission/tests/all/fleet.rs
@@ -281,6 +281,13 @@
         self.vms[vm].config = Arc::clone(config);
     }
 
+    /// Gives all VMs a configuration.
+    pub fn configure_all(&mut self, config: &Arc<FleetConfig>) {
+        for vm in &mut self.vms {
+            vm.config = Arc::clone(config);
+        }
+    }
+
     /// A request arrives at a VM and gets a number; none when the VM is down or paused.
     pub fn request(&mut self, vm: usize, organisation: &str) -> Option<u64> {
         let organisation = OrganisationId::from(organisation);
--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod address;
 mod bound;
+mod failures;
 mod fleet;
 mod interleavings;
 mod keys;
