--- a/crates/admission/src/borrower.rs
+++ b/crates/admission/src/borrower.rs
@@ -96,6 +96,11 @@
         valid.map(|tokens| tokens.left).sum()
     }
 
+    /// Tokens may be wanted: callers wait, or the demand is fast enough to borrow ahead.
+    pub fn may_want(&mut self, now: Uptime) -> bool {
+        !self.callers.is_empty() || self.rate(now) >= AHEAD_LEAST_PER_S
+    }
+
     /// Tokens to ask for now, when `own` are left in own buckets; zero when there is no need.
     pub fn wanted(&mut self, own: u32, now: Uptime) -> u32 {
         let rate = self.rate(now);
--- a/crates/admission/src/state.rs
+++ b/crates/admission/src/state.rs
@@ -341,6 +341,9 @@
 
     /// Asks other holders for tokens if they are wanted.
     fn borrow(&mut self, organisation: &OrganisationId, now: Uptime, out: &mut Vec<Output>) {
+        if !self.demand(organisation).may_want(now) {
+            return;
+        }
         let (own, _) = self.own_tokens(organisation, now);
         let wanted = self.demand(organisation).wanted(own, now);
         if wanted == 0 || self.draining {
--- a/crates/admission/tests/all/fleet.rs
+++ b/crates/admission/tests/all/fleet.rs
@@ -1,61 +1,31 @@
 //! A fleet of decision states in virtual time, with a mesh that delays, loses and repeats messages.
 
-use futures_util::FutureExt as _;
+#[path = "fleet/parts.rs"]
+mod parts;
+#[path = "fleet/store.rs"]
+mod store;
+
 use plantainmill_admission::limiter::RateVerdict;
 use plantainmill_admission::message::{AdmissionMessage, VmStart};
 use plantainmill_admission::output::{CommitTag, Output};
 use plantainmill_admission::split::SlotId;
-use plantainmill_admission::state::{RateDecision, RateSettings, RateState};
-use plantainmill_config::{FleetConfig, OrganisationSpec};
+use plantainmill_admission::state::{RateDecision, RateState};
+use plantainmill_config::FleetConfig;
 use plantainmill_core::{OrganisationId, Uptime, VmId};
 use plantainmill_fakes::{MemoryPlatform, PlatformFault};
-use plantainmill_membership::{Member, MemberState};
-use plantainmill_mesh::MeshPeer;
-use plantainmill_platform::{
-    CommitOutcome, RowEntry, StoreError, TableStore, TableWrite, VmEntry, VmList, VmState,
-};
+use plantainmill_membership::Member;
+use plantainmill_platform::{CommitOutcome, RowEntry, StoreError, TableWrite, VmEntry, VmState};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use parts::{Decision, Draw, MeshFaults, config, domain_name, excess};
+use parts::{member_of, new_vm};
+
 /// Time between ticks of a VM.
 pub const TICK: Duration = Duration::from_millis(20);
 
-/// Deterministic random numbers (`SplitMix64`).
-#[derive(Clone, Debug)]
-pub struct Draw(pub u64);
-
-impl Draw {
-    /// The next number.
-    pub fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        mixed ^ (mixed >> 31)
-    }
-
-    /// A number below `limit`.
-    pub fn below(&mut self, limit: u64) -> u64 {
-        self.next() % limit.max(1)
-    }
-
-    /// True with probability `percent`.
-    pub fn chance(&mut self, percent: u64) -> bool {
-        self.below(100) < percent
-    }
-}
-
-/// Faults of the mesh, in percent.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct MeshFaults {
-    pub lost: u64,
-    pub repeated: u64,
-    /// Messages that come up to 15 s late.
-    pub late: u64,
-}
-
 enum Event {
     Tick(usize),
     Deliver {
@@ -106,16 +76,6 @@
     pub paused_until: Uptime,
 }
 
-/// A verdict with its time.
-#[derive(Clone, Debug)]
-pub struct Decision {
-    pub time: Uptime,
-    pub organisation: OrganisationId,
-    /// Number of the request in the fleet.
-    pub label: u64,
-    pub admitted: bool,
-}
-
 /// The fleet.
 pub struct SimFleet {
     pub now: Uptime,
@@ -144,27 +104,6 @@
     pub loan_bytes: u32,
 }
 
-pub fn domain_name(domain: usize) -> String {
-    format!("domain-{domain}")
-}
-
-/// A configuration with these organisations.
-pub fn config(version: u64, organisations: &[(&str, f64, u32)]) -> Arc<FleetConfig> {
-    let entries = organisations.iter().map(|(id, rate, burst)| {
-        let spec = OrganisationSpec {
-            rate: *rate,
-            burst: *burst,
-            weight: 1,
-        };
-        (OrganisationId::from(*id), spec)
-    });
-    Arc::new(FleetConfig {
-        version,
-        organisations: Arc::new(entries.collect()),
-        ..FleetConfig::default()
-    })
-}
-
 impl SimFleet {
     /// `per_domain` VMs in each of `domains` failure domains.
     pub fn new(
@@ -437,76 +376,6 @@
         self.perform(vm, out);
     }
 
-    fn handle_store(&mut self, event: Event) {
-        let delay = Duration::from_millis(1 + self.draw.below(10));
-        let answer_time = self.now + delay;
-        match event {
-            Event::Rows {
-                vm,
-                incarnation,
-                read,
-            } => {
-                let reached = self.reaches_store(vm);
-                self.platform.set_fault(if reached {
-                    self.store_fault
-                } else {
-                    PlatformFault::Down
-                });
-                let rows = self
-                    .platform
-                    .range("slot-layout", "slot0", 1_000)
-                    .now_or_never()
-                    .unwrap();
-                self.push(
-                    answer_time,
-                    Event::RowsAnswer {
-                        vm,
-                        incarnation,
-                        read,
-                        rows,
-                    },
-                );
-            }
-            Event::Commit {
-                vm,
-                incarnation,
-                tag,
-                write,
-            } => {
-                let reached = self.reaches_store(vm);
-                self.platform.set_fault(if reached {
-                    self.store_fault
-                } else {
-                    PlatformFault::Down
-                });
-                let outcome = self.platform.commit(write).now_or_never().unwrap();
-                self.push(
-                    answer_time,
-                    Event::CommitAnswer {
-                        vm,
-                        incarnation,
-                        tag,
-                        outcome,
-                    },
-                );
-            }
-            Event::Vms { vm, incarnation } => {
-                let reached = self.reaches_store(vm) && self.store_fault == PlatformFault::None;
-                self.platform.set_fault(if reached {
-                    PlatformFault::None
-                } else {
-                    PlatformFault::Down
-                });
-                let list = self.platform.list().now_or_never().unwrap();
-                let target = &mut self.vms[vm];
-                if !target.down && target.incarnation == incarnation {
-                    target.state.vms_read(list, self.now);
-                }
-            }
-            _ => {}
-        }
-    }
-
     fn perform(&mut self, vm: usize, out: Vec<Output>) {
         let incarnation = self.vms[vm].incarnation;
         for output in out {
@@ -586,71 +455,3 @@
         }
     }
 }
-
-fn new_vm(
-    id: VmId,
-    domain: usize,
-    incarnation: u64,
-    slots: u16,
-    config: &Arc<FleetConfig>,
-) -> SimVm {
-    let own = VmStart {
-        vm: id.clone(),
-        incarnation,
-    };
-    let settings = RateSettings {
-        slots_per_domain: slots,
-        ..RateSettings::default()
-    };
-    let state = RateState::new(own, domain_name(domain).into(), settings);
-    SimVm {
-        id,
-        domain,
-        incarnation,
-        slots,
-        state,
-        config: Arc::clone(config),
-        down: false,
-        paused_until: Uptime::ZERO,
-    }
-}
-
-fn member_of(vm: &SimVm, suspected: bool) -> Member {
-    let state = if vm.down || suspected {
-        MemberState::Dead
-    } else {
-        MemberState::Live
-    };
-    Member {
-        peer: MeshPeer {
-            id: vm.id.clone(),
-            domain: domain_name(vm.domain).into(),
-            region: "region".into(),
-            address: "127.0.0.1:1".parse().unwrap(),
-        },
-        incarnation: vm.incarnation,
-        state,
-    }
-}
-
-/// Most admitted above `rate * window + burst` in any window; zero or less is within the bound.
-///
-/// It is the overflow of a bucket that starts full and gives a token at each admission.
-pub fn excess(decisions: &[Decision], organisation: &str, rate: f64, burst: u32) -> f64 {
-    let mut times: Vec<Uptime> = decisions
-        .iter()
-        .filter(|decision| decision.admitted && decision.organisation == organisation)
-        .map(|decision| decision.time)
-        .collect();
-    times.sort_unstable();
-    let mut level = f64::from(burst);
-    let mut last = Uptime::ZERO;
-    let mut worst = f64::MIN;
-    for time in times {
-        let elapsed = time.checked_sub(last).unwrap().as_secs_f64();
-        level = (level + rate * elapsed).min(f64::from(burst)) - 1.0;
-        last = time;
-        worst = worst.max(-level);
-    }
-    worst
-}
--- /dev/null
+++ b/crates/admission/tests/all/fleet/store.rs
@@ -0,0 +1,79 @@
+//! Calls of the platform by the simulated VMs.
+
+use super::{Event, SimFleet};
+use futures_util::FutureExt as _;
+use plantainmill_fakes::PlatformFault;
+use plantainmill_platform::{TableStore, VmList};
+use std::time::Duration;
+
+impl SimFleet {
+    pub(super) fn handle_store(&mut self, event: Event) {
+        let delay = Duration::from_millis(1 + self.draw.below(10));
+        let answer_time = self.now + delay;
+        match event {
+            Event::Rows {
+                vm,
+                incarnation,
+                read,
+            } => {
+                let reached = self.reaches_store(vm);
+                self.platform.set_fault(if reached {
+                    self.store_fault
+                } else {
+                    PlatformFault::Down
+                });
+                let rows = self
+                    .platform
+                    .range("slot-layout", "slot0", 1_000)
+                    .now_or_never()
+                    .unwrap();
+                self.push(
+                    answer_time,
+                    Event::RowsAnswer {
+                        vm,
+                        incarnation,
+                        read,
+                        rows,
+                    },
+                );
+            }
+            Event::Commit {
+                vm,
+                incarnation,
+                tag,
+                write,
+            } => {
+                let reached = self.reaches_store(vm);
+                self.platform.set_fault(if reached {
+                    self.store_fault
+                } else {
+                    PlatformFault::Down
+                });
+                let outcome = self.platform.commit(write).now_or_never().unwrap();
+                self.push(
+                    answer_time,
+                    Event::CommitAnswer {
+                        vm,
+                        incarnation,
+                        tag,
+                        outcome,
+                    },
+                );
+            }
+            Event::Vms { vm, incarnation } => {
+                let reached = self.reaches_store(vm) && self.store_fault == PlatformFault::None;
+                self.platform.set_fault(if reached {
+                    PlatformFault::None
+                } else {
+                    PlatformFault::Down
+                });
+                let list = self.platform.list().now_or_never().unwrap();
+                let target = &mut self.vms[vm];
+                if !target.down && target.incarnation == incarnation {
+                    target.state.vms_read(list, self.now);
+                }
+            }
+            _ => {}
+        }
+    }
+}
