--- a/crates/batch/src/chunk.rs
+++ b/crates/batch/src/chunk.rs
@@ -18,15 +18,16 @@
 use compact_str::CompactString;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
-use plantainmill_core::{Executed, Problem, ResultCode, Uptime};
+use plantainmill_core::{Executed, Problem, ResultCode, ServiceName, Uptime};
 use plantainmill_proxy::WholeAnswer;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// A chunk none of whose items finds a place for this long is released, so that it holds back nobody.
-const STALL_RELEASE: Duration = Duration::from_mins(1);
+/// A chunk none of whose items finds a target for this long is released, so that it holds back nobody. Chunks whose
+/// targets are only busy stay, ready for idle capacity.
+const STALL_RELEASE: Duration = Duration::from_secs(30);
 /// How often a paused task looks whether memory is free again.
 const PAUSE_CHECK: Duration = Duration::from_secs(1);
 
@@ -62,6 +63,8 @@
 struct TaskRun {
     task: ChunkTask,
     lines: Vec<Bytes>,
+    /// Service of each line.
+    services: Vec<ServiceName>,
     run: ChunkRun,
     calls: FuturesUnordered<LocalBoxFuture<'static, ItemAnswer>>,
     results: BTreeMap<usize, ItemResult>,
@@ -156,17 +159,14 @@
 impl TaskRun {
     fn new(task: ChunkTask, lines: Vec<Bytes>) -> TaskRun {
         let config = task.state.store.config.load();
-        let is_once = |line: &Bytes| {
-            let item = check_line(line).ok();
-            let service = item.as_ref().and_then(service_of);
-            let spec = service.and_then(|service| config.services.get(service));
+        let services: Vec<_> = lines.iter().map(|line| line_service(line)).collect();
+        let is_once = |service: &ServiceName| {
+            let spec = config.services.get(service);
             spec.is_some_and(|spec| !spec.repeatable)
         };
-        let numbered = lines.iter().enumerate();
-        let once: ItemSet = numbered
-            .filter(|(_, line)| is_once(line))
-            .map(|(item, _)| item)
-            .collect();
+        let numbered = services.iter().enumerate();
+        let once = numbered.filter(|(_, service)| is_once(service));
+        let once: ItemSet = once.map(|(item, _)| item).collect();
         let row = task.lease.row().cloned();
         let row = row.unwrap_or_else(|| ChunkRow::claimed(None, &task.state.holder));
         let attempts = config.defaults.item_attempts;
@@ -174,6 +174,7 @@
         TaskRun {
             task,
             lines,
+            services,
             run,
             calls: FuturesUnordered::new(),
             results: BTreeMap::new(),
@@ -274,8 +275,10 @@
         let signal = self.task.signal.clone();
         let line = self.lines.get(item).cloned().unwrap_or_default();
         let organisation = self.task.context.row.organisation.clone();
+        let service = self.services.get(item).cloned().unwrap_or_default();
+        let slots = state.slots_of(&service);
         let call = async move {
-            let _permit = state.slots.acquire().await;
+            let _permit = slots.acquire().await;
             let is_full = state.unsaved.get() >= UNSAVED_LIMIT_BYTES;
             if is_full || *signal.borrow() != ChunkSignal::Run {
                 return (item, None);
@@ -304,7 +307,7 @@
         let end = judge(&answer, rule);
         let meters = &self.state().store.meters;
         match end {
-            RunEnd::Deferred => meters.items_deferred.add(1, &[]),
+            RunEnd::Deferred | RunEnd::Unplaced => meters.items_deferred.add(1, &[]),
             RunEnd::Suspect => meters.attempts_lost.add(1, &[]),
             RunEnd::Finished => self.finish(item, &answer, rule),
         }
@@ -419,3 +422,10 @@
         Ok((row, segment))
     }
 }
+
+/// Service of a line; empty when the line is malformed, which its run reports.
+fn line_service(line: &[u8]) -> ServiceName {
+    let item = check_line(line).ok();
+    let service = item.as_ref().and_then(service_of);
+    service.map(ServiceName::from).unwrap_or_default()
+}
--- a/crates/batch/src/claim.rs
+++ b/crates/batch/src/claim.rs
@@ -4,7 +4,7 @@
 use crate::commit::drive_lease;
 use crate::holders::BEAT_INTERVAL;
 use crate::lease::{ChunkLease, LeaseInput, LeaseOutput, LeasePhase};
-use crate::order::{choose_chunks, claim_size, order_jobs};
+use crate::order::{choose_chunks, claim_size, order_jobs, slack_seconds};
 use crate::rows::{ChunkRow, HolderRow, JobRow, JobState, OpenRow};
 use crate::store::{Versioned, decode_row};
 use crate::watch::{CHUNKS_HELD, JobContext, VmState};
@@ -22,7 +22,9 @@
 /// Further jobs of a round, chosen at random, so that many jobs that cannot go on hold back none behind them.
 const RANDOM_JOBS: usize = 2;
 /// One round in this many starts after the page of open jobs that was read last, if that was full.
-const NEXT_PAGE_ROUNDS: u32 = 4;
+const NEXT_PAGE_ROUNDS: u64 = 4;
+/// Late jobs shown in the dump.
+const LATE_SHOWN: usize = 100;
 /// How long a job with nothing to claim is not looked at again.
 const SKIP_TIME: Duration = Duration::from_secs(10);
 
@@ -38,7 +40,7 @@
     pub(crate) async fn claim_round(self: Rc<Self>) -> Result<Vec<ChunkTask>, Problem> {
         let mut tasks = Vec::new();
         let jobs = self.ordered_jobs().await?;
-        for job in pick_jobs(jobs) {
+        for job in self.pick_jobs(jobs) {
             if self.stopping.get() || self.room() == 0 {
                 break;
             }
@@ -73,13 +75,18 @@
             }
             decoded.ok().map(|(_, job)| job)
         });
-        let jobs = jobs.filter(|job| !skipped.contains_key(&job.job)).collect();
+        let jobs: Vec<_> = jobs.filter(|job| !skipped.contains_key(&job.job)).collect();
         let config = self.store.config.load();
         let weight = |organisation: &str| {
             let spec = config.organisations.get(organisation);
             spec.map_or(1, |spec| spec.weight)
         };
         let pace = self.pace.get() * self.live_vms() as u64;
+        let late = jobs
+            .iter()
+            .filter(|job| slack_seconds(job, self.store.now_unix(), pace) < 0);
+        let late = late.map(|job| job.job.clone()).take(LATE_SHOWN);
+        self.late.replace(late.collect());
         let shares = self.shares.borrow();
         Ok(order_jobs(
             jobs,
@@ -93,7 +100,7 @@
     /// Reads a page of open jobs: mostly the first one, now and then the next.
     async fn read_open(&self) -> Result<Vec<RowEntry>, Problem> {
         let cursor = self.open_cursor.take();
-        let next_page = rand::random_range(0..NEXT_PAGE_ROUNDS) == 0;
+        let next_page = self.draw(0..NEXT_PAGE_ROUNDS) == 0;
         let start = cursor.filter(|_| next_page);
         let start = start.unwrap_or_else(|| CompactString::const_new("open/"));
         let rows = self.store.range(&start, "open0", OPEN_LIMIT).await?;
@@ -103,6 +110,16 @@
         Ok(rows)
     }
 
+    /// The first jobs in order and a few others.
+    fn pick_jobs(&self, mut jobs: Vec<OpenRow>) -> Vec<OpenRow> {
+        let mut others = jobs.split_off(JOBS_PER_ROUND.min(jobs.len()));
+        for _ in 0..RANDOM_JOBS.min(others.len()) {
+            let index = self.draw(0..others.len() as u64);
+            jobs.push(others.swap_remove(usize::try_from(index).unwrap_or(0)));
+        }
+        jobs
+    }
+
     async fn claim_job(self: &Rc<Self>, open: &OpenRow) -> Result<Vec<ChunkTask>, Problem> {
         let Some((revision, row)) = self.store.read_job(&open.job).await? else {
             return Ok(Vec::new());
@@ -256,13 +273,3 @@
             .collect()
     }
 }
-
-/// The first jobs in order and a few others.
-fn pick_jobs(mut jobs: Vec<OpenRow>) -> Vec<OpenRow> {
-    let mut others = jobs.split_off(JOBS_PER_ROUND.min(jobs.len()));
-    for _ in 0..RANDOM_JOBS.min(others.len()) {
-        let index = rand::random_range(0..others.len());
-        jobs.push(others.swap_remove(index));
-    }
-    jobs
-}
--- a/crates/batch/src/outcome.rs
+++ b/crates/batch/src/outcome.rs
@@ -46,9 +46,8 @@
 fn judge_problem(problem: &Problem, rule: ItemRule) -> RunEnd {
     let may_repeat = rule.repeatable || problem.executed == Executed::No;
     match problem.code {
-        ResultCode::Preempted
-        | ResultCode::QueueFull
-        | ResultCode::NoTarget
+        ResultCode::Preempted | ResultCode::QueueFull if may_repeat => RunEnd::Deferred,
+        ResultCode::NoTarget
         | ResultCode::Draining
         | ResultCode::RateExceeded
         | ResultCode::KeyUnchecked
@@ -56,7 +55,7 @@
         | ResultCode::StoreUnknown
             if may_repeat =>
         {
-            RunEnd::Deferred
+            RunEnd::Unplaced
         }
         ResultCode::TargetFailed
         | ResultCode::TargetTimeout
--- a/crates/batch/src/run.rs
+++ b/crates/batch/src/run.rs
@@ -13,16 +13,20 @@
 const START_REST: usize = 4;
 /// First delay before an item that found no place runs again.
 const DEFER_FIRST: Duration = Duration::from_secs(1);
-/// Longest such delay.
-const DEFER_LIMIT: Duration = Duration::from_secs(30);
+/// Longest such delay while targets are busy. Idle capacity lasts only seconds, so a longer one would miss it.
+const BUSY_LIMIT: Duration = Duration::from_secs(4);
+/// Longest such delay without targets.
+const UNPLACED_LIMIT: Duration = Duration::from_secs(30);
 
 /// How the run of an item ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunEnd {
     /// It is finished, as completed or failed.
     Finished,
-    /// It found no place or gave way; it loses no attempt.
+    /// It gave way, or its targets are busy; it loses no attempt.
     Deferred,
+    /// It found no target; it loses no attempt.
+    Unplaced,
     /// It may have harmed its target; it loses an attempt and runs alone from now on.
     Suspect,
 }
@@ -208,7 +212,11 @@
                 self.delays.remove(&item);
                 self.progress_at = now;
             }
-            RunEnd::Deferred => self.defer(item, now),
+            RunEnd::Deferred => {
+                self.defer(item, BUSY_LIMIT, now);
+                self.progress_at = now;
+            }
+            RunEnd::Unplaced => self.defer(item, UNPLACED_LIMIT, now),
             RunEnd::Suspect => {
                 let key = u16::try_from(item).unwrap_or(u16::MAX);
                 *self.attempts.entry(key).or_default() += 1;
@@ -233,9 +241,9 @@
         self.once.contains(item)
     }
 
-    fn defer(&mut self, item: usize, now: Uptime) {
+    fn defer(&mut self, item: usize, limit: Duration, now: Uptime) {
         let last = self.delays.get(&item).copied();
-        let delay = last.map_or(DEFER_FIRST, |last| (last * 2).min(DEFER_LIMIT));
+        let delay = last.map_or(DEFER_FIRST, |last| (last * 2).min(limit));
         self.delays.insert(item, delay);
         self.deferred.insert((now + delay, item));
     }
@@ -272,7 +280,7 @@
         self.running.len()
     }
 
-    /// How long no item has finished or lost an attempt.
+    /// How long no item has found a target.
     #[must_use]
     pub fn stalled_for(&self, now: Uptime) -> Duration {
         now.saturating_sub(self.progress_at)
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -6,7 +6,7 @@
 use crate::notice::BatchNotice;
 use crate::rows::{HolderId, JobRow, cancel_key};
 use crate::store::JobStore;
-use crate::watch::{CHUNKS_RUNNING, ITEMS_IN_FLIGHT, VmState};
+use crate::watch::VmState;
 use actix::prelude::*;
 use opentelemetry::metrics::Meter;
 use plantainmill_config::ConfigView;
@@ -17,11 +17,9 @@
 use plantainmill_proxy::TargetCaller;
 use plantainmill_schema::openai::BatchCreate;
 use plantainmill_timer::{Subscribe, Tick};
-use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Semaphore;
 
 /// Interval of the actor's timer.
 const TICK_INTERVAL: Duration = Duration::from_millis(500);
@@ -39,8 +37,6 @@
 const CANCEL_LIMIT: u32 = 1_000;
 /// Mean time between sweeps of expired things, in milliseconds.
 const SWEEP_MEAN_MS: u64 = 300_000;
-/// How long a job whose items found no place is not claimed again by the same VM.
-const STALL_SKIP: Duration = Duration::from_mins(2);
 /// How often a stopping service looks whether its tasks have ended.
 const STOP_CHECK: Duration = Duration::from_millis(50);
 
@@ -174,31 +170,13 @@
             parts.clock,
             meters,
         );
-        let state = VmState {
-            store: store.clone(),
-            holder: HolderId {
-                vm: parts.vm,
-                incarnation: parts.incarnation,
-            },
-            members: parts.members,
-            caller: parts.caller,
-            slots: Arc::new(Semaphore::new(ITEMS_IN_FLIGHT)),
-            turns: Semaphore::new(CHUNKS_RUNNING),
-            unsaved: Cell::default(),
-            beat: Cell::default(),
-            wrote_at: Cell::default(),
-            active: RefCell::default(),
-            signals: RefCell::default(),
-            holders: RefCell::default(),
-            holders_read_at: Cell::default(),
-            shares: RefCell::default(),
-            open_cursor: Cell::default(),
-            skipped: RefCell::default(),
-            pace: Cell::new(1),
-            claiming: Cell::new(false),
-            stopping: Cell::new(false),
+        let holder = HolderId {
+            vm: parts.vm,
+            incarnation: parts.incarnation,
         };
+        let state = VmState::new(store.clone(), holder, parts.members, parts.caller);
         let now = state.now();
+        let next_sweep = now + sweep_delay(&state);
         let service = BatchService {
             state: Rc::new(state),
             mesh_send: parts.mesh_send,
@@ -209,7 +187,7 @@
             next_cancel_poll: now,
             cancels_known: store.now_unix(),
             polling: false,
-            next_sweep: now + sweep_delay(),
+            next_sweep,
             sweeping: false,
         };
         BatchHandle {
@@ -219,7 +197,7 @@
     }
 
     fn poll(&mut self, now: Uptime, context: &mut Context<Self>) {
-        self.state.drop_signals();
+        self.state.drop_unused();
         let held = self.state.active.borrow().len();
         if !self.state.claiming.get() && self.state.wants_chunks() && now >= self.next_round {
             self.claim(context);
@@ -262,7 +240,7 @@
             return;
         }
         let millis = u64::try_from(self.idle_wait.as_millis()).unwrap_or(u64::MAX);
-        let jitter = Duration::from_millis(rand::random_range(0..=millis / 2));
+        let jitter = Duration::from_millis(self.state.draw(0..millis / 2 + 1));
         self.next_round = now + self.idle_wait + jitter;
         self.idle_wait = (self.idle_wait * 2).min(IDLE_WAIT_LIMIT);
     }
@@ -307,13 +285,13 @@
             ChunkEnd::Done => {
                 // The job may be complete now.
                 state.skipped.borrow_mut().remove(job);
+                state.stalls.borrow_mut().remove(job);
             }
             ChunkEnd::Lost => meters.chunks_lost.add(1, &[]),
             ChunkEnd::Released => meters.chunks_released.add(1, &[]),
             ChunkEnd::Stalled => {
                 meters.chunks_released.add(1, &[]);
-                let until = state.now() + STALL_SKIP;
-                state.skipped.borrow_mut().insert(job.clone(), until);
+                state.skip_stalled(job);
             }
             ChunkEnd::Stopped => {}
         }
@@ -362,14 +340,14 @@
         let sweep = async move { store.sweep().await };
         context.spawn(sweep.into_actor(self).map(|_, service, _| {
             service.sweeping = false;
-            service.next_sweep = service.state.now() + sweep_delay();
+            service.next_sweep = service.state.now() + sweep_delay(&service.state);
         }));
     }
 
     fn handle_notice(&mut self, notice: &BatchNotice) {
         match notice {
             BatchNotice::Accepted { .. } => {
-                let spread = rand::random_range(0..=NOTICE_SPREAD_MS);
+                let spread = self.state.draw(0..NOTICE_SPREAD_MS);
                 let soon = self.state.now() + Duration::from_millis(spread);
                 self.next_round = self.next_round.min(soon);
                 self.idle_wait = IDLE_WAIT_FIRST;
@@ -395,8 +373,8 @@
 }
 
 /// Sweeps are spread at random, so that one VM at a time does the work.
-fn sweep_delay() -> Duration {
-    Duration::from_millis(rand::random_range(SWEEP_MEAN_MS / 2..SWEEP_MEAN_MS * 3 / 2))
+fn sweep_delay(state: &VmState) -> Duration {
+    Duration::from_millis(state.draw(SWEEP_MEAN_MS / 2..SWEEP_MEAN_MS * 3 / 2))
 }
 
 impl Actor for BatchService {
@@ -485,6 +463,7 @@
             "held": held,
             "unsaved_bytes": self.state.unsaved.get(),
             "items_per_s": self.state.pace.get(),
+            "late_jobs": *self.state.late.borrow(),
             "skipped_jobs": self.state.skipped.borrow().len(),
             "stopping": self.state.stopping.get(),
         }))
--- a/crates/batch/src/watch.rs
+++ b/crates/batch/src/watch.rs
@@ -5,17 +5,22 @@
 use crate::rows::{ChunkRow, HolderId, HolderRow, JobRow, chunk_key, holder_key, job_key};
 use crate::store::{JobStore, to_value};
 use compact_str::CompactString;
-use plantainmill_core::{JobId, Uptime};
+use plantainmill_core::{JobId, ServiceName, Uptime};
 use plantainmill_membership::{MemberState, MemberView};
 use plantainmill_platform::{Expected, TableWrite};
 use plantainmill_proxy::TargetCaller;
+use rand::rngs::SmallRng;
+use rand::{RngExt as _, SeedableRng as _};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{Semaphore, watch};
+use xxhash_rust::xxh3::xxh3_64;
 
-/// Items in flight per VM. Dispatch decides how many of them reach targets.
+/// Items in flight per VM and service. Dispatch decides how many of them reach targets. A service whose calls wait
+/// must not take the places of another.
 pub(crate) const ITEMS_IN_FLIGHT: usize = 64;
 /// Chunks run at once per VM; enough to keep the items in flight busy while some chunks end.
 pub(crate) const CHUNKS_RUNNING: usize = 8;
@@ -24,6 +29,13 @@
 /// Results kept in memory until they are committed, in bytes, over all chunks of a VM.
 pub(crate) const UNSAVED_LIMIT_BYTES: usize = 32 * 1024 * 1024;
 
+/// First time that a VM leaves a job alone whose items found no target.
+const STALL_SKIP_FIRST: Duration = Duration::from_mins(4);
+/// Longest such time.
+const STALL_SKIP_LIMIT: Duration = Duration::from_mins(16);
+/// Stalled jobs that a VM remembers.
+const STALLS_KEPT: usize = 10_000;
+
 /// What chunk tasks have to do.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ChunkSignal {
@@ -67,7 +79,7 @@
     pub(crate) holder: HolderId,
     pub(crate) members: MemberView,
     pub(crate) caller: Rc<dyn TargetCaller>,
-    pub(crate) slots: Arc<Semaphore>,
+    pub(crate) slots: RefCell<BTreeMap<ServiceName, Arc<Semaphore>>>,
     /// Chunks whose input is in memory.
     pub(crate) turns: Semaphore,
     /// Bytes of results that are not committed.
@@ -82,6 +94,10 @@
     pub(crate) shares: RefCell<ServedShares>,
     /// Last key of the page of open jobs that was read last, if that was full.
     pub(crate) open_cursor: Cell<Option<CompactString>>,
+    /// Open jobs without slack, as last read; for the dump.
+    pub(crate) late: RefCell<Vec<JobId>>,
+    /// Last time that a job was left alone because its items found no target.
+    pub(crate) stalls: RefCell<BTreeMap<JobId, Duration>>,
     /// Jobs with nothing to claim, until this time.
     pub(crate) skipped: RefCell<BTreeMap<JobId, Uptime>>,
     /// Items per second of this VM, from the last chunks.
@@ -89,9 +105,49 @@
     /// A claim round is under way.
     pub(crate) claiming: Cell<bool>,
     pub(crate) stopping: Cell<bool>,
+    /// Spreads waits; seeded by VM and incarnation, so that VMs differ and tests repeat.
+    pub(crate) random: RefCell<SmallRng>,
 }
 
 impl VmState {
+    pub(crate) fn new(
+        store: JobStore,
+        holder: HolderId,
+        members: MemberView,
+        caller: Rc<dyn TargetCaller>,
+    ) -> VmState {
+        let seed = xxh3_64(holder.vm.as_bytes()) ^ holder.incarnation;
+        VmState {
+            store,
+            holder,
+            members,
+            caller,
+            slots: RefCell::default(),
+            turns: Semaphore::new(CHUNKS_RUNNING),
+            unsaved: Cell::default(),
+            beat: Cell::default(),
+            wrote_at: Cell::default(),
+            active: RefCell::default(),
+            signals: RefCell::default(),
+            holders: RefCell::default(),
+            holders_read_at: Cell::default(),
+            shares: RefCell::default(),
+            open_cursor: Cell::default(),
+            late: RefCell::default(),
+            stalls: RefCell::default(),
+            skipped: RefCell::default(),
+            pace: Cell::new(1),
+            claiming: Cell::new(false),
+            stopping: Cell::new(false),
+            random: RefCell::new(SmallRng::seed_from_u64(seed)),
+        }
+    }
+
+    /// A random number of the range.
+    pub(crate) fn draw(&self, range: std::ops::Range<u64>) -> u64 {
+        self.random.borrow_mut().random_range(range)
+    }
+
     pub(crate) fn now(&self) -> Uptime {
         self.store.clock.uptime()
     }
@@ -105,6 +161,29 @@
         live.count() + 1
     }
 
+    /// The places for items of a service.
+    pub(crate) fn slots_of(&self, service: &ServiceName) -> Arc<Semaphore> {
+        let mut slots = self.slots.borrow_mut();
+        let slots = slots
+            .entry(service.clone())
+            .or_insert_with(|| Arc::new(Semaphore::new(ITEMS_IN_FLIGHT)));
+        Arc::clone(slots)
+    }
+
+    /// Leaves a job alone whose items found no target, each time twice as long.
+    pub(crate) fn skip_stalled(&self, job: &JobId) {
+        let mut stalls = self.stalls.borrow_mut();
+        if stalls.len() >= STALLS_KEPT {
+            stalls.clear();
+        }
+        let last = stalls.get(job).copied();
+        let skip = last.map_or(STALL_SKIP_FIRST, |last| (last * 2).min(STALL_SKIP_LIMIT));
+        stalls.insert(job.clone(), skip);
+        self.skipped
+            .borrow_mut()
+            .insert(job.clone(), self.now() + skip);
+    }
+
     /// Whether it is time to claim more chunks.
     pub(crate) fn wants_chunks(&self) -> bool {
         self.active.borrow().len() <= CHUNKS_HELD / 2
@@ -145,10 +224,12 @@
         }
     }
 
-    /// Forgets signals without a listener.
-    pub(crate) fn drop_signals(&self) {
+    /// Forgets signals without a listener and places without an item.
+    pub(crate) fn drop_unused(&self) {
         let mut signals = self.signals.borrow_mut();
         signals.retain(|_, sender| sender.receiver_count() > 0);
+        let mut slots = self.slots.borrow_mut();
+        slots.retain(|_, places| Arc::strong_count(places) > 1);
     }
 
     /// Adds the conditional put of a chunk row to a write.
--- a/crates/batch/tests/all/items.rs
+++ b/crates/batch/tests/all/items.rs
@@ -13,12 +13,7 @@
 }
 
 async fn submit_charges(world: &World, items: u64) -> JobId {
-    let file = world.upload(&item_lines(items, "charges")).await;
-    let created = world
-        .reader()
-        .create_job(&"kandy".into(), create_body(&file), None)
-        .await;
-    created.unwrap().0
+    world.submit_lines(&item_lines(items, "charges")).await
 }
 
 async fn error_codes(world: &World, job: &str) -> Vec<(u64, String)> {
@@ -231,3 +226,49 @@
         assert!(waited < Duration::from_mins(5), "held back for {waited:?}");
     });
 }
+
+/// Guards against a service whose calls wait for their deadline taking the places of another service's items.
+#[test]
+fn slow_service() {
+    run_virtual(async {
+        let world = World::new();
+        let slow = item_lines(256, "slow-model");
+        let fast = item_lines(512, "assistant");
+        let fast: String = fast.split_inclusive('\n').skip(256).collect();
+        world.script.set_latency(|item| match item {
+            0..256 => Duration::from_mins(2),
+            _ => Duration::from_millis(100),
+        });
+        world.submit_lines(&slow).await;
+        // The other job is due later, so the slow items start first.
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        let job = world.submit_lines(&fast).await;
+        world.start_vm("vm-1", 1);
+        let row = world.wait_ended(&job).await;
+        assert_eq!(row.counts.completed, 256);
+        assert!(world.clock.elapsed() < Duration::from_mins(1));
+    });
+}
+
+/// Guards against chunks given up during a long surge of online work, which would miss the idle capacity after it.
+#[test]
+fn long_surge() {
+    run_virtual(async {
+        let world = World::new();
+        let vm = world.start_vm("vm-1", 1);
+        let surge_end = tokio::time::Instant::now() + Duration::from_mins(30);
+        world.script.set_plan(move |_, _, _| {
+            if tokio::time::Instant::now() < surge_end {
+                return problem(ResultCode::Preempted, Executed::No);
+            }
+            CallPlan::Answer(200)
+        });
+        let job = world.submit(600).await;
+        tokio::time::sleep_until(surge_end).await;
+        let writes = vm.store.writes();
+        // A claim, and renewals of the holder row.
+        assert!(writes <= 30 * 3 + 2, "{writes} writes during the surge");
+        world.check_completed(&job, 600).await;
+        assert!(world.clock.elapsed() < Duration::from_mins(31));
+    });
+}
--- a/crates/batch/tests/all/search.rs
+++ b/crates/batch/tests/all/search.rs
@@ -189,6 +189,11 @@
         let holder = model.holders[index].as_mut().unwrap();
         holder.reading = false;
         let output = holder.lease.step(input);
+        let writes = matches!(output, LeaseOutput::Write(_));
+        assert!(
+            !(writes && self.cancelled),
+            "a write is repeated although the job has ended"
+        );
         holder.apply(output);
         next.push(model);
     }
--- a/crates/batch/tests/all/support/caller.rs
+++ b/crates/batch/tests/all/support/caller.rs
@@ -20,6 +20,8 @@
     KillVm,
 }
 
+/// Tells how long a target takes for an item.
+type LatencyFn = dyn Fn(u64) -> Duration;
 /// Decides what a target does.
 type PlanFn = dyn Fn(u64, u32, usize) -> CallPlan;
 
@@ -28,6 +30,8 @@
     /// Decides about a call from the item's number, the count of its earlier calls, and the calls in flight.
     pub plan: RefCell<Rc<PlanFn>>,
     pub latency: Cell<Duration>,
+    /// Latency by item, before `latency`.
+    pub item_latency: RefCell<Option<Rc<LatencyFn>>>,
     /// Calls by item number.
     pub calls: RefCell<BTreeMap<u64, u32>>,
     pub running: Cell<usize>,
@@ -40,6 +44,7 @@
         TargetScript {
             plan: RefCell::new(Rc::new(|_, _, _| CallPlan::Answer(200))),
             latency: Cell::new(Duration::from_millis(100)),
+            item_latency: RefCell::default(),
             calls: RefCell::default(),
             running: Cell::default(),
             last_start: Cell::default(),
@@ -53,6 +58,17 @@
         *self.plan.borrow_mut() = Rc::new(plan);
     }
 
+    pub fn set_latency(&self, latency: impl Fn(u64) -> Duration + 'static) {
+        *self.item_latency.borrow_mut() = Some(Rc::new(latency));
+    }
+
+    fn latency_of(&self, item: u64) -> Duration {
+        let by_item = self.item_latency.borrow();
+        by_item
+            .as_ref()
+            .map_or(self.latency.get(), |latency| latency(item))
+    }
+
     pub fn calls_of(&self, item: u64) -> u32 {
         self.calls.borrow().get(&item).copied().unwrap_or(0)
     }
@@ -92,7 +108,7 @@
             script.last_start.set(Some(tokio::time::Instant::now()));
             script.running.set(script.running.get() + 1);
             let running = RunningCall(Rc::clone(&script));
-            tokio::time::sleep(script.latency.get()).await;
+            tokio::time::sleep(script.latency_of(item)).await;
             let plan = Rc::clone(&script.plan.borrow());
             let plan = plan(item, earlier, script.running.get());
             if matches!(plan, CallPlan::KillVm) {
--- a/crates/batch/tests/all/support/world.rs
+++ b/crates/batch/tests/all/support/world.rs
@@ -120,6 +120,7 @@
     pub clock: Arc<VirtualClock>,
     pub vms: RefCell<BTreeMap<String, Rc<VirtualVm>>>,
     timer: Addr<TimerService>,
+    jobs: Cell<u64>,
 }
 
 impl World {
@@ -135,6 +136,7 @@
             timer: TimerService::new(Arc::clone(&clock) as Arc<dyn Clock>).start(),
             clock,
             vms: RefCell::default(),
+            jobs: Cell::default(),
         }
     }
 
@@ -227,12 +229,18 @@
 
     /// Uploads `items` items and creates a job through a store without faults.
     pub async fn submit(&self, items: u64) -> JobId {
-        let file = self.upload(&item_lines(items, "assistant")).await;
-        let created = self
-            .reader()
-            .create_job(&"kandy".into(), create_body(&file), None)
-            .await;
-        created.unwrap().0
+        self.submit_lines(&item_lines(items, "assistant")).await
+    }
+
+    /// Creates a job of these lines. Its id follows from its number, so that runs repeat.
+    pub async fn submit_lines(&self, lines: &str) -> JobId {
+        let file = self.upload(lines).await;
+        self.jobs.set(self.jobs.get() + 1);
+        let key = format!("job-{}", self.jobs.get());
+        let reader = self.reader();
+        let organisation = "kandy".into();
+        let created = reader.create_job(&organisation, create_body(&file), Some(&key));
+        created.await.unwrap().0
     }
 
     pub async fn job(&self, job: &str) -> JobRow {
