Apply fleet files of any size, without edits that change nothing

Cause: a change holds at most 256 edits, so a fleet file of 23,000 organisations was refused. Change: edits already in force are left out; the rest goes in as consecutive changes, each expecting the version of the one before. A dry run shows the difference of the whole file. Measured: see the test large_file; a file of 600 organisations takes 3 versions, applied again it takes none. Conclusion: files of any size can be applied; they are not one atomic change.

--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -76,6 +76,28 @@
     },
 }
 
+impl ConfigEdit {
+    /// Whether the edit would leave `config` as it is.
+    #[must_use]
+    pub fn is_noop(&self, config: &FleetConfig) -> bool {
+        match self {
+            ConfigEdit::PutException { id, spec } => config.exceptions.get(id) == Some(spec),
+            ConfigEdit::PutKey { id, spec } => config.keys.get(id) == Some(spec),
+            ConfigEdit::PutOrganisation { id, spec } => config.organisations.get(id) == Some(spec),
+            ConfigEdit::PutService { id, spec } => config.services.get(id) == Some(spec),
+            ConfigEdit::PutTarget { id, spec } => config.targets.get(id) == Some(spec),
+            ConfigEdit::PutDefaults { spec } => config.defaults.as_ref() == spec,
+            ConfigEdit::Delete { kind, id } => match kind {
+                ResourceKind::Exception => !config.exceptions.contains_key(id),
+                ResourceKind::Key => !config.keys.contains_key(id),
+                ResourceKind::Organisation => !config.organisations.contains_key(id),
+                ResourceKind::Service => !config.services.contains_key(id),
+                ResourceKind::Target => !config.targets.contains_key(id),
+            },
+        }
+    }
+}
+
 /// One entry of the log: edits that take effect together.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ConfigChange {
--- a/tests/all/config_changes.rs
+++ b/tests/all/config_changes.rs
@@ -146,3 +146,40 @@
         fleet
     });
 }
+
+/// Guards against a fleet file above the limit of one change being refused, and against changes that change nothing.
+#[test]
+fn large_file() {
+    with_fleet(DevOptions::default(), async |fleet| {
+        let operator = fleet.operator(0);
+        let entries =
+            (0..600).map(|index| format!("[organisations.org-{index}]\nrate = 1.0\nburst = 5\n"));
+        let toml: String = entries.collect();
+        let mut body =
+            json!({"file": "fleet.toml", "toml": toml, "reason": "new wards", "dry_run": true});
+        let path = "/admin/v1/apply";
+        let shown = operator
+            .expect(Method::POST, path, Some(&body))
+            .await
+            .expect("a dry run");
+        assert_eq!(shown["diff"].as_array().map(Vec::len), Some(600));
+        body["dry_run"] = json!(false);
+        let first = operator
+            .expect(Method::POST, path, Some(&body))
+            .await
+            .expect("a change");
+        assert_eq!(
+            first["version"].as_u64(),
+            shown["version"].as_u64().map(|version| version + 3)
+        );
+        let again = operator
+            .expect(Method::POST, path, Some(&body))
+            .await
+            .expect("no change");
+        assert_eq!(
+            again["version"], first["version"],
+            "what is in force already is left out"
+        );
+        fleet
+    });
+}
