Retry test with targets that are not ejected

Cause: with the budget tripled by hand, the retry test with half of the targets failing still passed, because ejection ends the failures first. Conclusion: the budget itself is now tested.

--- a/crates/dispatch/tests/all/retries.rs
+++ b/crates/dispatch/tests/all/retries.rs
@@ -41,6 +41,35 @@
     assert!(retries * 100 <= requests * 20, "{retries} of {requests}");
 }
 
+/// Guards against retries without bound while targets fail too seldom to be ejected: all of them fail two calls of
+/// five, so that two requests of five would be retried.
+#[rstest]
+fn flaky_targets() {
+    let mut harness = Harness::new(fleet(6, 8), &[("d0", "r0"); 3]);
+    let (mut requests, mut retries, mut calls) = (0_u32, 0_u32, 0_u32);
+    for step in 0..2_000_usize {
+        let vm = step % 3;
+        requests += 1;
+        let mut call = harness.submit(vm, Online, "a");
+        harness.run(Duration::from_millis(4));
+        while harness.running.contains_key(&call) {
+            calls += 1;
+            if !matches!(calls % 5, 0 | 2) {
+                harness.complete(call);
+                break;
+            }
+            harness.finish(call, Failed);
+            let mut retry = request(Online, "a", harness.now);
+            retry.is_retry = true;
+            call = harness.acquire(vm, retry);
+            retries += u32::from(!harness.refused.contains_key(&call));
+            harness.run(Duration::from_millis(4));
+        }
+    }
+    assert!(retries * 100 >= requests * 15, "{retries} of {requests}");
+    assert!(retries * 100 <= requests * 20, "{retries} of {requests}");
+}
+
 /// Guards against a budget that counts requests of long ago.
 #[rstest]
 fn old_requests() {
