--- /dev/null
+++ b/crates/admission/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! Tests of keys and rates: one file per feature, in virtual time and with fixed seeds.
+
+mod address;
+mod bound;
+mod failures;
+mod fleet;
+mod interleavings;
+mod keys;
+mod loans;
+mod service;
