--- a/crates/fakes/src/engine/model.rs
+++ b/crates/fakes/src/engine/model.rs
@@ -90,7 +90,11 @@
         Ok(body) => body,
         Err(reason) => return HttpResponse::BadRequest().body(reason),
     };
-    sleep(state.options.prefill_per_token * body.prompt_tokens()).await;
+    let prefill = state.options.prefill_per_token * body.prompt_tokens();
+    if !prefill.is_zero() {
+        // Even an empty sleep takes a timer tick of a millisecond.
+        sleep(prefill).await;
+    }
     let started = match delay_answer(&state, started).await {
         Ok(started) => started,
         Err(answer) => return *answer,
