Stand-ins give recorded requests without waiting

Cause: Clippy names an async function that never waits. Change: DevFleet::recorded is a plain function. Conclusion: none.

--- a/crates/devfleet/src/fleet.rs
+++ b/crates/devfleet/src/fleet.rs
@@ -160,7 +160,8 @@
     }
 
     /// All requests that targets ran, each as one text with its headers.
-    pub async fn recorded(&self) -> Vec<String> {
+    #[must_use]
+    pub fn recorded(&self) -> Vec<String> {
         let targets = self.targets.iter();
         let requests = targets.flat_map(|target| target.server.recorded());
         requests.map(|request| format!("{request:?}")).collect()
--- a/tests/all/online_calls.rs
+++ b/tests/all/online_calls.rs
@@ -70,7 +70,7 @@
         let path = "/v1/chat/completions";
         let answer = fleet.post_with(0, path, Some(&key), &body, &headers).await;
         assert_eq!(answer.status, 200, "{}", answer.text);
-        let recorded = fleet.fleet.recorded().await;
+        let recorded = fleet.fleet.recorded();
         assert!(!recorded.is_empty(), "the call was recorded");
         for text in [
             key.as_str(),
@@ -118,7 +118,7 @@
         );
         assert_eq!(answer.executed, "no");
         assert!(
-            fleet.fleet.recorded().await.is_empty(),
+            fleet.fleet.recorded().is_empty(),
             "a refused call reached a target"
         );
         fleet
@@ -137,7 +137,7 @@
         assert_eq!(first.status, 200, "{}", first.text);
         let again = fleet.post_with(1, path, Some(&key), &body, &headers).await;
         assert_eq!((again.status, &again.text), (200, &first.text));
-        assert_eq!(fleet.fleet.recorded().await.len(), 1, "the charge ran once");
+        assert_eq!(fleet.fleet.recorded().len(), 1, "the charge ran once");
         let other = json!({"kit": 18});
         let reused = fleet.post_with(2, path, Some(&key), &other, &headers).await;
         assert_eq!((reused.status, reused.result.as_str()), (409, "3008"));
