A slot is taken back only from an earlier start of the same VM

Cause: a row that names this VM with another incarnation was claimed without consent. An old process that still runs could so take the slot from the process that replaced it, while that one is active. Change: only an earlier incarnation counts as ended; tests/all/lease.rs has both cases. Conclusion: the takeover without consent is limited to processes that have ended.

--- a/crates/admission/src/lease.rs
+++ b/crates/admission/src/lease.rs
@@ -391,7 +391,8 @@
             return;
         };
         // An earlier start of this VM has ended, since this one has its address.
-        if holder.vm == context.own.vm || context.holder_dropped {
+        let earlier = holder.vm == context.own.vm && *holder < *context.own;
+        if earlier || context.holder_dropped {
             self.claim(true, context, out);
             return;
         }
--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod fleet;
 mod interleavings;
 mod keys;
+mod lease;
 mod loans;
 mod service;
