--- a/crates/bench/src/driver.rs
+++ b/crates/bench/src/driver.rs
@@ -176,19 +176,13 @@
             body: chat_body(&load.model, load.prompt_words, load.max_tokens, true),
             scheduled,
         };
-        // The request is taken from the contract when it arrives and given back if it is refused, because
-        // requests that are under way together would otherwise all seem to be within it.
         let within = bucket.borrow_mut().take(scheduled);
-        let bucket = Rc::clone(bucket);
         let sent = send(self.client.clone(), request);
         let counts = Rc::clone(&self.counts);
         let name = load.name.clone();
         let is_measured = scheduled >= self.measured_from;
         async move {
             let outcome: OnlineOutcome = sent.await;
-            if within && outcome == OnlineOutcome::Limited {
-                bucket.borrow_mut().give_back();
-            }
             if is_measured {
                 let mut counts = counts.borrow_mut();
                 counts.entry(name).or_default().record(&outcome, within);
--- a/crates/bench/src/online.rs
+++ b/crates/bench/src/online.rs
@@ -103,7 +103,8 @@
     OnlineOutcome::Failed
 }
 
-/// Token bucket of an organisation as its contract reads, to tell wrongful refusals.
+/// Token bucket of an organisation as its contract reads. A request within it takes a token even if it is refused,
+/// so that one token is not counted as refused many times.
 #[derive(Clone, Debug)]
 pub struct ContractBucket {
     rate_per_s: f64,
@@ -135,11 +136,6 @@
         }
         within
     }
-
-    /// Gives a request back that was refused.
-    pub fn give_back(&mut self) {
-        self.level = (self.level + 1.0).min(self.burst);
-    }
 }
 
 /// Counts of one organisation in one phase.
@@ -151,8 +147,8 @@
     pub served: u64,
     /// Requests refused over the rate.
     pub limited: u64,
-    /// Of those, within the contract.
-    pub wrongful: u64,
+    /// Requests offered within the contract, whatever came of them.
+    pub conforming: u64,
     /// Requests that failed or were refused for another reason.
     pub failed: u64,
     /// First-token times in microseconds.
@@ -169,16 +165,25 @@
             offered: 0,
             served: 0,
             limited: 0,
-            wrongful: 0,
+            conforming: 0,
             failed: 0,
             first_token_us: time_histogram(),
             gap_us: time_histogram(),
         }
     }
 
+    /// Refusals that the contract does not cover: requests within it that neither were served nor failed, when an
+    /// organisation over its rate may have had others served in their place.
+    #[must_use]
+    pub fn wrongful(&self) -> u64 {
+        let handled = self.served + self.failed;
+        self.conforming.saturating_sub(handled).min(self.limited)
+    }
+
     /// Counts one request. `within` says whether it was within the contract when it arrived.
     pub fn record(&mut self, outcome: &OnlineOutcome, within: bool) {
         self.offered += 1;
+        self.conforming += u64::from(within);
         match outcome {
             OnlineOutcome::Served { first_token, gaps } => {
                 self.served += 1;
@@ -187,10 +192,7 @@
                     self.gap_us.saturating_record(micros(*gap));
                 }
             }
-            OnlineOutcome::Limited => {
-                self.limited += 1;
-                self.wrongful += u64::from(within);
-            }
+            OnlineOutcome::Limited => self.limited += 1,
             OnlineOutcome::Failed => self.failed += 1,
         }
     }
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -210,13 +210,14 @@
     load: &OnlineLoad,
     seconds: f64,
 ) -> OrganisationReport {
-    let contract = load.rate_per_s * seconds + load.burst;
+    // An organisation over its rate has used up its burst before the measured part starts.
+    let contract = load.rate_per_s * seconds;
     let due = as_f64(counts.offered).min(contract).max(1.0);
     OrganisationReport {
         offered: counts.offered,
         served: counts.served,
         limited: counts.limited,
-        wrongful: counts.wrongful,
+        wrongful: counts.wrongful(),
         failed: counts.failed,
         share: as_f64(counts.served) / due,
     }
--- a/crates/bench/tests/report_times.rs
+++ b/crates/bench/tests/report_times.rs
@@ -36,6 +36,31 @@
     assert!((report.gap.p95_ms - 30.0).abs() < 0.1, "{report:?}");
 }
 
+/// Guards against counting one token as refused many times: an organisation far over its rate that gets all of it
+/// has no wrongful refusals.
+#[test]
+fn greedy_organisation() {
+    let mut counts = OnlineCounts::new();
+    let mut bucket = ContractBucket::new(1.0, 1.0, Duration::ZERO);
+    let served = OnlineOutcome::Served {
+        first_token: Duration::ZERO,
+        gaps: Vec::new(),
+    };
+    for second in 0..10 {
+        for call in 0..5 {
+            let within = bucket.take(Duration::from_secs(second));
+            // The fleet serves another of the five requests than the contract's bucket would.
+            let outcome = if call == 4 {
+                &served
+            } else {
+                &OnlineOutcome::Limited
+            };
+            counts.record(outcome, within);
+        }
+    }
+    assert_eq!((counts.limited, counts.wrongful()), (40, 0));
+}
+
 #[test]
 fn wrongful_refusal() {
     let mut counts = OnlineCounts::new();
@@ -44,5 +69,5 @@
         let within = bucket.take(Duration::ZERO);
         counts.record(&OnlineOutcome::Limited, within);
     }
-    assert_eq!((counts.limited, counts.wrongful), (2, 1));
+    assert_eq!((counts.limited, counts.wrongful()), (2, 1));
 }
