--- a/crates/admission/src/message.rs
+++ b/crates/admission/src/message.rs
@@ -3,6 +3,7 @@
 use crate::split::SlotId;
 use bytes::Bytes;
 use plantainmill_core::{Incarnation, OrganisationId, VmId};
+use plantainmill_mesh::{decode_body, encode_body};
 use serde::{Deserialize, Serialize};
 
 /// One VM at one start.
@@ -122,17 +123,12 @@
     /// Encodes the message as CBOR.
     #[must_use]
     pub fn encode(&self) -> Bytes {
-        let mut content = Vec::new();
-        // Writing to memory cannot fail; an empty body is dropped by the receiver.
-        if ciborium::into_writer(self, &mut content).is_err() {
-            content.clear();
-        }
-        Bytes::from(content)
+        encode_body(self)
     }
 
     /// Decodes a message, or gives none when it is malformed.
     #[must_use]
     pub fn decode(body: &[u8]) -> Option<AdmissionMessage> {
-        ciborium::from_reader(body).ok()
+        decode_body(body)
     }
 }
--- a/crates/batch/src/notice.rs
+++ b/crates/batch/src/notice.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use plantainmill_core::JobId;
+use plantainmill_mesh::{decode_body, encode_body};
 use serde::{Deserialize, Serialize};
 
 /// A message on the mesh channel `Batch`.
@@ -23,16 +24,12 @@
     /// CBOR of the message.
     #[must_use]
     pub fn encode(&self) -> Bytes {
-        let mut content = Vec::new();
-        if ciborium::into_writer(self, &mut content).is_err() {
-            content.clear();
-        }
-        Bytes::from(content)
+        encode_body(self)
     }
 
     /// Decodes a message.
     #[must_use]
     pub fn decode(content: &[u8]) -> Option<BatchNotice> {
-        ciborium::from_reader(content).ok()
+        decode_body(content)
     }
 }
--- a/crates/bench/src/latency.rs
+++ b/crates/bench/src/latency.rs
@@ -10,8 +10,6 @@
 
 /// Calls of each kind that are not measured.
 const WARMUP_CALLS: usize = 100;
-/// Time between calls; below the rate of the organisations of `plantainmill dev`.
-const CALL_INTERVAL: Duration = Duration::from_millis(8);
 
 /// What is called.
 #[derive(Clone, Debug)]
@@ -24,6 +22,8 @@
     pub target: String,
     /// Calls of each kind.
     pub calls: usize,
+    /// Time between pairs of calls. With a pause all threads have to wake up for each call.
+    pub pause: Duration,
 }
 
 /// Latencies in microseconds.
@@ -84,7 +84,9 @@
             report.direct_us.saturating_record(direct_time);
             report.through_us.saturating_record(through_time);
         }
-        actix_rt::time::sleep(CALL_INTERVAL).await;
+        if !plan.pause.is_zero() {
+            actix_rt::time::sleep(plan.pause).await;
+        }
     }
     Ok(report)
 }
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -17,7 +17,8 @@
     choose_by_rendezvous,
 };
 use plantainmill_mesh::{
-    Channel, FrameReceived, MeshPeer, MeshService, RegisterChannel, SendFrame,
+    Channel, FrameReceived, MeshPeer, MeshService, RegisterChannel, SendFrame, decode_body,
+    encode_body,
 };
 use plantainmill_platform::{ObjectStore, StoreError, TableStore};
 use plantainmill_timer::{Subscribe, Tick, TimerService};
@@ -138,14 +139,10 @@
     }
 
     pub(crate) fn send(&self, to: VmId, message: &ConfigMessage) {
-        let mut body = Vec::new();
-        if ciborium::into_writer(message, &mut body).is_err() {
-            return;
-        }
         self.options.mesh.do_send(SendFrame {
             to,
             channel: Channel::Config,
-            body: body.into(),
+            body: encode_body(message),
         });
     }
 
@@ -363,7 +360,7 @@
 
     fn handle(&mut self, message: FrameReceived, context: &mut Self::Context) {
         let from = message.from;
-        let Ok(decoded) = ciborium::from_reader::<ConfigMessage, _>(message.body.as_ref()) else {
+        let Some(decoded) = decode_body(&message.body) else {
             self.counters.malformed += 1;
             return;
         };
--- a/crates/dispatch/src/message.rs
+++ b/crates/dispatch/src/message.rs
@@ -7,6 +7,7 @@
 use crate::dispatcher::{CallOutcome, TrafficClass};
 use bytes::Bytes;
 use plantainmill_core::{OrganisationId, TargetId};
+use plantainmill_mesh::{decode_body, encode_body};
 use serde::{Deserialize, Serialize};
 
 /// Identifies a request within the VM that took it in.
@@ -180,16 +181,11 @@
 /// Encodes the messages of one frame.
 #[must_use]
 pub fn encode(messages: &[DispatchMessage]) -> Bytes {
-    let mut content = Vec::with_capacity(messages.len() * 96);
-    // Writing to a vector cannot fail, and the messages hold no type that CBOR lacks.
-    if ciborium::into_writer(messages, &mut content).is_err() {
-        content.clear();
-    }
-    Bytes::from(content)
+    encode_body(messages)
 }
 
 /// Decodes the messages of one frame; `None` when it is malformed.
 #[must_use]
 pub fn decode(content: &[u8]) -> Option<Vec<DispatchMessage>> {
-    ciborium::from_reader(content).ok()
+    decode_body(content)
 }
--- a/crates/membership/src/service.rs
+++ b/crates/membership/src/service.rs
@@ -8,6 +8,7 @@
 use plantainmill_core::{Clock, Incarnation, Uptime, VmId};
 use plantainmill_mesh::{
     Channel, FrameReceived, MeshPeer, MeshService, RegisterChannel, SendFrame, UpdatePeers,
+    decode_body, encode_body,
 };
 use plantainmill_platform::VmList;
 use plantainmill_timer::{Subscribe, Tick, TimerService};
@@ -141,14 +142,10 @@
     }
 
     fn send(&self, to: VmId, message: &MemberMessage) {
-        let mut body = Vec::new();
-        if ciborium::into_writer(message, &mut body).is_err() {
-            return;
-        }
         self.mesh.do_send(SendFrame {
             to,
             channel: Channel::Membership,
-            body: body.into(),
+            body: encode_body(message),
         });
     }
 
@@ -208,7 +205,7 @@
     type Result = ();
 
     fn handle(&mut self, message: FrameReceived, context: &mut Self::Context) {
-        let Ok(decoded) = ciborium::from_reader(message.body.as_ref()) else {
+        let Some(decoded) = decode_body(&message.body) else {
             self.malformed += 1;
             return;
         };
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`FrameReceived`] after registering with [`RegisterChannel`]. Delivery is at most once and unordered across
 //! reconnects: every slice has to tolerate lost, repeated and late messages.
 
+pub mod codec;
 pub mod counters;
 pub mod frame;
 pub mod guard;
@@ -12,6 +13,7 @@
 mod outbound;
 pub mod service;
 
+pub use codec::{decode_body, encode_body};
 pub use counters::{DropReason, MeshCounters, MeshTotals};
 pub use frame::{FleetSecret, FrameError, MeshFrame};
 pub use guard::FrameGuard;
--- a/src/commands/bench.rs
+++ b/src/commands/bench.rs
@@ -4,6 +4,7 @@
 use clap::{Args, Subcommand};
 use plantainmill_bench::{BenchEndpoints, BenchReport, BenchScenario, LatencyPlan};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// Options of `bench`.
 #[derive(Args, Debug)]
@@ -42,6 +43,9 @@
         /// Calls of each kind.
         #[arg(long, default_value_t = 2_000)]
         calls: usize,
+        /// Milliseconds between pairs of calls; the organisation's rate has to allow the calls.
+        #[arg(long, default_value_t = 8)]
+        pause_ms: u64,
     },
     /// Compare the JSON reports of two runs.
     Compare {
@@ -79,12 +83,14 @@
             target,
             organisation,
             calls,
+            pause_ms,
         } => {
             let plan = LatencyPlan {
                 organisation: organisation.clone(),
                 service: "charges".to_owned(),
                 target: target.clone(),
                 calls: *calls,
+                pause: Duration::from_millis(*pause_ms),
             };
             let endpoints: BenchEndpoints =
                 serde_json::from_str(&read(endpoints)?).context("malformed endpoints")?;
