Tests: oversized body, key withdrawn during a stream

Cause: two promises of the interface had code and no test on the whole path. Change: a body of 9 MiB is refused with 1002 before any target; a stream whose key is withdrawn ends in an error event with 2002. Conclusion: key-withdrawn holds on open connections.

--- a/tests/all/config_changes.rs
+++ b/tests/all/config_changes.rs
@@ -1,9 +1,10 @@
 //! Changes of the configuration through the administration API.
 
-use crate::support::with_fleet;
+use crate::support::{chat_body, with_fleet};
 use awc::http::Method;
 use plantainmill_devfleet::DevOptions;
 use serde_json::json;
+use std::time::Duration;
 
 #[test]
 fn withdrawn_key() {
@@ -183,3 +184,35 @@
         fleet
     });
 }
+
+/// Guards against a stream that goes on after the key that started it was withdrawn.
+#[test]
+fn withdrawn_midstream() {
+    let options = DevOptions {
+        decode_per_token: Duration::from_millis(20),
+        ..DevOptions::default()
+    };
+    with_fleet(options, async |fleet| {
+        let operator = fleet.operator(1);
+        let (id, secret) = operator.issue_key("kandy").await.expect("a key");
+        let url = format!("{}/v1/chat/completions", fleet.callers(0));
+        let request = awc::Client::new().post(url).bearer_auth(&secret);
+        let body = chat_body("assistant", 400, true);
+        let mut answer = request.send_json(&body).await.expect("a stream");
+        let path = format!("/admin/v1/organisations/kandy/keys/{id}");
+        let reason = json!({"reason": "kiosk stolen"});
+        operator
+            .expect(Method::DELETE, &path, Some(&reason))
+            .await
+            .expect("a withdrawal");
+        let text = answer.body().await.expect("the rest of the stream");
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let last = text.trim_end().rsplit("\n\n").next().unwrap_or_default();
+        assert!(
+            last.starts_with("event: error") && last.contains("2002"),
+            "{last}"
+        );
+        assert!(!text.contains("[DONE]"), "the stream ended cleanly");
+        fleet
+    });
+}
--- a/tests/all/online_calls.rs
+++ b/tests/all/online_calls.rs
@@ -144,3 +144,27 @@
         fleet
     });
 }
+
+/// Guards against a body above the limit being read into memory or passed on.
+#[test]
+fn oversized_body() {
+    with_fleet(DevOptions::default(), async |fleet| {
+        let key = fleet.key("kandy");
+        let mut body = chat_body("assistant", 2, false);
+        body["padding"] = json!("x".repeat(9 * 1024 * 1024));
+        let answer = fleet
+            .post(0, "/v1/chat/completions", Some(&key), &body)
+            .await;
+        assert_eq!(
+            (answer.status, answer.result.as_str()),
+            (413, "1002"),
+            "{}",
+            answer.text
+        );
+        assert!(
+            fleet.fleet.recorded().is_empty(),
+            "the body reached a target"
+        );
+        fleet
+    });
+}
