Stand-ins keep the port of a crashed server

After a crash the stand-in's port was free, and a stand-in of a test that ran at the same time got it and answered in its place. Ruled out: the caller, which had checked the echo of its request id; the answer was whole and its own, only from a foreign engine. Change: a crashed server holds its port with a bound socket that does not listen.

--- a/crates/fakes/src/listener.rs
+++ b/crates/fakes/src/listener.rs
@@ -6,6 +6,7 @@
 use actix_web::web::ServiceConfig;
 use actix_web::{App, HttpServer};
 use anyhow::Context as _;
+use socket2::{Domain, Socket, Type};
 use std::any::Any;
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsFd as _;
@@ -60,6 +61,9 @@
     connections: ConnectionList,
     configure: Arc<dyn Fn(&mut ServiceConfig) + Send + Sync>,
     running: Option<(ServerHandle, JoinHandle<()>)>,
+    /// Holds the port of a crashed server without listening: connections are refused, and no other server can get
+    /// the port meanwhile and answer in its place.
+    reserved: Option<Socket>,
 }
 
 impl ServerTask {
@@ -77,6 +81,7 @@
             connections: ConnectionList::default(),
             configure: Arc::new(configure),
             running: None,
+            reserved: None,
         };
         task.listen()?;
         Ok(task)
@@ -97,6 +102,7 @@
         if self.running.is_some() {
             return Ok(());
         }
+        self.reserved = None;
         let configure = Arc::clone(&self.configure);
         let connections = self.connections.clone();
         let server = HttpServer::new(move || {
@@ -137,6 +143,7 @@
         self.connections.cut_all();
         // The listener is closed once the server's task has ended.
         let _ = task.await;
+        self.reserved = reserve_port(self.address).ok();
     }
 
     /// Stops listening and lets running requests end for up to a second.
@@ -147,3 +154,13 @@
         }
     }
 }
+
+/// Binds `address` without listening on it.
+fn reserve_port(address: SocketAddr) -> std::io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    // Reuse is needed to bind beside connections that are still closing; with it on, others could bind as well.
+    socket.set_reuse_address(false)?;
+    Ok(socket)
+}
--- a/crates/fakes/tests/engine_server.rs
+++ b/crates/fakes/tests/engine_server.rs
@@ -97,6 +97,8 @@
     let engine = EngineServer::start(EngineOptions::default())?;
     engine.crash().await;
     assert!(chat(&engine, false).await.is_none());
+    // Guards against another stand-in that gets the port meanwhile and answers in this one's place.
+    assert!(std::net::TcpListener::bind(engine.address()).is_err());
     engine.restart().await?;
     assert!(chat(&engine, false).await.is_some());
     assert_eq!(engine.counts().executed, 1);
