Stop asking for readiness once it is reached

Cause: read-through. A VM asked its configuration service 20 times a second for readiness for as long as it ran, although readiness never goes back; the operators' state held a clock that nothing read. Change: the loop ends with the first ready answer; the clock is removed. The processor time at rest was not measured again. Conclusion: same behaviour with less work at rest.

--- a/crates/admin/src/state.rs
+++ b/crates/admin/src/state.rs
@@ -4,7 +4,7 @@
 use actix::Addr;
 use futures_util::future::LocalBoxFuture;
 use plantainmill_config::{ConfigService, ConfigView};
-use plantainmill_core::{Clock, Problem, VmId};
+use plantainmill_core::{Problem, VmId};
 use plantainmill_membership::MemberView;
 use plantainmill_settings::OperatorKey;
 use serde_json::Value;
@@ -32,8 +32,6 @@
     pub config: Addr<ConfigService>,
     /// Other VMs.
     pub members: MemberView,
-    /// Time.
-    pub clock: Arc<dyn Clock>,
     /// Counters.
     pub metrics: NodeMetrics,
     /// State of the VM.
--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -103,7 +103,6 @@
             view: self.base.view.clone(),
             config: self.config.clone(),
             members: self.base.members.clone(),
-            clock: Arc::clone(&self.base.clock),
             metrics: self.base.metrics.clone(),
             dump: Arc::new(self.dump()),
             stop: Arc::clone(stop),
@@ -147,14 +146,17 @@
         self.batch.clone()
     }
 
-    /// Follows the readiness of the configuration until the VM stops.
+    /// Follows the configuration until it is ready or the VM stops. Once ready it stays so.
     pub(crate) fn watch_readiness(&self) -> impl Future<Output = ()> + 'static {
         let config = self.config.clone();
         let drain = self.drain.clone();
         async move {
             while !drain.is_leaving() {
                 let report = config.send(ReadyState).await;
-                drain.set_ready(report.is_ok_and(|report| report.ready));
+                if report.is_ok_and(|report| report.ready) {
+                    drain.set_ready(true);
+                    return;
+                }
                 actix_rt::time::sleep(READY_INTERVAL).await;
             }
         }
