--- a/crates/admission/src/shared/ledger.rs
+++ b/crates/admission/src/shared/ledger.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Time without a report after which a peer counts as silent.
-const PEER_SILENCE: Duration = Duration::from_millis(1_000);
+const PEER_SILENCE: Duration = Duration::from_secs(1);
 /// Time without a report after which a peer has certainly been replaced; until then its part is kept for it.
 const PEER_MEMORY: Duration = Duration::from_secs(20);
 /// Part of the burst below which VMs keep to their parts of the rate.
@@ -15,7 +15,7 @@
 /// Part of the burst that a bucket holds at the start. The burst may have been used just before a restart.
 const START_LEVEL: f64 = 0.5;
 /// Time over which demand is averaged.
-const DEMAND_TIME: Duration = Duration::from_millis(1_000);
+const DEMAND_TIME: Duration = Duration::from_secs(1);
 /// Part of the rate, as a part of an equal share, that a VM without demand so far may use.
 const FLOOR_SHARE: f64 = 0.5;
 /// Time's worth of its own part that a VM may save up.
@@ -23,7 +23,7 @@
 /// Time without requests after which an organisation is left out of reports.
 const QUIET_TIME: Duration = Duration::from_secs(10);
 /// Time after which a refused request is worth a repeat: a VM's part of a low rate needs about as long for a token.
-const RETRY_TIME: Duration = Duration::from_millis(1_000);
+const RETRY_TIME: Duration = Duration::from_secs(1);
 
 /// What a VM admitted of one organisation.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/dispatch/benches/decisions.rs
+++ b/crates/dispatch/benches/decisions.rs
@@ -56,8 +56,8 @@
 }
 
 fn request(class: TrafficClass, prefix_hash: Option<u64>) -> TicketRequest {
-    wait_limit: None,
     TicketRequest {
+        wait_limit: None,
         service: "assistant".into(),
         organisation: Some("o0".into()),
         class,
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -23,8 +23,8 @@
 const ONLINE_WAIT: Duration = Duration::from_millis(100);
 /// Shortest time after which a refused request is worth a repeat: one pass of short requests through the slots.
 const SHORTEST_RETRY: Duration = Duration::from_millis(300);
-/// Longest such time.
-const LONGEST_RETRY: Duration = Duration::from_millis(1_500);
+/// Time over which the repeats of refused requests are spread: a load peak takes a few seconds.
+const RETRY_SPREAD: Duration = Duration::from_millis(1_200);
 
 /// A request for a slot.
 #[derive(Clone, Debug)]
@@ -313,7 +313,7 @@
     fn retry_after(&self, number: RequestNumber) -> Duration {
         let share = score(&self.vm, number) % 1_000;
         let share = u32::try_from(share).unwrap_or(0);
-        SHORTEST_RETRY + (LONGEST_RETRY - SHORTEST_RETRY) * share / 1_000
+        SHORTEST_RETRY + LONGEST_RETRY.checked_sub(SHORTEST_RETRY).unwrap() * share / 1_000
     }
 
     fn grant_online(
--- a/crates/dispatch/tests/all/support.rs
+++ b/crates/dispatch/tests/all/support.rs
@@ -51,8 +51,8 @@
 
 /// A request with a deadline one minute after `now`.
 pub fn request(class: TrafficClass, organisation: &str, now: Uptime) -> TicketRequest {
-    wait_limit: None,
     TicketRequest {
+        wait_limit: None,
         service: SERVICE.into(),
         organisation: Some(CompactString::from(organisation)),
         class,
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 
 /// Time that a connection of a caller may stay idle. Callers close first: they keep to the document's limit.
-const IDLE_TIME: Duration = Duration::from_secs(120);
+const IDLE_TIME: Duration = Duration::from_mins(2);
 /// Time for the head of a request.
 const HEAD_TIME: Duration = Duration::from_secs(5);
 /// Pause after a connection could not be accepted, for lack of descriptors.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -27,13 +27,13 @@
 /// Time between looks at what waits for a slot.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time without a report after which a VM's jobs are taken over. Reports come several times a second.
-const LIVE_TIME: Duration = Duration::from_millis(2_000);
+const LIVE_TIME: Duration = Duration::from_secs(2);
 /// Time between reads of the VMs' rows.
 const DISCOVER_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between such reads until the first one succeeds, and while no peer is heard.
 const DISCOVER_RETRY: Duration = Duration::from_millis(500);
 /// Time without a report after which a VM's row is removed.
-const FORGET_TIME: Duration = Duration::from_secs(60);
+const FORGET_TIME: Duration = Duration::from_mins(1);
 /// Age of the document from which peers are asked for a younger proof. Two reads of the store failed then.
 const PROOF_AGE: Duration = Duration::from_millis(1_200);
 /// Time between questions.
@@ -41,7 +41,7 @@
 /// Peers asked at a time.
 const PROOF_PEERS: usize = 3;
 /// Time until an answer to a question is of no use.
-const PROOF_LIMIT: Duration = Duration::from_millis(1_000);
+const PROOF_LIMIT: Duration = Duration::from_secs(1);
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 65_000;
 
@@ -186,9 +186,10 @@
             match self.socket.recv_from(&mut buffer).await {
                 Ok((size, from)) => {
                     self.state.meters.count_datagram("received");
-                    match PeerMessage::decode(&buffer[..size]) {
-                        Some(message) => self.take(message, from).await,
-                        None => tracing::debug!(event = "datagram_malformed", %from),
+                    if let Some(message) = PeerMessage::decode(&buffer[..size]) {
+                        self.take(message, from).await
+                    } else {
+                        tracing::debug!(event = "datagram_malformed", %from)
                     }
                 }
                 Err(error) => {
@@ -296,9 +297,10 @@
                     let mut found = Vec::new();
                     for row in read.rows {
                         let vm = ciborium::from_reader::<VmRow, _>(row.value.as_ref()).ok();
-                        match vm {
-                            Some(vm) => found.push((vm, row.version)),
-                            None => tracing::warn!(event = "vm_row_malformed", key = %row.key),
+                        if let Some(vm) = vm {
+                            found.push((vm, row.version))
+                        } else {
+                            tracing::warn!(event = "vm_row_malformed", key = %row.key)
                         }
                     }
                     is_written &= found.iter().any(|(row, _)| *row == self.own);
@@ -411,7 +413,7 @@
                         tracing::info!(event = "document_not_read", from = %control, %error);
                     }
                     Err(_) => {
-                        tracing::info!(event = "document_not_read", from = %control, error = "no answer")
+                        tracing::info!(event = "document_not_read", from = %control, error = "no answer");
                     }
                 }
             });
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -34,7 +34,7 @@
 /// Time between looks at the requests in flight during a stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for handing jobs over at a stop.
-const HAND_OVER_TIME: Duration = Duration::from_millis(2_000);
+const HAND_OVER_TIME: Duration = Duration::from_secs(2);
 
 /// What a VM needs of the platform.
 pub struct EdgePlatform {
--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -60,10 +60,10 @@
                     inner.accept(job, head, version, Some(submission.items.clone()));
                     return Ok(());
                 }
-                Ok(HeadOutcome::Conflict(Some((held, version)))) => {
+                Ok(HeadOutcome::Conflict(Some((kept, version)))) => {
                     tracing::info!(event = "job_repeated", %job, version);
-                    let owner = held.organisation.clone();
-                    inner.accept(job, held, version, None);
+                    let owner = kept.organisation.clone();
+                    inner.accept(job, kept, version, None);
                     return accept_repeat(organisation, &owner);
                 }
                 Ok(HeadOutcome::Conflict(None)) => {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -221,8 +221,8 @@
         let left = self.job.given_up.saturating_sub(now);
         let names = self.parts.caller.names();
         let send = send_once(call, names, ticket, self.last_event, left);
-        let sent = timeout(SILENCE_LIMIT, send).await;
-        let mut answer = sent.map_err(|_| silence())??;
+        let opened = timeout(SILENCE_LIMIT, send).await;
+        let mut answer = opened.map_err(|_| silence())??;
         let first_byte = answer.sent_at.elapsed();
         if answer.status == IMPOSSIBLE {
             return Ok((SendEnd::Impossible, first_byte));
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -353,12 +353,13 @@
         items: Option<Vec<JobItem>>,
         mut stopped: watch::Receiver<bool>,
     ) -> RunEnd {
-        let (items, listed) = match items {
-            Some(items) => (items, HashSet::new()),
-            None => tokio::select! {
+        let (items, listed) = if let Some(items) = items {
+            (items, HashSet::new())
+        } else {
+            tokio::select! {
                 loaded = self.load(job, &head) => loaded,
                 () = wait_stop(&mut stopped) => return RunEnd::Released(head, version),
-            },
+            }
         };
         let shared = Rc::new(self.run_times(&head));
         let tokens: HashMap<ItemId, u64> = items
@@ -381,8 +382,8 @@
                 && let Some((head, results)) = queue.next_write()
             {
                 let results: Vec<ListedResult> = results.into_iter().cloned().collect();
-                let (held, version) = queue.head();
-                let first = held.listed;
+                let (current, version) = queue.head();
+                let first = current.listed;
                 written = Some(head.clone());
                 write = Some(self.write(job, version, head, first, results).boxed_local());
             }
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Time after the registry's return in which targets renew their entries.
-pub const RENEWAL_TIME: Duration = Duration::from_millis(2_000);
+pub const RENEWAL_TIME: Duration = Duration::from_secs(2);
 /// Time after a failed read in which vanished entries count as not renewed. Failures elsewhere show here late.
 const DISTURBED_TIME: Duration = Duration::from_millis(2_500);
 
