--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -313,7 +313,7 @@
     fn retry_after(&self, number: RequestNumber) -> Duration {
         let share = score(&self.vm, number) % 1_000;
         let share = u32::try_from(share).unwrap_or(0);
-        SHORTEST_RETRY + LONGEST_RETRY.checked_sub(SHORTEST_RETRY).unwrap() * share / 1_000
+        SHORTEST_RETRY + RETRY_SPREAD * share / 1_000
     }
 
     fn grant_online(
