Close idle connections before a planned stop ends

Ruled out: a request that took long (it was sent 30 ms before the end). Change: once the balancer has noticed the stop, connections close as soon as they have no request.

--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::watch;
 
 /// Time that a connection of a caller may stay idle. Callers close first: they keep to the document's limit.
 const IDLE_TIME: Duration = Duration::from_mins(2);
@@ -24,11 +24,28 @@
 /// Pause after a connection could not be accepted, for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Serves callers on `address` until `stop`.
+/// How the listeners learn of a planned stop.
+#[derive(Clone)]
+pub(crate) struct StopSignals {
+    /// Connections close as soon as they have no request.
+    pub drain: watch::Receiver<bool>,
+    /// No more connections are accepted.
+    pub close: watch::Receiver<bool>,
+}
+
+/// Ends when `signal` is set.
+async fn wait_set(mut signal: watch::Receiver<bool>) {
+    if signal.wait_for(|set| *set).await.is_err() {
+        // The VM is gone, and with it all that could set the signal.
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Serves callers on `address` until the VM stops.
 pub(crate) async fn callers(
     address: SocketAddr,
     state: Rc<EdgeState>,
-    stop: Rc<Notify>,
+    stop: StopSignals,
 ) -> anyhow::Result<()> {
     let app = App::new()
         .app_data(web::Data::new(state))
@@ -40,7 +57,7 @@
 pub(crate) async fn readiness(
     address: SocketAddr,
     state: Rc<EdgeState>,
-    stop: Rc<Notify>,
+    stop: StopSignals,
 ) -> anyhow::Result<()> {
     let app = App::new()
         .app_data(web::Data::new(state))
@@ -52,7 +69,7 @@
 pub(crate) async fn control(
     address: SocketAddr,
     state: Rc<EdgeState>,
-    stop: Rc<Notify>,
+    stop: StopSignals,
 ) -> anyhow::Result<()> {
     let app = App::new()
         .app_data(web::Data::new(state))
@@ -60,7 +77,7 @@
     serve(address, app, stop).await
 }
 
-async fn serve<T, B>(address: SocketAddr, app: App<T>, stop: Rc<Notify>) -> anyhow::Result<()>
+async fn serve<T, B>(address: SocketAddr, app: App<T>, stop: StopSignals) -> anyhow::Result<()>
 where
     T: ServiceFactory<
             ServiceRequest,
@@ -76,11 +93,14 @@
         .await
         .with_context(|| format!("cannot listen on {address}"))?;
     let app = app.into_factory().map_err(|error| error.error_response());
+    let StopSignals { drain, close } = stop;
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(IDLE_TIME))
         .client_request_timeout(HEAD_TIME)
         .h1_allow_half_closed(false)
         .tcp_nodelay(true)
+        // A caller with an idle connection uses another VM then, instead of one that ends under its next request.
+        .graceful_shutdown_signal(move || wait_set(drain.clone()))
         .finish(map_config(app, |()| AppConfig::default()))
         .tcp();
     let service = factory
@@ -92,7 +112,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = stop.notified() => return,
+                () = wait_set(close.clone()) => return,
             };
             match accepted {
                 Ok((stream, _)) => {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -187,9 +187,9 @@
                 Ok((size, from)) => {
                     self.state.meters.count_datagram("received");
                     if let Some(message) = PeerMessage::decode(&buffer[..size]) {
-                        self.take(message, from).await
+                        self.take(message, from).await;
                     } else {
-                        tracing::debug!(event = "datagram_malformed", %from)
+                        tracing::debug!(event = "datagram_malformed", %from);
                     }
                 }
                 Err(error) => {
@@ -298,9 +298,9 @@
                     for row in read.rows {
                         let vm = ciborium::from_reader::<VmRow, _>(row.value.as_ref()).ok();
                         if let Some(vm) = vm {
-                            found.push((vm, row.version))
+                            found.push((vm, row.version));
                         } else {
-                            tracing::warn!(event = "vm_row_malformed", key = %row.key)
+                            tracing::warn!(event = "vm_row_malformed", key = %row.key);
                         }
                     }
                     is_written &= found.iter().any(|(row, _)| *row == self.own);
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -2,7 +2,7 @@
 
 use crate::codec::CallCodec;
 use crate::follow::{follow_document, follow_targets};
-use crate::listen;
+use crate::listen::{self, StopSignals};
 use crate::message::VmRow;
 use crate::meters::EdgeMeters;
 use crate::peers::PeerExchange;
@@ -22,7 +22,7 @@
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 /// Time in which the balancer notices that a VM is not ready: two questions, a second apart.
@@ -52,7 +52,8 @@
 pub struct EdgeVm {
     state: Rc<EdgeState>,
     peers: Rc<PeerExchange>,
-    stop: Rc<Notify>,
+    drain: watch::Sender<bool>,
+    close: watch::Sender<bool>,
 }
 
 impl EdgeVm {
@@ -77,14 +78,24 @@
             control: listen.control,
         };
         let state = Rc::new(build_state(settings, &platform, clock, incarnation)?);
-        let stop = Rc::new(Notify::new());
-        listen::callers(listen.callers, Rc::clone(&state), Rc::clone(&stop)).await?;
-        listen::readiness(listen.readiness, Rc::clone(&state), Rc::clone(&stop)).await?;
-        listen::control(listen.control, Rc::clone(&state), Rc::clone(&stop)).await?;
+        let (drain, drained) = watch::channel(false);
+        let (close, closed) = watch::channel(false);
+        let stop = StopSignals {
+            drain: drained,
+            close: closed,
+        };
+        listen::callers(listen.callers, Rc::clone(&state), stop.clone()).await?;
+        listen::readiness(listen.readiness, Rc::clone(&state), stop.clone()).await?;
+        listen::control(listen.control, Rc::clone(&state), stop.clone()).await?;
         actix_rt::spawn(follow_document(Rc::clone(&state), platform.document));
         actix_rt::spawn(follow_targets(Rc::clone(&state), platform.targets));
         let peers = PeerExchange::start(Rc::clone(&state), platform.rows, socket, own);
-        Ok(EdgeVm { state, peers, stop })
+        Ok(EdgeVm {
+            state,
+            peers,
+            drain,
+            close,
+        })
     }
 
     /// Stops gracefully: not ready, jobs handed over, requests finished, peers told.
@@ -105,12 +116,15 @@
                 quiet_since = Instant::now();
             }
             let is_noticed = started.elapsed() >= NOTICE_TIME.min(limit);
+            if is_noticed {
+                self.drain.send_replace(true);
+            }
             if is_noticed && quiet_since.elapsed() >= QUIET_TIME {
                 break;
             }
             sleep(POLL_INTERVAL).await;
         }
-        self.stop.notify_waiters();
+        self.close.send_replace(true);
         self.peers.say_leaving().await;
         tracing::info!(event = "stopped", cut = self.state.in_flight.get());
     }
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -171,9 +171,8 @@
 }
 
 fn is_clean_end(error: &PayloadError) -> bool {
-    let cause = match error {
-        PayloadError::Io(cause) | PayloadError::Incomplete(Some(cause)) => cause,
-        _ => return false,
+    let (PayloadError::Io(cause) | PayloadError::Incomplete(Some(cause))) = error else {
+        return false;
     };
     cause.kind() == ErrorKind::UnexpectedEof
 }
