Entries that lapsed count as gone two seconds after the registry's return

Change: the time ends two seconds after the registry's return for all entries. Test: target_registry::late_leaver, which fails on the former code.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -62,7 +62,7 @@
             Err(error) => {
                 state.meters.count_store_failure("targets");
                 note_lost(&mut is_lost, "targets", &error);
-                registry.note_failure(now);
+                registry.note_failure();
                 RETRY_INTERVAL
             }
         };
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -11,8 +11,6 @@
 
 /// Time after the registry's return in which targets renew their entries.
 pub const RENEWAL_TIME: Duration = Duration::from_secs(2);
-/// Time after a failed read in which vanished entries count as not renewed. Failures elsewhere show here late.
-const DISTURBED_TIME: Duration = Duration::from_millis(2_500);
 
 /// A registered target.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -46,23 +44,23 @@
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
     targets: BTreeMap<TargetId, KnownTarget>,
-    disturbed_until: Uptime,
+    /// Until then, a missing entry may only wait to be renewed.
+    renewed_by: Uptime,
     failing: bool,
     read_at: Option<Uptime>,
 }
 
 impl TargetRegistry {
-    /// Records that the registry could not be read at `now`.
-    pub fn note_failure(&mut self, now: Uptime) {
+    /// Records that the registry could not be read.
+    pub fn note_failure(&mut self) {
         self.failing = true;
-        self.disturbed_until = now + DISTURBED_TIME;
     }
 
     /// Takes all entries, as read at `now`.
     pub fn apply(&mut self, entries: Vec<TargetEntry>, now: Uptime) {
         if self.failing {
             self.failing = false;
-            self.disturbed_until = now + DISTURBED_TIME;
+            self.renewed_by = now + RENEWAL_TIME;
         }
         self.read_at = Some(now);
         let mut present: BTreeMap<TargetId, TargetEntry> = entries
@@ -76,9 +74,9 @@
         // Many entries at once lapse together when the registry was away for the targets alone.
         let many = vanished.count() * 2 >= self.targets.len().max(4);
         if many {
-            self.disturbed_until = self.disturbed_until.max(now + DISTURBED_TIME);
+            self.renewed_by = now + RENEWAL_TIME;
         }
-        let disturbed = now < self.disturbed_until;
+        let renewed_by = self.renewed_by;
         let addresses: Vec<SocketAddr> = present.values().map(|entry| entry.address).collect();
         self.targets.retain(|id, known| {
             if let Some(entry) = present.remove(id) {
@@ -87,11 +85,8 @@
                 return true;
             }
             let reused = addresses.contains(&known.entry.address);
-            if !disturbed && known.gone_at.is_none() || reused {
-                return false;
-            }
-            let gone_at = *known.gone_at.get_or_insert(now + RENEWAL_TIME);
-            now < gone_at
+            let gone_at = *known.gone_at.get_or_insert(renewed_by);
+            now < gone_at && !reused
         });
         for (id, entry) in present {
             let known = KnownTarget {
--- /dev/null
+++ b/crates/routing/tests/all/document_view.rs
@@ -0,0 +1,42 @@
+//! What is in force, and how old it may be.
+
+use plantainmill_routing::{CallerLimits, DocumentView, FleetDocument};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn document(version: u64) -> FleetDocument {
+    FleetDocument::new(
+        version,
+        Vec::new(),
+        BTreeMap::new(),
+        CallerLimits::default(),
+    )
+}
+
+const fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Guards against a VM that goes back to an older version, such as one that a slow read brings late.
+#[test]
+fn never_back() {
+    let view = DocumentView::default();
+    assert!(view.offer(document(5), at(100)));
+    assert!(!view.offer(document(4), at(900)));
+    assert_eq!(view.version(), 5);
+    assert_eq!(view.age(at(1_000)), Some(at(900)));
+}
+
+/// Guards against an age that is too young: only proofs of the version in force count, from when they were asked for.
+#[test]
+fn proof_of_age() {
+    let view = DocumentView::default();
+    assert_eq!(view.age(at(0)), None);
+    assert!(view.offer(document(5), at(100)));
+    assert!(!view.offer(document(5), at(300)));
+    view.confirm(4, at(800));
+    assert_eq!(view.age(at(1_000)), Some(at(700)));
+    view.confirm(5, at(600));
+    view.confirm(5, at(400));
+    assert_eq!(view.age(at(1_000)), Some(at(400)));
+}
--- /dev/null
+++ b/crates/routing/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of routes, documents and targets.
+
+mod document_view;
+mod route_choice;
+mod target_registry;
--- /dev/null
+++ b/crates/routing/tests/all/route_choice.rs
@@ -0,0 +1,94 @@
+//! Which route and which service a request gets.
+
+use plantainmill_routing::{
+    CallerLimits, FleetDocument, OrganisationRule, RouteKind, RouteRule, ServiceShare,
+};
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn route(name: &str, path_prefix: &str, shares: &[(&str, u32)]) -> RouteRule {
+    let shares = shares.iter().map(|(service, weight)| ServiceShare {
+        service: (*service).into(),
+        weight: *weight,
+    });
+    RouteRule {
+        name: name.into(),
+        host: "kiosk.example".into(),
+        path_prefix: path_prefix.into(),
+        kind: RouteKind::Streaming,
+        attempts: 2,
+        time_limit: Duration::from_secs(5),
+        objective: Duration::from_millis(300),
+        event_gap: Duration::from_millis(400),
+        priority: 0,
+        public: false,
+        resumable: false,
+        shares: shares.collect(),
+        job: None,
+    }
+}
+
+fn document(routes: Vec<RouteRule>) -> FleetDocument {
+    let ward = OrganisationRule {
+        keys: vec!["k1".into(), "k2".into()],
+        ..OrganisationRule::default()
+    };
+    let organisations = BTreeMap::from([("ward".into(), ward)]);
+    FleetDocument::new(3, routes, organisations, CallerLimits::default())
+}
+
+/// Guards against a shorter prefix that hides a longer one, and against prefixes that end within a name.
+#[rstest]
+#[case("/a/b/c", Some("long"))]
+#[case("/a/x", Some("short"))]
+#[case("/ab/c", None)]
+#[case("/", None)]
+fn longest_prefix(#[case] path: &str, #[case] expected: Option<&str>) {
+    let routes = vec![route("short", "/a/", &[]), route("long", "/a/b/", &[])];
+    let document = document(routes);
+    let found = document.find_route("kiosk.example", path);
+    assert_eq!(found.map(|route| route.name.as_str()), expected);
+    assert!(document.find_route("other.example", path).is_none());
+}
+
+/// Guards against splits that ignore their weights, and against repeats that change the service.
+#[test]
+fn weighted_split() {
+    let route = route("split", "/a/", &[("old", 90), ("new", 10), ("none", 0)]);
+    let picks: Vec<_> = (0..2_000)
+        .map(|number| route.pick_service(&format!("request-{number}")).cloned())
+        .collect();
+    let count = |name: &str| {
+        picks
+            .iter()
+            .filter(|pick| pick.as_deref() == Some(name))
+            .count()
+    };
+    assert!((140..260).contains(&count("new")), "{}", count("new"));
+    assert_eq!(count("none"), 0);
+    assert_eq!(route.pick_service("request-7").cloned(), picks[7]);
+}
+
+/// Guards against repeats of requests that may run once only.
+#[rstest]
+#[case(RouteKind::Idempotent, false, true)]
+#[case(RouteKind::NonIdempotent, true, false)]
+#[case(RouteKind::Streaming, false, false)]
+#[case(RouteKind::Streaming, true, true)]
+fn repeat_rule(#[case] kind: RouteKind, #[case] resumable: bool, #[case] expected: bool) {
+    let rule = RouteRule {
+        kind,
+        resumable,
+        ..route("r", "/", &[])
+    };
+    assert_eq!(rule.may_repeat(), expected);
+}
+
+/// Guards against keys that are found for another organisation or not at all.
+#[test]
+fn key_owner() {
+    let document = document(Vec::new());
+    assert_eq!(document.find_key("k2").map(AsRef::as_ref), Some("ward"));
+    assert_eq!(document.find_key("k3"), None);
+}
--- /dev/null
+++ b/crates/routing/tests/all/target_registry.rs
@@ -0,0 +1,103 @@
+//! Which targets may get new work.
+
+use plantainmill_routing::{TargetEntry, TargetRegistry};
+use std::time::Duration;
+
+fn entry(id: &str, port: u16) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        service: "llm".into(),
+        address: ([10, 0, 0, 1], port).into(),
+        domain: "kandy-a".into(),
+        slots: 8,
+        draining: false,
+        born: 0,
+        version: "v1".into(),
+    }
+}
+
+fn fleet(count: u16) -> Vec<TargetEntry> {
+    (0..count)
+        .map(|number| entry(&format!("t{number}"), number))
+        .collect()
+}
+
+fn usable(registry: &TargetRegistry, now: Duration) -> usize {
+    registry.usable(now).count()
+}
+
+const fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Guards against new work for a target that left while the registry was well.
+#[test]
+fn gone_at_once() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(fleet(10), at(0));
+    registry.apply(fleet(9), at(500));
+    assert_eq!(usable(&registry, at(500)), 9);
+}
+
+/// Guards against new work for a draining target.
+#[test]
+fn draining_target() {
+    let mut registry = TargetRegistry::default();
+    let mut entries = fleet(3);
+    entries[1].draining = true;
+    registry.apply(entries, at(0));
+    assert_eq!(usable(&registry, at(0)), 2);
+}
+
+/// Guards against a fleet without targets after an outage in which their entries lapsed.
+#[test]
+fn lapsed_entries() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(fleet(10), at(0));
+    registry.note_failure();
+    registry.apply(fleet(1), at(5_000));
+    assert_eq!(usable(&registry, at(5_000)), 10);
+    registry.apply(fleet(8), at(6_500));
+    assert_eq!(usable(&registry, at(6_900)), 10);
+    registry.apply(fleet(8), at(7_100));
+    assert_eq!(usable(&registry, at(7_100)), 8);
+}
+
+/// Guards against work for a target that left soon after the registry's return: its entry did not lapse, and the time
+/// in which entries are renewed does not start anew with it.
+#[test]
+fn late_leaver() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(fleet(10), at(0));
+    registry.note_failure();
+    registry.apply(fleet(10), at(4_000));
+    registry.apply(fleet(9), at(5_800));
+    assert_eq!(usable(&registry, at(6_000)), 9);
+}
+
+/// Guards against the same when only the targets could not reach the registry, so that no read failed here.
+#[test]
+fn mass_lapse() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(fleet(10), at(0));
+    registry.apply(fleet(2), at(1_000));
+    assert_eq!(usable(&registry, at(1_000)), 10);
+    registry.apply(fleet(2), at(3_100));
+    assert_eq!(usable(&registry, at(3_100)), 2);
+}
+
+/// Guards against work for a lapsed target whose address has a new owner.
+#[test]
+fn reused_address() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(fleet(4), at(0));
+    registry.note_failure();
+    let mut entries = fleet(3);
+    entries.push(entry("new", 3));
+    registry.apply(entries, at(1_000));
+    let ids: Vec<_> = registry
+        .usable(at(1_000))
+        .map(|entry| entry.id.as_str())
+        .collect();
+    assert_eq!(ids, ["new", "t0", "t1", "t2"]);
+}
