--- a/crates/admission/src/shared/ledger.rs
+++ b/crates/admission/src/shared/ledger.rs
@@ -42,6 +42,9 @@
 struct OrganisationUsage {
     level: f64,
     own_level: f64,
+    /// Tokens per second and most tokens, as of the last request.
+    rate: f64,
+    burst: f64,
     settled: Uptime,
     admitted: u64,
     demand: f64,
@@ -86,15 +89,14 @@
         let (present, share) = self.parts(organisation, now);
         let usage = self.usage(organisation, limit, now);
         let passed = now.saturating_sub(usage.settled).as_secs_f64();
-        usage.settled = now;
-        let rate = limit.rate * present;
-        let burst = limit.burst.max(1.0) * present;
-        usage.level = (usage.level + rate * passed).min(burst);
-        let own_rate = rate * share;
+        usage.rate = limit.rate * present;
+        usage.burst = limit.burst.max(1.0) * present;
+        usage.settle(now);
+        let own_rate = usage.rate * share;
         let saved = (own_rate * SAVED_TIME.as_secs_f64()).max(1.0);
         usage.own_level = (usage.own_level + own_rate * passed).min(saved);
         usage.note_demand(now);
-        let is_low = usage.level < burst * LOW_LEVEL;
+        let is_low = usage.level < usage.burst * LOW_LEVEL;
         let has_own = usage.own_level >= 1.0;
         if usage.level < 1.0 || is_low && !has_own {
             return RateVerdict::Refused {
@@ -142,6 +144,8 @@
         usage.or_insert_with(|| OrganisationUsage {
             level: limit.burst * START_LEVEL,
             own_level: 1.0,
+            rate: limit.rate,
+            burst: limit.burst,
             settled: now,
             admitted: 0,
             demand: 0.0,
@@ -172,6 +176,7 @@
             // A lower number comes from a new start of the peer.
             let before = before.filter(|before| *before <= entry.admitted);
             let spent = before.map_or(0, |before| entry.admitted - before);
+            usage.settle(now);
             usage.level -= float(spent);
             if !usage.learned {
                 usage.learned = true;
@@ -202,13 +207,23 @@
                 organisation: organisation.clone(),
                 admitted: usage.admitted,
                 demand: usage.demand_at(now),
-                level: usage.level,
+                level: usage.level_at(now),
             })
             .collect()
     }
 }
 
 impl OrganisationUsage {
+    fn level_at(&self, now: Uptime) -> f64 {
+        let passed = now.saturating_sub(self.settled).as_secs_f64();
+        (self.level + self.rate * passed).min(self.burst)
+    }
+
+    fn settle(&mut self, now: Uptime) {
+        self.level = self.level_at(now);
+        self.settled = self.settled.max(now);
+    }
+
     fn demand_at(&self, now: Uptime) -> f64 {
         let passed = now.saturating_sub(self.asked_at).as_secs_f64();
         self.demand * (-passed / DEMAND_TIME.as_secs_f64()).exp()
--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -9,3 +9,4 @@
 mod lease;
 mod loans;
 mod service;
+mod shared_usage;
--- /dev/null
+++ b/crates/admission/tests/all/shared_usage.rs
@@ -0,0 +1,153 @@
+//! Rates over all VMs by reports of what each admitted.
+
+use plantainmill_admission::RateVerdict;
+use plantainmill_admission::shared::{RateLimit, UsageLedger};
+use plantainmill_core::{OrganisationId, VmId};
+use rstest::rstest;
+use std::time::Duration;
+
+const LIMIT: RateLimit = RateLimit {
+    rate: 70.0,
+    burst: 70.0,
+};
+/// Length of the windows in which the rate has to hold.
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// VMs that exchange reports with a delay, and what they admitted.
+struct Fleet {
+    ledgers: Vec<UsageLedger>,
+    cut: Vec<bool>,
+    admitted: Vec<Duration>,
+    refused: usize,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Fleet {
+        Fleet {
+            ledgers: (0..count).map(|_| UsageLedger::default()).collect(),
+            cut: vec![false; count],
+            admitted: Vec::new(),
+            refused: 0,
+        }
+    }
+
+    fn ask(&mut self, vm: usize, now: Duration) {
+        let verdict = self.ledgers[vm].admit(&organisation(), LIMIT, now);
+        if verdict == RateVerdict::Admitted {
+            self.admitted.push(now);
+        } else {
+            self.refused += 1;
+        }
+    }
+
+    fn exchange(&mut self, now: Duration) {
+        let reports: Vec<_> = self
+            .ledgers
+            .iter()
+            .map(|ledger| ledger.report(now))
+            .collect();
+        for (from, report) in reports
+            .iter()
+            .enumerate()
+            .filter(|(from, _)| !self.cut[*from])
+        {
+            for (to, ledger) in self.ledgers.iter_mut().enumerate() {
+                if to != from && !self.cut[to] {
+                    ledger.hear(&VmId::from(format!("vm{from}")), report.clone(), now);
+                }
+            }
+        }
+    }
+
+    /// Plays requests at `per_s`, spread over the VMs by `pick`, with reports every 200 ms.
+    fn play(&mut self, from: u64, until: u64, per_s: u64, pick: impl Fn(u64) -> usize) {
+        let mut asked = 0;
+        for millis in from..until {
+            let now = Duration::from_millis(millis);
+            if millis % 200 == 0 {
+                self.exchange(now);
+            }
+            while asked * 1_000 < (millis - from) * per_s {
+                self.ask(pick(asked), now);
+                asked += 1;
+            }
+        }
+    }
+
+    /// Most requests admitted in any window.
+    fn worst_window(&self) -> usize {
+        let within = |start: &Duration| {
+            let until = *start + WINDOW;
+            let times = self.admitted.iter();
+            times
+                .filter(|time| *start <= **time && **time < until)
+                .count()
+        };
+        self.admitted.iter().map(within).max().unwrap_or(0)
+    }
+}
+
+fn organisation() -> OrganisationId {
+    "ward".into()
+}
+
+/// Most requests of a window: rate and burst with a tenth on top and twenty requests of slack.
+const fn bound() -> usize {
+    (70 * 5 + 70) * 11 / 10 + 20
+}
+
+/// Guards against an organisation that passes its limit by asking many VMs at once, evenly or mostly at one.
+#[rstest]
+#[case(1)]
+#[case(4)]
+#[case(12)]
+fn surge_bound(#[case] spread: u64) {
+    let mut fleet = Fleet::new(12);
+    let pick = |number: u64| usize::try_from(number % spread).unwrap_or(0);
+    fleet.play(0, 3_000, 40, pick);
+    fleet.play(3_000, 12_000, 330, pick);
+    let worst = fleet.worst_window();
+    assert!(worst <= bound(), "{worst}");
+    assert!(worst >= 70 * 5 * 9 / 10, "{worst} is far below the rate");
+}
+
+/// Guards against refusals within the rate while demand moves between VMs.
+#[test]
+fn within_rate() {
+    let mut fleet = Fleet::new(12);
+    for round in 0..10 {
+        let vm = usize::try_from(round * 5 % 12).unwrap_or(0);
+        fleet.play(round * 2_000, (round + 1) * 2_000, 60, |_| vm);
+    }
+    assert!(
+        fleet.refused <= fleet.admitted.len() / 100,
+        "{}",
+        fleet.refused
+    );
+}
+
+/// Guards against VMs that are cut off and admit the whole rate each.
+#[test]
+fn cut_bound() {
+    let mut fleet = Fleet::new(12);
+    let pick = |number: u64| usize::try_from(number % 12).unwrap_or(0);
+    fleet.play(0, 6_000, 330, pick);
+    fleet.cut[0] = true;
+    fleet.cut[1] = true;
+    fleet.play(6_000, 16_000, 330, pick);
+    assert!(fleet.worst_window() <= bound(), "{}", fleet.worst_window());
+}
+
+/// Guards against a VM that starts anew with a full bucket, or that charges its peers' whole past to itself.
+#[test]
+fn restarted_vm() {
+    let mut fleet = Fleet::new(12);
+    let pick = |number: u64| usize::try_from(number % 12).unwrap_or(0);
+    fleet.play(0, 6_000, 330, pick);
+    fleet.ledgers[3] = UsageLedger::default();
+    fleet.play(6_000, 12_000, 330, pick);
+    assert!(fleet.worst_window() <= bound(), "{}", fleet.worst_window());
+    let refused = fleet.refused;
+    fleet.play(14_000, 18_000, 40, |_| 3);
+    assert!(fleet.refused - refused <= 4, "{}", fleet.refused - refused);
+}
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -360,9 +360,13 @@
         request: &LedgerRequest,
         state_of: impl Fn(&LedgerTarget, SlotUse) -> Option<SlotState>,
     ) -> Vec<Candidate> {
-        let fitting = self.targets.iter().filter(|(id, target)| {
-            target.entry.service == request.service && !request.excluded.contains(*id)
-        });
+        let serving = || {
+            let targets = self.targets.iter();
+            targets.filter(|(_, target)| target.entry.service == request.service)
+        };
+        // Without any other target, one that failed the request is better than none.
+        let has_other = serving().any(|(id, _)| !request.excluded.contains(id));
+        let fitting = serving().filter(|(id, _)| !has_other || !request.excluded.contains(*id));
         fitting
             .filter_map(|(id, target)| {
                 let peers = self.peers.at(id);
@@ -485,10 +489,16 @@
         now: Uptime,
         effects: &mut Vec<LedgerEffect>,
     ) -> bool {
+        let service = &waiting.request.service;
+        let has_healthy = self
+            .targets
+            .values()
+            .any(|target| target.entry.service == *service && !target.health.is_paused(now));
         let candidates = self.candidates(&waiting.request, |target, peers| {
             let total = target.own.total() + peers.total();
             let fits = total + BATCH_RESERVE < target.entry.slots;
-            (fits && !target.health.is_paused(now)).then_some(SlotState::Free)
+            let is_usable = !has_healthy || !target.health.is_paused(now);
+            (fits && is_usable).then_some(SlotState::Free)
         });
         let order = CandidateOrder {
             prefix_hash: waiting.request.prefix_hash,
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod preemption;
 mod retries;
 mod service;
+mod shared_ledger;
 mod support;
 mod tickets;
 mod window;
--- /dev/null
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -0,0 +1,263 @@
+//! Decisions of the shared policy, one at a time.
+
+use plantainmill_core::VmId;
+use plantainmill_dispatch::shared::{LedgerEffect, LedgerRequest, LoadLedger, PeerLoad, SlotUse};
+use plantainmill_dispatch::{CallOutcome, TrafficClass};
+use plantainmill_routing::TargetEntry;
+use rstest::rstest;
+use std::collections::HashMap;
+use std::time::Duration;
+
+const SLOTS: u32 = 4;
+
+fn entry(id: &str, domain: &str) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        service: "llm".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        domain: domain.into(),
+        slots: SLOTS,
+        draining: false,
+        born: 0,
+        version: "v1".into(),
+    }
+}
+
+fn ledger(vm: &str, targets: &[(&str, &str)]) -> LoadLedger {
+    let regions = HashMap::from([
+        ("a".into(), "north".into()),
+        ("b".into(), "north".into()),
+        ("c".into(), "south".into()),
+    ]);
+    let mut ledger = LoadLedger::new(vm.into(), "a".into(), "north".into(), regions);
+    let entries: Vec<_> = targets
+        .iter()
+        .map(|(id, domain)| entry(id, domain))
+        .collect();
+    ledger.set_targets(entries.iter());
+    ledger
+}
+
+fn request(class: TrafficClass) -> LedgerRequest {
+    LedgerRequest {
+        service: "llm".into(),
+        class,
+        prefix_hash: None,
+        deadline: at(60_000),
+        wait_limit: None,
+        excluded: Vec::new(),
+    }
+}
+
+const fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Sends an online request and gives the target it may go to.
+fn online(ledger: &mut LoadLedger, now: u64) -> Option<String> {
+    let (_, effects) = ledger.request(request(TrafficClass::Online), at(now));
+    granted(&effects).pop()
+}
+
+fn granted(effects: &[LedgerEffect]) -> Vec<String> {
+    let targets = effects.iter().filter_map(|effect| match effect {
+        LedgerEffect::Grant { target, .. } => Some(target.to_string()),
+        _ => None,
+    });
+    targets.collect()
+}
+
+fn preempted(effects: &[LedgerEffect]) -> usize {
+    let preempts = effects
+        .iter()
+        .filter(|effect| matches!(effect, LedgerEffect::Preempt { .. }));
+    preempts.count()
+}
+
+fn peer_load(target: &str, online: u32, batch: u32) -> PeerLoad {
+    PeerLoad {
+        slots: vec![(target.into(), SlotUse { online, batch })],
+        batch_waiting: 0,
+    }
+}
+
+/// Guards against requests that cross a link while near targets have free slots, or wait while far ones have.
+#[test]
+fn near_before_far() {
+    let mut ledger = ledger("vm", &[("far", "c"), ("near", "a")]);
+    let targets: Vec<_> = (0..8).filter_map(|_| online(&mut ledger, 0)).collect();
+    assert_eq!(targets[..4], ["near"; 4]);
+    assert_eq!(targets[4..], ["far"; 4]);
+}
+
+/// Guards against requests that are sent where peers already use all slots.
+#[test]
+fn peers_count() {
+    let mut ledger = ledger("vm", &[("t1", "a"), ("t2", "a")]);
+    let peer = VmId::from("peer");
+    ledger.hear(&peer, peer_load("t1", SLOTS, 0), at(0));
+    for _ in 0..3 {
+        assert_eq!(online(&mut ledger, 10).as_deref(), Some("t2"));
+    }
+    // A peer that fell silent runs nothing any more.
+    ledger.tick(at(3_000));
+    assert_eq!(online(&mut ledger, 3_000).as_deref(), Some("t1"));
+}
+
+/// Guards against online requests that wait behind this VM's batch calls.
+#[test]
+fn own_batch_yields() {
+    let mut ledger = ledger("vm", &[("t1", "a")]);
+    for _ in 0..SLOTS {
+        ledger.request(request(TrafficClass::Batch), at(0));
+    }
+    let started = granted(&ledger.tick(at(0))).len();
+    assert_eq!(started, 3, "one slot stays free for online requests");
+    assert_eq!(online(&mut ledger, 10).as_deref(), Some("t1"));
+    let (_, effects) = ledger.request(request(TrafficClass::Online), at(20));
+    assert_eq!(granted(&effects), ["t1"]);
+    assert_eq!(preempted(&effects), 1);
+}
+
+/// Guards against two VMs that both give way to one request, and against none that does.
+#[test]
+fn one_peer_yields() {
+    let names = ["vm1", "vm2", "vm3"];
+    let mut gave_way = 0;
+    for own in names {
+        let mut ledger = ledger(own, &[("t1", "a")]);
+        ledger.request(request(TrafficClass::Batch), at(0));
+        ledger.tick(at(0));
+        for other in names.iter().filter(|other| **other != own) {
+            ledger.hear(&VmId::from(*other), peer_load("t1", 0, 1), at(10));
+        }
+        // Three batch calls and two online ones at four slots.
+        let effects = ledger.hear(&VmId::from("vm4"), peer_load("t1", 2, 0), at(20));
+        gave_way += preempted(&effects);
+    }
+    assert_eq!(gave_way, 1);
+}
+
+/// Guards against batch calls that start while online requests wait, or that fill the last slot.
+#[test]
+fn batch_after_online() {
+    let mut ledger = ledger("vm", &[("t1", "a")]);
+    ledger.hear(&VmId::from("peer"), peer_load("t1", 3, 0), at(0));
+    ledger.request(request(TrafficClass::Batch), at(0));
+    assert!(granted(&ledger.tick(at(0))).is_empty());
+    ledger.hear(&VmId::from("peer"), peer_load("t1", 2, 0), at(50));
+    assert_eq!(granted(&ledger.tick(at(50))), ["t1"]);
+}
+
+/// Guards against items due later that take slots from items due sooner, and against overdue ones that take them from
+/// those that can still be in time.
+#[test]
+fn due_order() {
+    let mut ledger = ledger("vm", &[("t1", "a")]);
+    let dues = [30_000, 500, 20_000, 25_000];
+    let numbers: Vec<_> = dues
+        .iter()
+        .map(|due| {
+            let mut request = request(TrafficClass::Batch);
+            request.deadline = at(*due);
+            ledger.request(request, at(0)).0
+        })
+        .collect();
+    let effects = ledger.tick(at(1_000));
+    let started: Vec<_> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            LedgerEffect::Grant { number, .. } => Some(*number),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(started, [numbers[2], numbers[3], numbers[0]]);
+}
+
+/// Guards against requests that are held until their deadline when nothing becomes free.
+#[test]
+fn refused_soon() {
+    let mut ledger = ledger("vm", &[("t1", "a")]);
+    ledger.hear(&VmId::from("peer"), peer_load("t1", SLOTS + 2, 0), at(0));
+    let mut request = request(TrafficClass::Online);
+    request.wait_limit = Some(at(75));
+    let (number, effects) = ledger.request(request, at(0));
+    assert!(effects.is_empty());
+    assert!(ledger.tick(at(50)).is_empty());
+    let effects = ledger.tick(at(100));
+    let refused = effects.iter().any(|effect| match effect {
+        LedgerEffect::Refuse {
+            number: refused,
+            retry_after,
+            no_target,
+        } => *refused == number && !no_target && *retry_after >= at(300),
+        _ => false,
+    });
+    assert!(refused, "{effects:?}");
+}
+
+/// Guards against a failing target that is chosen again at once, and against one that never returns.
+#[rstest]
+#[case(CallOutcome::Failed, "t2")]
+#[case(CallOutcome::Abandoned, "t1")]
+fn failed_target(#[case] outcome: CallOutcome, #[case] next: &str) {
+    let mut ledger = ledger("vm", &[("t1", "a"), ("t2", "b")]);
+    let (number, effects) = ledger.request(request(TrafficClass::Online), at(0));
+    assert_eq!(granted(&effects), ["t1"]);
+    ledger.release(number, outcome, at(10));
+    assert_eq!(online(&mut ledger, 20).as_deref(), Some(next));
+    assert_eq!(online(&mut ledger, 2_000).as_deref(), Some("t1"));
+}
+
+/// Guards against a slot that stays taken after its call, or is given back twice after giving way.
+#[test]
+fn slots_balance() {
+    let mut ledger = ledger("vm", &[("t1", "a")]);
+    let (batch, _) = ledger.request(request(TrafficClass::Batch), at(0));
+    ledger.tick(at(0));
+    let online: Vec<_> = (0..SLOTS)
+        .map(|_| ledger.request(request(TrafficClass::Online), at(10)).0)
+        .collect();
+    assert_eq!(
+        ledger.load_of(&"t1".into()).map(|(_, slots)| slots.batch),
+        Some(0)
+    );
+    ledger.release(batch, CallOutcome::Abandoned, at(20));
+    for number in online {
+        ledger.release(number, CallOutcome::Completed { first_byte: at(1) }, at(30));
+    }
+    assert_eq!(
+        ledger.load_of(&"t1".into()),
+        Some((SLOTS, SlotUse::default()))
+    );
+}
+
+/// Guards against calls that are forgotten when a target's entry lapses and comes back.
+#[test]
+fn lapse_keeps_calls() {
+    let mut ledger = ledger("vm", &[("t1", "a")]);
+    assert!(online(&mut ledger, 0).is_some());
+    ledger.set_targets(std::iter::empty());
+    let back = entry("t1", "a");
+    ledger.set_targets(std::iter::once(&back));
+    assert_eq!(
+        ledger.load_of(&"t1".into()).map(|(_, slots)| slots.online),
+        Some(1)
+    );
+}
+
+/// Guards against requests that wait for ever because the only target failed them once.
+#[rstest]
+#[case(TrafficClass::Online)]
+#[case(TrafficClass::Batch)]
+fn only_target(#[case] class: TrafficClass) {
+    let mut ledger = ledger("vm", &[("t1", "a")]);
+    let (number, _) = ledger.request(request(class), at(0));
+    ledger.tick(at(0));
+    ledger.release(number, CallOutcome::Failed, at(10));
+    let mut again = request(class);
+    again.excluded.push("t1".into());
+    let (_, mut effects) = ledger.request(again, at(20));
+    effects.extend(ledger.tick(at(20)));
+    assert_eq!(granted(&effects), ["t1"]);
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod listener;
 pub mod memory;
 pub mod platform_server;
+pub mod rows;
+pub mod stream_target;
 
 pub use engine::{
     EngineCounts, EngineFault, EngineKind, EngineOptions, EngineServer, FaultKind, RecordedRequest,
@@ -15,3 +17,5 @@
 };
 pub use memory::{MemoryPlatform, PlatformFault, StoreCounts};
 pub use platform_server::{PlatformOptions, PlatformServer, RunningPlatform};
+pub use rows::{MemoryRows, RowsFault};
+pub use stream_target::{SeenRequest, StreamTarget, TargetAct, TargetNames};
--- /dev/null
+++ b/crates/fakes/src/stream_target.rs
@@ -0,0 +1,255 @@
+//! A target that answers with streams of numbered events, with the faults of real ones.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// What the target does with one request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum TargetAct {
+    /// Answers the whole stream.
+    #[default]
+    Serve,
+    /// Closes the connection in the middle of the event after this one.
+    CutAfter(u64),
+    /// Sends nothing any more after this event.
+    SilentAfter(u64),
+    /// Leaves out this event.
+    Skip(u64),
+    /// Says that it did not run the request.
+    Refuse,
+    /// Ran the request and fails with this status.
+    Fail(u16),
+    /// Runs the request and closes the connection without an answer.
+    LoseAnswer,
+    /// Answers with the id of another request.
+    CrossAnswer,
+}
+
+/// A request as the target saw it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SeenRequest {
+    /// Method and path.
+    pub line: String,
+    /// Headers, names in lower case.
+    pub headers: HashMap<String, String>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Names of the headers that the target knows.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetNames {
+    /// Id of a request.
+    pub request_id: &'static str,
+    /// Present on answers to requests that did not run.
+    pub not_executed: &'static str,
+}
+
+/// A running target. Clones share the same state.
+#[derive(Clone)]
+pub struct StreamTarget {
+    /// Address.
+    pub address: SocketAddr,
+    state: Rc<TargetState>,
+}
+
+struct TargetState {
+    names: TargetNames,
+    events: u64,
+    pause: Cell<Duration>,
+    acts: RefCell<VecDeque<TargetAct>>,
+    seen: RefCell<Vec<SeenRequest>>,
+    running: Cell<usize>,
+}
+
+impl StreamTarget {
+    /// Starts a target on loopback whose streams have `events` events.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub async fn start(names: TargetNames, events: u64) -> io::Result<StreamTarget> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let target = StreamTarget {
+            address: listener.local_addr()?,
+            state: Rc::new(TargetState {
+                names,
+                events,
+                pause: Cell::new(Duration::ZERO),
+                acts: RefCell::default(),
+                seen: RefCell::default(),
+                running: Cell::new(0),
+            }),
+        };
+        let state = Rc::clone(&target.state);
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let state = Rc::clone(&state);
+                actix_rt::spawn(async move {
+                    // A caller that goes away ends the connection, as intended.
+                    drop(state.serve(stream).await);
+                });
+            }
+        });
+        Ok(target)
+    }
+
+    /// Plans what happens to the next requests; later ones are served.
+    pub fn plan(&self, acts: impl IntoIterator<Item = TargetAct>) {
+        self.state.acts.borrow_mut().extend(acts);
+    }
+
+    /// Sets the time between events.
+    pub fn set_pause(&self, pause: Duration) {
+        self.state.pause.set(pause);
+    }
+
+    /// Requests seen so far.
+    #[must_use]
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.state.seen.borrow().clone()
+    }
+
+    /// Requests whose answers are being sent.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.state.running.get()
+    }
+}
+
+struct RunGuard<'a>(&'a Cell<usize>);
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl TargetState {
+    async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        let mut buffer = Vec::new();
+        loop {
+            let Some(request) = read_request(&mut stream, &mut buffer).await? else {
+                return Ok(());
+            };
+            let id = request
+                .headers
+                .get(self.names.request_id)
+                .cloned()
+                .unwrap_or_default();
+            let last = request.headers.get("last-event-id");
+            let last = last.and_then(|last| last.parse().ok()).unwrap_or(0);
+            self.seen.borrow_mut().push(request);
+            let act = self.acts.borrow_mut().pop_front().unwrap_or_default();
+            match act {
+                TargetAct::Refuse => {
+                    let refused = format!("{}: 1\r\n", self.names.not_executed);
+                    let head = self.head(503, &id, &refused, "content-length: 0\r\n");
+                    stream.write_all(head.as_bytes()).await?;
+                }
+                TargetAct::Fail(status) => {
+                    let head = self.head(status, &id, "", "content-length: 0\r\n");
+                    stream.write_all(head.as_bytes()).await?;
+                }
+                TargetAct::LoseAnswer => return Ok(()),
+                TargetAct::CrossAnswer => {
+                    self.send_events(&mut stream, "another", last, act).await?;
+                }
+                _ => {
+                    self.running.set(self.running.get() + 1);
+                    let _running = RunGuard(&self.running);
+                    if !self.send_events(&mut stream, &id, last, act).await? {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+    }
+
+    fn head(&self, status: u16, id: &str, extra: &str, framing: &str) -> String {
+        let name = self.names.request_id;
+        format!("HTTP/1.1 {status} Any\r\n{name}: {id}\r\nstamp: s1\r\n{extra}{framing}\r\n")
+    }
+
+    /// Sends the events after `last`. Says whether the connection may be used again.
+    async fn send_events(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        last: u64,
+        act: TargetAct,
+    ) -> io::Result<bool> {
+        let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+        stream
+            .write_all(self.head(200, id, "", framing).as_bytes())
+            .await?;
+        for number in last + 1..=self.events {
+            sleep(self.pause.get()).await;
+            let event = format!("id: {number}\ndata: piece {number}\n\n");
+            match act {
+                TargetAct::CutAfter(after) if number > after => {
+                    let part = &event[..event.len() / 2];
+                    let chunk = format!("{:x}\r\n{part}\r\n", part.len());
+                    stream.write_all(chunk.as_bytes()).await?;
+                    return Ok(false);
+                }
+                TargetAct::SilentAfter(after) if number > after => {
+                    let mut rest = Vec::new();
+                    // Ends when the caller closes the connection.
+                    stream.read_to_end(&mut rest).await?;
+                    return Ok(false);
+                }
+                TargetAct::Skip(skipped) if number == skipped => continue,
+                _ => {}
+            }
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            stream.write_all(chunk.as_bytes()).await?;
+        }
+        stream.write_all(b"0\r\n\r\n").await?;
+        Ok(true)
+    }
+}
+
+/// Reads one request; none at the end of the connection.
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> io::Result<Option<SeenRequest>> {
+    let head_end = loop {
+        if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
+            break end;
+        }
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let mut request = SeenRequest {
+        line: lines.next().unwrap_or_default().to_owned(),
+        ..SeenRequest::default()
+    };
+    for (name, value) in lines.filter_map(|line| line.split_once(':')) {
+        request
+            .headers
+            .insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = request.headers.get("content-length");
+    let length: usize = length.and_then(|length| length.parse().ok()).unwrap_or(0);
+    let body_start = head_end + 4;
+    while buffer.len() < body_start + length {
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+    request.body = buffer[body_start..body_start + length].to_vec();
+    buffer.drain(..body_start + length);
+    Ok(Some(request))
+}
--- /dev/null
+++ b/crates/jobs/tests/all/support.rs
@@ -0,0 +1,206 @@
+//! A VM with jobs, rows in memory and targets on loopback.
+
+use awc::http::header::HeaderName;
+use plantainmill_core::{JobId, OrganisationId, SystemClock};
+use plantainmill_dispatch::SharedDispatcher;
+use plantainmill_dispatch::shared::SharedParts;
+use plantainmill_fakes::{MemoryRows, StreamTarget, TargetNames};
+use plantainmill_jobs::{
+    JobHead, JobItem, JobOwner, JobParts, JobService, JobSettings, JobStore, ListedResult,
+    Submission,
+};
+use plantainmill_proxy::relay::{CallNames, RelayCaller, RelayLimits};
+use plantainmill_routing::{
+    CallerLimits, DocumentView, FleetDocument, JobRule, RouteKind, RouteRule, ServiceShare,
+    TargetEntry,
+};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Events of each item's answer.
+pub const EVENTS: u64 = 5;
+const NAMES: TargetNames = TargetNames {
+    request_id: "request-id",
+    not_executed: "not-executed",
+};
+
+/// An owner.
+pub fn owner(vm: &str, incarnation: u64) -> JobOwner {
+    JobOwner {
+        vm: vm.into(),
+        incarnation,
+    }
+}
+
+/// A head of a job with `total` items of 100 tokens.
+pub fn head(total: u64) -> JobHead {
+    JobHead {
+        organisation: "ward".into(),
+        host: "batch.example".into(),
+        route: "guides".into(),
+        accepted_ms: 0,
+        completion: Duration::from_secs(18),
+        retention: Duration::from_mins(1),
+        total,
+        tokens_left: total * 100,
+        listed: 0,
+        owner: Some(owner("vm", 1)),
+        ended: false,
+    }
+}
+
+/// The organisation of all jobs.
+pub fn ward() -> OrganisationId {
+    "ward".into()
+}
+
+/// The route of all jobs.
+pub fn route() -> RouteRule {
+    RouteRule {
+        name: "guides".into(),
+        host: "batch.example".into(),
+        path_prefix: "/guides/".into(),
+        kind: RouteKind::Batch,
+        attempts: 3,
+        time_limit: Duration::from_secs(15),
+        objective: Duration::from_millis(400),
+        event_gap: Duration::from_millis(400),
+        priority: 2,
+        public: false,
+        resumable: true,
+        shares: vec![ServiceShare {
+            service: "llm".into(),
+            weight: 1,
+        }],
+        job: Some(JobRule {
+            completion: Duration::from_secs(18),
+            retention: Duration::from_mins(1),
+            token_limit: 1_000,
+        }),
+    }
+}
+
+/// A job with `count` items.
+pub fn submission(count: usize) -> Submission {
+    let items = (0..count).map(|number| JobItem {
+        id: format!("item{number}").into(),
+        path: format!("/guides/{number}"),
+        headers: vec![("model".into(), "m".into())],
+        body: vec![7; 100].into(),
+        tokens: 100,
+    });
+    Submission {
+        items: items.collect(),
+    }
+}
+
+/// One VM with its jobs.
+pub struct TestVm {
+    pub jobs: JobService,
+    pub dispatcher: SharedDispatcher,
+    pub own: JobOwner,
+}
+
+/// Rows and a target that VMs share.
+pub struct TestWorld {
+    pub rows: MemoryRows,
+    pub target: StreamTarget,
+}
+
+impl TestWorld {
+    pub async fn start() -> TestWorld {
+        TestWorld {
+            rows: MemoryRows::default(),
+            target: StreamTarget::start(NAMES, EVENTS).await.expect("a port"),
+        }
+    }
+
+    /// Starts a VM.
+    pub fn vm(&self, name: &str, incarnation: u64) -> TestVm {
+        let clock = Arc::new(SystemClock);
+        let dispatcher = SharedDispatcher::new(SharedParts {
+            vm: name.into(),
+            domain: "a".into(),
+            region: "north".into(),
+            regions: HashMap::from([("a".into(), "north".into())]),
+            clock: clock.clone(),
+        });
+        let entry = TargetEntry {
+            id: "t1".into(),
+            service: "llm".into(),
+            address: self.target.address,
+            domain: "a".into(),
+            slots: 8,
+            draining: false,
+            born: 0,
+            version: "v1".into(),
+        };
+        dispatcher.set_targets(std::iter::once(&entry));
+        let ticker = dispatcher.clone();
+        actix_rt::spawn(async move {
+            loop {
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+                ticker.tick();
+            }
+        });
+        let names = CallNames {
+            request_id: HeaderName::from_static(NAMES.request_id),
+            deadline: HeaderName::from_static("deadline-ms"),
+            organisation: HeaderName::from_static("organisation"),
+            expected_instance: HeaderName::from_static("expected"),
+            not_executed: HeaderName::from_static(NAMES.not_executed),
+            last_event: HeaderName::from_static("last-event-id"),
+        };
+        let view = DocumentView::default();
+        let document =
+            FleetDocument::new(1, vec![route()], BTreeMap::new(), CallerLimits::default());
+        assert!(view.offer(document, Duration::ZERO));
+        let limits = RelayLimits::default();
+        let caller = RelayCaller::new(Arc::new(dispatcher.clone()), clock.clone(), names, limits);
+        let own = owner(name, incarnation);
+        let jobs = JobService::start(JobParts {
+            own: own.clone(),
+            store: JobStore::new(Rc::new(self.rows.clone())),
+            caller,
+            view,
+            clock,
+            settings: JobSettings {
+                result_time: Duration::from_mins(2),
+                stop_time: Duration::from_secs(1),
+            },
+        });
+        TestVm {
+            jobs,
+            dispatcher,
+            own,
+        }
+    }
+}
+
+impl TestVm {
+    /// Reads results until there are `count`, for some seconds.
+    pub async fn read_results(&self, job: &JobId, count: usize) -> Vec<ListedResult> {
+        let mut results = Vec::new();
+        for _ in 0..100 {
+            let after = results.len() as u64;
+            let wait = Duration::from_millis(50);
+            if let Ok(page) = self.jobs.results(&ward(), job, after, wait).await {
+                results.extend(page.results);
+            }
+            if results.len() >= count {
+                break;
+            }
+        }
+        results
+    }
+}
+
+/// The whole output of an item.
+pub fn whole_output() -> String {
+    let lines: Vec<String> = (1..=EVENTS)
+        .map(|number| format!("piece {number}"))
+        .collect();
+    lines.join("\n")
+}
--- a/crates/proxy/src/relay/events.rs
+++ b/crates/proxy/src/relay/events.rs
@@ -90,6 +90,7 @@
 }
 
 /// Checks that `events` follow `last_event` without a gap or a repeat, and moves it on. After an error it stays.
+/// The first event of a stream has the id 1.
 ///
 /// # Errors
 ///
@@ -97,9 +98,8 @@
 pub fn check_order(events: &[StreamEvent], last_event: &mut Option<u64>) -> Result<(), String> {
     let mut last_id = *last_event;
     for id in events.iter().filter_map(|event| event.id) {
-        if let Some(last) = last_id
-            && id != last + 1
-        {
+        let last = last_id.unwrap_or(0);
+        if id != last + 1 {
             return Err(format!("event {id} came after event {last}"));
         }
         last_id = Some(id);
