--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -25,5 +25,5 @@
 pub use key::{KeyIndex, KeyOwner};
 pub use limiter::{RateLimiter, RateVerdict};
 pub use service::{RateParts, RateService, SlotLimiter};
-pub use shared::{SharedLimiter, UsageEntry, UsageLedger};
+pub use shared::{SharedLimiter, UsageEntry, UsageLedger, UsageSource};
 pub use state::{RateCounts, RateSettings, RateState};
--- a/crates/admission/src/shared.rs
+++ b/crates/admission/src/shared.rs
@@ -7,5 +7,5 @@
 mod ledger;
 mod limiter;
 
-pub use ledger::{RateLimit, UsageEntry, UsageLedger};
+pub use ledger::{RateLimit, UsageEntry, UsageLedger, UsageSource};
 pub use limiter::SharedLimiter;
--- a/crates/admission/src/shared/ledger.rs
+++ b/crates/admission/src/shared/ledger.rs
@@ -1,7 +1,7 @@
 //! The state machine of the shared limits.
 
 use crate::limiter::RateVerdict;
-use plantainmill_core::{OrganisationId, Uptime, VmId};
+use plantainmill_core::{DomainName, Incarnation, OrganisationId, Uptime, VmId};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -25,12 +25,26 @@
 /// Time after which a refused request is worth a repeat: a VM's part of a low rate needs about as long for a token.
 const RETRY_TIME: Duration = Duration::from_secs(1);
 
-/// What a VM admitted of one organisation.
+/// Who reports what was admitted.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum UsageSource {
+    /// A VM of the own failure domain.
+    Vm(VmId),
+    /// All VMs of another failure domain, as one of them sums them up. Sums of two VMs cannot be compared.
+    Domain {
+        /// Failure domain.
+        domain: DomainName,
+        /// VM that sums up, and its start.
+        speaker: (VmId, Incarnation),
+    },
+}
+
+/// What a VM, or all VMs of a failure domain, admitted of one organisation.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct UsageEntry {
     /// Organisation.
     pub organisation: OrganisationId,
-    /// Requests admitted since the VM started.
+    /// Requests admitted since the reporting VM started.
     pub admitted: u64,
     /// Requests per second that were asked for.
     pub demand: f64,
@@ -47,6 +61,8 @@
     burst: f64,
     settled: Uptime,
     admitted: u64,
+    /// What all VMs of the own domain admitted while this one ran.
+    domain_admitted: u64,
     demand: f64,
     asked_at: Uptime,
     learned: bool,
@@ -55,6 +71,8 @@
 #[derive(Debug)]
 struct PeerUsage {
     heard_at: Uptime,
+    /// VMs that it stands for.
+    vms: usize,
     admitted: HashMap<OrganisationId, u64>,
     demand: HashMap<OrganisationId, f64>,
 }
@@ -72,7 +90,7 @@
 #[derive(Debug, Default)]
 pub struct UsageLedger {
     organisations: HashMap<OrganisationId, OrganisationUsage>,
-    peers: HashMap<VmId, PeerUsage>,
+    peers: HashMap<UsageSource, PeerUsage>,
 }
 
 impl UsageLedger {
@@ -108,14 +126,18 @@
             usage.own_level -= 1.0;
         }
         usage.admitted += 1;
+        usage.domain_admitted += 1;
         RateVerdict::Admitted
     }
 
     /// The part of the fleet that is heard, and this VM's part of that.
     fn parts(&self, organisation: &OrganisationId, now: Uptime) -> (f64, f64) {
         let silent = |peer: &PeerUsage| now.saturating_sub(peer.heard_at) >= PEER_SILENCE;
-        let all = self.peers.len() + 1;
-        let heard = all - self.peers.values().filter(|peer| silent(peer)).count();
+        let vms = |peers: &mut dyn Iterator<Item = &PeerUsage>| -> usize {
+            peers.map(|peer| peer.vms).sum::<usize>() + 1
+        };
+        let all = vms(&mut self.peers.values());
+        let heard = vms(&mut self.peers.values().filter(|peer| !silent(peer)));
         let present = ratio(heard, all);
         let own = self.organisations.get(organisation);
         let own = own.map_or(0.0, |usage| usage.demand);
@@ -148,20 +170,31 @@
             burst: limit.burst,
             settled: now,
             admitted: 0,
+            domain_admitted: 0,
             demand: 0.0,
             asked_at: now,
             learned: false,
         })
     }
 
-    /// Takes a peer's report.
-    pub fn hear(&mut self, peer: &VmId, entries: Vec<UsageEntry>, now: Uptime) {
+    /// Takes the report of a peer that stands for `vms` VMs.
+    pub fn hear(&mut self, peer: &UsageSource, vms: usize, entries: Vec<UsageEntry>, now: Uptime) {
+        if let UsageSource::Domain { domain, .. } = peer {
+            // Another speaker of the domain takes the place of the former one.
+            self.peers.retain(|other, _| match other {
+                UsageSource::Domain { domain: held, .. } => held != domain || other == peer,
+                UsageSource::Vm(_) => true,
+            });
+        }
+        let is_near = matches!(peer, UsageSource::Vm(_));
         let known = self.peers.entry(peer.clone()).or_insert_with(|| PeerUsage {
             heard_at: now,
+            vms,
             admitted: HashMap::new(),
             demand: HashMap::new(),
         });
         known.heard_at = now;
+        known.vms = vms;
         known.demand.clear();
         for entry in entries {
             let before = known
@@ -170,14 +203,20 @@
             known
                 .demand
                 .insert(entry.organisation.clone(), entry.demand);
-            let Some(usage) = self.organisations.get_mut(&entry.organisation) else {
-                continue;
-            };
+            let usage = self.organisations.entry(entry.organisation.clone());
+            let usage = usage.or_insert_with(|| OrganisationUsage::unasked(now));
             // A lower number comes from a new start of the peer.
             let before = before.filter(|before| *before <= entry.admitted);
             let spent = before.map_or(0, |before| entry.admitted - before);
             usage.settle(now);
-            usage.level -= float(spent);
+            usage.level = if usage.is_unasked() {
+                entry.level
+            } else {
+                usage.level - float(spent)
+            };
+            if is_near {
+                usage.domain_admitted += spent;
+            }
             if !usage.learned {
                 usage.learned = true;
                 usage.level = usage.level.min(entry.level);
@@ -186,7 +225,7 @@
     }
 
     /// Drops a peer that has stopped.
-    pub fn forget(&mut self, peer: &VmId) {
+    pub fn forget(&mut self, peer: &UsageSource) {
         self.peers.remove(peer);
     }
 
@@ -196,6 +235,21 @@
             .retain(|_, peer| now.saturating_sub(peer.heard_at) < PEER_MEMORY);
     }
 
+    /// The report of this VM's failure domain to other domains.
+    #[must_use]
+    pub fn domain_report(&self, now: Uptime) -> Vec<UsageEntry> {
+        let organisations = self.organisations.iter();
+        let active = organisations.filter(|(_, usage)| usage.domain_admitted > 0);
+        active
+            .map(|(organisation, usage)| UsageEntry {
+                organisation: organisation.clone(),
+                admitted: usage.domain_admitted,
+                demand: usage.demand_at(now) + near_demand(&self.peers, organisation),
+                level: usage.level_at(now),
+            })
+            .collect()
+    }
+
     /// This VM's report to its peers.
     #[must_use]
     pub fn report(&self, now: Uptime) -> Vec<UsageEntry> {
@@ -213,7 +267,36 @@
     }
 }
 
+/// Demand of one organisation at the VMs of the own domain.
+fn near_demand(peers: &HashMap<UsageSource, PeerUsage>, organisation: &OrganisationId) -> f64 {
+    let near = peers
+        .iter()
+        .filter(|(peer, _)| matches!(peer, UsageSource::Vm(_)));
+    near.filter_map(|(_, peer)| peer.demand.get(organisation))
+        .sum()
+}
+
 impl OrganisationUsage {
+    /// Usage of an organisation that only peers were asked for so far. Its rate is not known here.
+    fn unasked(now: Uptime) -> OrganisationUsage {
+        OrganisationUsage {
+            level: 0.0,
+            own_level: 1.0,
+            rate: 0.0,
+            burst: f64::INFINITY,
+            settled: now,
+            admitted: 0,
+            domain_admitted: 0,
+            demand: 0.0,
+            asked_at: now,
+            learned: true,
+        }
+    }
+
+    fn is_unasked(&self) -> bool {
+        self.burst.is_infinite()
+    }
+
     fn level_at(&self, now: Uptime) -> f64 {
         let passed = now.saturating_sub(self.settled).as_secs_f64();
         (self.level + self.rate * passed).min(self.burst)
--- a/crates/admission/src/shared/limiter.rs
+++ b/crates/admission/src/shared/limiter.rs
@@ -1,10 +1,10 @@
 //! The shared limits behind the [`RateLimiter`] interface.
 
-use super::ledger::{RateLimit, UsageEntry, UsageLedger};
+use super::ledger::{RateLimit, UsageEntry, UsageLedger, UsageSource};
 use crate::limiter::{RateLimiter, RateVerdict};
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
-use plantainmill_core::{Clock, OrganisationId, VmId};
+use plantainmill_core::{Clock, OrganisationId};
 use plantainmill_routing::DocumentView;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -31,13 +31,19 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes a peer's report.
-    pub fn hear(&self, peer: &VmId, entries: Vec<UsageEntry>) {
-        self.lock().hear(peer, entries, self.clock.uptime());
+    /// Takes the report of a peer that stands for `vms` VMs.
+    pub fn hear(&self, peer: &UsageSource, vms: usize, entries: Vec<UsageEntry>) {
+        self.lock().hear(peer, vms, entries, self.clock.uptime());
+    }
+
+    /// The report of this VM's failure domain to other domains.
+    #[must_use]
+    pub fn domain_report(&self) -> Vec<UsageEntry> {
+        self.lock().domain_report(self.clock.uptime())
     }
 
     /// Drops a peer that has stopped.
-    pub fn forget(&self, peer: &VmId) {
+    pub fn forget(&self, peer: &UsageSource) {
         self.lock().forget(peer);
     }
 
--- a/crates/admission/tests/all/shared_usage.rs
+++ b/crates/admission/tests/all/shared_usage.rs
@@ -1,8 +1,8 @@
 //! Rates over all VMs by reports of what each admitted.
 
 use plantainmill_admission::RateVerdict;
-use plantainmill_admission::shared::{RateLimit, UsageLedger};
-use plantainmill_core::{OrganisationId, VmId};
+use plantainmill_admission::shared::{RateLimit, UsageLedger, UsageSource};
+use plantainmill_core::OrganisationId;
 use rstest::rstest;
 use std::time::Duration;
 
@@ -53,7 +53,8 @@
         {
             for (to, ledger) in self.ledgers.iter_mut().enumerate() {
                 if to != from && !self.cut[to] {
-                    ledger.hear(&VmId::from(format!("vm{from}")), report.clone(), now);
+                    let peer = UsageSource::Vm(format!("vm{from}").into());
+                    ledger.hear(&peer, 1, report.clone(), now);
                 }
             }
         }
@@ -151,3 +152,48 @@
     fleet.play(14_000, 18_000, 40, |_| 3);
     assert!(fleet.refused - refused <= 4, "{}", fleet.refused - refused);
 }
+
+/// Guards against a limit that does not hold over failure domains, which see each other only as sums, also when another
+/// VM sums up from some moment on.
+#[test]
+fn domain_sums() {
+    let mut domains = [Fleet::new(4), Fleet::new(4)];
+    let mut admitted = Vec::new();
+    let mut asked: u64 = 0;
+    for millis in 0..12_000_u64 {
+        let now = Duration::from_millis(millis);
+        if millis % 200 == 0 {
+            let speaker = usize::from(millis > 6_000);
+            for fleet in &mut domains {
+                fleet.exchange(now);
+            }
+            let sums =
+                [0, 1].map(|domain: usize| domains[domain].ledgers[speaker].domain_report(now));
+            for (domain, sum) in sums.into_iter().enumerate() {
+                let peer = UsageSource::Domain {
+                    domain: format!("d{domain}").into(),
+                    speaker: (format!("vm{speaker}").into(), 1),
+                };
+                for ledger in &mut domains[1 - domain].ledgers {
+                    ledger.hear(&peer, 4, sum.clone(), now);
+                }
+            }
+        }
+        while asked * 1_000 < millis * 330 {
+            let vm = usize::try_from(asked % 8).unwrap_or(0);
+            domains[vm / 4].ask(vm % 4, now);
+            asked += 1;
+        }
+    }
+    for fleet in &mut domains {
+        admitted.append(&mut fleet.admitted);
+    }
+    let mut both = Fleet::new(0);
+    both.admitted = admitted;
+    assert!(both.worst_window() <= bound(), "{}", both.worst_window());
+    assert!(
+        both.worst_window() >= 70 * 5 * 9 / 10,
+        "{}",
+        both.worst_window()
+    );
+}
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -12,4 +12,4 @@
 
 pub use dispatcher::{SharedDispatcher, SharedParts};
 pub use ledger::{LedgerEffect, LedgerRequest, LoadLedger};
-pub use peers::{PeerLoad, SlotUse};
+pub use peers::{LoadSource, PeerLoad, SlotUse};
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The shared policy behind the [`Dispatcher`] interface.
 
 use super::ledger::{LedgerEffect, LedgerRequest, LoadLedger, RequestNumber};
-use super::peers::PeerLoad;
+use super::peers::{LoadSource, PeerLoad};
 use crate::dispatcher::{CallOutcome, Dispatcher, TargetTicket, TicketRequest};
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
@@ -82,7 +82,7 @@
     }
 
     /// Takes a peer's report.
-    pub fn hear(&self, peer: &VmId, load: PeerLoad) {
+    pub fn hear(&self, peer: &LoadSource, load: PeerLoad) {
         let now = self.inner.clock.uptime();
         let mut state = self.inner.lock();
         let effects = state.ledger.hear(peer, load, now);
@@ -90,7 +90,7 @@
     }
 
     /// Drops a peer that has stopped.
-    pub fn forget(&self, peer: &VmId) {
+    pub fn forget(&self, peer: &LoadSource) {
         self.inner.lock().ledger.forget(peer);
     }
 
@@ -108,6 +108,12 @@
         self.inner.lock().ledger.report()
     }
 
+    /// The report of this VM's failure domain to other domains.
+    #[must_use]
+    pub fn domain_report(&self) -> PeerLoad {
+        self.inner.lock().ledger.domain_report()
+    }
+
     /// Ends when peers should get a report at once.
     pub async fn announced(&self) {
         self.inner.announce.notified().await;
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -2,12 +2,11 @@
 
 use super::choice::{Candidate, CandidateOrder, PlaceMap, SlotState};
 use super::health::CallHealth;
-use super::peers::{PeerLoad, PeerLoads, SlotUse};
+use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse};
 use crate::dispatcher::{CallOutcome, TrafficClass};
 use crate::rendezvous::score;
 use plantainmill_core::{DomainName, RegionName, ServiceName, TargetId, Uptime, VmId};
 use plantainmill_routing::TargetEntry;
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -236,7 +235,7 @@
     }
 
     /// Takes a peer's report.
-    pub fn hear(&mut self, peer: &VmId, load: PeerLoad, now: Uptime) -> Vec<LedgerEffect> {
+    pub fn hear(&mut self, peer: &LoadSource, load: PeerLoad, now: Uptime) -> Vec<LedgerEffect> {
         self.peers.hear(peer, load, now);
         let mut effects = Vec::new();
         self.give_way(&mut effects);
@@ -245,7 +244,7 @@
     }
 
     /// Drops a peer that has stopped.
-    pub fn forget(&mut self, peer: &VmId) {
+    pub fn forget(&mut self, peer: &LoadSource) {
         self.peers.forget(peer);
     }
 
@@ -267,10 +266,16 @@
             .filter(|(_, target)| target.own.total() > 0);
         PeerLoad {
             slots: busy.map(|(id, target)| (id.clone(), target.own)).collect(),
-            batch_waiting: u32::try_from(self.batch.len()).unwrap_or(u32::MAX),
+            waiting_vms: u32::from(!self.batch.is_empty()),
         }
     }
 
+    /// The report of this VM's failure domain to other domains.
+    #[must_use]
+    pub fn domain_report(&self) -> PeerLoad {
+        self.peers.domain_load(&self.report())
+    }
+
     /// Requests that wait: online and batch.
     #[must_use]
     pub fn waiting(&self) -> (usize, usize) {
@@ -438,15 +443,7 @@
             .collect();
         for (id, needed) in crowded {
             let own = self.targets.get(&id).map_or(0, |target| target.own.batch);
-            let key = crate::rendezvous::key_of(&id);
-            let mut holders = self.peers.batch_holders(&id);
-            holders.push((&self.vm, own));
-            holders.sort_by_key(|(vm, _)| Reverse(score(vm, key)));
-            let before: u32 = holders
-                .iter()
-                .take_while(|(vm, _)| **vm != self.vm)
-                .map(|(_, count)| count)
-                .sum();
+            let before = self.peers.batch_before(&id, &self.vm, &self.place.domain);
             let share = needed.saturating_sub(before).min(own);
             self.preempt_at(&id, share, effects);
         }
@@ -479,8 +476,8 @@
                 (target.entry.slots.saturating_sub(BATCH_RESERVE)).saturating_sub(used)
             })
             .sum();
-        let sharers = 1 + self.peers.waiting_peers();
-        usize::try_from(free).unwrap_or(0).div_ceil(sharers)
+        let sharers = 1 + self.peers.waiting_vms();
+        usize::try_from(free.div_ceil(sharers)).unwrap_or(0)
     }
 
     fn grant_batch(
--- a/crates/dispatch/src/shared/peers.rs
+++ b/crates/dispatch/src/shared/peers.rs
@@ -1,9 +1,10 @@
 //! What the other VMs run at each target.
 
 use crate::dispatcher::TrafficClass;
-use plantainmill_core::{TargetId, Uptime, VmId};
+use crate::rendezvous::{key_of, score};
+use plantainmill_core::{DomainName, TargetId, Uptime, VmId};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// Time without a report after which the calls of a peer no longer count: it has stopped, or its calls soon will.
@@ -49,13 +50,22 @@
     }
 }
 
-/// One VM's report of its calls.
+/// The calls of one VM, or of all VMs of a failure domain.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerLoad {
     /// Requests by target.
     pub slots: Vec<(TargetId, SlotUse)>,
-    /// Batch requests that wait for a slot.
-    pub batch_waiting: u32,
+    /// VMs with batch requests that wait for a slot.
+    pub waiting_vms: u32,
+}
+
+/// Who reports calls.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum LoadSource {
+    /// A VM of the own failure domain.
+    Vm(VmId),
+    /// All VMs of another failure domain.
+    Domain(DomainName),
 }
 
 #[derive(Debug)]
@@ -67,13 +77,13 @@
 /// The last report of each peer.
 #[derive(Debug, Default)]
 pub(super) struct PeerLoads {
-    heard: HashMap<VmId, HeardLoad>,
+    heard: HashMap<LoadSource, HeardLoad>,
     sums: HashMap<TargetId, SlotUse>,
 }
 
 impl PeerLoads {
     /// Takes a report.
-    pub fn hear(&mut self, peer: &VmId, load: PeerLoad, now: Uptime) {
+    pub fn hear(&mut self, peer: &LoadSource, load: PeerLoad, now: Uptime) {
         let heard = HeardLoad {
             heard_at: now,
             load,
@@ -83,7 +93,7 @@
     }
 
     /// Drops a peer that has stopped.
-    pub fn forget(&mut self, peer: &VmId) {
+    pub fn forget(&mut self, peer: &LoadSource) {
         self.heard.remove(peer);
         self.sum_up();
     }
@@ -112,19 +122,52 @@
     }
 
     /// Number of peers that wait for batch slots.
-    pub fn waiting_peers(&self) -> usize {
-        let loads = self.heard.values();
-        loads.filter(|heard| heard.load.batch_waiting > 0).count()
+    pub fn waiting_vms(&self) -> u32 {
+        self.heard
+            .values()
+            .map(|heard| heard.load.waiting_vms)
+            .sum()
+    }
+
+    /// The calls of this VM's domain: those of the heard VMs and `own`.
+    pub fn domain_load(&self, own: &PeerLoad) -> PeerLoad {
+        let heard = self.heard.iter();
+        let near = heard.filter(|(source, _)| matches!(source, LoadSource::Vm(_)));
+        let loads = near.map(|(_, heard)| &heard.load).chain([own]);
+        let mut sums: BTreeMap<&TargetId, SlotUse> = BTreeMap::new();
+        let mut waiting_vms = 0;
+        for load in loads {
+            waiting_vms += load.waiting_vms;
+            for (target, slots) in &load.slots {
+                let sum = sums.entry(target).or_default();
+                *sum = sum.plus(*slots);
+            }
+        }
+        PeerLoad {
+            slots: sums
+                .into_iter()
+                .map(|(target, slots)| (target.clone(), slots))
+                .collect(),
+            waiting_vms,
+        }
     }
 
-    /// The peers that run batch requests at `target`, with their number.
-    pub fn batch_holders(&self, target: &TargetId) -> Vec<(&VmId, u32)> {
-        let loads = self.heard.iter();
-        loads
-            .filter_map(|(peer, heard)| {
-                let slots = heard.load.slots.iter().find(|(id, _)| id == target)?.1;
-                (slots.batch > 0).then_some((peer, slots.batch))
-            })
-            .collect()
+    /// Batch requests at `target` of the holders before `own` of `domain`, in an order that all VMs share: by domain,
+    /// then by VM.
+    pub fn batch_before(&self, target: &TargetId, own: &VmId, domain: &DomainName) -> u32 {
+        let key = key_of(target);
+        let place = |source: &LoadSource| match source {
+            LoadSource::Vm(vm) => (score(domain, key), score(vm, key)),
+            LoadSource::Domain(other) => (score(other, key), 0),
+        };
+        let own_place = place(&LoadSource::Vm(own.clone()));
+        let before = self
+            .heard
+            .iter()
+            .filter(|(source, _)| place(source) > own_place);
+        before
+            .filter_map(|(_, heard)| heard.load.slots.iter().find(|(id, _)| id == target))
+            .map(|(_, slots)| slots.batch)
+            .sum()
     }
 }
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -1,7 +1,8 @@
 //! Decisions of the shared policy, one at a time.
 
-use plantainmill_core::VmId;
-use plantainmill_dispatch::shared::{LedgerEffect, LedgerRequest, LoadLedger, PeerLoad, SlotUse};
+use plantainmill_dispatch::shared::{
+    LedgerEffect, LedgerRequest, LoadLedger, LoadSource, PeerLoad, SlotUse,
+};
 use plantainmill_dispatch::{CallOutcome, TrafficClass};
 use plantainmill_routing::TargetEntry;
 use rstest::rstest;
@@ -24,12 +25,16 @@
 }
 
 fn ledger(vm: &str, targets: &[(&str, &str)]) -> LoadLedger {
+    ledger_at(vm, "a", targets)
+}
+
+fn ledger_at(vm: &str, domain: &str, targets: &[(&str, &str)]) -> LoadLedger {
     let regions = HashMap::from([
         ("a".into(), "north".into()),
         ("b".into(), "north".into()),
         ("c".into(), "south".into()),
     ]);
-    let mut ledger = LoadLedger::new(vm.into(), "a".into(), "north".into(), regions);
+    let mut ledger = LoadLedger::new(vm.into(), domain.into(), "north".into(), regions);
     let entries: Vec<_> = targets
         .iter()
         .map(|(id, domain)| entry(id, domain))
@@ -74,10 +79,14 @@
     preempts.count()
 }
 
+fn vm(name: &str) -> LoadSource {
+    LoadSource::Vm(name.into())
+}
+
 fn peer_load(target: &str, online: u32, batch: u32) -> PeerLoad {
     PeerLoad {
         slots: vec![(target.into(), SlotUse { online, batch })],
-        batch_waiting: 0,
+        waiting_vms: 0,
     }
 }
 
@@ -94,7 +103,7 @@
 #[test]
 fn peers_count() {
     let mut ledger = ledger("vm", &[("t1", "a"), ("t2", "a")]);
-    let peer = VmId::from("peer");
+    let peer = vm("peer");
     ledger.hear(&peer, peer_load("t1", SLOTS, 0), at(0));
     for _ in 0..3 {
         assert_eq!(online(&mut ledger, 10).as_deref(), Some("t2"));
@@ -129,23 +138,54 @@
         ledger.request(request(TrafficClass::Batch), at(0));
         ledger.tick(at(0));
         for other in names.iter().filter(|other| **other != own) {
-            ledger.hear(&VmId::from(*other), peer_load("t1", 0, 1), at(10));
+            ledger.hear(&vm(other), peer_load("t1", 0, 1), at(10));
         }
         // Three batch calls and two online ones at four slots.
-        let effects = ledger.hear(&VmId::from("vm4"), peer_load("t1", 2, 0), at(20));
+        let effects = ledger.hear(&vm("vm4"), peer_load("t1", 2, 0), at(20));
         gave_way += preempted(&effects);
     }
     assert_eq!(gave_way, 1);
 }
 
+/// Guards against VMs of different failure domains that both give way, or none, though each sees the other domain only
+/// as a sum.
+#[test]
+fn one_domain_yields() {
+    let mut gave_way = 0;
+    for (own, domain, other) in [("vm1", "a", "b"), ("vm2", "b", "a")] {
+        let mut ledger = ledger_at(own, domain, &[("t1", "a")]);
+        ledger.request(request(TrafficClass::Batch), at(0));
+        ledger.tick(at(0));
+        // One batch call here, one there, and three online calls there.
+        let far = LoadSource::Domain(other.into());
+        let load = peer_load("t1", 3, 1);
+        gave_way += preempted(&ledger.hear(&far, load, at(20)));
+    }
+    assert_eq!(gave_way, 1);
+}
+
+/// Guards against a domain's report that leaves out calls or counts them twice.
+#[test]
+fn domain_sum() {
+    let mut ledger = ledger("vm1", &[("t1", "a")]);
+    online(&mut ledger, 0);
+    ledger.hear(&vm("vm2"), peer_load("t1", 1, 2), at(10));
+    ledger.hear(
+        &LoadSource::Domain("c".into()),
+        peer_load("t1", 5, 5),
+        at(10),
+    );
+    assert_eq!(ledger.domain_report(), peer_load("t1", 2, 2));
+}
+
 /// Guards against batch calls that start while online requests wait, or that fill the last slot.
 #[test]
 fn batch_after_online() {
     let mut ledger = ledger("vm", &[("t1", "a")]);
-    ledger.hear(&VmId::from("peer"), peer_load("t1", 3, 0), at(0));
+    ledger.hear(&vm("peer"), peer_load("t1", 3, 0), at(0));
     ledger.request(request(TrafficClass::Batch), at(0));
     assert!(granted(&ledger.tick(at(0))).is_empty());
-    ledger.hear(&VmId::from("peer"), peer_load("t1", 2, 0), at(50));
+    ledger.hear(&vm("peer"), peer_load("t1", 2, 0), at(50));
     assert_eq!(granted(&ledger.tick(at(50))), ["t1"]);
 }
 
@@ -178,7 +218,7 @@
 #[test]
 fn refused_soon() {
     let mut ledger = ledger("vm", &[("t1", "a")]);
-    ledger.hear(&VmId::from("peer"), peer_load("t1", SLOTS + 2, 0), at(0));
+    ledger.hear(&vm("peer"), peer_load("t1", SLOTS + 2, 0), at(0));
     let mut request = request(TrafficClass::Online);
     request.wait_limit = Some(at(75));
     let (number, effects) = ledger.request(request, at(0));
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -4,21 +4,25 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use plantainmill_admission::RateLimiter as _;
 use plantainmill_dispatch::Dispatcher as _;
+use serde::Serialize;
 use std::rc::Rc;
 
 /// Path of the document in force.
 pub(crate) const DOCUMENT_PATH: &str = "/document";
+/// Path of the targets.
+pub(crate) const TARGETS_PATH: &str = "/targets";
 /// Path of the state dump.
 const STATE_PATH: &str = "/state";
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
-/// Largest document taken from a peer, in bytes: room for 100,000 organisations.
+/// Largest answer taken from a peer, in bytes: room for 100,000 organisations.
 pub(crate) const DOCUMENT_LIMIT_BYTES: usize = 32 << 20;
 
 /// Answers other VMs and operators.
 pub(crate) async fn handle(request: HttpRequest, state: web::Data<Rc<EdgeState>>) -> HttpResponse {
     match request.path() {
         DOCUMENT_PATH => document(&state),
+        TARGETS_PATH => encoded(&state.targets.borrow().entries()),
         STATE_PATH => HttpResponse::Ok().json(dump(&state).await),
         METRICS_PATH => HttpResponse::Ok()
             .content_type("text/plain; version=0.0.4")
@@ -31,11 +35,15 @@
     let (Some(document), Some(age)) = (state.view.load(), state.document_age()) else {
         return HttpResponse::ServiceUnavailable().finish();
     };
+    encoded(&(document.as_ref(), age))
+}
+
+fn encoded(value: &impl Serialize) -> HttpResponse {
     let mut content = Vec::new();
-    match ciborium::into_writer(&(document.as_ref(), age), &mut content) {
+    match ciborium::into_writer(value, &mut content) {
         Ok(()) => HttpResponse::Ok().body(content),
         Err(error) => {
-            tracing::warn!(event = "document_not_encoded", %error);
+            tracing::warn!(event = "answer_not_encoded", %error);
             HttpResponse::InternalServerError().finish()
         }
     }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -1,8 +1,9 @@
-//! Follows the document and the targets, and proves the document's age through peers when the store is away.
+//! Reads the document and the targets: from the store for the whole failure domain, or for itself when the readers of
+//! the domain cannot.
 
 use crate::state::EdgeState;
 use plantainmill_platform::StoreError;
-use plantainmill_routing::{DocumentSource, TargetRegistry, TargetSource};
+use plantainmill_routing::{DocumentSource, TargetSource};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -15,11 +16,23 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Time until a read is given up. A slow store needs some hundred milliseconds.
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
+/// Age of the document from which a VM reads for itself: the readers were asked twice.
+const OWN_READ_AGE: Duration = Duration::from_millis(1_400);
+
+/// Whether this VM reads the store now.
+fn reads_store(state: &EdgeState) -> bool {
+    let is_old = state.document_age().is_none_or(|age| age >= OWN_READ_AGE);
+    state.is_reader.get() || is_old || !state.targets.borrow().is_known()
+}
 
 /// Reads the document again and again.
 pub(crate) async fn follow_document(state: Rc<EdgeState>, source: Rc<dyn DocumentSource>) {
     let mut is_lost = false;
     loop {
+        if !reads_store(&state) {
+            sleep(RETRY_INTERVAL).await;
+            continue;
+        }
         let sent_at = state.clock.uptime();
         let read = timeout(READ_LIMIT, source.read_document()).await;
         let read = read.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into())));
@@ -30,6 +43,7 @@
                     let version = document.version;
                     if state.view.offer(document, sent_at) {
                         tracing::info!(event = "document_changed", version, from = "store");
+                        state.changed.notify_one();
                     }
                 }
                 DOCUMENT_INTERVAL
@@ -46,27 +60,27 @@
 
 /// Reads the targets again and again.
 pub(crate) async fn follow_targets(state: Rc<EdgeState>, source: Rc<dyn TargetSource>) {
-    let mut registry = TargetRegistry::default();
     let mut is_lost = false;
     loop {
+        if !reads_store(&state) {
+            sleep(RETRY_INTERVAL).await;
+            continue;
+        }
         let read = timeout(READ_LIMIT, source.read_targets()).await;
         let read = read.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into())));
-        let now = state.clock.uptime();
         let pause = match read {
             Ok(entries) => {
                 note_regained(&mut is_lost, "targets");
-                registry.apply(entries, now);
-                state.targets_known.set(true);
+                state.take_targets(entries);
                 TARGET_INTERVAL
             }
             Err(error) => {
                 state.meters.count_store_failure("targets");
                 note_lost(&mut is_lost, "targets", &error);
-                registry.note_failure();
+                state.targets.borrow_mut().note_failure();
                 RETRY_INTERVAL
             }
         };
-        state.dispatcher.set_targets(registry.usable(now));
         sleep(pause).await;
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,11 +10,12 @@
 mod message;
 mod meters;
 mod peers;
+mod roster;
 mod settings;
 mod state;
 mod vm;
 
 pub use codec::{CallCodec, CallHead};
-pub use message::{PeerMessage, PeerReport, VmRow};
+pub use message::{DomainReport, PeerMessage, PeerReport, VmRow};
 pub use settings::{BoundSettings, EdgeSettings, ListenSettings, PlaceSettings};
 pub use vm::{EdgePlatform, EdgeVm};
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -3,6 +3,7 @@
 use plantainmill_admission::UsageEntry;
 use plantainmill_core::{DomainName, Incarnation, RegionName, VmId};
 use plantainmill_dispatch::shared::PeerLoad;
+use plantainmill_jobs::{JobNews, JobOwner};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,6 +23,8 @@
     pub peers: SocketAddr,
     /// Address of the control listener.
     pub control: SocketAddr,
+    /// Part of a core that the VM has, in percent.
+    pub processor_percent: u32,
 }
 
 /// What a VM tells its peers.
@@ -37,6 +40,21 @@
     pub usage: Vec<UsageEntry>,
 }
 
+/// What a failure domain tells the others.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DomainReport {
+    /// VM that sums up for the domain.
+    pub speaker: VmRow,
+    /// VMs of the domain.
+    pub members: Vec<JobOwner>,
+    /// Calls of all of them.
+    pub load: PeerLoad,
+    /// What all of them admitted; left out of most reports, since it changes little.
+    pub usage: Option<Vec<UsageEntry>>,
+    /// It was passed on within the domain that it is for.
+    pub passed_on: bool,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
@@ -49,6 +67,10 @@
         /// Its start.
         incarnation: Incarnation,
     },
+    /// A report of another failure domain, from it or passed on within the own one.
+    Domain(DomainReport),
+    /// Heads of jobs that a reader of the domain has read.
+    Jobs(Vec<JobNews>),
     /// Asks how old the peer's document is.
     AskAge {
         /// Ties the answer to the question.
@@ -56,12 +78,14 @@
     },
     /// The document of `version` was the newest one `age` ago.
     Age {
-        /// Of the question.
+        /// Of the question; zero if the peer says so unasked, because something changed.
         nonce: u64,
         /// Version.
         version: u64,
         /// Age.
         age: Duration,
+        /// Changes with the targets.
+        targets_stamp: u64,
         /// Where to read the document.
         control: SocketAddr,
     },
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,13 +1,17 @@
-//! Reports between VMs, and proofs of the document's age for VMs that the store turns away.
+//! Reports between VMs, and what a VM learns from the readers of its failure domain.
 
-use crate::message::{PeerMessage, PeerReport, VmRow};
+use crate::control::{DOCUMENT_LIMIT_BYTES, DOCUMENT_PATH, TARGETS_PATH};
+use crate::message::{DomainReport, PeerMessage, PeerReport, VmRow};
+use crate::roster::Roster;
 use crate::state::EdgeState;
+use anyhow::anyhow;
 use bytes::Bytes;
-use compact_str::CompactString;
-use plantainmill_core::{Incarnation, Uptime, VmId};
-use plantainmill_jobs::JobOwner;
-use plantainmill_platform::{PartitionStore, RowChange, RowVersion, StoreError};
-use plantainmill_routing::FleetDocument;
+use plantainmill_admission::UsageSource;
+use plantainmill_core::Uptime;
+use plantainmill_dispatch::shared::{LoadSource, PeerLoad};
+use plantainmill_platform::{PartitionStore, RowChange, StoreError};
+use plantainmill_routing::{FleetDocument, TargetEntry};
+use serde::de::DeserializeOwned;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -16,52 +20,51 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-/// Table of the VMs' rows.
+/// Table of the VMs' rows; the part is the failure domain.
 const VM_TABLE: &str = "vms";
-/// Least time between reports to peers of the own region: as long as a prompt takes to its first token.
+/// Least time between reports within the failure domain: as long as a prompt takes to its first token.
 const NEAR_INTERVAL: Duration = Duration::from_millis(50);
+/// Least time between reports to other failure domains of the region.
+const REGION_INTERVAL: Duration = Duration::from_millis(100);
 /// Least time between reports over links between regions, which are paid by volume.
-const FAR_INTERVAL: Duration = Duration::from_millis(200);
+const FAR_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after which a report is sent although nothing changed. Several fit the time after which a peer is silent.
 const IDLE_INTERVAL: Duration = Duration::from_millis(300);
+/// Reports to other domains of which one says what was admitted.
+const USAGE_TURNS: u64 = 3;
 /// Time between looks at what waits for a slot.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
-/// Time without a report after which a VM's jobs are taken over. Reports come several times a second.
-const LIVE_TIME: Duration = Duration::from_secs(2);
 /// Time between reads of the VMs' rows.
 const DISCOVER_INTERVAL: Duration = Duration::from_secs(5);
-/// Time between such reads until the first one succeeds, and while no peer is heard.
+/// Time between such reads while this VM's row is not written.
 const DISCOVER_RETRY: Duration = Duration::from_millis(500);
-/// Time without a report after which a VM's row is removed.
-const FORGET_TIME: Duration = Duration::from_mins(1);
-/// Age of the document from which peers are asked for a younger proof. Two reads of the store failed then.
+/// Age of the document from which other VMs than the readers of the domain are asked, too.
 const PROOF_AGE: Duration = Duration::from_millis(1_200);
 /// Time between questions.
-const PROOF_INTERVAL: Duration = Duration::from_millis(300);
-/// Peers asked at a time.
-const PROOF_PEERS: usize = 3;
+const PROOF_INTERVAL: Duration = Duration::from_millis(400);
+/// VMs asked when the readers do not answer.
+const PROOF_PEERS: usize = 5;
 /// Time until an answer to a question is of no use.
 const PROOF_LIMIT: Duration = Duration::from_secs(1);
+/// Time between messages with heads of jobs.
+const NEWS_INTERVAL: Duration = Duration::from_millis(200);
+/// Heads of one message: some 250 bytes each.
+const NEWS_PER_MESSAGE: usize = 100;
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 65_000;
 
-struct KnownPeer {
-    row: VmRow,
-    sequence: u64,
-    heard_at: Option<Uptime>,
-    seen_at: Uptime,
-}
-
 /// The exchange with other VMs.
 pub(crate) struct PeerExchange {
     state: Rc<EdgeState>,
     rows: Rc<dyn PartitionStore>,
     socket: UdpSocket,
     own: VmRow,
-    peers: RefCell<HashMap<VmId, KnownPeer>>,
+    roster: RefCell<Roster>,
     questions: RefCell<HashMap<u64, Uptime>>,
     next_nonce: Cell<u64>,
     sequence: Cell<u64>,
+    /// Targets are being read from a peer.
+    reads_targets: Cell<bool>,
 }
 
 impl PeerExchange {
@@ -74,40 +77,47 @@
     ) -> Rc<PeerExchange> {
         let exchange = Rc::new(PeerExchange {
             next_nonce: Cell::new(own.incarnation),
+            roster: RefCell::new(Roster::new(own.clone())),
             state,
             rows,
             socket,
             own,
-            peers: RefCell::default(),
             questions: RefCell::default(),
             sequence: Cell::new(0),
+            reads_targets: Cell::new(false),
         });
         actix_rt::spawn(Rc::clone(&exchange).receive());
-        actix_rt::spawn(Rc::clone(&exchange).report());
+        actix_rt::spawn(Rc::clone(&exchange).report_near());
+        actix_rt::spawn(Rc::clone(&exchange).report_far());
         actix_rt::spawn(Rc::clone(&exchange).discover());
         actix_rt::spawn(Rc::clone(&exchange).prove_age());
+        actix_rt::spawn(Rc::clone(&exchange).announce_changes());
+        actix_rt::spawn(Rc::clone(&exchange).tell_jobs());
         actix_rt::spawn(Rc::clone(&exchange).tick());
         exchange
     }
 
-    /// Tells all peers that this VM stops and has no calls any more.
+    fn now(&self) -> Uptime {
+        self.state.clock.uptime()
+    }
+
+    /// Tells the VMs of the domain that this one stops and has no calls any more.
     pub async fn say_leaving(&self) {
         let message = PeerMessage::Leaving {
             vm: self.own.vm.clone(),
             incarnation: self.own.incarnation,
         };
+        self.send_near(&message).await;
+    }
+
+    async fn send_near(&self, message: &PeerMessage) {
         let content = message.encode();
-        for address in self.addresses(|_| true) {
+        let addresses = self.roster.borrow().near_addresses();
+        for address in addresses {
             self.send(&content, address).await;
         }
     }
 
-    fn addresses(&self, fits: impl Fn(&VmRow) -> bool) -> Vec<SocketAddr> {
-        let peers = self.peers.borrow();
-        let rows = peers.values().map(|peer| &peer.row);
-        rows.filter(|row| fits(row)).map(|row| row.peers).collect()
-    }
-
     async fn send(&self, content: &[u8], address: SocketAddr) {
         self.state.meters.count_datagram("sent");
         if let Err(error) = self.socket.send_to(content, address).await {
@@ -123,61 +133,82 @@
         }
     }
 
-    async fn report(self: Rc<Self>) {
-        let mut near_at = Instant::now();
-        let mut far_at = Instant::now();
-        let mut near_load = None;
-        let mut far_load = None;
+    /// Reports to the VMs of the domain.
+    async fn report_near(self: Rc<Self>) {
+        let mut sent_at = Instant::now();
+        let mut sent: Option<PeerLoad> = None;
         loop {
             tokio::select! {
                 () = self.state.dispatcher.announced() => {}
-                () = sleep_until(near_at + NEAR_INTERVAL) => {}
+                () = sleep_until(sent_at + NEAR_INTERVAL) => {}
             }
-            self.update_live();
-            let now = Instant::now();
+            self.update_fleet();
             let load = self.state.dispatcher.report();
-            let message = PeerMessage::Report(PeerReport {
-                row: self.own.clone(),
-                sequence: self.sequence.get(),
-                load: load.clone(),
-                usage: self.state.limiter.report(),
-            });
-            let near_due = near_load.as_ref() != Some(&load) || now >= near_at + IDLE_INTERVAL;
-            let far_due = now >= far_at + FAR_INTERVAL
-                && (far_load.as_ref() != Some(&load) || now >= far_at + IDLE_INTERVAL);
-            if !near_due && !far_due {
+            if sent.as_ref() == Some(&load) && sent_at.elapsed() < IDLE_INTERVAL {
                 sleep(NEAR_INTERVAL / 2).await;
                 continue;
             }
+            sent_at = Instant::now();
+            sent = Some(load.clone());
             self.sequence.set(self.sequence.get() + 1);
-            let content = message.encode();
-            if near_due {
-                near_at = now;
-                near_load = Some(load.clone());
-                for address in self.addresses(|row| row.region == self.own.region) {
-                    self.send(&content, address).await;
-                }
+            let report = PeerReport {
+                row: self.own.clone(),
+                sequence: self.sequence.get(),
+                load,
+                usage: self.state.limiter.report(),
+            };
+            self.send_near(&PeerMessage::Report(report)).await;
+        }
+    }
+
+    /// Reports for the domain to the other domains, if this VM is the one to do so.
+    async fn report_far(self: Rc<Self>) {
+        let mut turn: u64 = 0;
+        let mut far_at = Instant::now();
+        loop {
+            sleep(REGION_INTERVAL).await;
+            let now = self.now();
+            if !self.roster.borrow().is_speaker(now) {
+                continue;
             }
+            turn += 1;
+            let far_due = far_at.elapsed() >= FAR_INTERVAL;
             if far_due {
-                far_at = now;
-                far_load = Some(load);
-                for address in self.addresses(|row| row.region != self.own.region) {
-                    self.send(&content, address).await;
-                }
+                far_at = Instant::now();
+            }
+            let (members, addresses) = {
+                let roster = self.roster.borrow();
+                let far = roster.far_addresses(turn, now);
+                let due = far
+                    .into_iter()
+                    .filter(|(row, _)| far_due || row.region == self.own.region);
+                let addresses: Vec<SocketAddr> = due.map(|(_, address)| address).collect();
+                (roster.members(now), addresses)
+            };
+            let usage = self.state.limiter.domain_report();
+            let report = DomainReport {
+                speaker: self.own.clone(),
+                members,
+                load: self.state.dispatcher.domain_report(),
+                usage: (far_due || turn.is_multiple_of(USAGE_TURNS)).then_some(usage),
+                passed_on: false,
+            };
+            let content = PeerMessage::Domain(report).encode();
+            for address in addresses {
+                self.send(&content, address).await;
             }
         }
     }
 
-    /// Tells the jobs which VMs live.
-    fn update_live(&self) {
-        let now = self.state.clock.uptime();
-        let peers = self.peers.borrow();
-        let live = peers.values().filter(|peer| peer.is_live(now));
-        let live = live.map(|peer| JobOwner {
-            vm: peer.row.vm.clone(),
-            incarnation: peer.row.incarnation,
-        });
-        self.state.jobs.set_live(live.collect());
+    /// Tells the parts of this VM what is known of the others.
+    fn update_fleet(&self) {
+        let now = self.now();
+        let roster = self.roster.borrow();
+        let is_reader = roster.is_reader(now);
+        if self.state.is_reader.replace(is_reader) != is_reader {
+            tracing::info!(event = "reader_changed", is_reader);
+        }
+        self.state.jobs.set_fleet(roster.job_fleet(now));
     }
 
     async fn receive(self: Rc<Self>) {
@@ -200,18 +231,19 @@
         }
     }
 
-    async fn take(&self, message: PeerMessage, from: SocketAddr) {
+    async fn take(self: &Rc<Self>, message: PeerMessage, from: SocketAddr) {
         match message {
             PeerMessage::Report(report) => self.take_report(report),
-            PeerMessage::Leaving { vm, incarnation } => self.take_leaving(&vm, incarnation),
+            PeerMessage::Domain(report) => self.take_domain(report).await,
+            PeerMessage::Jobs(news) => self.state.jobs.take_news(news),
+            PeerMessage::Leaving { vm, incarnation } => {
+                if self.roster.borrow_mut().leave(&vm, incarnation) {
+                    self.state.limiter.forget(&UsageSource::Vm(vm.clone()));
+                    self.state.dispatcher.forget(&LoadSource::Vm(vm));
+                }
+            }
             PeerMessage::AskAge { nonce } => {
-                if let Some(age) = self.state.document_age() {
-                    let answer = PeerMessage::Age {
-                        nonce,
-                        version: self.state.view.version(),
-                        age,
-                        control: self.own.control,
-                    };
+                if let Some(answer) = self.age_message(nonce) {
                     self.send(&answer.encode(), from).await;
                 }
             }
@@ -219,70 +251,80 @@
                 nonce,
                 version,
                 age,
+                targets_stamp,
                 control,
             } => {
                 let asked_at = self.questions.borrow_mut().remove(&nonce);
                 if let Some(asked_at) = asked_at {
-                    self.take_age(asked_at, version, age, control);
+                    // The age was true after the question was sent, so it counts from then.
+                    self.state
+                        .view
+                        .confirm(version, asked_at.saturating_sub(age));
+                }
+                if asked_at.is_some() || nonce == 0 {
+                    let targets_stamp = (age < PROOF_AGE).then_some(targets_stamp);
+                    self.read_newer(version, targets_stamp, control);
                 }
             }
         }
     }
 
+    fn age_message(&self, nonce: u64) -> Option<PeerMessage> {
+        Some(PeerMessage::Age {
+            nonce,
+            version: self.state.view.version(),
+            age: self.state.document_age()?,
+            targets_stamp: self.state.targets.borrow().stamp(),
+            control: self.own.control,
+        })
+    }
+
     fn take_report(&self, report: PeerReport) {
-        let PeerReport {
-            row,
-            sequence,
-            load,
-            usage,
-        } = report;
-        if row.vm == self.own.vm {
-            return;
-        }
-        let now = self.state.clock.uptime();
-        let vm = row.vm.clone();
-        {
-            let mut peers = self.peers.borrow_mut();
-            let known = peers.entry(vm.clone()).or_insert_with(|| KnownPeer {
-                row: row.clone(),
-                sequence: 0,
-                heard_at: None,
-                seen_at: now,
-            });
-            let is_old = row.incarnation < known.row.incarnation
-                || row.incarnation == known.row.incarnation
-                    && sequence < known.sequence
-                    && known.heard_at.is_some();
-            if is_old {
-                return;
-            }
-            if row.incarnation != known.row.incarnation || known.heard_at.is_none() {
-                let incarnation = row.incarnation;
-                tracing::info!(event = "peer_heard", peer = %vm, incarnation);
-            }
-            known.row = row;
-            known.sequence = sequence;
-            known.heard_at = Some(now);
+        let is_news = {
+            let now = self.now();
+            let mut roster = self.roster.borrow_mut();
+            roster.hear(&report.row, report.sequence, now)
+        };
+        if is_news {
+            let vm = report.row.vm;
+            let source = UsageSource::Vm(vm.clone());
+            self.state.limiter.hear(&source, 1, report.usage);
+            self.state.dispatcher.hear(&LoadSource::Vm(vm), report.load);
         }
-        self.state.limiter.hear(&vm, usage);
-        self.state.dispatcher.hear(&vm, load);
     }
 
-    fn take_leaving(&self, vm: &VmId, incarnation: Incarnation) {
-        let mut peers = self.peers.borrow_mut();
-        let Some(known) = peers.get_mut(vm) else {
-            return;
-        };
-        if known.row.incarnation > incarnation {
+    /// Takes the report of another domain. The VM that gets it first passes it on within its own domain.
+    async fn take_domain(&self, report: DomainReport) {
+        let domain = report.speaker.domain.clone();
+        if domain == self.own.domain {
             return;
         }
-        tracing::info!(event = "peer_left", peer = %vm, incarnation);
-        known.heard_at = None;
-        self.state.limiter.forget(vm);
-        self.state.dispatcher.forget(vm);
+        let now = self.now();
+        let vms = report.members.len();
+        self.roster
+            .borrow_mut()
+            .hear_domain(&domain, report.members.clone(), now);
+        if let Some(usage) = report.usage.clone() {
+            let source = UsageSource::Domain {
+                domain: domain.clone(),
+                speaker: (report.speaker.vm.clone(), report.speaker.incarnation),
+            };
+            self.state.limiter.hear(&source, vms, usage);
+        }
+        let load = report.load.clone();
+        self.state
+            .dispatcher
+            .hear(&LoadSource::Domain(domain), load);
+        if !report.passed_on {
+            let report = DomainReport {
+                passed_on: true,
+                ..report
+            };
+            self.send_near(&PeerMessage::Domain(report)).await;
+        }
     }
 
-    /// Finds peers through the store, and lets them find this VM.
+    /// Finds VMs through the store, and lets them find this one.
     async fn discover(self: Rc<Self>) {
         let mut is_written = false;
         loop {
@@ -292,27 +334,21 @@
                     Err(error) => tracing::info!(event = "vm_row_not_written", %error),
                 }
             }
-            let pause = match self.rows.read(VM_TABLE, "", "", "").await {
-                Ok(read) => {
-                    let mut found = Vec::new();
-                    for row in read.rows {
-                        let vm = ciborium::from_reader::<VmRow, _>(row.value.as_ref()).ok();
-                        if let Some(vm) = vm {
-                            found.push((vm, row.version));
-                        } else {
-                            tracing::warn!(event = "vm_row_malformed", key = %row.key);
-                        }
-                    }
-                    is_written &= found.iter().any(|(row, _)| *row == self.own);
-                    self.take_rows(found).await;
-                    DISCOVER_INTERVAL
-                }
-                Err(error) => {
-                    tracing::info!(event = "vms_not_read", %error);
-                    DISCOVER_RETRY
-                }
-            };
-            sleep(if is_written { pause } else { DISCOVER_RETRY }).await;
+            match self.read_near().await {
+                Ok(has_own) => is_written &= has_own,
+                Err(error) => tracing::info!(event = "vms_not_read", %error),
+            }
+            let now = self.now();
+            let reads_far = self.roster.borrow().is_reader(now);
+            if reads_far && let Err(error) = self.read_far().await {
+                tracing::info!(event = "far_vms_not_read", %error);
+            }
+            sleep(if is_written {
+                DISCOVER_INTERVAL
+            } else {
+                DISCOVER_RETRY
+            })
+            .await;
         }
     }
 
@@ -320,57 +356,64 @@
         let mut content = Vec::new();
         ciborium::into_writer(&self.own, &mut content)
             .map_err(|error| StoreError::Malformed(error.to_string()))?;
-        let change = RowChange::of("").put(VM_TABLE, &self.own.vm, Bytes::from(content));
+        let change = RowChange::of(self.own.domain.clone());
+        let change = change.put(VM_TABLE, &self.own.vm, Bytes::from(content));
         self.rows.change(change).await.map(drop)
     }
 
-    async fn take_rows(&self, rows: Vec<(VmRow, RowVersion)>) {
-        let now = self.state.clock.uptime();
-        let mut gone: Vec<(CompactString, RowVersion)> = Vec::new();
-        {
-            let mut peers = self.peers.borrow_mut();
-            peers.retain(|vm, peer| peer.is_live(now) || rows.iter().any(|(row, _)| row.vm == *vm));
-            for (row, version) in rows.into_iter().filter(|(row, _)| row.vm != self.own.vm) {
-                let known = peers.entry(row.vm.clone()).or_insert_with(|| KnownPeer {
-                    row: row.clone(),
-                    sequence: 0,
-                    heard_at: None,
-                    seen_at: now,
-                });
-                if row.incarnation > known.row.incarnation {
-                    known.row = row;
-                    known.heard_at = None;
-                    known.seen_at = now;
-                }
-                let last = known.heard_at.unwrap_or(known.seen_at);
-                if now.saturating_sub(last) > FORGET_TIME {
-                    gone.push((known.row.vm.clone(), version));
-                }
-            }
+    /// Reads the rows of the domain's VMs, and removes those of VMs that are gone. Says whether the own row is there.
+    async fn read_near(&self) -> Result<bool, StoreError> {
+        let read = self.rows.read(VM_TABLE, &self.own.domain, "", "").await?;
+        let (rows, versions): (Vec<VmRow>, Vec<_>) = read
+            .rows
+            .iter()
+            .filter_map(|row| Some((decode_row(&row.key, &row.value)?, row.version)))
+            .unzip();
+        let now = self.now();
+        let gone = self.roster.borrow_mut().take_near_rows(&rows, now);
+        for position in gone {
+            let vm = &rows[position].vm;
+            let change = RowChange::of(self.own.domain.clone());
+            let change = change
+                .expect(VM_TABLE, vm, versions[position])
+                .remove(VM_TABLE, vm);
+            self.rows.change(change).await?;
+            tracing::info!(event = "vm_row_removed", %vm);
         }
-        for (vm, version) in gone {
-            let change = RowChange::of("")
-                .expect(VM_TABLE, &vm, version)
-                .remove(VM_TABLE, &vm);
-            match self.rows.change(change).await {
-                Ok(_) => tracing::info!(event = "vm_row_removed", %vm),
-                Err(error) => tracing::info!(event = "vm_row_not_removed", %vm, %error),
-            }
+        Ok(rows.contains(&self.own))
+    }
+
+    async fn read_far(&self) -> Result<(), StoreError> {
+        let domains = self.state.settings.regions.keys();
+        for domain in domains.filter(|domain| **domain != self.own.domain) {
+            let read = self.rows.read(VM_TABLE, domain, "", "").await?;
+            let rows = read
+                .rows
+                .iter()
+                .filter_map(|row| decode_row(&row.key, &row.value));
+            self.roster
+                .borrow_mut()
+                .take_far_rows(domain, rows.collect());
         }
+        Ok(())
     }
 
-    /// Asks peers while the store gives no younger proof of the document's age.
+    /// Asks the readers of the domain how old the document is, and others when they do not know.
     async fn prove_age(self: Rc<Self>) {
         loop {
             sleep(PROOF_INTERVAL).await;
-            let now = self.state.clock.uptime();
+            let now = self.now();
             self.questions
                 .borrow_mut()
                 .retain(|_, asked_at| now.saturating_sub(*asked_at) < PROOF_LIMIT);
-            if self.state.document_age().is_some_and(|age| age < PROOF_AGE) {
+            let age = self.state.document_age();
+            let is_old = age.is_none_or(|age| age >= PROOF_AGE);
+            if self.state.is_reader.get() && !is_old {
                 continue;
             }
-            for address in self.asked_peers(now) {
+            let count = if is_old { PROOF_PEERS } else { 1 };
+            let sources = self.roster.borrow().age_sources(self.next_nonce.get(), now);
+            for address in sources.into_iter().take(count) {
                 let nonce = self.next_nonce.get();
                 self.next_nonce.set(nonce + 1);
                 self.questions.borrow_mut().insert(nonce, now);
@@ -380,40 +423,67 @@
         }
     }
 
-    /// Some live peers, other ones each time.
-    fn asked_peers(&self, now: Uptime) -> Vec<SocketAddr> {
-        let peers = self.peers.borrow();
-        let mut live: Vec<&KnownPeer> = peers.values().filter(|peer| peer.is_live(now)).collect();
-        let salt = self.next_nonce.get();
-        live.sort_by_key(|peer| plantainmill_dispatch::rendezvous::score(&peer.row.vm, salt));
-        live.iter()
-            .take(PROOF_PEERS)
-            .map(|peer| peer.row.peers)
-            .collect()
+    /// Tells the VMs of the domain at once when the document or the targets changed.
+    async fn announce_changes(self: Rc<Self>) {
+        loop {
+            self.state.changed.notified().await;
+            if self.state.is_reader.get()
+                && let Some(message) = self.age_message(0)
+            {
+                self.send_near(&message).await;
+            }
+        }
     }
 
-    fn take_age(&self, asked_at: Uptime, version: u64, age: Duration, control: SocketAddr) {
-        // The peer's age was true after the question was sent, so it counts from then.
-        let newest_at = asked_at.saturating_sub(age);
-        let held = self.state.view.version();
-        if version == held {
-            self.state.view.confirm(version, newest_at);
-        } else if version > held {
+    /// Tells the VMs of the domain what this one has read of jobs.
+    async fn tell_jobs(self: Rc<Self>) {
+        let mut told = Vec::new();
+        loop {
+            sleep(NEWS_INTERVAL).await;
+            let news = self.state.jobs.news();
+            if news == told {
+                continue;
+            }
+            for part in news.chunks(NEWS_PER_MESSAGE) {
+                self.send_near(&PeerMessage::Jobs(part.to_vec())).await;
+            }
+            told = news;
+        }
+    }
+
+    /// Reads from a peer what it has newer. Targets are taken only from a peer that is up to date itself.
+    fn read_newer(self: &Rc<Self>, version: u64, targets_stamp: Option<u64>, control: SocketAddr) {
+        if version > self.state.view.version() {
             let state = Rc::clone(&self.state);
             actix_rt::spawn(async move {
                 let sent_at = state.clock.uptime();
-                match timeout(PROOF_LIMIT, read_document(control)).await {
-                    Ok(Ok((document, age))) => {
+                let read: anyhow::Result<(FleetDocument, Duration)> =
+                    read_peer(control, DOCUMENT_PATH).await;
+                match read {
+                    Ok((document, age)) => {
                         let version = document.version;
                         if state.view.offer(document, sent_at.saturating_sub(age)) {
                             tracing::info!(event = "document_changed", version, from = %control);
                         }
                     }
-                    Ok(Err(error)) => {
+                    Err(error) => {
                         tracing::info!(event = "document_not_read", from = %control, %error);
                     }
-                    Err(_) => {
-                        tracing::info!(event = "document_not_read", from = %control, error = "no answer");
+                }
+            });
+        }
+        // A reader has its own targets, which need not be older.
+        let own_stamp = self.state.targets.borrow().stamp();
+        let is_other = targets_stamp.is_some_and(|stamp| stamp != own_stamp);
+        if is_other && !self.state.is_reader.get() && !self.reads_targets.replace(true) {
+            let exchange = Rc::clone(self);
+            actix_rt::spawn(async move {
+                let read: anyhow::Result<Vec<TargetEntry>> = read_peer(control, TARGETS_PATH).await;
+                exchange.reads_targets.set(false);
+                match read {
+                    Ok(entries) => exchange.state.take_targets(entries),
+                    Err(error) => {
+                        tracing::info!(event = "targets_not_read", from = %control, %error);
                     }
                 }
             });
@@ -421,22 +491,23 @@
     }
 }
 
-impl KnownPeer {
-    fn is_live(&self, now: Uptime) -> bool {
-        self.heard_at
-            .is_some_and(|heard_at| now.saturating_sub(heard_at) < LIVE_TIME)
-    }
+fn decode_row(key: &str, value: &[u8]) -> Option<VmRow> {
+    let row = ciborium::from_reader(value);
+    row.map_err(|error| tracing::warn!(event = "vm_row_malformed", key, %error))
+        .ok()
 }
 
-/// Reads the document of a peer, with its age.
-async fn read_document(control: SocketAddr) -> anyhow::Result<(FleetDocument, Duration)> {
-    let url = format!("http://{control}{}", crate::control::DOCUMENT_PATH);
-    let sent = awc::Client::default().get(url).send().await;
-    let mut answer = sent.map_err(|error| anyhow::anyhow!("{error}"))?;
-    let body = answer
-        .body()
-        .limit(crate::control::DOCUMENT_LIMIT_BYTES)
-        .await;
-    let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
-    Ok(ciborium::from_reader(body.as_ref())?)
+/// Reads from the control listener of a peer.
+async fn read_peer<T: DeserializeOwned>(control: SocketAddr, path: &str) -> anyhow::Result<T> {
+    let url = format!("http://{control}{path}");
+    let read = async {
+        let sent = awc::Client::default().get(url).send().await;
+        let mut answer = sent.map_err(|error| anyhow!("{error}"))?;
+        let body = answer.body().limit(DOCUMENT_LIMIT_BYTES).await;
+        let body = body.map_err(|error| anyhow!("{error}"))?;
+        anyhow::Ok(ciborium::from_reader(body.as_ref())?)
+    };
+    timeout(PROOF_LIMIT, read)
+        .await
+        .map_err(|_| anyhow!("no answer in time"))?
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -32,6 +32,9 @@
     pub domain: DomainName,
     /// Region.
     pub region: RegionName,
+    /// Part of a core that the VM has, in percent. VMs with more do more for the others.
+    #[serde(default)]
+    pub processor_percent: f64,
 }
 
 /// Addresses to listen on.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -8,11 +8,12 @@
 use plantainmill_dispatch::SharedDispatcher;
 use plantainmill_jobs::JobService;
 use plantainmill_proxy::relay::RelayCaller;
-use plantainmill_routing::DocumentView;
-use std::cell::Cell;
+use plantainmill_routing::{DocumentView, TargetEntry, TargetRegistry};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// Part of the time for which keys may be used after which the balancer is told to use other VMs.
 const READY_PART: f64 = 0.6;
@@ -31,7 +32,12 @@
     pub jobs: JobService,
     pub codec: Rc<dyn CallCodec>,
     pub meters: EdgeMeters,
-    pub targets_known: Cell<bool>,
+    /// Targets, as read from the store or from a reader of the domain.
+    pub targets: RefCell<TargetRegistry>,
+    /// This VM reads the store for its failure domain.
+    pub is_reader: Cell<bool>,
+    /// Notified when the document or the targets changed.
+    pub changed: Notify,
     pub leaving: Cell<bool>,
     pub in_flight: Rc<Cell<usize>>,
 }
@@ -61,6 +67,18 @@
         self.view.age(self.clock.uptime())
     }
 
+    /// Takes all targets, as read now.
+    pub fn take_targets(&self, entries: Vec<TargetEntry>) {
+        let now = self.clock.uptime();
+        let mut targets = self.targets.borrow_mut();
+        let before = targets.stamp();
+        targets.apply(entries, now);
+        self.dispatcher.set_targets(targets.usable(now));
+        if targets.stamp() != before {
+            self.changed.notify_one();
+        }
+    }
+
     /// Whether keys may be used: no key can have been withdrawn long enough ago without this VM knowing it.
     pub fn may_use_keys(&self) -> bool {
         let limit = self.settings.bounds.key_time().saturating_sub(KEY_MARGIN);
@@ -71,6 +89,6 @@
     pub fn is_ready(&self) -> bool {
         let limit = self.settings.bounds.key_time().mul_f64(READY_PART);
         let is_fresh = self.document_age().is_some_and(|age| age < limit);
-        is_fresh && self.targets_known.get() && !self.leaving.get()
+        is_fresh && self.targets.borrow().is_known() && !self.leaving.get()
     }
 }
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -17,12 +17,12 @@
 use plantainmill_platform::PartitionStore;
 use plantainmill_proxy::relay::{RelayCaller, RelayLimits};
 use plantainmill_routing::{DocumentSource, DocumentView, TargetSource};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
 
 /// Time in which the balancer notices that a VM is not ready: two questions, a second apart.
@@ -76,6 +76,7 @@
             region: settings.vm.region.clone(),
             peers: listen.peers,
             control: listen.control,
+            processor_percent: whole_percent(settings.vm.processor_percent),
         };
         let state = Rc::new(build_state(settings, &platform, clock, incarnation)?);
         let (drain, drained) = watch::channel(false);
@@ -176,7 +177,9 @@
         jobs,
         codec,
         meters: EdgeMeters::new()?,
-        targets_known: Cell::new(false),
+        targets: RefCell::default(),
+        is_reader: Cell::new(true),
+        changed: Notify::new(),
         leaving: Cell::new(false),
         in_flight: Rc::default(),
     })
@@ -187,3 +190,11 @@
     let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
 }
+
+/// A part of a core in whole percent, for comparing VMs.
+fn whole_percent(percent: f64) -> u32 {
+    (0..=10_000)
+        .take_while(|whole| f64::from(*whole) <= percent)
+        .last()
+        .unwrap_or(0)
+}
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -2,8 +2,8 @@
 
 use crate::stored::{JobHead, JobOwner};
 use compact_str::CompactString;
-use plantainmill_core::{JobId, OrganisationId, VmId};
-use plantainmill_dispatch::rendezvous::{key_of, owner_of};
+use plantainmill_core::{DomainName, JobId, OrganisationId, VmId};
+use plantainmill_dispatch::rendezvous::{key_of, owner_of, score};
 use plantainmill_platform::RowVersion;
 use std::collections::HashMap;
 
@@ -69,31 +69,70 @@
         .sum()
     }
 
-    /// The open jobs that `own` should run and that `is_running` does not name: its own ones, and those whose owner is
-    /// gone and that fall to it among the live VMs.
-    pub fn to_take<'a>(
+    /// The open jobs that are `own`'s and that `is_running` does not name.
+    pub fn to_resume<'a>(
         &'a self,
         own: &'a JobOwner,
-        live: &'a [JobOwner],
         is_running: impl Fn(&JobId) -> bool + 'a,
     ) -> impl Iterator<Item = (&'a JobId, &'a KnownJob)> + 'a {
         let open = self.jobs.iter().filter(|(_, known)| known.head.is_open());
-        open.filter(move |(job, known)| {
-            if is_running(job) {
-                return false;
-            }
-            match &known.head.owner {
-                Some(owner) if owner == own => true,
-                Some(owner) if live.contains(owner) => false,
-                _ => falls_to(job, own, live),
-            }
-        })
+        open.filter(move |(job, known)| known.head.owner.as_ref() == Some(own) && !is_running(job))
     }
+
+    /// The open jobs without a live owner that `own` has to give to a VM of its domain, with their new owners.
+    #[must_use]
+    pub fn orphans(&self, own: &JobOwner, fleet: &JobFleet) -> Vec<(JobId, KnownJob, JobOwner)> {
+        let open = self.jobs.iter().filter(|(_, known)| known.head.is_open());
+        let orphans = open.filter(|(_, known)| {
+            let owner = known.head.owner.as_ref();
+            owner.is_none_or(|owner| owner != own && !fleet.live.contains(owner))
+        });
+        orphans
+            .filter(|(job, _)| fleet.falls_to(job, own))
+            .filter_map(|(job, known)| {
+                let heir = fleet.heir_of(job)?.clone();
+                Some((job.clone(), known.clone(), heir))
+            })
+            .collect()
+    }
+}
+
+/// What a VM knows of the others that may run jobs.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct JobFleet {
+    /// All VMs that are heard.
+    pub live: Vec<JobOwner>,
+    /// Failure domains that are heard, the own one among them.
+    pub domains: Vec<DomainName>,
+    /// VMs that read the store for the own domain.
+    pub readers: Vec<VmId>,
+    /// Own failure domain.
+    pub domain: DomainName,
+    /// VMs of the own domain that are heard, the own one among them.
+    pub members: Vec<JobOwner>,
 }
 
-/// Whether an orphaned job falls to `own`. All VMs with the same view of the live VMs agree.
-pub(crate) fn falls_to(job: &JobId, own: &JobOwner, live: &[JobOwner]) -> bool {
-    let names = live.iter().map(|owner: &JobOwner| -> &VmId { &owner.vm });
-    let names = names.chain([&own.vm]).map(CompactString::as_str);
-    owner_of(names, key_of(job)) == Some(own.vm.as_str())
+impl JobFleet {
+    /// Whether `own` decides about an orphaned job. All VMs with the same view of the fleet agree.
+    #[must_use]
+    pub fn falls_to(&self, job: &JobId, own: &JobOwner) -> bool {
+        let key = key_of(job);
+        let domain = owner_of(self.domains.iter().map(CompactString::as_str), key);
+        let reader = owner_of(self.readers.iter().map(CompactString::as_str), key);
+        domain == Some(self.domain.as_str()) && reader == Some(own.vm.as_str())
+    }
+
+    /// The VM of the own domain that gets an orphaned job.
+    fn heir_of(&self, job: &JobId) -> Option<&JobOwner> {
+        let key = key_of(job);
+        self.members
+            .iter()
+            .max_by_key(|member| score(&member.vm, key))
+    }
+
+    /// Whether `own` reads the store for its domain.
+    #[must_use]
+    pub fn is_reader(&self, own: &JobOwner) -> bool {
+        self.readers.contains(&own.vm)
+    }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,9 +13,9 @@
 mod store;
 mod stored;
 
-pub use book::{JobBook, KnownJob};
+pub use book::{JobBook, JobFleet, KnownJob};
 pub use codec::{JobCall, JobCodec, ResultPage, Submission};
 pub use commit::{CommitQueue, CommitStep};
-pub use service::{JobParts, JobService, JobSettings};
+pub use service::{JobNews, JobParts, JobService, JobSettings};
 pub use store::JobStore;
 pub use stored::{ItemState, JobHead, JobItem, JobOwner, ListedResult, part_of};
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -1,6 +1,6 @@
 //! Follows all jobs, and runs those that fall to this VM.
 
-use crate::book::JobBook;
+use crate::book::{JobBook, JobFleet, KnownJob};
 use crate::commit::{CommitQueue, CommitStep};
 use crate::run::{RunJob, RunParts, run_item};
 use crate::store::{HeadOutcome, JobStore, read_head};
@@ -9,22 +9,26 @@
 use futures_util::StreamExt as _;
 use futures_util::future::{LocalBoxFuture, join_all};
 use futures_util::stream::FuturesUnordered;
-use plantainmill_core::{Clock, ItemId, JobId};
+use plantainmill_core::{Clock, ItemId, JobId, Uptime};
 use plantainmill_platform::{FeedRead, RowVersion, StoreError};
 use plantainmill_proxy::relay::RelayCaller;
 use plantainmill_routing::DocumentView;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, UNIX_EPOCH};
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
+/// Stands for the version of a VM that did not read the feed lately.
+const FOLLOWED: RowVersion = RowVersion::MAX;
 /// Time that a read of the feed waits for changes.
 const FEED_WAIT: Duration = Duration::from_secs(2);
 /// Pause between reads of the feed: results come in groups then, well within the second in which VMs have to agree.
 const FEED_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which a head counts as read lately. Several reads of the feed.
+const NEWS_TIME: Duration = Duration::from_secs(1);
 /// Pause after a failed call of the store.
 const STORE_PAUSE: Duration = Duration::from_millis(250);
 /// Time between looks at jobs without an owner.
@@ -36,6 +40,9 @@
 /// Time beyond the end of retention after which a job's rows are removed: clocks of VMs differ.
 const SWEEP_MARGIN: Duration = Duration::from_secs(30);
 
+/// A head as read from the store.
+pub type JobNews = (JobId, JobHead, RowVersion);
+
 /// Settings of jobs.
 #[derive(Clone, Copy, Debug)]
 pub struct JobSettings {
@@ -74,7 +81,9 @@
     pub changed: Notify,
     run: Rc<RunParts>,
     running: RefCell<HashMap<JobId, watch::Sender<bool>>>,
-    live: RefCell<Vec<JobOwner>>,
+    fleet: RefCell<JobFleet>,
+    /// Heads that were read lately, with the times of their reads.
+    recent: RefCell<VecDeque<(Uptime, JobNews)>>,
     stopping: Cell<bool>,
 }
 
@@ -102,7 +111,8 @@
             book: RefCell::default(),
             changed: Notify::new(),
             running: RefCell::default(),
-            live: RefCell::default(),
+            fleet: RefCell::default(),
+            recent: RefCell::default(),
             stopping: Cell::new(false),
         });
         actix_rt::spawn(Rc::clone(&inner).follow());
@@ -111,9 +121,31 @@
         JobService { inner }
     }
 
-    /// Takes the VMs that are heard, this one not among them.
-    pub fn set_live(&self, live: Vec<JobOwner>) {
-        *self.inner.live.borrow_mut() = live;
+    /// Takes what is known of the other VMs.
+    pub fn set_fleet(&self, fleet: JobFleet) {
+        *self.inner.fleet.borrow_mut() = fleet;
+    }
+
+    /// The heads that were read lately, for VMs that do not read the store. Each is given for a second, so that a lost
+    /// message loses none.
+    #[must_use]
+    pub fn news(&self) -> Vec<JobNews> {
+        let now = self.inner.parts.clock.uptime();
+        let mut recent = self.inner.recent.borrow_mut();
+        while recent
+            .front()
+            .is_some_and(|(at, _)| now.saturating_sub(*at) > NEWS_TIME)
+        {
+            recent.pop_front();
+        }
+        recent.iter().map(|(_, news)| news.clone()).collect()
+    }
+
+    /// Takes heads that another VM has read.
+    pub fn take_news(&self, news: Vec<JobNews>) {
+        for (job, head, version) in news {
+            self.inner.learn(&job, head, version);
+        }
     }
 
     /// Jobs that run here.
@@ -174,7 +206,13 @@
     async fn follow(self: Rc<Self>) {
         let mut after = None;
         loop {
-            let read = match after {
+            // The first read shows all jobs to every VM; then the readers of its domain tell it the changes.
+            if after.is_some() && !self.is_reader() {
+                after = Some(FOLLOWED);
+                sleep(FEED_PAUSE).await;
+                continue;
+            }
+            let read = match after.filter(|version| *version != FOLLOWED) {
                 None => self.read_all().await,
                 Some(version) => self.read_feed(version).await,
             };
@@ -194,11 +232,27 @@
     async fn read_all(&self) -> Result<Option<RowVersion>, StoreError> {
         let (heads, version) = self.parts.store.all_heads().await?;
         for (job, head, row_version) in heads {
-            self.learn(&job, head, row_version);
+            self.take_read(&job, head, row_version);
         }
         Ok(Some(version))
     }
 
+    /// Takes a head from a read of all jobs or of the feed.
+    fn take_read(&self, job: &JobId, head: JobHead, version: RowVersion) {
+        if self.is_reader() {
+            let news = (job.clone(), head.clone(), version);
+            self.recent
+                .borrow_mut()
+                .push_back((self.parts.clock.uptime(), news));
+        }
+        self.learn(job, head, version);
+    }
+
+    fn is_reader(&self) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet.readers.is_empty() || fleet.is_reader(&self.parts.own)
+    }
+
     /// Reads the feed once and gives the version to go on from; none if all has to be read again.
     async fn read_feed(&self, after: RowVersion) -> Result<Option<RowVersion>, StoreError> {
         let rows = self.parts.store.rows();
@@ -212,7 +266,7 @@
                     if row.is_removed {
                         self.book.borrow_mut().forget(&row.key, row.version);
                     } else if let Some((head, row_version)) = read_head(&row) {
-                        self.learn(&row.key, head, row_version);
+                        self.take_read(&row.key, head, row_version);
                     }
                 }
                 Ok(Some(version))
@@ -229,42 +283,51 @@
                 return;
             }
             let settled = self.parts.clock.uptime().saturating_sub(started) >= SETTLE_TIME;
-            let due: Vec<(JobId, JobHead, RowVersion)> = {
+            let own = &self.parts.own;
+            let (resumed, orphans) = {
                 let book = self.book.borrow();
-                let live = self.live.borrow();
                 let running = self.running.borrow();
-                let due = book.to_take(&self.parts.own, &live, |job| running.contains_key(job));
-                due.map(|(job, known)| (job.clone(), known.head.clone(), known.version))
-                    .collect()
+                let resumed = book.to_resume(own, |job| running.contains_key(job));
+                let resumed: Vec<JobNews> = resumed
+                    .map(|(job, known)| (job.clone(), known.head.clone(), known.version))
+                    .collect();
+                let orphans = if settled {
+                    book.orphans(own, &self.fleet.borrow())
+                } else {
+                    Vec::new()
+                };
+                (resumed, orphans)
             };
-            let claims = due.into_iter().map(|(job, head, version)| {
+            for (job, head, version) in resumed {
+                self.start_run(&job, head, version, None);
+            }
+            let claims = orphans.into_iter().map(|(job, known, heir)| {
                 let inner = Rc::clone(&self);
-                async move {
-                    if head.owner.as_ref() == Some(&inner.parts.own) {
-                        inner.start_run(&job, head, version, None);
-                    } else if settled {
-                        inner.claim(&job, head, version).await;
-                    }
-                }
+                async move { inner.give(&job, known, heir).await }
             });
             join_all(claims).await;
         }
     }
 
-    async fn claim(self: &Rc<Self>, job: &JobId, head: JobHead, version: RowVersion) {
-        let from = head.owner.as_ref().map(|owner| owner.vm.clone());
-        let mut claimed = head;
-        claimed.owner = Some(self.parts.own.clone());
+    /// Gives an orphaned job to `heir`, which may be this VM.
+    async fn give(self: &Rc<Self>, job: &JobId, known: KnownJob, heir: JobOwner) {
+        let from = known.head.owner.as_ref().map(|owner| owner.vm.clone());
+        let to = heir.vm.clone();
+        let mut given = known.head;
+        given.owner = Some(heir);
         let store = &self.parts.store;
-        let listed = claimed.listed;
-        match store.write_head(job, version, &claimed, listed, &[]).await {
+        let listed = given.listed;
+        match store
+            .write_head(job, known.version, &given, listed, &[])
+            .await
+        {
             Ok(HeadOutcome::Applied(version)) => {
-                tracing::info!(event = "job_taken", %job, from = from.as_deref(), listed, version);
-                self.accept(job, claimed, version, None);
+                tracing::info!(event = "job_given", %job, from = from.as_deref(), %to, listed, version);
+                self.accept(job, given, version, None);
             }
             Ok(HeadOutcome::Conflict(Some((head, version)))) => self.learn(job, head, version),
             Ok(HeadOutcome::Conflict(None)) => self.book.borrow_mut().forget(job, RowVersion::MAX),
-            Err(error) => tracing::info!(event = "job_not_taken", %job, %error),
+            Err(error) => tracing::info!(event = "job_not_given", %job, %error),
         }
     }
 
@@ -489,12 +552,12 @@
             let kept = self.parts.settings.result_time + SWEEP_MARGIN;
             let old: Vec<JobId> = {
                 let book = self.book.borrow();
-                let live = self.live.borrow();
+                let fleet = self.fleet.borrow();
                 let old = book.iter().filter(|(_, known)| {
                     let accepted = Duration::from_millis(known.head.accepted_ms);
                     !known.head.is_open() && wall.saturating_sub(accepted) > kept
                 });
-                old.filter(|(job, _)| crate::book::falls_to(job, &self.parts.own, &live))
+                old.filter(|(job, _)| fleet.falls_to(job, &self.parts.own))
                     .map(|(job, _)| job.clone())
                     .collect()
             };
--- a/crates/jobs/tests/all/job_book.rs
+++ b/crates/jobs/tests/all/job_book.rs
@@ -2,7 +2,8 @@
 
 use crate::support::{head, owner};
 use plantainmill_core::JobId;
-use plantainmill_jobs::JobBook;
+use plantainmill_jobs::{JobBook, JobFleet, JobOwner};
+use std::collections::BTreeMap;
 
 /// Guards against a feed that brings older heads late.
 #[test]
@@ -20,41 +21,72 @@
     assert!(book.get(&job).is_none());
 }
 
-/// Guards against orphaned jobs that nobody takes, or that several VMs take.
+fn fleet(domain: &str, members: &[&str]) -> JobFleet {
+    JobFleet {
+        live: ["a1", "a2", "a3", "b1", "b2", "b3"]
+            .iter()
+            .map(|name| owner(name, 5))
+            .collect(),
+        domains: vec!["a".into(), "b".into()],
+        readers: members.iter().take(2).map(|name| (*name).into()).collect(),
+        domain: domain.into(),
+        members: members.iter().map(|name| owner(name, 5)).collect(),
+    }
+}
+
+/// Guards against orphaned jobs that nobody takes, or that several VMs take, and against VMs that get them all.
 #[test]
 fn one_heir() {
-    let names = ["vm1", "vm2", "vm3"];
-    let all: Vec<_> = names.iter().map(|name| owner(name, 5)).collect();
-    let mut taken = 0;
-    for own in &all {
-        let mut book = JobBook::default();
-        for number in 0..30 {
-            let mut orphan = head(3);
-            orphan.owner = Some(owner("gone", 1));
-            book.learn(&JobId::from(format!("j{number}")), orphan, 1);
+    let mut book = JobBook::default();
+    for number in 0..60 {
+        let mut orphan = head(3);
+        orphan.owner = Some(owner("gone", 1));
+        book.learn(&JobId::from(format!("j{number}")), orphan, 1);
+    }
+    let mut heirs = BTreeMap::new();
+    for (domain, members) in [("a", ["a1", "a2", "a3"]), ("b", ["b1", "b2", "b3"])] {
+        let fleet = fleet(domain, &members);
+        for own in &members {
+            for (job, _, heir) in book.orphans(&owner(own, 5), &fleet) {
+                assert!(
+                    heirs.insert(job, heir.vm).is_none(),
+                    "two VMs give the job away"
+                );
+            }
         }
-        let live: Vec<_> = all.iter().filter(|vm| *vm != own).cloned().collect();
-        taken += book.to_take(own, &live, |_| false).count();
     }
-    assert_eq!(taken, 30);
+    assert_eq!(heirs.len(), 60);
+    for name in ["a1", "a2", "a3", "b1", "b2", "b3"] {
+        let count = heirs.values().filter(|heir| *heir == name).count();
+        assert!((3..25).contains(&count), "{name} gets {count}");
+    }
 }
 
 /// Guards against jobs that are taken from a VM that lives, and against jobs of a VM's former start that stay.
 #[test]
 fn live_owner() {
-    let job = JobId::from("j1");
-    let mut book = JobBook::default();
-    let mut held = head(3);
-    held.owner = Some(owner("vm2", 5));
-    book.learn(&job, held, 1);
-    let own = owner("vm1", 9);
-    let takes = |live: &[_]| book.to_take(&own, live, |_| false).count();
-    assert_eq!(takes(&[owner("vm2", 5)]), 0);
-    let heirs = takes(&[owner("vm2", 6)])
-        + book
-            .to_take(&owner("vm2", 6), std::slice::from_ref(&own), |_| false)
-            .count();
-    assert_eq!(heirs, 1);
+    let own = owner("a1", 5);
+    let orphans = |held_by: JobOwner| {
+        let mut book = JobBook::default();
+        for number in 0..20 {
+            let mut held = head(3);
+            held.owner = Some(held_by.clone());
+            book.learn(&JobId::from(format!("j{number}")), held, 1);
+        }
+        let fleet = JobFleet {
+            domains: vec!["a".into()],
+            readers: vec!["a1".into()],
+            ..fleet("a", &["a1", "a2"])
+        };
+        (
+            book.orphans(&own, &fleet).len(),
+            book.to_resume(&own, |_| false).count(),
+        )
+    };
+    assert_eq!(orphans(owner("b2", 5)), (0, 0));
+    assert_eq!(orphans(owner("b2", 4)), (20, 0));
+    assert_eq!(orphans(own.clone()), (0, 20));
+    assert_eq!(orphans(owner("a1", 4)), (20, 0));
 }
 
 /// Guards against a limit that counts finished, ended or foreign jobs.
--- a/crates/jobs/tests/all/job_faults.rs
+++ b/crates/jobs/tests/all/job_faults.rs
@@ -3,7 +3,7 @@
 use crate::support::{TestWorld, route, submission, ward, whole_output};
 use plantainmill_core::{JobId, ResultCode};
 use plantainmill_fakes::{RowsFault, TargetAct};
-use plantainmill_jobs::{ItemState, ListedResult};
+use plantainmill_jobs::{ItemState, JobFleet, ListedResult};
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -148,7 +148,7 @@
     actix_rt::time::sleep(Duration::from_millis(400)).await;
     world.rows.set_fault(RowsFault::None);
     let second = world.vm("vm2", 2);
-    second.jobs.set_live(Vec::new());
+    second.hear(&[]);
     let results = second.read_results(&job(), 3).await;
     assert_eq!(world.rows.land(), 0, "a late write listed results");
     check_results(&results, 3);
@@ -162,7 +162,7 @@
     let world = TestWorld::start().await;
     let first = world.vm("vm1", 1);
     let second = world.vm("vm2", 1);
-    second.jobs.set_live(vec![first.own.clone()]);
+    second.hear(std::slice::from_ref(&first.own));
     world.target.set_pause(Duration::from_millis(200));
     first
         .jobs
@@ -174,7 +174,7 @@
     assert_eq!(first.jobs.running(), 0);
     assert!(first.dispatcher.report().slots.is_empty());
     world.target.set_pause(Duration::ZERO);
-    second.jobs.set_live(Vec::new());
+    second.hear(&[]);
     check_results(&second.read_results(&job(), 3).await, 3);
 }
 
@@ -280,3 +280,39 @@
         .await
         .expect("accepted");
 }
+
+/// Guards against a VM that does not learn of its job's end, or of a job given to it, because it does not read the store.
+#[actix_rt::test]
+async fn told_by_reader() {
+    let world = TestWorld::start().await;
+    let reader = world.vm("reader", 1);
+    let other = world.vm("other", 1);
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    let fleet = |members: Vec<_>| JobFleet {
+        live: members.clone(),
+        domains: vec!["a".into()],
+        readers: vec!["reader".into()],
+        domain: "a".into(),
+        members,
+    };
+    reader.jobs.set_fleet(fleet(vec![other.own.clone()]));
+    other.jobs.set_fleet(fleet(vec![other.own.clone()]));
+    let gone = world.vm("gone", 1);
+    world.target.set_pause(Duration::from_secs(30));
+    gone.jobs
+        .submit(&ward(), &route(), &job(), &submission(3))
+        .await
+        .expect("accepted");
+    gone.jobs.stop().await;
+    let tell = async || {
+        for _ in 0..20 {
+            actix_rt::time::sleep(Duration::from_millis(150)).await;
+            other.jobs.take_news(reader.jobs.news());
+        }
+    };
+    tell().await;
+    assert_eq!((reader.jobs.running(), other.jobs.running()), (0, 1));
+    reader.jobs.end(&ward(), &job()).await.expect("ended");
+    tell().await;
+    assert_eq!(other.jobs.running(), 0);
+}
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -6,8 +6,8 @@
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_fakes::{MemoryRows, StreamTarget, TargetNames};
 use plantainmill_jobs::{
-    JobHead, JobItem, JobOwner, JobParts, JobService, JobSettings, JobStore, ListedResult,
-    Submission,
+    JobFleet, JobHead, JobItem, JobOwner, JobParts, JobService, JobSettings, JobStore,
+    ListedResult, Submission,
 };
 use plantainmill_proxy::relay::{CallNames, RelayCaller, RelayLimits};
 use plantainmill_routing::{
@@ -180,6 +180,18 @@
 }
 
 impl TestVm {
+    /// Tells the VM which others are heard. It reads the store for its domain.
+    pub fn hear(&self, others: &[JobOwner]) {
+        let live: Vec<JobOwner> = others.iter().chain([&self.own]).cloned().collect();
+        self.jobs.set_fleet(JobFleet {
+            live: live.clone(),
+            domains: vec!["a".into()],
+            readers: vec![self.own.vm.clone()],
+            domain: "a".into(),
+            members: vec![self.own.clone()],
+        });
+    }
+
     /// Reads results until there are `count`, for some seconds.
     pub async fn read_results(&self, job: &JobId, count: usize) -> Vec<ListedResult> {
         let mut results = Vec::new();
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -5,15 +5,18 @@
 
 use compact_str::CompactString;
 use plantainmill_core::{DomainName, ServiceName, TargetId, Uptime};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::hash::{Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::time::Duration;
+use xxhash_rust::xxh3::Xxh3;
 
 /// Time after the registry's return in which targets renew their entries.
 pub const RENEWAL_TIME: Duration = Duration::from_secs(2);
 
 /// A registered target.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct TargetEntry {
     /// Identifies one start of the target.
     pub id: TargetId,
@@ -106,6 +109,25 @@
             .filter(|entry| !entry.draining)
     }
 
+    /// A number that changes with the entries.
+    #[must_use]
+    pub fn stamp(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for known in self.targets.values() {
+            known.entry.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// All entries, those that wait to be renewed among them.
+    #[must_use]
+    pub fn entries(&self) -> Vec<TargetEntry> {
+        self.targets
+            .values()
+            .map(|known| known.entry.clone())
+            .collect()
+    }
+
     /// Whether the registry was read at least once.
     #[must_use]
     pub fn is_known(&self) -> bool {
