Targets carry an age; logs of bounded volume; settings are read again

Ruled out: the time in which lapsed entries are renewed (the entry had not lapsed). Change: targets have an age of their own that is proved, compared and bounded like the document's; whoever has younger ones is asked, also by readers. Lists of other VMs are taken as they are. Tests: target_registry::adopted_entries, vm_roster.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -22,7 +22,7 @@
 pub(crate) async fn handle(request: HttpRequest, state: web::Data<Rc<EdgeState>>) -> HttpResponse {
     match request.path() {
         DOCUMENT_PATH => document(&state),
-        TARGETS_PATH => encoded(&state.targets.borrow().entries()),
+        TARGETS_PATH => targets(&state),
         STATE_PATH => HttpResponse::Ok().json(dump(&state).await),
         METRICS_PATH => HttpResponse::Ok()
             .content_type("text/plain; version=0.0.4")
@@ -38,6 +38,13 @@
     encoded(&(document.as_ref(), age))
 }
 
+fn targets(state: &EdgeState) -> HttpResponse {
+    let Some(age) = state.targets_age() else {
+        return HttpResponse::ServiceUnavailable().finish();
+    };
+    encoded(&(state.targets.borrow().entries(), age))
+}
+
 fn encoded(value: &impl Serialize) -> HttpResponse {
     let mut content = Vec::new();
     match ciborium::into_writer(value, &mut content) {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -16,13 +16,13 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Time until a read is given up. A slow store needs some hundred milliseconds.
 const READ_LIMIT: Duration = Duration::from_millis(1_500);
-/// Age of the document from which a VM reads for itself: the readers were asked twice.
+/// Age of what is known from which a VM reads for itself: the readers were asked twice.
 const OWN_READ_AGE: Duration = Duration::from_millis(1_400);
 
 /// Whether this VM reads the store now.
 fn reads_store(state: &EdgeState) -> bool {
-    let is_old = state.document_age().is_none_or(|age| age >= OWN_READ_AGE);
-    state.is_reader.get() || is_old || !state.targets.borrow().is_known()
+    let is_old = |age: Option<Duration>| age.is_none_or(|age| age >= OWN_READ_AGE);
+    state.is_reader.get() || is_old(state.document_age()) || is_old(state.targets_age())
 }
 
 /// Reads the document again and again.
@@ -66,12 +66,13 @@
             sleep(RETRY_INTERVAL).await;
             continue;
         }
+        let sent_at = state.clock.uptime();
         let read = timeout(READ_LIMIT, source.read_targets()).await;
         let read = read.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into())));
         let pause = match read {
             Ok(entries) => {
                 note_regained(&mut is_lost, "targets");
-                state.take_targets(entries);
+                state.take_targets(entries, sent_at);
                 TARGET_INTERVAL
             }
             Err(error) => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,5 +17,6 @@
 
 pub use codec::{CallCodec, CallHead};
 pub use message::{DomainReport, PeerMessage, PeerReport, VmRow};
+pub use roster::Roster;
 pub use settings::{BoundSettings, EdgeSettings, ListenSettings, PlaceSettings};
 pub use vm::{EdgePlatform, EdgeVm};
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -86,6 +86,8 @@
         age: Duration,
         /// Changes with the targets.
         targets_stamp: u64,
+        /// The targets were the registered ones this long ago.
+        targets_age: Duration,
         /// Where to read the document.
         control: SocketAddr,
     },
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -252,29 +252,38 @@
                 version,
                 age,
                 targets_stamp,
+                targets_age,
                 control,
             } => {
                 let asked_at = self.questions.borrow_mut().remove(&nonce);
                 if let Some(asked_at) = asked_at {
-                    // The age was true after the question was sent, so it counts from then.
+                    // The ages were true after the question was sent, so they count from then.
                     self.state
                         .view
                         .confirm(version, asked_at.saturating_sub(age));
+                    self.confirm_targets(targets_stamp, asked_at.saturating_sub(targets_age));
                 }
                 if asked_at.is_some() || nonce == 0 {
-                    let targets_stamp = (age < PROOF_AGE).then_some(targets_stamp);
-                    self.read_newer(version, targets_stamp, control);
+                    self.read_newer(version, targets_stamp, targets_age, control);
                 }
             }
         }
     }
 
+    fn confirm_targets(&self, stamp: u64, at: Uptime) {
+        if stamp == self.state.targets.borrow().stamp() {
+            let held = self.state.targets_at.get();
+            self.state.targets_at.set(held.max(Some(at)));
+        }
+    }
+
     fn age_message(&self, nonce: u64) -> Option<PeerMessage> {
         Some(PeerMessage::Age {
             nonce,
             version: self.state.view.version(),
             age: self.state.document_age()?,
             targets_stamp: self.state.targets.borrow().stamp(),
+            targets_age: self.state.targets_age()?,
             control: self.own.control,
         })
     }
@@ -406,8 +415,10 @@
             self.questions
                 .borrow_mut()
                 .retain(|_, asked_at| now.saturating_sub(*asked_at) < PROOF_LIMIT);
-            let age = self.state.document_age();
-            let is_old = age.is_none_or(|age| age >= PROOF_AGE);
+            let ages = [self.state.document_age(), self.state.targets_age()];
+            let is_old = ages
+                .iter()
+                .any(|age| age.is_none_or(|age| age >= PROOF_AGE));
             if self.state.is_reader.get() && !is_old {
                 continue;
             }
@@ -451,8 +462,14 @@
         }
     }
 
-    /// Reads from a peer what it has newer. Targets are taken only from a peer that is up to date itself.
-    fn read_newer(self: &Rc<Self>, version: u64, targets_stamp: Option<u64>, control: SocketAddr) {
+    /// Reads from a peer what it has newer.
+    fn read_newer(
+        self: &Rc<Self>,
+        version: u64,
+        targets_stamp: u64,
+        targets_age: Duration,
+        control: SocketAddr,
+    ) {
         if version > self.state.view.version() {
             let state = Rc::clone(&self.state);
             actix_rt::spawn(async move {
@@ -472,16 +489,20 @@
                 }
             });
         }
-        // A reader has its own targets, which need not be older.
-        let own_stamp = self.state.targets.borrow().stamp();
-        let is_other = targets_stamp.is_some_and(|stamp| stamp != own_stamp);
-        if is_other && !self.state.is_reader.get() && !self.reads_targets.replace(true) {
+        let is_other = targets_stamp != self.state.targets.borrow().stamp();
+        let is_newer = self.state.targets_age().is_none_or(|age| targets_age < age);
+        if is_other && is_newer && !self.reads_targets.replace(true) {
             let exchange = Rc::clone(self);
             actix_rt::spawn(async move {
-                let read: anyhow::Result<Vec<TargetEntry>> = read_peer(control, TARGETS_PATH).await;
+                let sent_at = exchange.now();
+                let read: anyhow::Result<(Vec<TargetEntry>, Duration)> =
+                    read_peer(control, TARGETS_PATH).await;
                 exchange.reads_targets.set(false);
                 match read {
-                    Ok(entries) => exchange.state.take_targets(entries),
+                    Ok((entries, age)) => {
+                        let read_at = sent_at.saturating_sub(age);
+                        exchange.state.adopt_targets(entries, read_at);
+                    }
                     Err(error) => {
                         tracing::info!(event = "targets_not_read", from = %control, %error);
                     }
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -50,7 +50,7 @@
 }
 
 /// The VMs that one VM knows.
-pub(crate) struct Roster {
+pub struct Roster {
     own: VmRow,
     near: HashMap<VmId, KnownVm>,
     far: BTreeMap<DomainName, FarDomain>,
@@ -58,6 +58,7 @@
 
 impl Roster {
     /// A roster that knows only the VM itself.
+    #[must_use]
     pub fn new(own: VmRow) -> Roster {
         Roster {
             own,
@@ -67,6 +68,7 @@
     }
 
     /// Takes the sign of life of a VM of the own domain. Says whether it is news: not from before what is known.
+    #[must_use]
     pub fn hear(&mut self, row: &VmRow, sequence: u64, now: Uptime) -> bool {
         if row.vm == self.own.vm || row.domain != self.own.domain {
             return false;
@@ -92,6 +94,7 @@
     }
 
     /// Takes the end of a VM of the own domain. Says whether it was known.
+    #[must_use]
     pub fn leave(&mut self, vm: &VmId, incarnation: Incarnation) -> bool {
         let Some(known) = self.near.get_mut(vm) else {
             return false;
@@ -112,6 +115,7 @@
     }
 
     /// Takes the rows of the own domain's VMs. Gives the positions of those whose VMs are certainly gone.
+    #[must_use]
     pub fn take_near_rows(&mut self, rows: &[VmRow], now: Uptime) -> Vec<usize> {
         self.near.retain(|vm, known| {
             known.is_heard(now, LIVE_TIME) || rows.iter().any(|row| row.vm == *vm)
@@ -147,6 +151,7 @@
     }
 
     /// The VMs that read the store for the own domain, the first one first.
+    #[must_use]
     pub fn readers(&self, now: Uptime) -> Vec<&VmRow> {
         let heard = self.near.values();
         let heard = heard.filter(|known| known.is_heard(now, READER_TIME));
@@ -155,23 +160,27 @@
     }
 
     /// Whether this VM reads the store for its domain.
+    #[must_use]
     pub fn is_reader(&self, now: Uptime) -> bool {
         let readers = self.readers(now);
         readers.iter().any(|row| row.vm == self.own.vm)
     }
 
     /// Whether this VM reports to the other domains.
+    #[must_use]
     pub fn is_speaker(&self, now: Uptime) -> bool {
         let readers = self.readers(now);
         readers.first().is_some_and(|row| row.vm == self.own.vm)
     }
 
     /// Addresses of the own domain's VMs, those that were not heard yet among them.
+    #[must_use]
     pub fn near_addresses(&self) -> Vec<SocketAddr> {
         self.near.values().map(|known| known.row.peers).collect()
     }
 
     /// One VM of each other domain that passes reports on there: by turns, so that one may fail.
+    #[must_use]
     pub fn far_addresses(&self, turn: u64, now: Uptime) -> Vec<(&VmRow, SocketAddr)> {
         let domains = self.far.iter();
         let chosen = domains.filter_map(|(domain, far)| {
@@ -192,6 +201,7 @@
     }
 
     /// VMs that may know the document's age: the readers, then others, in an order that changes with `turn`.
+    #[must_use]
     pub fn age_sources(&self, turn: u64, now: Uptime) -> Vec<SocketAddr> {
         let readers = self.readers(now).into_iter();
         let readers = readers
@@ -214,6 +224,7 @@
     }
 
     /// Start of this VM and of those of the own domain that are heard.
+    #[must_use]
     pub fn members(&self, now: Uptime) -> Vec<JobOwner> {
         let heard = self
             .near
@@ -227,6 +238,7 @@
     }
 
     /// What jobs have to know of the VMs.
+    #[must_use]
     pub fn job_fleet(&self, now: Uptime) -> JobFleet {
         let members = self.members(now);
         let live_far = || self.far.iter().filter(|(_, far)| far.is_live(now));
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -24,7 +24,7 @@
 }
 
 /// Who and where a VM is.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct PlaceSettings {
     /// Id.
     pub id: VmId,
@@ -38,7 +38,7 @@
 }
 
 /// Addresses to listen on.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 pub struct ListenSettings {
     /// Callers.
     pub callers: SocketAddr,
@@ -51,14 +51,14 @@
 }
 
 /// Where the platform's store is.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 pub struct StoreSettings {
     /// Address.
     pub address: SocketAddr,
 }
 
 /// Bounds that are promised to callers.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 pub struct BoundSettings {
     /// Time in milliseconds after which a withdrawn key is not used any more.
     pub key_ms: u64,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -2,9 +2,9 @@
 
 use crate::codec::CallCodec;
 use crate::meters::EdgeMeters;
-use crate::settings::EdgeSettings;
+use crate::settings::{BoundSettings, EdgeSettings};
 use plantainmill_admission::SharedLimiter;
-use plantainmill_core::{Clock, Incarnation};
+use plantainmill_core::{Clock, Incarnation, Uptime};
 use plantainmill_dispatch::SharedDispatcher;
 use plantainmill_jobs::JobService;
 use plantainmill_proxy::relay::RelayCaller;
@@ -23,6 +23,8 @@
 /// The shared parts of a VM.
 pub(crate) struct EdgeState {
     pub settings: EdgeSettings,
+    /// Bounds in force; they may change while the VM runs.
+    pub bounds: Cell<BoundSettings>,
     pub incarnation: Incarnation,
     pub clock: Arc<dyn Clock>,
     pub view: DocumentView,
@@ -34,6 +36,8 @@
     pub meters: EdgeMeters,
     /// Targets, as read from the store or from a reader of the domain.
     pub targets: RefCell<TargetRegistry>,
+    /// When they were certainly the registered ones.
+    pub targets_at: Cell<Option<Uptime>>,
     /// This VM reads the store for its failure domain.
     pub is_reader: Cell<bool>,
     /// Notified when the document or the targets changed.
@@ -67,12 +71,32 @@
         self.view.age(self.clock.uptime())
     }
 
-    /// Takes all targets, as read now.
-    pub fn take_targets(&self, entries: Vec<TargetEntry>) {
+    /// Time since the targets were certainly the registered ones.
+    pub fn targets_age(&self) -> Option<Duration> {
+        let targets_at = self.targets_at.get()?;
+        Some(self.clock.uptime().saturating_sub(targets_at))
+    }
+
+    /// Takes all targets, as read from the registry at `read_at`.
+    pub fn take_targets(&self, entries: Vec<TargetEntry>, read_at: Uptime) {
+        self.change_targets(read_at, |targets, now| targets.apply(entries, now));
+    }
+
+    /// Takes all targets, as another VM knew them at `read_at`.
+    pub fn adopt_targets(&self, entries: Vec<TargetEntry>, read_at: Uptime) {
+        self.change_targets(read_at, |targets, now| targets.adopt(entries, now));
+    }
+
+    /// Changes the targets to those of `read_at`, unless younger ones are known.
+    fn change_targets(&self, read_at: Uptime, change: impl FnOnce(&mut TargetRegistry, Uptime)) {
+        if self.targets_at.get() > Some(read_at) {
+            return;
+        }
+        self.targets_at.set(Some(read_at));
         let now = self.clock.uptime();
         let mut targets = self.targets.borrow_mut();
         let before = targets.stamp();
-        targets.apply(entries, now);
+        change(&mut targets, now);
         self.dispatcher.set_targets(targets.usable(now));
         if targets.stamp() != before {
             self.changed.notify_one();
@@ -81,13 +105,13 @@
 
     /// Whether keys may be used: no key can have been withdrawn long enough ago without this VM knowing it.
     pub fn may_use_keys(&self) -> bool {
-        let limit = self.settings.bounds.key_time().saturating_sub(KEY_MARGIN);
+        let limit = self.bounds.get().key_time().saturating_sub(KEY_MARGIN);
         self.document_age().is_some_and(|age| age < limit)
     }
 
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
-        let limit = self.settings.bounds.key_time().mul_f64(READY_PART);
+        let limit = self.bounds.get().key_time().mul_f64(READY_PART);
         let is_fresh = self.document_age().is_some_and(|age| age < limit);
         is_fresh && self.targets.borrow().is_known() && !self.leaving.get()
     }
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -99,13 +99,24 @@
         })
     }
 
+    /// Takes changed settings. Bounds are in force at once; the rest needs a new start.
+    pub fn reload(&self, settings: &EdgeSettings) {
+        let held = &self.state.settings;
+        let needs_start = settings.vm != held.vm
+            || settings.regions != held.regions
+            || settings.listen != held.listen
+            || settings.store != held.store;
+        let changed = self.state.bounds.replace(settings.bounds) != settings.bounds;
+        tracing::info!(event = "settings_reloaded", changed, needs_start);
+    }
+
     /// Stops gracefully: not ready, jobs handed over, requests finished, peers told.
     pub async fn stop(&self) {
         let started = Instant::now();
         let limit = self
             .state
-            .settings
             .bounds
+            .get()
             .stop_time()
             .saturating_sub(CLOSE_TIME);
         self.state.leaving.set(true);
@@ -167,6 +178,7 @@
         },
     });
     Ok(EdgeState {
+        bounds: Cell::new(settings.bounds),
         settings,
         incarnation,
         limiter: SharedLimiter::new(view.clone(), Arc::clone(&clock)),
@@ -178,6 +190,7 @@
         codec,
         meters: EdgeMeters::new()?,
         targets: RefCell::default(),
+        targets_at: Cell::new(None),
         is_reader: Cell::new(true),
         changed: Notify::new(),
         leaving: Cell::new(false),
--- /dev/null
+++ b/crates/edge/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of one VM.
+
+mod edge_settings;
+mod vm_roster;
--- /dev/null
+++ b/crates/logs/src/output.rs
@@ -0,0 +1,90 @@
+//! The log output of a process: JSON lines on standard output that never block it.
+
+use crate::budget::{DroppedLines, LineBudget};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+use tracing::subscriber::SetGlobalDefaultError;
+use tracing::{Event, Metadata};
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::layer::{Context, Filter, SubscriberExt as _};
+use tracing_subscriber::{EnvFilter, Layer as _, Registry};
+
+/// Lines that wait to be written; more are dropped, since a reader that stands still must not stop the process.
+const WAITING_LINES: usize = 4_000;
+
+/// Leaves out lines beyond the budget of their kind. Clones share the same budget.
+#[derive(Clone)]
+pub struct BudgetFilter {
+    budget: Arc<Mutex<LineBudget>>,
+    started: Instant,
+}
+
+impl Default for BudgetFilter {
+    fn default() -> BudgetFilter {
+        BudgetFilter {
+            budget: Arc::default(),
+            started: Instant::now(),
+        }
+    }
+}
+
+impl BudgetFilter {
+    /// The lines left out since the last call.
+    #[must_use]
+    pub fn take_dropped(&self) -> Vec<DroppedLines> {
+        let budget = self.budget.lock();
+        budget
+            .unwrap_or_else(PoisonError::into_inner)
+            .take_dropped()
+    }
+}
+
+impl<S> Filter<S> for BudgetFilter {
+    fn enabled(&self, _: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        true
+    }
+
+    fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
+        let place = event.metadata();
+        let kind = (
+            place.file().unwrap_or_default(),
+            place.line().unwrap_or_default(),
+        );
+        let budget = self.budget.lock();
+        let mut budget = budget.unwrap_or_else(PoisonError::into_inner);
+        budget.admit(kind, self.started.elapsed())
+    }
+}
+
+/// The log output of a process. Dropping it writes what waits.
+pub struct LogOutput {
+    /// The filter, for a report on lines left out.
+    pub filter: BudgetFilter,
+    _worker: WorkerGuard,
+}
+
+impl LogOutput {
+    /// Starts to write JSON lines to standard output.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has a log output already.
+    pub fn start(levels: EnvFilter) -> Result<LogOutput, SetGlobalDefaultError> {
+        let (writer, worker): (NonBlocking, WorkerGuard) = NonBlockingBuilder::default()
+            .buffered_lines_limit(WAITING_LINES)
+            .lossy(true)
+            .finish(std::io::stdout());
+        let filter = BudgetFilter::default();
+        let lines = tracing_subscriber::fmt::layer()
+            .json()
+            .flatten_event(true)
+            .with_target(false)
+            .with_writer(writer)
+            .with_filter(filter.clone());
+        tracing::subscriber::set_global_default(Registry::default().with(levels).with(lines))?;
+        Ok(LogOutput {
+            filter,
+            _worker: worker,
+        })
+    }
+}
--- /dev/null
+++ b/crates/logs/tests/volume.rs
@@ -0,0 +1,63 @@
+//! The bound on the volume of logs.
+
+use plantainmill_logs::{BudgetFilter, LineBudget};
+use rstest::rstest;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tracing_subscriber::layer::SubscriberExt as _;
+use tracing_subscriber::{Layer as _, Registry};
+
+/// Guards against logs that grow with the load, and against a flood of one kind that hides the others.
+#[rstest]
+#[case(10, 10)]
+#[case(400, 50)]
+fn lines_per_second(#[case] asked: u64, #[case] expected: usize) {
+    let mut budget = LineBudget::default();
+    for second in 0..3 {
+        let start = Duration::from_secs(second);
+        let times = (0..asked).map(|number| start + Duration::from_millis(number * 1_000 / asked));
+        let written = times.filter(|now| budget.admit(("a.rs", 1), *now)).count();
+        assert_eq!(written, expected);
+        assert!(budget.admit(("b.rs", 1), start));
+    }
+    let dropped: u64 = budget.take_dropped().iter().map(|lines| lines.count).sum();
+    assert_eq!(dropped, 3 * (asked - expected as u64));
+    assert!(budget.take_dropped().is_empty());
+}
+
+#[derive(Clone, Default)]
+struct Sink(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Sink {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0
+            .lock()
+            .expect("not poisoned")
+            .extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a filter that is not asked, or that does not count what it leaves out.
+#[test]
+fn filter_in_place() {
+    let sink = Sink::default();
+    let writer = sink.clone();
+    let filter = BudgetFilter::default();
+    let lines = tracing_subscriber::fmt::layer()
+        .with_writer(move || writer.clone())
+        .with_filter(filter.clone());
+    tracing::subscriber::with_default(Registry::default().with(lines), || {
+        for number in 0..200 {
+            tracing::info!(event = "flood", number);
+        }
+    });
+    let text = String::from_utf8(sink.0.lock().expect("not poisoned").clone()).expect("text");
+    assert_eq!(text.lines().count(), 50);
+    assert_eq!(filter.take_dropped()[0].count, 150);
+}
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -94,6 +94,9 @@
     /// Closes the current answer and returns its slot.
     fn finish(&mut self, failure: Option<CallOutcome>) {
         if let Some(started) = self.current.take() {
+            if failure.is_none() {
+                log_whole(&self.progress, &started);
+            }
             let first_byte = started.first_byte;
             drop(started.answer);
             let completed = CallOutcome::Completed { first_byte };
@@ -179,3 +182,19 @@
         Ok(Some(first))
     }
 }
+
+/// Logs a request whose answer was passed on whole.
+fn log_whole(progress: &CallProgress, started: &StartedAnswer) {
+    let first_ms = started.first_byte.as_millis();
+    tracing::info!(
+        event = "request_relayed",
+        request = %progress.call.id,
+        organisation = progress.call.organisation.as_deref(),
+        service = %progress.call.service,
+        target = %started.ticket.target,
+        status = started.answer.status,
+        sends = progress.sends,
+        first_ms,
+        last_event = started.last_event,
+    );
+}
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -59,27 +59,36 @@
         self.failing = true;
     }
 
-    /// Takes all entries, as read at `now`.
+    /// Takes all entries, as another VM knows them at `now`. It has allowed for entries that wait to be renewed.
+    pub fn adopt(&mut self, entries: Vec<TargetEntry>, now: Uptime) {
+        self.replace(entries, now, now);
+    }
+
+    /// Takes all entries, as read from the registry at `now`.
     pub fn apply(&mut self, entries: Vec<TargetEntry>, now: Uptime) {
         if self.failing {
             self.failing = false;
             self.renewed_by = now + RENEWAL_TIME;
         }
-        self.read_at = Some(now);
-        let mut present: BTreeMap<TargetId, TargetEntry> = entries
-            .into_iter()
-            .map(|entry| (entry.id.clone(), entry))
-            .collect();
+        let is_missing = |id: &TargetId| entries.iter().all(|entry| entry.id != *id);
         let vanished = self
             .targets
             .iter()
-            .filter(|(id, known)| known.gone_at.is_none() && !present.contains_key(*id));
+            .filter(|(id, known)| known.gone_at.is_none() && is_missing(id));
         // Many entries at once lapse together when the registry was away for the targets alone.
-        let many = vanished.count() * 2 >= self.targets.len().max(4);
-        if many {
+        if vanished.count() * 2 >= self.targets.len().max(4) {
             self.renewed_by = now + RENEWAL_TIME;
         }
-        let renewed_by = self.renewed_by;
+        self.replace(entries, self.renewed_by, now);
+    }
+
+    /// Replaces all entries. Missing ones count as gone from `renewed_by` on.
+    fn replace(&mut self, entries: Vec<TargetEntry>, renewed_by: Uptime, now: Uptime) {
+        self.read_at = Some(now);
+        let mut present: BTreeMap<TargetId, TargetEntry> = entries
+            .into_iter()
+            .map(|entry| (entry.id.clone(), entry))
+            .collect();
         let addresses: Vec<SocketAddr> = present.values().map(|entry| entry.address).collect();
         self.targets.retain(|id, known| {
             if let Some(entry) = present.remove(id) {
--- a/crates/routing/tests/all/target_registry.rs
+++ b/crates/routing/tests/all/target_registry.rs
@@ -101,3 +101,30 @@
         .collect();
     assert_eq!(ids, ["new", "t0", "t1", "t2"]);
 }
+
+/// Guards against a VM that keeps a target which left, because it cannot read the registry itself and takes the entries
+/// from another VM.
+#[test]
+fn adopted_entries() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(fleet(10), at(0));
+    registry.note_failure();
+    registry.adopt(fleet(9), at(1_000));
+    assert_eq!(usable(&registry, at(1_000)), 9);
+    assert_eq!(registry.entries().len(), 9);
+}
+
+/// Guards against VMs that do not see that their entries differ.
+#[test]
+fn entry_stamp() {
+    let stamp = |entries: Vec<TargetEntry>| {
+        let mut registry = TargetRegistry::default();
+        registry.apply(entries, at(0));
+        registry.stamp()
+    };
+    let mut draining = fleet(3);
+    draining[1].draining = true;
+    assert_eq!(stamp(fleet(3)), stamp(fleet(3)));
+    assert_ne!(stamp(fleet(3)), stamp(fleet(4)));
+    assert_ne!(stamp(fleet(3)), stamp(draining));
+}
--- /dev/null
+++ b/src/commands/explain.rs
@@ -0,0 +1,38 @@
+//! `plantainmill explain`: the story of one request from the logs of several VMs.
+
+use anyhow::Context as _;
+use clap::Args;
+use plantainmill_logs::request_story;
+use std::path::PathBuf;
+
+/// Options of `explain`.
+#[derive(Args, Debug)]
+pub struct ExplainArgs {
+    /// Id of a request, an item or a job.
+    id: String,
+    /// Logs of VMs, one JSON object a line.
+    #[arg(required = true)]
+    logs: Vec<PathBuf>,
+}
+
+/// Prints all lines about the id in order of time.
+pub fn run(args: &ExplainArgs) -> anyhow::Result<()> {
+    let mut texts = Vec::new();
+    for path in &args.logs {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("cannot read {}", path.display()))?;
+        texts.push((path.display().to_string(), text));
+    }
+    let logs = texts
+        .iter()
+        .map(|(name, text)| (name.as_str(), text.as_str()));
+    let story = request_story(&args.id, logs);
+    anyhow::ensure!(!story.is_empty(), "no line names {}", args.id);
+    for line in story {
+        println!(
+            "{} {} {} {}",
+            line.time, line.source, line.event, line.fields
+        );
+    }
+    Ok(())
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -7,6 +7,7 @@
 pub mod dev;
 pub mod dump;
 pub mod edge;
+pub mod explain;
 pub mod serve;
 
 mod client;
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -2,6 +2,7 @@
 
 use anyhow::{Context as _, bail};
 use clap::Args;
+use plantainmill_logs::LogOutput;
 use plantainmill_node::{Node, StopReport};
 use plantainmill_settings::{NodeSettings, SettingsProblem};
 use std::path::PathBuf;
@@ -19,9 +20,9 @@
 }
 
 /// Serves until SIGTERM or SIGINT, then stops gracefully; a second signal ends the process at once.
-pub fn run(args: &ServeArgs) -> anyhow::Result<()> {
+pub fn run(args: &ServeArgs, output: Option<LogOutput>) -> anyhow::Result<()> {
     let Some(path) = &args.settings else {
-        return super::edge::run();
+        return super::edge::run(output);
     };
     let settings = NodeSettings::load(path).map_err(|problems| report_problems(&problems))?;
     actix_rt::System::new().block_on(serve(settings))
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 mod commands;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use plantainmill_logs::LogOutput;
 use std::io::IsTerminal as _;
 use std::process::ExitCode;
 use tracing_subscriber::EnvFilter;
@@ -13,7 +14,7 @@
 #[derive(Debug, Parser)]
 #[command(version, max_term_width = 100)]
 struct CommandLine {
-    /// Form of the log lines, which go to standard error.
+    /// Form of the log lines: text goes to standard error, JSON to standard output.
     #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
     log_format: LogFormat,
     /// What is logged, such as `info` or `plantainmill_config=debug`.
@@ -49,6 +50,8 @@
     Admin(commands::admin::AdminArgs),
     /// Print the state of one VM as JSON.
     Dump(commands::dump::DumpArgs),
+    /// Tell the story of one request, item or job from the logs of several VMs.
+    Explain(commands::explain::ExplainArgs),
     /// Print the table of result codes.
     Codes(commands::codes::CodesArgs),
     /// Drive VMs with a scenario and report the four measures.
@@ -57,8 +60,8 @@
 
 fn main() -> ExitCode {
     let line = CommandLine::parse();
-    start_logs(&line);
-    match run(line.command) {
+    let done = start_logs(&line).and_then(|output| run(line.command, output));
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error:#}");
@@ -67,13 +70,14 @@
     }
 }
 
-fn run(command: Command) -> anyhow::Result<()> {
+fn run(command: Command, output: Option<LogOutput>) -> anyhow::Result<()> {
     match command {
-        Command::Serve(args) => commands::serve::run(&args),
+        Command::Serve(args) => commands::serve::run(&args, output),
         Command::Dev(args) => commands::dev::run(&args),
         Command::Check(args) => commands::check::run(&args),
         Command::Admin(args) => commands::admin::run(&args),
         Command::Dump(args) => commands::dump::run(&args),
+        Command::Explain(args) => commands::explain::run(&args),
         Command::Codes(args) => {
             commands::codes::run(args);
             Ok(())
@@ -82,14 +86,16 @@
     }
 }
 
-fn start_logs(line: &CommandLine) {
+/// Starts the logs. JSON lines go to standard output with a bound on their volume.
+fn start_logs(line: &CommandLine) -> anyhow::Result<Option<LogOutput>> {
     let filter = EnvFilter::try_new(&line.log).unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt()
+    if let LogFormat::Json = line.log_format {
+        return Ok(Some(LogOutput::start(filter)?));
+    }
+    tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_ansi(std::io::stderr().is_terminal())
-        .with_writer(std::io::stderr);
-    match line.log_format {
-        LogFormat::Text => builder.init(),
-        LogFormat::Json => builder.json().init(),
-    }
+        .with_writer(std::io::stderr)
+        .init();
+    Ok(None)
 }
