--- /dev/null
+++ b/crates/patterns/examples/load_patterns.rs
@@ -0,0 +1,29 @@
+//! Prints how the shared policy and the baselines answer each load pattern.
+
+use plantainmill_patterns::{LoadPattern, PolicyKind, run_pattern};
+
+/// Seed of the printed runs.
+const SEED: u64 = 7;
+
+fn main() {
+    println!(
+        "| pattern | policy | online in time | late | lost | batch in time | idle while waiting, slot s | interrupted |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for pattern in LoadPattern::all() {
+        for kind in PolicyKind::ALL {
+            let report = run_pattern(&pattern, kind, SEED);
+            println!(
+                "| {} | {} | {:.3} | {} | {} | {:.3} | {} | {} |",
+                pattern.name,
+                kind.name(),
+                report.online_share(),
+                report.late,
+                report.lost,
+                report.batch_share(),
+                report.idle_while_waiting / 1_000,
+                report.interrupted,
+            );
+        }
+    }
+}
