Read the document only when it changed

A document of 1,152 more routes, some 500 KB, was read twice a second by 12 VMs: 53 of the 60 Mbit/s between the regions. Change: a change under the condition of the row's version that writes nothing says whether the document is still the newest one; it is read whole only when not.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -3,7 +3,7 @@
 
 use crate::state::EdgeState;
 use plantainmill_platform::StoreError;
-use plantainmill_routing::{DocumentSource, TargetSource};
+use plantainmill_routing::{DocumentRead, DocumentSource, DocumentStamp, TargetSource};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -28,23 +28,32 @@
 /// Reads the document again and again.
 pub(crate) async fn follow_document(state: Rc<EdgeState>, source: Rc<dyn DocumentSource>) {
     let mut is_lost = false;
+    // The document that was read last, as the store and as callers know it.
+    let mut stamp: DocumentStamp = 0;
+    let mut stamped = 0;
     loop {
         if !reads_store(&state) {
             sleep(RETRY_INTERVAL).await;
             continue;
         }
         let sent_at = state.clock.uptime();
-        let read = timeout(READ_LIMIT, source.read_document()).await;
+        let read = timeout(READ_LIMIT, source.read_document(stamp)).await;
         let read = read.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into())));
         let pause = match read {
-            Ok(document) => {
+            Ok(read) => {
                 state.rows.note_call(true);
                 note_regained(&mut is_lost, "document");
-                if let Some(document) = document {
-                    let version = document.version;
-                    if state.view.offer(document, sent_at) {
-                        tracing::info!(event = "document_changed", version, from = "store");
-                        state.changed.notify_one();
+                match read {
+                    DocumentRead::Missing => {}
+                    DocumentRead::Unchanged => state.view.confirm(stamped, sent_at),
+                    DocumentRead::Changed(document, changed_stamp) => {
+                        stamp = changed_stamp;
+                        stamped = document.version;
+                        if state.view.offer(*document, sent_at) {
+                            let version = stamped;
+                            tracing::info!(event = "document_changed", version, from = "store");
+                            state.changed.notify_one();
+                        }
                     }
                 }
                 DOCUMENT_INTERVAL
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -12,5 +12,5 @@
     CallerLimits, FleetDocument, JobRule, OrganisationRule, RouteKind, RouteRule, ServiceShare,
 };
 pub use registry::{TargetEntry, TargetRegistry};
-pub use source::{DocumentSource, TargetSource};
+pub use source::{DocumentRead, DocumentSource, DocumentStamp, TargetSource};
 pub use view::DocumentView;
--- a/crates/routing/src/source.rs
+++ b/crates/routing/src/source.rs
@@ -4,10 +4,25 @@
 use crate::registry::TargetEntry;
 use plantainmill_platform::PlatformFuture;
 
+/// Names one state of the kept document; none is named zero.
+pub type DocumentStamp = u64;
+
+/// What a read of the document shows.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DocumentRead {
+    /// There is no document yet.
+    Missing,
+    /// It is still the one of the stamp that was given.
+    Unchanged,
+    /// Another document, with its stamp.
+    Changed(Box<FleetDocument>, DocumentStamp),
+}
+
 /// Where the fleet document is kept.
 pub trait DocumentSource {
-    /// Reads the newest document; none if there is no document yet.
-    fn read_document(&self) -> PlatformFuture<'_, Option<FleetDocument>>;
+    /// Reads the newest document, if it is another one than that of `known`. A large document need not be sent again
+    /// to show that it is still the newest one.
+    fn read_document(&self, known: DocumentStamp) -> PlatformFuture<'_, DocumentRead>;
 }
 
 /// Where targets register themselves.
