--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -83,11 +83,12 @@
 }
 
 /// Logs how a request without an answer of a target ended.
-pub(crate) fn log_problem(request_id: &str, problem: &Problem) {
+pub(crate) fn log_problem(request_id: &str, path: &str, problem: &Problem) {
     let retry_ms = problem.retry_after.map(|delay| delay.as_millis());
     tracing::info!(
         event = "request_ended",
         request = request_id,
+        path,
         result = problem.code.number(),
         code = problem.code.name(),
         executed = problem.executed.as_str(),
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -96,7 +96,7 @@
         Ok(Served::Own(response)) => response,
         Err(cause) => {
             state.meters.count_request(cause.code.number());
-            log_problem(read.id(), &cause);
+            log_problem(read.id(), read.request.path(), &cause);
             problem(&state, read.id(), &cause)
         }
     }
