--- /dev/null
+++ b/spec/job_results.pml
@@ -0,0 +1,135 @@
+/* Results of one job: owners, takeovers, ends, and writes that take effect late.
+ *
+ * The head row names the owner and counts the results. A VM lists a result by a write of the head and of the row at the
+ * next position, under the versions of both. Answers may be lost, and a write may take effect after its sender has given
+ * up waiting, if its conditions still hold. Any VM may take the job over at any time, because judging an owner as gone
+ * is only a guess. -DMUTATION drops the head's version from the condition of a result, which leaves only the position.
+ */
+
+#define VMS 2
+#define ITEMS 2
+#define TAKEOVERS 3
+#define LOSSES 3
+#define ENDS 1
+#define NONE 255
+
+/* The store: the head's version, owner, count and end; the item at each position. */
+byte version = 1;
+byte owner = 0;
+byte count = 0;
+bool ended = false;
+byte position[4] = NONE;
+
+byte takeovers = 0;
+byte losses = 0;
+byte ends = 0;
+
+/* Writes that are still on their way, one per VM. */
+bool late[VMS];
+byte late_version[VMS];
+byte late_count[VMS];
+byte late_item[VMS];
+
+#ifdef MUTATION
+#define HOLDS(seen_version, seen_count) (position[seen_count] == NONE)
+#else
+#define HOLDS(seen_version, seen_count) (version == seen_version && position[seen_count] == NONE)
+#endif
+
+/* The effect of a result whose conditions hold. */
+inline list(seen_count, item) {
+  position[seen_count] = item;
+  count = seen_count + 1;
+  version++;
+  /* An item stands once, and positions have no gaps. */
+  assert(!(position[0] != NONE && position[0] == position[1]));
+  assert(!(position[0] != NONE && position[0] == position[2]));
+  assert(!(position[1] != NONE && position[1] == position[2]));
+  assert(!(position[1] != NONE && position[0] == NONE))
+}
+
+proctype Vm(byte own) {
+  byte seen_version = 0;
+  byte seen_count = 0;
+  byte item = 0;
+  bool is_owner = false;
+  bool done[ITEMS];
+  do
+  :: !is_owner && takeovers < TAKEOVERS && !ended && count < ITEMS ->
+    /* Takes the job over, and reads which items are listed. */
+    atomic {
+      takeovers++;
+      version++;
+      owner = own;
+      is_owner = true;
+      seen_version = version;
+      seen_count = count;
+      done[0] = (position[0] == 0 || position[1] == 0);
+      done[1] = (position[0] == 1 || position[1] == 1)
+    }
+  :: is_owner && (!done[0] || !done[1]) ->
+    /* Some item ends first. */
+    if
+    :: !done[0] -> item = 0
+    :: !done[1] -> item = 1
+    fi;
+    /* The same write is sent until its outcome is known. */
+    do
+    :: atomic { HOLDS(seen_version, seen_count) ->
+        list(seen_count, item);
+        seen_version = version;
+        seen_count++;
+        done[item] = true;
+        break
+      }
+    :: atomic { HOLDS(seen_version, seen_count) && losses < LOSSES ->
+        /* It took effect, and the answer is lost. */
+        losses++;
+        list(seen_count, item)
+      }
+    :: atomic { !late[own] && losses < LOSSES ->
+        /* It is on its way; no answer comes. */
+        losses++;
+        late[own] = true;
+        late_version[own] = seen_version;
+        late_count[own] = seen_count;
+        late_item[own] = item
+      }
+    :: atomic { !(HOLDS(seen_version, seen_count)) ->
+        /* A conflict shows the head. */
+        if
+        :: owner == own && !ended ->
+          if
+          :: count > seen_count -> done[item] = true
+          :: else
+          fi;
+          seen_version = version;
+          seen_count = count
+        :: else -> is_owner = false
+        fi;
+        break
+      }
+    od
+  :: is_owner && done[0] && done[1] -> break
+  :: !is_owner && (ended || count == ITEMS || takeovers == TAKEOVERS) -> break
+  od
+}
+
+/* Writes that take effect late, if their conditions still hold, or never. */
+proctype Network() {
+  byte index;
+  do
+  :: atomic { late[0] -> index = 0; late[0] = false; if :: HOLDS(late_version[0], late_count[0]) -> list(late_count[0], late_item[0]) :: else fi }
+  :: atomic { late[1] -> index = 1; late[1] = false; if :: HOLDS(late_version[1], late_count[1]) -> list(late_count[1], late_item[1]) :: else fi }
+  :: atomic { ends < ENDS -> ends++; ended = true; version++ }
+  :: timeout -> break
+  od
+}
+
+init {
+  atomic {
+    run Vm(0);
+    run Vm(1);
+    run Network()
+  }
+}
