--- a/crates/admission/benches/decision.rs
+++ b/crates/admission/benches/decision.rs
@@ -6,7 +6,7 @@
 use plantainmill_admission::state::{RateSettings, RateState};
 use plantainmill_config::{FleetConfig, OrganisationSpec};
 use plantainmill_core::{OrganisationId, Uptime};
-use plantainmill_platform::{CommitOutcome, RowEntry, TableWrite};
+use plantainmill_provider::{CommitOutcome, RowEntry, TableWrite};
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::sync::Arc;
--- a/crates/admission/src/lease.rs
+++ b/crates/admission/src/lease.rs
@@ -10,7 +10,7 @@
 use crate::output::Output;
 use crate::split::SlotId;
 use plantainmill_core::{Uptime, VmId};
-use plantainmill_platform::{CommitOutcome, StoreError};
+use plantainmill_provider::{CommitOutcome, StoreError};
 use std::time::Duration;
 
 /// Lifetime of a lease from the request that renewed it.
--- a/crates/admission/src/lease/write.rs
+++ b/crates/admission/src/lease/write.rs
@@ -4,7 +4,7 @@
 use crate::message::SlotRow;
 use crate::output::{CommitTag, Output};
 use plantainmill_core::Uptime;
-use plantainmill_platform::{Expected, TableWrite};
+use plantainmill_provider::{Expected, TableWrite};
 use std::time::Duration;
 
 impl SlotLease {
--- a/crates/admission/src/output.rs
+++ b/crates/admission/src/output.rs
@@ -4,7 +4,7 @@
 use crate::message::{AdmissionMessage, VmStart};
 use crate::split::SlotId;
 use plantainmill_core::VmId;
-use plantainmill_platform::TableWrite;
+use plantainmill_provider::TableWrite;
 
 /// Which part a commit belongs to.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/admission/src/rows.rs
+++ b/crates/admission/src/rows.rs
@@ -8,7 +8,7 @@
 use crate::state::RateState;
 use plantainmill_core::{Uptime, VmId};
 use plantainmill_membership::MemberState;
-use plantainmill_platform::{CommitOutcome, Expected, RowEntry, StoreError, TableWrite, VmEntry};
+use plantainmill_provider::{CommitOutcome, Expected, RowEntry, StoreError, TableWrite, VmEntry};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/admission/src/service.rs
+++ b/crates/admission/src/service.rs
@@ -13,7 +13,7 @@
 use plantainmill_core::{Clock, DomainName, Incarnation, OrganisationId, Uptime, VmId};
 use plantainmill_membership::MemberView;
 use plantainmill_mesh::{Channel, FrameReceived, RegisterChannel, SendFrame};
-use plantainmill_platform::{TableStore, VmList};
+use plantainmill_provider::{TableStore, VmList};
 use plantainmill_timer::{Subscribe, Tick};
 use serde_json::Value;
 use std::collections::HashMap;
--- a/crates/admission/tests/all/fleet.rs
+++ b/crates/admission/tests/all/fleet.rs
@@ -14,7 +14,7 @@
 use plantainmill_core::{OrganisationId, Uptime, VmId};
 use plantainmill_fakes::{MemoryPlatform, PlatformFault};
 use plantainmill_membership::Member;
-use plantainmill_platform::{CommitOutcome, RowEntry, StoreError, TableWrite, VmEntry, VmState};
+use plantainmill_provider::{CommitOutcome, RowEntry, StoreError, TableWrite, VmEntry, VmState};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
--- a/crates/admission/tests/all/fleet/store.rs
+++ b/crates/admission/tests/all/fleet/store.rs
@@ -3,7 +3,7 @@
 use super::{Event, SimFleet};
 use futures_util::FutureExt as _;
 use plantainmill_fakes::PlatformFault;
-use plantainmill_platform::{TableStore, VmList};
+use plantainmill_provider::{TableStore, VmList};
 use std::time::Duration;
 
 impl SimFleet {
--- a/crates/admission/tests/all/service.rs
+++ b/crates/admission/tests/all/service.rs
@@ -142,7 +142,7 @@
     let (stopped, ()) = futures_util::join!(limiter.stop(), bench.run(20));
     assert!(stopped);
     let backup = bench.platform.backup();
-    let rows = plantainmill_platform::TableStore::range(&backup, "slot/", "slot0", 100);
+    let rows = plantainmill_provider::TableStore::range(&backup, "slot/", "slot0", 100);
     for row in rows.await.unwrap() {
         assert!(row.value["holder"].is_null(), "{row:?}");
     }
--- a/crates/batch/examples/batch_costs.rs
+++ b/crates/batch/examples/batch_costs.rs
@@ -18,7 +18,7 @@
 use plantainmill_fakes::{MemoryPlatform, StoreCounts};
 use plantainmill_membership::{Member, MemberState, MemberView};
 use plantainmill_mesh::{MeshPeer, RegisterChannel, SendFrame};
-use plantainmill_platform::{ObjectStore, PlatformFuture};
+use plantainmill_provider::{ObjectStore, PlatformFuture};
 use plantainmill_proxy::{StreamAnswer, TargetCaller, TargetRequest, WholeAnswer};
 use plantainmill_schema::openai::BatchCreate;
 use plantainmill_timer::TimerService;
@@ -282,7 +282,7 @@
             tokio::time::sleep(Duration::from_secs(5)).await;
             // A copy is read, so that waiting does not count as load.
             let copy = self.platform.backup();
-            let row = plantainmill_platform::TableStore::get(&copy, &format!("job/{job}")).await;
+            let row = plantainmill_provider::TableStore::get(&copy, &format!("job/{job}")).await;
             let row = row.ok().flatten().expect("the job exists");
             let running = serde_json::to_value(JobState::Running).unwrap_or_default();
             if row.value["state"] != running {
--- a/crates/batch/src/accept.rs
+++ b/crates/batch/src/accept.rs
@@ -12,7 +12,7 @@
 use compact_str::{CompactString, format_compact};
 use plantainmill_core::secret::{hash_bytes, new_id};
 use plantainmill_core::{JobId, OrganisationId, Problem, ResultCode};
-use plantainmill_platform::{Expected, TableWrite};
+use plantainmill_provider::{Expected, TableWrite};
 use plantainmill_schema::openai::BatchCreate;
 use serde_json::json;
 use std::collections::BTreeMap;
--- a/crates/batch/src/claim.rs
+++ b/crates/batch/src/claim.rs
@@ -10,7 +10,7 @@
 use crate::watch::{CHUNKS_HELD, JobContext, VmState};
 use compact_str::CompactString;
 use plantainmill_core::{JobId, Problem, ResultCode};
-use plantainmill_platform::{CommitOutcome, RowEntry, StoreError};
+use plantainmill_provider::{CommitOutcome, RowEntry, StoreError};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/batch/src/commit.rs
+++ b/crates/batch/src/commit.rs
@@ -8,7 +8,7 @@
 use crate::watch::{JobContext, VmState};
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
-use plantainmill_platform::{CommitOutcome, StoreError};
+use plantainmill_provider::{CommitOutcome, StoreError};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/batch/src/files.rs
+++ b/crates/batch/src/files.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use plantainmill_core::secret::new_id;
 use plantainmill_core::{OrganisationId, Problem, ResultCode};
-use plantainmill_platform::{Expected, TableWrite};
+use plantainmill_provider::{Expected, TableWrite};
 use plantainmill_schema::openai::FileObject;
 use serde_json::json;
 
--- a/crates/batch/src/jobs.rs
+++ b/crates/batch/src/jobs.rs
@@ -8,7 +8,7 @@
 use crate::store::{JobStore, Versioned, store_problem, to_value};
 use compact_str::CompactString;
 use plantainmill_core::{JobId, Problem, ResultCode};
-use plantainmill_platform::{CommitOutcome, Expected, RowEntry, StoreError, TableWrite};
+use plantainmill_provider::{CommitOutcome, Expected, RowEntry, StoreError, TableWrite};
 use plantainmill_schema::openai::{BatchCounts, BatchList, BatchObject};
 use serde_json::json;
 
--- a/crates/batch/src/service.rs
+++ b/crates/batch/src/service.rs
@@ -13,7 +13,7 @@
 use plantainmill_core::{Clock, Incarnation, JobId, OrganisationId, Problem, Uptime, VmId};
 use plantainmill_membership::{MemberState, MemberView};
 use plantainmill_mesh::{Channel, FrameReceived, RegisterChannel, SendFrame};
-use plantainmill_platform::{ObjectStore, TableStore, TableWrite};
+use plantainmill_provider::{ObjectStore, TableStore, TableWrite};
 use plantainmill_proxy::TargetCaller;
 use plantainmill_schema::openai::BatchCreate;
 use plantainmill_timer::{Subscribe, Tick};
--- a/crates/batch/src/store.rs
+++ b/crates/batch/src/store.rs
@@ -6,7 +6,7 @@
 use plantainmill_config::ConfigView;
 use plantainmill_core::clock::unix_seconds;
 use plantainmill_core::{Clock, Executed, Problem, ResultCode};
-use plantainmill_platform::{
+use plantainmill_provider::{
     CommitOutcome, ObjectStore, RowEntry, StoreError, TableStore, TableWrite,
 };
 use serde::Serialize;
--- a/crates/batch/src/sweep.rs
+++ b/crates/batch/src/sweep.rs
@@ -5,7 +5,7 @@
 };
 use crate::store::{CHUNK_ROWS_LIMIT, JobStore, decode_row, store_problem};
 use plantainmill_core::Problem;
-use plantainmill_platform::{Expected, TableWrite};
+use plantainmill_provider::{Expected, TableWrite};
 
 /// Expired things handled in one sweep.
 const SWEEP_LIMIT: u32 = 20;
--- a/crates/batch/src/watch.rs
+++ b/crates/batch/src/watch.rs
@@ -7,7 +7,7 @@
 use compact_str::CompactString;
 use plantainmill_core::{JobId, ServiceName, Uptime};
 use plantainmill_membership::{MemberState, MemberView};
-use plantainmill_platform::{Expected, TableWrite};
+use plantainmill_provider::{Expected, TableWrite};
 use plantainmill_proxy::TargetCaller;
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
--- a/crates/batch/tests/all/http.rs
+++ b/crates/batch/tests/all/http.rs
@@ -194,7 +194,7 @@
         for line in [4, 7, 300, 701] {
             assert!(message.contains(&format!("line {line}: ")), "{message}");
         }
-        let left = plantainmill_platform::ObjectStore::list(&world.platform, "batch/")
+        let left = plantainmill_provider::ObjectStore::list(&world.platform, "batch/")
             .await
             .unwrap();
         assert!(
--- a/crates/batch/tests/all/jobs.rs
+++ b/crates/batch/tests/all/jobs.rs
@@ -1,7 +1,7 @@
 //! A job's whole path without faults.
 
 use crate::support::{FaultKind, Step, World, run_virtual};
-use plantainmill_platform::{TableStore as _, TableWrite};
+use plantainmill_provider::{TableStore as _, TableWrite};
 use rstest::rstest;
 use std::time::Duration;
 
--- a/crates/batch/tests/all/order.rs
+++ b/crates/batch/tests/all/order.rs
@@ -170,11 +170,11 @@
         assert_eq!(world.lines(&format!("file-{job}-output")).await.len(), 300);
         tokio::time::sleep(Duration::from_hours(3)).await;
         assert!(world.reader().read_job(&job).await.unwrap().is_none());
-        let left = plantainmill_platform::ObjectStore::list(&world.platform, "")
+        let left = plantainmill_provider::ObjectStore::list(&world.platform, "")
             .await
             .unwrap();
         assert!(left.is_empty(), "{left:?}");
-        let rows = plantainmill_platform::TableStore::range(&world.platform, "", "~", 100)
+        let rows = plantainmill_provider::TableStore::range(&world.platform, "", "~", 100)
             .await
             .unwrap();
         let left: Vec<_> = rows
--- a/crates/batch/tests/all/support/store.rs
+++ b/crates/batch/tests/all/support/store.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use futures_util::FutureExt as _;
 use plantainmill_fakes::MemoryPlatform;
-use plantainmill_platform::{
+use plantainmill_provider::{
     CommitOutcome, ObjectStore, PlatformFuture, RowEntry, StoreError, TableStore, TableWrite,
 };
 use std::sync::{Arc, Mutex, MutexGuard};
--- a/crates/batch/tests/memory.rs
+++ b/crates/batch/tests/memory.rs
@@ -10,7 +10,7 @@
 use plantainmill_config::ConfigView;
 use plantainmill_core::ManualClock;
 use plantainmill_fakes::MemoryPlatform;
-use plantainmill_platform::{ObjectStore, PlatformFuture, TableStore as _, TableWrite};
+use plantainmill_provider::{ObjectStore, PlatformFuture, TableStore as _, TableWrite};
 use plantainmill_schema::openai::BatchCreate;
 use std::sync::Arc;
 
--- a/crates/config/examples/control_cost.rs
+++ b/crates/config/examples/control_cost.rs
@@ -13,7 +13,7 @@
     MemberTable, MemberTiming, options::TICK_PERIOD,
 };
 use plantainmill_mesh::{Channel, FleetSecret, FrameGuard, MeshFrame, MeshPeer};
-use plantainmill_platform::{VmEntry, VmState};
+use plantainmill_provider::{VmEntry, VmState};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::hint::black_box;
--- a/crates/config/src/log.rs
+++ b/crates/config/src/log.rs
@@ -3,7 +3,7 @@
 use crate::change::ConfigChange;
 use crate::entry::{ConfigSnapshot, LogEntry, LogHead};
 use compact_str::{CompactString, format_compact};
-use plantainmill_platform::{
+use plantainmill_provider::{
     CommitOutcome, Expected, ObjectStore, RowEntry, StoreError, TableStore, TableWrite,
 };
 use std::sync::Arc;
--- a/crates/config/src/propose.rs
+++ b/crates/config/src/propose.rs
@@ -8,7 +8,7 @@
 use crate::validate::{join_problems, validate_edits};
 use compact_str::CompactString;
 use plantainmill_core::{Clock, Executed, Problem, ResultCode, Uptime};
-use plantainmill_platform::StoreError;
+use plantainmill_provider::StoreError;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -20,7 +20,7 @@
     Channel, FrameReceived, MeshPeer, MeshService, RegisterChannel, SendFrame, decode_body,
     encode_body,
 };
-use plantainmill_platform::{ObjectStore, StoreError, TableStore};
+use plantainmill_provider::{ObjectStore, StoreError, TableStore};
 use plantainmill_timer::{Subscribe, Tick, TimerService};
 use std::collections::BTreeSet;
 use std::sync::Arc;
--- a/crates/config/tests/all/common.rs
+++ b/crates/config/tests/all/common.rs
@@ -6,7 +6,7 @@
 use plantainmill_fakes::MemoryPlatform;
 use plantainmill_membership::{MemberTiming, MemberView, MembershipOptions};
 use plantainmill_mesh::{FleetSecret, IDLE_LIMIT, MeshOptions, MeshPeer, MeshService, StopMesh};
-use plantainmill_platform::{VmEntry, VmState};
+use plantainmill_provider::{VmEntry, VmState};
 use plantainmill_timer::TimerService;
 use std::net::TcpListener;
 use std::sync::Arc;
--- a/crates/config/tests/all/store.rs
+++ b/crates/config/tests/all/store.rs
@@ -6,7 +6,7 @@
 use plantainmill_config::{ChangeProposal, ConfigInput, ConfigLog, ConfigReplica, StoreState};
 use plantainmill_core::{Executed, ManualClock, Problem, ResultCode};
 use plantainmill_fakes::{MemoryPlatform, PlatformFault};
-use plantainmill_platform::{
+use plantainmill_provider::{
     CommitOutcome, PlatformFuture, RowEntry, StoreError, TableStore, TableWrite,
 };
 use rstest::rstest;
@@ -184,7 +184,7 @@
 #[actix_rt::test]
 async fn damaged_snapshot() {
     use plantainmill_config::log::snapshot_name;
-    use plantainmill_platform::ObjectStore as _;
+    use plantainmill_provider::ObjectStore as _;
     let mut queue = ReplicaQueue::new(1, 1);
     let log = log_of(&queue.platform);
     for version in 1..=2 {
--- a/crates/devfleet/src/fleet.rs
+++ b/crates/devfleet/src/fleet.rs
@@ -11,7 +11,7 @@
 use plantainmill_core::secret::{hash_secret, new_secret};
 use plantainmill_fakes::{MemoryPlatform, PlatformOptions, PlatformServer, RunningPlatform};
 use plantainmill_node::Node;
-use plantainmill_platform::{VmEntry, VmState};
+use plantainmill_provider::{VmEntry, VmState};
 use plantainmill_settings::{
     LimitSettings, ListenSettings, NodeSettings, OperatorKey, PlatformSettings, VmSettings,
 };
--- a/crates/dispatch/examples/dispatch_comparison/engine.rs
+++ b/crates/dispatch/examples/dispatch_comparison/engine.rs
@@ -1,7 +1,7 @@
 //! A model engine in virtual time: continuous batching without priorities.
 
 use plantainmill_core::Uptime;
-use plantainmill_platform::LoadReport;
+use plantainmill_provider::LoadReport;
 use std::collections::VecDeque;
 use std::time::Duration;
 
--- a/crates/dispatch/src/handle.rs
+++ b/crates/dispatch/src/handle.rs
@@ -13,7 +13,7 @@
 use plantainmill_core::{Clock, Problem, ResultCode, TargetId, Uptime, VmId};
 use plantainmill_membership::MemberView;
 use plantainmill_mesh::{Channel, SendFrame};
-use plantainmill_platform::LoadReport;
+use plantainmill_provider::LoadReport;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/dispatch/src/node/owner.rs
+++ b/crates/dispatch/src/node/owner.rs
@@ -7,7 +7,7 @@
 use crate::target_view::Distance;
 use crate::ticket_queue::{OwnerReply, RenewBody, TicketAsk, TicketQueue};
 use plantainmill_core::{OrganisationId, ServiceName, TargetId, Uptime, VmId};
-use plantainmill_platform::LoadReport;
+use plantainmill_provider::LoadReport;
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -9,7 +9,7 @@
 use plantainmill_core::{Clock, TargetId};
 use plantainmill_membership::MemberView;
 use plantainmill_mesh::{Channel, FrameReceived, RegisterChannel, SendFrame};
-use plantainmill_platform::TargetEngine;
+use plantainmill_provider::TargetEngine;
 use plantainmill_timer::{Subscribe, Tick};
 use std::collections::HashSet;
 use std::sync::Arc;
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -108,7 +108,7 @@
 }
 
 impl LoadLedger {
-    /// A ledger of a VM at a place. `seed` should differ from VM to VM.
+    /// A ledger of a VM at a place.
     #[must_use]
     pub fn new(
         vm: VmId,
--- a/crates/dispatch/src/ticket_queue.rs
+++ b/crates/dispatch/src/ticket_queue.rs
@@ -7,7 +7,7 @@
 use crate::message::{MessageBody, QueueLoad, RequestId, TicketId};
 use crate::window::ConcurrencyWindow;
 use plantainmill_core::{OrganisationId, Uptime, VmId};
-use plantainmill_platform::LoadReport;
+use plantainmill_provider::LoadReport;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/dispatch/src/window.rs
+++ b/crates/dispatch/src/window.rs
@@ -1,7 +1,7 @@
 //! Concurrency window of one target.
 
 use plantainmill_core::Uptime;
-use plantainmill_platform::LoadReport;
+use plantainmill_provider::LoadReport;
 use std::time::Duration;
 
 /// Requests in flight that a new window allows.
--- a/crates/dispatch/tests/all/harness.rs
+++ b/crates/dispatch/tests/all/harness.rs
@@ -8,7 +8,7 @@
 use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_membership::{Member, MemberState};
 use plantainmill_mesh::MeshPeer;
-use plantainmill_platform::LoadReport;
+use plantainmill_provider::LoadReport;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/dispatch/tests/all/leaving.rs
+++ b/crates/dispatch/tests/all/leaving.rs
@@ -5,7 +5,7 @@
 use plantainmill_core::TargetId;
 use plantainmill_dispatch::TrafficClass::{Batch, Online};
 use plantainmill_membership::MemberState;
-use plantainmill_platform::LoadReport;
+use plantainmill_provider::LoadReport;
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/dispatch/tests/all/service.rs
+++ b/crates/dispatch/tests/all/service.rs
@@ -13,7 +13,7 @@
 };
 use plantainmill_membership::{Member, MemberState, MemberView};
 use plantainmill_mesh::{FrameReceived, MeshPeer, RegisterChannel, SendFrame};
-use plantainmill_platform::{EngineOrder, LoadReport, PlatformFuture, StoreError, TargetEngine};
+use plantainmill_provider::{EngineOrder, LoadReport, PlatformFuture, StoreError, TargetEngine};
 use plantainmill_timer::TimerService;
 use rstest::rstest;
 use std::collections::HashMap;
--- a/crates/dispatch/tests/all/window.rs
+++ b/crates/dispatch/tests/all/window.rs
@@ -1,7 +1,7 @@
 //! The concurrency window.
 
 use plantainmill_dispatch::window::ConcurrencyWindow;
-use plantainmill_platform::LoadReport;
+use plantainmill_provider::LoadReport;
 use rstest::rstest;
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -2,7 +2,7 @@
 //! the domain cannot.
 
 use crate::state::EdgeState;
-use plantainmill_platform::StoreError;
+use plantainmill_provider::StoreError;
 use plantainmill_routing::{DocumentRead, DocumentSource, DocumentStamp, TargetSource};
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -9,7 +9,7 @@
 use plantainmill_admission::UsageSource;
 use plantainmill_core::Uptime;
 use plantainmill_dispatch::shared::{LoadSource, PeerLoad};
-use plantainmill_platform::{PartitionStore, RowChange, StoreError};
+use plantainmill_provider::{PartitionStore, RowChange, StoreError};
 use plantainmill_routing::{FleetDocument, TargetEntry};
 use serde::de::DeserializeOwned;
 use std::cell::{Cell, RefCell};
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -15,7 +15,7 @@
 use plantainmill_dispatch::SharedDispatcher;
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_jobs::{JobOwner, JobParts, JobService, JobSettings, JobStore};
-use plantainmill_platform::PartitionStore;
+use plantainmill_provider::PartitionStore;
 use plantainmill_proxy::relay::{RelayCaller, RelayLimits};
 use plantainmill_routing::{DocumentSource, DocumentView, TargetSource};
 use std::cell::{Cell, RefCell};
--- a/crates/fakes/src/engine/control.rs
+++ b/crates/fakes/src/engine/control.rs
@@ -4,7 +4,7 @@
 use super::state::EngineState;
 use actix_web::HttpResponse;
 use actix_web::web::{self, Data, Json, ServiceConfig};
-use plantainmill_platform::EngineOrder;
+use plantainmill_provider::EngineOrder;
 use plantainmill_schema::platform as wire;
 
 pub(super) fn configure(config: &mut ServiceConfig) {
--- a/crates/fakes/src/engine/state.rs
+++ b/crates/fakes/src/engine/state.rs
@@ -4,7 +4,7 @@
 use super::fault::EngineFault;
 use actix_web::HttpRequest;
 use compact_str::CompactString;
-use plantainmill_platform::{EngineOrder, LoadReport};
+use plantainmill_provider::{EngineOrder, LoadReport};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/fakes/src/memory.rs
+++ b/crates/fakes/src/memory.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::FutureExt as _;
-use plantainmill_platform::{
+use plantainmill_provider::{
     CommitOutcome, Expected, ObjectStore, PlatformFuture, RowEntry, StoreError, TableStore,
     TableWrite, VmEntry, VmList, WeightGrant, WeightStore,
 };
--- a/crates/fakes/src/platform_server.rs
+++ b/crates/fakes/src/platform_server.rs
@@ -8,7 +8,7 @@
 use actix_web::middleware::{Next, from_fn};
 use actix_web::web::{self, Bytes, Data, Json, Path, Query, ServiceConfig};
 use actix_web::{Error, HttpResponse};
-use plantainmill_platform::{
+use plantainmill_provider::{
     CommitOutcome, Expected, ObjectStore, RowEntry, StoreError, TableStore, TableWrite, VmEntry,
     VmList, VmState, WeightGrant, WeightStore,
 };
--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::FutureExt as _;
-use plantainmill_platform::rows::{PartName, TableName};
-use plantainmill_platform::{
+use plantainmill_provider::rows::{PartName, TableName};
+use plantainmill_provider::{
     ChangeOutcome, FeedRead, PartRow, PartitionStore, PlatformFuture, RowChange, RowVersion,
     RowsRead, StoreError,
 };
--- a/crates/fakes/tests/engine_server.rs
+++ b/crates/fakes/tests/engine_server.rs
@@ -3,8 +3,8 @@
 use plantainmill_fakes::{
     EngineFault, EngineKind, EngineOptions, EngineServer, FaultKind, RunOutcome, RunningEngine,
 };
-use plantainmill_platform::http::HttpEngine;
-use plantainmill_platform::{EngineOrder, TargetEngine};
+use plantainmill_provider::http::HttpEngine;
+use plantainmill_provider::{EngineOrder, TargetEngine};
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::error::Error;
--- a/crates/fakes/tests/platform_server.rs
+++ b/crates/fakes/tests/platform_server.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use plantainmill_fakes::{MemoryPlatform, PlatformFault, PlatformOptions, PlatformServer};
-use plantainmill_platform::http::{ClientSettings, HttpObjects, HttpPlatform};
-use plantainmill_platform::{
+use plantainmill_provider::http::{ClientSettings, HttpObjects, HttpPlatform};
+use plantainmill_provider::{
     CommitOutcome, Expected, ObjectStore, StoreError, TableStore, TableWrite, VmEntry, VmList,
     VmState, WeightGrant, WeightStore,
 };
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use plantainmill_core::{DomainName, JobId, OrganisationId, VmId};
 use plantainmill_dispatch::rendezvous::{key_of, owner_of, score};
-use plantainmill_platform::RowVersion;
+use plantainmill_provider::RowVersion;
 use std::collections::HashMap;
 
 /// A job as last read.
--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -6,7 +6,7 @@
 use crate::stored::{JobHead, is_job_id};
 use bytes::Bytes;
 use plantainmill_core::{ItemId, JobId, OrganisationId, Problem, ResultCode};
-use plantainmill_platform::{RowVersion, StoreError};
+use plantainmill_provider::{RowVersion, StoreError};
 use plantainmill_routing::RouteRule;
 use std::collections::HashSet;
 use std::time::{Duration, UNIX_EPOCH};
--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -4,7 +4,7 @@
 //! the same write is repeated until the store says how it ended.
 
 use crate::stored::{JobHead, JobOwner, ListedResult};
-use plantainmill_platform::RowVersion;
+use plantainmill_provider::RowVersion;
 use std::collections::VecDeque;
 
 /// Most results of one write. Each has some 10 KB, and a write may have 1 MB.
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -10,7 +10,7 @@
 use futures_util::future::{LocalBoxFuture, join_all};
 use futures_util::stream::FuturesUnordered;
 use plantainmill_core::{Clock, ItemId, JobId, Uptime};
-use plantainmill_platform::{FeedRead, RowVersion, StoreError};
+use plantainmill_provider::{FeedRead, RowVersion, StoreError};
 use plantainmill_proxy::relay::RelayCaller;
 use plantainmill_routing::DocumentView;
 use std::cell::{Cell, RefCell};
@@ -21,8 +21,6 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
-/// Stands for the version of a VM that did not read the feed lately.
-const FOLLOWED: RowVersion = RowVersion::MAX;
 /// Time that a read of the feed waits for changes.
 const FEED_WAIT: Duration = Duration::from_secs(2);
 /// Pause between reads of the feed: results come in groups then, well within the second in which VMs have to agree.
@@ -87,6 +85,17 @@
     stopping: Cell<bool>,
 }
 
+/// What a VM has read of the heads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FeedPlace {
+    /// Nothing, or not enough to go on from.
+    Unread,
+    /// All heads once; since then it was told the changes.
+    Told,
+    /// All changes up to this version.
+    At(RowVersion),
+}
+
 /// How the run of a job ended.
 enum RunEnd {
     Done,
@@ -204,21 +213,21 @@
     }
 
     async fn follow(self: Rc<Self>) {
-        let mut after = None;
+        let mut place = FeedPlace::Unread;
         loop {
             // The first read shows all jobs to every VM; then the readers of its domain tell it the changes.
-            if after.is_some() && !self.is_reader() {
-                after = Some(FOLLOWED);
+            if place != FeedPlace::Unread && !self.is_reader() {
+                place = FeedPlace::Told;
                 sleep(FEED_PAUSE).await;
                 continue;
             }
-            let read = match after.filter(|version| *version != FOLLOWED) {
-                None => self.read_all().await,
-                Some(version) => self.read_feed(version).await,
+            let read = match place {
+                FeedPlace::Unread | FeedPlace::Told => self.read_all().await,
+                FeedPlace::At(version) => self.read_feed(version).await,
             };
             match read {
-                Ok(version) => {
-                    after = version;
+                Ok(next) => {
+                    place = next;
                     sleep(FEED_PAUSE).await;
                 }
                 Err(error) => {
@@ -229,12 +238,12 @@
         }
     }
 
-    async fn read_all(&self) -> Result<Option<RowVersion>, StoreError> {
+    async fn read_all(&self) -> Result<FeedPlace, StoreError> {
         let (heads, version) = self.parts.store.all_heads().await?;
         for (job, head, row_version) in heads {
             self.take_read(&job, head, row_version);
         }
-        Ok(Some(version))
+        Ok(FeedPlace::At(version))
     }
 
     /// Takes a head from a read of all jobs or of the feed.
@@ -253,13 +262,13 @@
         fleet.readers.is_empty() || fleet.is_reader(&self.parts.own)
     }
 
-    /// Reads the feed once and gives the version to go on from; none if all has to be read again.
-    async fn read_feed(&self, after: RowVersion) -> Result<Option<RowVersion>, StoreError> {
+    /// Reads the feed once and gives the place to go on from.
+    async fn read_feed(&self, after: RowVersion) -> Result<FeedPlace, StoreError> {
         let rows = self.parts.store.rows();
         match rows.follow(HEAD_TABLE, after, FEED_WAIT).await? {
             FeedRead::HistoryLost => {
                 tracing::info!(event = "job_history_lost", after);
-                Ok(None)
+                Ok(FeedPlace::Unread)
             }
             FeedRead::Changes(rows, version) => {
                 for row in rows {
@@ -269,7 +278,7 @@
                         self.take_read(&row.key, head, row_version);
                     }
                 }
-                Ok(Some(version))
+                Ok(FeedPlace::At(version))
             }
         }
     }
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use compact_str::format_compact;
 use plantainmill_core::JobId;
-use plantainmill_platform::{
+use plantainmill_provider::{
     ChangeOutcome, PartRow, PartitionStore, RowChange, RowVersion, StoreError,
 };
 use std::rc::Rc;
--- a/crates/membership/src/listing.rs
+++ b/crates/membership/src/listing.rs
@@ -5,7 +5,7 @@
 use crate::view::{Member, MemberState};
 use plantainmill_core::{Uptime, VmId};
 use plantainmill_mesh::MeshPeer;
-use plantainmill_platform::{VmEntry, VmState};
+use plantainmill_provider::{VmEntry, VmState};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
--- a/crates/membership/src/service.rs
+++ b/crates/membership/src/service.rs
@@ -10,7 +10,7 @@
     Channel, FrameReceived, MeshPeer, MeshService, RegisterChannel, SendFrame, UpdatePeers,
     decode_body, encode_body,
 };
-use plantainmill_platform::VmList;
+use plantainmill_provider::VmList;
 use plantainmill_timer::{Subscribe, Tick, TimerService};
 use serde::Serialize;
 use std::sync::Arc;
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -7,7 +7,7 @@
 use crate::view::{Member, MemberState};
 use plantainmill_core::{Incarnation, Uptime, VmId};
 use plantainmill_mesh::MeshPeer;
-use plantainmill_platform::VmEntry;
+use plantainmill_provider::VmEntry;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 use std::time::Duration;
--- a/crates/membership/tests/all/common.rs
+++ b/crates/membership/tests/all/common.rs
@@ -6,7 +6,7 @@
     PeerVersion,
 };
 use plantainmill_mesh::MeshPeer;
-use plantainmill_platform::{VmEntry, VmState};
+use plantainmill_provider::{VmEntry, VmState};
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -20,8 +20,8 @@
 };
 use plantainmill_mesh::{FleetSecret, IDLE_LIMIT, MeshOptions, MeshPeer, MeshService, StopMesh};
 use plantainmill_placement::{PlacementOptions, PlacementService, StopPlacement};
-use plantainmill_platform::http::{ClientSettings, HttpEngine, HttpObjects, HttpPlatform};
-use plantainmill_platform::{ObjectStore, TableStore};
+use plantainmill_provider::http::{ClientSettings, HttpEngine, HttpObjects, HttpPlatform};
+use plantainmill_provider::{ObjectStore, TableStore};
 use plantainmill_proxy::{HttpCaller, TargetCaller};
 use plantainmill_settings::{NodeSettings, OperatorKey};
 use plantainmill_timer::TimerService;
--- a/crates/placement/src/lease.rs
+++ b/crates/placement/src/lease.rs
@@ -1,7 +1,7 @@
 //! The lease of a failure domain's controller, as a state machine.
 
 use plantainmill_core::{Uptime, VmId};
-use plantainmill_platform::Expected;
+use plantainmill_provider::Expected;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use plantainmill_config::{FleetConfig, ServiceKind, TargetSpec};
 use plantainmill_core::{DomainName, TargetId, Uptime};
-use plantainmill_platform::{EngineOrder, LoadReport};
+use plantainmill_provider::{EngineOrder, LoadReport};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/placement/src/service.rs
+++ b/crates/placement/src/service.rs
@@ -7,7 +7,7 @@
 use opentelemetry::metrics::{Counter, Meter};
 use plantainmill_config::ConfigView;
 use plantainmill_core::{Clock, DomainName, TargetId, Uptime, VmId};
-use plantainmill_platform::{
+use plantainmill_provider::{
     CommitOutcome, StoreError, TableStore, TableWrite, TargetEngine, WeightGrant, WeightStore,
 };
 use plantainmill_timer::{Subscribe, Tick, TimerService};
--- a/crates/placement/tests/lease_epochs.rs
+++ b/crates/placement/tests/lease_epochs.rs
@@ -3,7 +3,7 @@
 use plantainmill_core::{Uptime, VmId};
 use plantainmill_placement::lease::{LEASE_RENEWAL, LEASE_TERM};
 use plantainmill_placement::{LeaseAction, LeaseRow, PlacementLease};
-use plantainmill_platform::Expected;
+use plantainmill_provider::Expected;
 use rstest::rstest;
 use std::time::Duration;
 
--- a/crates/placement/tests/order_planning.rs
+++ b/crates/placement/tests/order_planning.rs
@@ -7,7 +7,7 @@
 use plantainmill_placement::lease::LEASE_TERM;
 use plantainmill_placement::planner::ORDER_DELAY_LIMIT;
 use plantainmill_placement::{PlacementPlanner, TargetReport};
-use plantainmill_platform::LoadReport;
+use plantainmill_provider::LoadReport;
 use std::time::Duration;
 
 const LOAD_INTERVAL: Duration = Duration::from_secs(4);
--- a/crates/proxy/src/http_caller.rs
+++ b/crates/proxy/src/http_caller.rs
@@ -16,7 +16,7 @@
 use plantainmill_config::ConfigView;
 use plantainmill_core::{Clock, Executed, Problem, ResultCode, TargetId};
 use plantainmill_dispatch::{CallOutcome, Dispatcher, TargetTicket};
-use plantainmill_platform::TableStore;
+use plantainmill_provider::TableStore;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/proxy/src/records.rs
+++ b/crates/proxy/src/records.rs
@@ -12,7 +12,7 @@
 use compact_str::CompactString;
 use plantainmill_core::clock::unix_seconds;
 use plantainmill_core::{Clock, Executed, Problem, ResultCode};
-use plantainmill_platform::{
+use plantainmill_provider::{
     CommitOutcome, Expected, RowEntry, StoreError, TableStore, TableWrite,
 };
 use serde::{Deserialize, Serialize};
--- a/crates/proxy/tests/idempotent_calls.rs
+++ b/crates/proxy/tests/idempotent_calls.rs
@@ -7,7 +7,7 @@
 use plantainmill_core::{Clock as _, Executed, ManualClock, ResultCode};
 use plantainmill_dispatch::Dispatcher;
 use plantainmill_fakes::{EngineFault, FaultKind, MemoryPlatform, PlatformFault};
-use plantainmill_platform::TableStore as _;
+use plantainmill_provider::TableStore as _;
 use plantainmill_proxy::{CallLimits, HttpCaller, TargetCaller as _, TargetRequest};
 use rstest::rstest;
 use std::error::Error;
--- a/crates/proxy/tests/virtual_time.rs
+++ b/crates/proxy/tests/virtual_time.rs
@@ -8,7 +8,7 @@
 use plantainmill_core::{Clock, Executed, ManualClock, Problem, ResultCode};
 use plantainmill_dispatch::{Dispatcher, TargetTicket, TicketRequest};
 use plantainmill_fakes::MemoryPlatform;
-use plantainmill_platform::{CommitOutcome, PlatformFuture, RowEntry, TableStore, TableWrite};
+use plantainmill_provider::{CommitOutcome, PlatformFuture, RowEntry, TableStore, TableWrite};
 use plantainmill_proxy::{HttpCaller, TargetCaller as _};
 use rstest::rstest;
 use std::future::pending;
--- a/crates/routing/src/source.rs
+++ b/crates/routing/src/source.rs
@@ -2,7 +2,7 @@
 
 use crate::document::FleetDocument;
 use crate::registry::TargetEntry;
-use plantainmill_platform::PlatformFuture;
+use plantainmill_provider::PlatformFuture;
 
 /// Names one state of the kept document; none is named zero.
 pub type DocumentStamp = u64;
