--- a/crates/admission/src/shared/ledger.rs
+++ b/crates/admission/src/shared/ledger.rs
@@ -35,7 +35,7 @@
         /// Failure domain.
         domain: DomainName,
         /// VM that sums up, and its start.
-        speaker: (VmId, Incarnation),
+        aggregator: (VmId, Incarnation),
     },
 }
 
@@ -180,7 +180,7 @@
     /// Takes the report of a peer that stands for `vms` VMs.
     pub fn hear(&mut self, peer: &UsageSource, vms: usize, entries: Vec<UsageEntry>, now: Uptime) {
         if let UsageSource::Domain { domain, .. } = peer {
-            // Another speaker of the domain takes the place of the former one.
+            // Another aggregator of the domain takes the place of the former one.
             self.peers.retain(|other, _| match other {
                 UsageSource::Domain { domain: held, .. } => held != domain || other == peer,
                 UsageSource::Vm(_) => true,
--- a/crates/admission/tests/all/shared_usage.rs
+++ b/crates/admission/tests/all/shared_usage.rs
@@ -163,16 +163,16 @@
     for millis in 0..12_000_u64 {
         let now = Duration::from_millis(millis);
         if millis % 200 == 0 {
-            let speaker = usize::from(millis > 6_000);
+            let aggregator = usize::from(millis > 6_000);
             for fleet in &mut domains {
                 fleet.exchange(now);
             }
             let sums =
-                [0, 1].map(|domain: usize| domains[domain].ledgers[speaker].domain_report(now));
+                [0, 1].map(|domain: usize| domains[domain].ledgers[aggregator].domain_report(now));
             for (domain, sum) in sums.into_iter().enumerate() {
                 let peer = UsageSource::Domain {
                     domain: format!("d{domain}").into(),
-                    speaker: (format!("vm{speaker}").into(), 1),
+                    aggregator: (format!("vm{aggregator}").into(), 1),
                 };
                 for ledger in &mut domains[1 - domain].ledgers {
                     ledger.hear(&peer, 4, sum.clone(), now);
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -1,8 +1,8 @@
 //! The policy of VMs that share targets without an owner.
 //!
 //! Each VM tells its peers how many requests it runs at each target. From these reports and its own calls it knows the
-//! load of every target within one report interval, and chooses alone. Batch calls give way by rules that every VM
-//! evaluates alike, so no agreement is needed.
+//! load of every target within one report interval, and chooses alone. Batch calls are preempted by rules that every
+//! VM evaluates alike, so no agreement is needed.
 
 mod choice;
 mod dispatcher;
--- a/crates/dispatch/src/shared/choice.rs
+++ b/crates/dispatch/src/shared/choice.rs
@@ -47,9 +47,9 @@
 pub(super) enum SlotState {
     /// It has a free slot.
     Free,
-    /// A batch call of this VM gives its slot.
+    /// A batch call of this VM is preempted.
     OwnBatch,
-    /// A batch call of a peer will give its slot.
+    /// A peer will preempt one of its batch calls.
     PeerBatch,
     /// All slots have online requests; the request waits at the target.
     Queued,
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -16,7 +16,7 @@
 
 /// Online requests that may wait at a target beyond its slots. A slot that falls free is taken without a round trip.
 const QUEUED_ONLINE: u32 = 2;
-/// Slots of each target that batch calls leave free, so that online requests seldom wait for one to give way.
+/// Slots of each target that batch calls leave free, so that online requests seldom wait for a preemption.
 const BATCH_RESERVE: u32 = 1;
 /// Longest wait of an online request for a slot, unless the request names one.
 const ONLINE_WAIT: Duration = Duration::from_millis(100);
@@ -63,12 +63,12 @@
         /// No target of the service is known.
         no_target: bool,
     },
-    /// The batch call has to give way now.
+    /// The batch call is preempted now.
     Preempt {
         /// Request.
         number: RequestNumber,
     },
-    /// Peers should learn of the load at once, since one of them has to give way.
+    /// Peers should learn of the load at once, since one of them has to preempt a batch call.
     Announce,
 }
 
@@ -84,7 +84,7 @@
     target: TargetId,
     class: TrafficClass,
     granted_at: Uptime,
-    gave_way: bool,
+    is_preempted: bool,
 }
 
 #[derive(Debug)]
@@ -154,7 +154,7 @@
         for target in self.targets.values_mut() {
             target.own = SlotUse::default();
         }
-        for call in self.calls.values().filter(|call| !call.gave_way) {
+        for call in self.calls.values().filter(|call| !call.is_preempted) {
             if let Some(target) = self.targets.get_mut(&call.target) {
                 target.own.add(call.class);
             }
@@ -220,7 +220,7 @@
         if let Some(target) = self.targets.get_mut(&call.target) {
             target.health.note(outcome, now);
         }
-        if !call.gave_way {
+        if !call.is_preempted {
             self.free_slot(&call.target, call.class);
         }
         let mut effects = Vec::new();
@@ -238,7 +238,7 @@
     pub fn hear(&mut self, peer: &LoadSource, load: PeerLoad, now: Uptime) -> Vec<LedgerEffect> {
         self.peers.hear(peer, load, now);
         let mut effects = Vec::new();
-        self.give_way(&mut effects);
+        self.preempt_for_peers(&mut effects);
         self.serve_online(now, &mut effects);
         effects
     }
@@ -407,7 +407,7 @@
             target: id.clone(),
             class,
             granted_at: now,
-            gave_way: false,
+            is_preempted: false,
         };
         self.calls.insert(waiting.number, call);
     }
@@ -416,19 +416,19 @@
     fn preempt_at(&mut self, id: &TargetId, count: u32, effects: &mut Vec<LedgerEffect>) {
         for _ in 0..count {
             let batch = self.calls.iter_mut().filter(|(_, call)| {
-                call.class == TrafficClass::Batch && !call.gave_way && call.target == *id
+                call.class == TrafficClass::Batch && !call.is_preempted && call.target == *id
             });
             let newest = batch.max_by_key(|(number, call)| (call.granted_at, **number));
             let Some((number, call)) = newest else { return };
-            call.gave_way = true;
+            call.is_preempted = true;
             effects.push(LedgerEffect::Preempt { number: *number });
             self.free_slot(id, TrafficClass::Batch);
         }
     }
 
     /// Ends own batch calls at targets where online requests wait behind batch calls. All VMs order the holders of
-    /// batch calls alike, so that only as many give way as are needed.
-    fn give_way(&mut self, effects: &mut Vec<LedgerEffect>) {
+    /// batch calls alike, so that only as many are preempted as are needed.
+    fn preempt_for_peers(&mut self, effects: &mut Vec<LedgerEffect>) {
         let crowded: Vec<(TargetId, u32)> = self
             .targets
             .iter()
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -128,11 +128,11 @@
     assert_eq!(preempted(&effects), 1);
 }
 
-/// Guards against two VMs that both give way to one request, and against none that does.
+/// Guards against two VMs that both preempt a call for one request, and against none that does.
 #[test]
 fn one_peer_yields() {
     let names = ["vm1", "vm2", "vm3"];
-    let mut gave_way = 0;
+    let mut is_preempted = 0;
     for own in names {
         let mut ledger = ledger(own, &[("t1", "a")]);
         ledger.request(request(TrafficClass::Batch), at(0));
@@ -142,16 +142,16 @@
         }
         // Three batch calls and two online ones at four slots.
         let effects = ledger.hear(&vm("vm4"), peer_load("t1", 2, 0), at(20));
-        gave_way += preempted(&effects);
+        is_preempted += preempted(&effects);
     }
-    assert_eq!(gave_way, 1);
+    assert_eq!(is_preempted, 1);
 }
 
-/// Guards against VMs of different failure domains that both give way, or none, though each sees the other domain only
+/// Guards against VMs of different failure domains that both preempt a call, or none, though each sees the other domain only
 /// as a sum.
 #[test]
 fn one_domain_yields() {
-    let mut gave_way = 0;
+    let mut is_preempted = 0;
     for (own, domain, other) in [("vm1", "a", "b"), ("vm2", "b", "a")] {
         let mut ledger = ledger_at(own, domain, &[("t1", "a")]);
         ledger.request(request(TrafficClass::Batch), at(0));
@@ -159,9 +159,9 @@
         // One batch call here, one there, and three online calls there.
         let far = LoadSource::Domain(other.into());
         let load = peer_load("t1", 3, 1);
-        gave_way += preempted(&ledger.hear(&far, load, at(20)));
+        is_preempted += preempted(&ledger.hear(&far, load, at(20)));
     }
-    assert_eq!(gave_way, 1);
+    assert_eq!(is_preempted, 1);
 }
 
 /// Guards against a domain's report that leaves out calls or counts them twice.
@@ -249,7 +249,7 @@
     assert_eq!(online(&mut ledger, 2_000).as_deref(), Some("t1"));
 }
 
-/// Guards against a slot that stays taken after its call, or is given back twice after giving way.
+/// Guards against a slot that stays taken after its call, or is given back twice after preemption.
 #[test]
 fn slots_balance() {
     let mut ledger = ledger("vm", &[("t1", "a")]);
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -11,7 +11,7 @@
 pub(crate) const DOCUMENT_PATH: &str = "/document";
 /// Path of the targets.
 pub(crate) const TARGETS_PATH: &str = "/targets";
-/// Path of calls of the rows for a peer that the store turns away.
+/// Path of calls of the rows for a peer that the store rejects.
 pub(crate) const ROWS_PATH: &str = "/rows";
 /// Path of the state dump.
 const STATE_PATH: &str = "/state";
@@ -30,7 +30,7 @@
 ) -> HttpResponse {
     match request.path() {
         ROWS_PATH => match ciborium::from_reader(body.as_ref()) {
-            Ok(call) => encoded(&state.rows.help(call).await),
+            Ok(call) => encoded(&state.rows.serve_peer(call).await),
             Err(_) => HttpResponse::BadRequest().finish(),
         },
         DOCUMENT_PATH => document(&state),
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -3,7 +3,7 @@
 use plantainmill_admission::UsageEntry;
 use plantainmill_core::{DomainName, Incarnation, RegionName, VmId};
 use plantainmill_dispatch::shared::PeerLoad;
-use plantainmill_jobs::{JobNews, JobOwner};
+use plantainmill_jobs::{HeadUpdate, JobOwner};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct DomainReport {
     /// VM that sums up for the domain.
-    pub speaker: VmRow,
+    pub aggregator: VmRow,
     /// VMs of the domain.
     pub members: Vec<JobOwner>,
     /// Calls of all of them.
@@ -70,7 +70,7 @@
     /// A report of another failure domain, from it or passed on within the own one.
     Domain(DomainReport),
     /// Heads of jobs that a reader of the domain has read.
-    Jobs(Vec<JobNews>),
+    Jobs(Vec<HeadUpdate>),
     /// Asks how old the peer's document is.
     AskAge {
         /// Ties the answer to the question.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -49,9 +49,9 @@
 /// Time until an answer to a question is of no use.
 const PROOF_LIMIT: Duration = Duration::from_secs(1);
 /// Time between messages with heads of jobs.
-const NEWS_INTERVAL: Duration = Duration::from_millis(200);
+const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
 /// Heads of one message: some 250 bytes each.
-const NEWS_PER_MESSAGE: usize = 100;
+const UPDATES_PER_MESSAGE: usize = 100;
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 65_000;
 
@@ -89,7 +89,7 @@
         actix_rt::spawn(Rc::clone(&exchange).discover());
         actix_rt::spawn(Rc::clone(&exchange).prove_age());
         actix_rt::spawn(Rc::clone(&exchange).announce_changes());
-        actix_rt::spawn(Rc::clone(&exchange).tell_jobs());
+        actix_rt::spawn(Rc::clone(&exchange).broadcast_updates());
         actix_rt::spawn(Rc::clone(&exchange).tick());
         exchange
     }
@@ -99,7 +99,7 @@
     }
 
     /// Tells the VMs of the domain that this one stops and has no calls any more.
-    pub async fn say_leaving(&self) {
+    pub async fn announce_leaving(&self) {
         let message = PeerMessage::Leaving {
             vm: self.own.vm.clone(),
             incarnation: self.own.incarnation,
@@ -165,7 +165,7 @@
         loop {
             sleep(REGION_INTERVAL).await;
             let now = self.now();
-            if !self.roster.borrow().is_speaker(now) {
+            if !self.roster.borrow().is_aggregator(now) {
                 continue;
             }
             turn += 1;
@@ -184,7 +184,7 @@
             };
             let usage = self.state.limiter.domain_report();
             let report = DomainReport {
-                speaker: self.own.clone(),
+                aggregator: self.own.clone(),
                 members,
                 load: self.state.dispatcher.domain_report(),
                 usage: (far_due || turn.is_multiple_of(USAGE_TURNS)).then_some(usage),
@@ -232,7 +232,7 @@
         match message {
             PeerMessage::Report(report) => self.take_report(report),
             PeerMessage::Domain(report) => self.take_domain(report).await,
-            PeerMessage::Jobs(news) => self.state.jobs.take_news(news),
+            PeerMessage::Jobs(updates) => self.state.jobs.apply_updates(updates),
             PeerMessage::Leaving { vm, incarnation } => {
                 if self.roster.borrow_mut().leave(&vm, incarnation) {
                     self.state.limiter.forget(&UsageSource::Vm(vm.clone()));
@@ -253,7 +253,7 @@
                 reaches_store,
                 control,
             } => {
-                self.state.rows.note_helper(control, reaches_store);
+                self.state.rows.note_proxy(control, reaches_store);
                 let asked_at = self.questions.borrow_mut().remove(&nonce);
                 if let Some(asked_at) = asked_at {
                     // The ages were true after the question was sent, so they count from then.
@@ -289,12 +289,12 @@
     }
 
     fn take_report(&self, report: PeerReport) {
-        let is_news = {
+        let is_newer = {
             let now = self.now();
             let mut roster = self.roster.borrow_mut();
             roster.hear(&report.row, report.sequence, now)
         };
-        if is_news {
+        if is_newer {
             let vm = report.row.vm;
             let source = UsageSource::Vm(vm.clone());
             self.state.limiter.hear(&source, 1, report.usage);
@@ -304,7 +304,7 @@
 
     /// Takes the report of another domain. The VM that gets it first passes it on within its own domain.
     async fn take_domain(&self, report: DomainReport) {
-        let domain = report.speaker.domain.clone();
+        let domain = report.aggregator.domain.clone();
         if domain == self.own.domain {
             return;
         }
@@ -316,7 +316,7 @@
         if let Some(usage) = report.usage.clone() {
             let source = UsageSource::Domain {
                 domain: domain.clone(),
-                speaker: (report.speaker.vm.clone(), report.speaker.incarnation),
+                aggregator: (report.aggregator.vm.clone(), report.aggregator.incarnation),
             };
             self.state.limiter.hear(&source, vms, usage);
         }
@@ -419,10 +419,10 @@
             let is_old = ages
                 .iter()
                 .any(|age| age.is_none_or(|age| age >= PROOF_AGE));
-            let needs_help = is_old || self.state.rows.is_failing();
+            let needs_peers = is_old || self.state.rows.is_failing();
             let sources = self.roster.borrow().age_sources(self.next_nonce.get(), now);
             // A reader asks others only to know who reaches the store when it does not.
-            let count = match (needs_help, self.state.is_reader.get()) {
+            let count = match (needs_peers, self.state.is_reader.get()) {
                 (true, _) => PROOF_PEERS,
                 (false, true) => READER_PEERS,
                 (false, false) => 1,
@@ -450,18 +450,18 @@
     }
 
     /// Tells the VMs of the domain what this one has read of jobs.
-    async fn tell_jobs(self: Rc<Self>) {
+    async fn broadcast_updates(self: Rc<Self>) {
         let mut told = Vec::new();
         loop {
-            sleep(NEWS_INTERVAL).await;
-            let news = self.state.jobs.news();
-            if news == told {
+            sleep(UPDATE_INTERVAL).await;
+            let updates = self.state.jobs.recent_updates();
+            if updates == told {
                 continue;
             }
-            for part in news.chunks(NEWS_PER_MESSAGE) {
+            for part in updates.chunks(UPDATES_PER_MESSAGE) {
                 self.send_near(&PeerMessage::Jobs(part.to_vec())).await;
             }
-            told = news;
+            told = updates;
         }
     }
 
--- a/crates/edge/src/helped_rows.rs
+++ b/crates/edge/src/proxied_rows.rs
@@ -1,4 +1,4 @@
-//! Rows through another VM when the store turns this one away.
+//! Rows through another VM when the store rejects this one.
 //!
 //! A change that is sent twice, once directly and once through a peer, is safe: all changes have conditions, and whoever
 //! sends them takes a conflict with its own rows for success.
@@ -22,15 +22,15 @@
 use tokio::time::{sleep, timeout};
 
 /// Time without an answer of the store after which a peer is asked as well. A slow store is slow for peers, too.
-const PATIENCE: Duration = Duration::from_millis(250);
+const HEDGE_DELAY: Duration = Duration::from_millis(250);
 /// Time after a failed call in which peers are asked first.
 const FAILED_TIME: Duration = Duration::from_secs(1);
 /// Time for which a peer counts as one that reaches the store.
-const HELPER_TIME: Duration = Duration::from_millis(1_500);
+const PROXY_TIME: Duration = Duration::from_millis(1_500);
 /// Peers asked for one call.
-const HELPER_COUNT: usize = 2;
+const PROXY_COUNT: usize = 2;
 /// Time for a call through a peer: its own call of the store and the way there.
-const HELP_LIMIT: Duration = Duration::from_millis(1_800);
+const PROXY_LIMIT: Duration = Duration::from_millis(1_800);
 
 /// A call of the rows, as one VM asks another one to make it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -53,11 +53,11 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) enum RowsAnswer {
     Read {
-        rows: Vec<HelpedRow>,
+        rows: Vec<ProxiedRow>,
         version: RowVersion,
     },
     Applied(RowVersion),
-    Conflict(Vec<HelpedRow>),
+    Conflict(Vec<ProxiedRow>),
     /// Nothing was done.
     Unavailable(String),
     /// The change may have taken effect.
@@ -66,7 +66,7 @@
 
 /// A row between two VMs.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) struct HelpedRow {
+pub(crate) struct ProxiedRow {
     table: CompactString,
     part: CompactString,
     key: CompactString,
@@ -82,31 +82,31 @@
 }
 
 /// Rows of the store, directly or through a peer.
-pub(crate) struct HelpedRows {
+pub(crate) struct ProxiedRows {
     direct: Rc<dyn PartitionStore>,
     clock: Arc<dyn Clock>,
     failed_at: Cell<Option<Uptime>>,
-    helpers: RefCell<Vec<(SocketAddr, Uptime)>>,
+    proxies: RefCell<Vec<(SocketAddr, Uptime)>>,
 }
 
-impl HelpedRows {
+impl ProxiedRows {
     /// Rows that are `direct` if possible.
-    pub fn new(direct: Rc<dyn PartitionStore>, clock: Arc<dyn Clock>) -> HelpedRows {
-        HelpedRows {
+    pub fn new(direct: Rc<dyn PartitionStore>, clock: Arc<dyn Clock>) -> ProxiedRows {
+        ProxiedRows {
             direct,
             clock,
             failed_at: Cell::new(None),
-            helpers: RefCell::default(),
+            proxies: RefCell::default(),
         }
     }
 
     /// Takes whether a peer reaches the store now, by the address of its control listener.
-    pub fn note_helper(&self, control: SocketAddr, reaches_store: bool) {
+    pub fn note_proxy(&self, control: SocketAddr, reaches_store: bool) {
         let now = self.clock.uptime();
-        let mut helpers = self.helpers.borrow_mut();
-        helpers.retain(|(helper, at)| *helper != control && now.saturating_sub(*at) < HELPER_TIME);
+        let mut proxies = self.proxies.borrow_mut();
+        proxies.retain(|(proxy, at)| *proxy != control && now.saturating_sub(*at) < PROXY_TIME);
         if reaches_store {
-            helpers.push((control, now));
+            proxies.push((control, now));
         }
     }
 
@@ -122,21 +122,18 @@
     }
 
     /// The peers that were last seen to reach the store, the latest one first.
-    fn helpers(&self) -> Vec<SocketAddr> {
+    fn proxies(&self) -> Vec<SocketAddr> {
         let now = self.clock.uptime();
-        let helpers = self.helpers.borrow();
-        let fresh = helpers
+        let proxies = self.proxies.borrow();
+        let fresh = proxies
             .iter()
             .rev()
-            .filter(|(_, at)| now.saturating_sub(*at) < HELPER_TIME);
-        fresh
-            .take(HELPER_COUNT)
-            .map(|(helper, _)| *helper)
-            .collect()
+            .filter(|(_, at)| now.saturating_sub(*at) < PROXY_TIME);
+        fresh.take(PROXY_COUNT).map(|(proxy, _)| *proxy).collect()
     }
 
-    /// Makes a call for a peer, without the help of others.
-    pub async fn help(&self, call: RowsCall) -> RowsAnswer {
+    /// Makes a call for a peer, without asking others.
+    pub async fn serve_peer(&self, call: RowsCall) -> RowsAnswer {
         let answer = match call {
             RowsCall::Read {
                 table,
@@ -149,7 +146,7 @@
                 };
                 let read = self.direct.read(table, &part, &from, &until).await;
                 read.map(|read| RowsAnswer::Read {
-                    rows: read.rows.into_iter().map(helped_row).collect(),
+                    rows: read.rows.into_iter().map(proxied_row).collect(),
                     version: read.version,
                 })
             }
@@ -161,7 +158,7 @@
                 outcome.map(|outcome| match outcome {
                     ChangeOutcome::Applied(version) => RowsAnswer::Applied(version),
                     ChangeOutcome::Conflict(rows) => {
-                        RowsAnswer::Conflict(rows.into_iter().map(helped_row).collect())
+                        RowsAnswer::Conflict(rows.into_iter().map(proxied_row).collect())
                     }
                 })
             }
@@ -181,8 +178,8 @@
         call: RowsCall,
         read_answer: impl Fn(RowsAnswer) -> Result<T, StoreError>,
     ) -> Result<T, StoreError> {
-        let helpers = self.helpers();
-        if helpers.is_empty() {
+        let proxies = self.proxies();
+        if proxies.is_empty() {
             let result = direct.await;
             self.note_call(!matches!(
                 result,
@@ -194,10 +191,10 @@
             .failed_at
             .get()
             .is_some_and(|failed_at| self.clock.uptime().saturating_sub(failed_at) < FAILED_TIME);
-        let patience = if failed_lately {
+        let hedge_delay = if failed_lately {
             Duration::ZERO
         } else {
-            PATIENCE
+            HEDGE_DELAY
         };
         let mut direct = std::pin::pin!(direct);
         let mut may_be_done = false;
@@ -214,17 +211,17 @@
                     return answered;
                 }
             },
-            () = sleep(patience) => may_be_done = true,
+            () = sleep(hedge_delay) => may_be_done = true,
         }
         let mut reason = String::new();
-        for helper in helpers {
-            match ask_helper(helper, &call).await.and_then(&read_answer) {
+        for proxy in proxies {
+            match call_proxy(proxy, &call).await.and_then(&read_answer) {
                 Err(StoreError::Unavailable(error)) => {
-                    self.note_helper(helper, false);
+                    self.note_proxy(proxy, false);
                     reason = error;
                 }
                 Err(StoreError::Unknown(error)) => {
-                    self.note_helper(helper, false);
+                    self.note_proxy(proxy, false);
                     may_be_done = true;
                     reason = error;
                 }
@@ -240,12 +237,12 @@
     }
 }
 
-async fn ask_helper(helper: SocketAddr, call: &RowsCall) -> Result<RowsAnswer, StoreError> {
+async fn call_proxy(proxy: SocketAddr, call: &RowsCall) -> Result<RowsAnswer, StoreError> {
     let mut content = Vec::new();
     ciborium::into_writer(call, &mut content)
         .map_err(|error| StoreError::Malformed(error.to_string()))?;
-    let lost = |reason: String| StoreError::Unknown(format!("through {helper}: {reason}"));
-    let url = format!("http://{helper}{ROWS_PATH}");
+    let lost = |reason: String| StoreError::Unknown(format!("through {proxy}: {reason}"));
+    let url = format!("http://{proxy}{ROWS_PATH}");
     let asked = async {
         let sent = awc::Client::default().post(url).send_body(content).await;
         let mut answer = sent.map_err(|error| lost(error.to_string()))?;
@@ -253,12 +250,12 @@
         let body = body.map_err(|error| lost(error.to_string()))?;
         ciborium::from_reader(body.as_ref()).map_err(|error| lost(error.to_string()))
     };
-    let answered = timeout(HELP_LIMIT, asked).await;
+    let answered = timeout(PROXY_LIMIT, asked).await;
     answered.unwrap_or_else(|_| Err(lost("no answer in time".to_owned())))
 }
 
-fn helped_row(row: PartRow) -> HelpedRow {
-    HelpedRow {
+fn proxied_row(row: PartRow) -> ProxiedRow {
+    ProxiedRow {
         table: row.table,
         part: row.part,
         key: row.key,
@@ -267,7 +264,7 @@
     }
 }
 
-fn part_row(row: HelpedRow) -> PartRow {
+fn part_row(row: ProxiedRow) -> PartRow {
     PartRow {
         table: row.table,
         part: row.part,
@@ -331,7 +328,7 @@
     })
 }
 
-impl PartitionStore for HelpedRows {
+impl PartitionStore for ProxiedRows {
     fn read<'a>(
         &'a self,
         table: TableName,
@@ -376,7 +373,7 @@
         after: RowVersion,
         wait: Duration,
     ) -> PlatformFuture<'_, FeedRead> {
-        // The other reader of the domain tells the news of a reader that is turned away.
+        // The other reader of the domain passes updates on to a reader that is rejected.
         self.direct.follow(table, after, wait)
     }
 }
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Takes the sign of life of a VM of the own domain. Says whether it is news: not from before what is known.
+    /// Takes a report's sender and sequence number. Says whether the report is newer than what is known.
     #[must_use]
     pub fn hear(&mut self, row: &VmRow, sequence: u64, now: Uptime) -> bool {
         if row.vm == self.own.vm || row.domain != self.own.domain {
@@ -85,7 +85,7 @@
         }
         if !is_same || known.heard_at.is_none() {
             let incarnation = row.incarnation;
-            tracing::info!(event = "peer_heard", peer = %row.vm, incarnation);
+            tracing::info!(event = "peer_joined", peer = %row.vm, incarnation);
         }
         known.row = row.clone();
         known.sequence = sequence;
@@ -168,7 +168,7 @@
 
     /// Whether this VM reports to the other domains.
     #[must_use]
-    pub fn is_speaker(&self, now: Uptime) -> bool {
+    pub fn is_aggregator(&self, now: Uptime) -> bool {
         let readers = self.readers(now);
         readers.first().is_some_and(|row| row.vm == self.own.vm)
     }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,8 +1,8 @@
 //! What the parts of a VM share.
 
 use crate::codec::CallCodec;
-use crate::helped_rows::HelpedRows;
 use crate::meters::EdgeMeters;
+use crate::proxied_rows::ProxiedRows;
 use crate::settings::{BoundSettings, EdgeSettings};
 use plantainmill_admission::SharedLimiter;
 use plantainmill_core::{Clock, Incarnation, Uptime};
@@ -35,7 +35,7 @@
     pub jobs: JobService,
     pub codec: Rc<dyn CallCodec>,
     /// Rows, directly or through a peer.
-    pub rows: Rc<HelpedRows>,
+    pub rows: Rc<ProxiedRows>,
     pub meters: EdgeMeters,
     /// Targets, as read from the store or from a reader of the domain.
     pub targets: RefCell<TargetRegistry>,
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -2,11 +2,11 @@
 
 use crate::codec::CallCodec;
 use crate::follow::{follow_document, follow_targets};
-use crate::helped_rows::HelpedRows;
 use crate::listen::{self, StopSignals};
 use crate::message::VmRow;
 use crate::meters::EdgeMeters;
 use crate::peers::PeerExchange;
+use crate::proxied_rows::ProxiedRows;
 use crate::settings::EdgeSettings;
 use crate::state::EdgeState;
 use anyhow::Context as _;
@@ -138,7 +138,7 @@
             sleep(POLL_INTERVAL).await;
         }
         self.close.send_replace(true);
-        self.peers.say_leaving().await;
+        self.peers.announce_leaving().await;
         tracing::info!(event = "stopped", cut = self.state.in_flight.get());
     }
 }
@@ -158,7 +158,7 @@
         clock: Arc::clone(&clock),
     });
     let codec = Rc::clone(&platform.codec);
-    let rows = Rc::new(HelpedRows::new(
+    let rows = Rc::new(ProxiedRows::new(
         Rc::clone(&platform.rows),
         Arc::clone(&clock),
     ));
--- a/crates/edge/tests/all/vm_roster.rs
+++ b/crates/edge/tests/all/vm_roster.rs
@@ -36,8 +36,8 @@
 fn two_readers() {
     let readers = (1..=9).filter(|number| roster(*number, 9).is_reader(at(0)));
     assert_eq!(readers.count(), 2);
-    let speakers = (1..=9).filter(|number| roster(*number, 9).is_speaker(at(0)));
-    assert_eq!(speakers.count(), 1);
+    let aggregators = (1..=9).filter(|number| roster(*number, 9).is_aggregator(at(0)));
+    assert_eq!(aggregators.count(), 1);
     assert!(roster(1, 1).is_reader(at(0)), "a VM alone reads for itself");
 }
 
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -88,10 +88,10 @@
             owner.is_none_or(|owner| owner != own && !fleet.live.contains(owner))
         });
         orphans
-            .filter(|(job, _)| fleet.falls_to(job, own))
+            .filter(|(job, _)| fleet.reassigns(job, own))
             .filter_map(|(job, known)| {
-                let heir = fleet.heir_of(job)?.clone();
-                Some((job.clone(), known.clone(), heir))
+                let new_owner = fleet.new_owner_of(job)?.clone();
+                Some((job.clone(), known.clone(), new_owner))
             })
             .collect()
     }
@@ -115,7 +115,7 @@
 impl JobFleet {
     /// Whether `own` decides about an orphaned job. All VMs with the same view of the fleet agree.
     #[must_use]
-    pub fn falls_to(&self, job: &JobId, own: &JobOwner) -> bool {
+    pub fn reassigns(&self, job: &JobId, own: &JobOwner) -> bool {
         let key = key_of(job);
         let domain = owner_of(self.domains.iter().map(CompactString::as_str), key);
         let reader = owner_of(self.readers.iter().map(CompactString::as_str), key);
@@ -123,7 +123,7 @@
     }
 
     /// The VM of the own domain that gets an orphaned job.
-    fn heir_of(&self, job: &JobId) -> Option<&JobOwner> {
+    fn new_owner_of(&self, job: &JobId) -> Option<&JobOwner> {
         let key = key_of(job);
         self.members
             .iter()
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -181,7 +181,7 @@
                 executed: Executed::Unknown,
                 outcome: CallOutcome::Abandoned,
                 is_deadline: false,
-                reason: "gave way to an online request".to_owned(),
+                reason: "preempted by an online request".to_owned(),
             }),
             end = exchange => end,
         };
@@ -199,12 +199,12 @@
                     last_event = self.last_event,
                     reason = %end.reason,
                 );
-                let gave_way = end.outcome == CallOutcome::Abandoned;
-                if !gave_way {
+                let is_preempted = end.outcome == CallOutcome::Abandoned;
+                if !is_preempted {
                     self.excluded.push(ticket.target.clone());
                 }
                 ticket.finish(end.outcome);
-                if !gave_way {
+                if !is_preempted {
                     sleep(FAILURE_PAUSE).await;
                 }
                 SendEnd::Interrupted
@@ -287,7 +287,7 @@
 
 async fn wait_true(signal: &mut tokio::sync::watch::Receiver<bool>) {
     if signal.wait_for(|set| *set).await.is_err() {
-        // The dispatcher has let go of the call; it never gives way then.
+        // The dispatcher has let go of the call; it is never preempted then.
         std::future::pending::<()>().await;
     }
 }
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -26,7 +26,7 @@
 /// Pause between reads of the feed: results come in groups then, well within the second in which VMs have to agree.
 const FEED_PAUSE: Duration = Duration::from_millis(200);
 /// Time for which a head counts as read lately. Several reads of the feed.
-const NEWS_TIME: Duration = Duration::from_secs(1);
+const UPDATE_TIME: Duration = Duration::from_secs(1);
 /// Pause after a failed call of the store.
 const STORE_PAUSE: Duration = Duration::from_millis(250);
 /// Time between looks at jobs without an owner.
@@ -39,7 +39,7 @@
 const SWEEP_MARGIN: Duration = Duration::from_secs(30);
 
 /// A head as read from the store.
-pub type JobNews = (JobId, JobHead, RowVersion);
+pub type HeadUpdate = (JobId, JobHead, RowVersion);
 
 /// Settings of jobs.
 #[derive(Clone, Copy, Debug)]
@@ -81,13 +81,13 @@
     running: RefCell<HashMap<JobId, watch::Sender<bool>>>,
     fleet: RefCell<JobFleet>,
     /// Heads that were read lately, with the times of their reads.
-    recent: RefCell<VecDeque<(Uptime, JobNews)>>,
+    recent: RefCell<VecDeque<(Uptime, HeadUpdate)>>,
     stopping: Cell<bool>,
 }
 
 /// What a VM has read of the heads.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum FeedPlace {
+enum FeedPosition {
     /// Nothing, or not enough to go on from.
     Unread,
     /// All heads once; since then it was told the changes.
@@ -138,21 +138,21 @@
     /// The heads that were read lately, for VMs that do not read the store. Each is given for a second, so that a lost
     /// message loses none.
     #[must_use]
-    pub fn news(&self) -> Vec<JobNews> {
+    pub fn recent_updates(&self) -> Vec<HeadUpdate> {
         let now = self.inner.parts.clock.uptime();
         let mut recent = self.inner.recent.borrow_mut();
         while recent
             .front()
-            .is_some_and(|(at, _)| now.saturating_sub(*at) > NEWS_TIME)
+            .is_some_and(|(at, _)| now.saturating_sub(*at) > UPDATE_TIME)
         {
             recent.pop_front();
         }
-        recent.iter().map(|(_, news)| news.clone()).collect()
+        recent.iter().map(|(_, updates)| updates.clone()).collect()
     }
 
     /// Takes heads that another VM has read.
-    pub fn take_news(&self, news: Vec<JobNews>) {
-        for (job, head, version) in news {
+    pub fn apply_updates(&self, updates: Vec<HeadUpdate>) {
+        for (job, head, version) in updates {
             self.inner.learn(&job, head, version);
         }
     }
@@ -213,17 +213,17 @@
     }
 
     async fn follow(self: Rc<Self>) {
-        let mut place = FeedPlace::Unread;
+        let mut place = FeedPosition::Unread;
         loop {
             // The first read shows all jobs to every VM; then the readers of its domain tell it the changes.
-            if place != FeedPlace::Unread && !self.is_reader() {
-                place = FeedPlace::Told;
+            if place != FeedPosition::Unread && !self.is_reader() {
+                place = FeedPosition::Told;
                 sleep(FEED_PAUSE).await;
                 continue;
             }
             let read = match place {
-                FeedPlace::Unread | FeedPlace::Told => self.read_all().await,
-                FeedPlace::At(version) => self.read_feed(version).await,
+                FeedPosition::Unread | FeedPosition::Told => self.read_all().await,
+                FeedPosition::At(version) => self.read_feed(version).await,
             };
             match read {
                 Ok(next) => {
@@ -238,21 +238,21 @@
         }
     }
 
-    async fn read_all(&self) -> Result<FeedPlace, StoreError> {
+    async fn read_all(&self) -> Result<FeedPosition, StoreError> {
         let (heads, version) = self.parts.store.all_heads().await?;
         for (job, head, row_version) in heads {
             self.take_read(&job, head, row_version);
         }
-        Ok(FeedPlace::At(version))
+        Ok(FeedPosition::At(version))
     }
 
     /// Takes a head from a read of all jobs or of the feed.
     fn take_read(&self, job: &JobId, head: JobHead, version: RowVersion) {
         if self.is_reader() {
-            let news = (job.clone(), head.clone(), version);
+            let updates = (job.clone(), head.clone(), version);
             self.recent
                 .borrow_mut()
-                .push_back((self.parts.clock.uptime(), news));
+                .push_back((self.parts.clock.uptime(), updates));
         }
         self.learn(job, head, version);
     }
@@ -263,12 +263,12 @@
     }
 
     /// Reads the feed once and gives the place to go on from.
-    async fn read_feed(&self, after: RowVersion) -> Result<FeedPlace, StoreError> {
+    async fn read_feed(&self, after: RowVersion) -> Result<FeedPosition, StoreError> {
         let rows = self.parts.store.rows();
         match rows.follow(HEAD_TABLE, after, FEED_WAIT).await? {
             FeedRead::HistoryLost => {
                 tracing::info!(event = "job_history_lost", after);
-                Ok(FeedPlace::Unread)
+                Ok(FeedPosition::Unread)
             }
             FeedRead::Changes(rows, version) => {
                 for row in rows {
@@ -278,7 +278,7 @@
                         self.take_read(&row.key, head, row_version);
                     }
                 }
-                Ok(FeedPlace::At(version))
+                Ok(FeedPosition::At(version))
             }
         }
     }
@@ -297,7 +297,7 @@
                 let book = self.book.borrow();
                 let running = self.running.borrow();
                 let resumed = book.to_resume(own, |job| running.contains_key(job));
-                let resumed: Vec<JobNews> = resumed
+                let resumed: Vec<HeadUpdate> = resumed
                     .map(|(job, known)| (job.clone(), known.head.clone(), known.version))
                     .collect();
                 let orphans = if settled {
@@ -310,20 +310,20 @@
             for (job, head, version) in resumed {
                 self.start_run(&job, head, version, None);
             }
-            let claims = orphans.into_iter().map(|(job, known, heir)| {
+            let claims = orphans.into_iter().map(|(job, known, new_owner)| {
                 let inner = Rc::clone(&self);
-                async move { inner.give(&job, known, heir).await }
+                async move { inner.reassign(&job, known, new_owner).await }
             });
             join_all(claims).await;
         }
     }
 
-    /// Gives an orphaned job to `heir`, which may be this VM.
-    async fn give(self: &Rc<Self>, job: &JobId, known: KnownJob, heir: JobOwner) {
+    /// Gives an orphaned job to `new_owner`, which may be this VM.
+    async fn reassign(self: &Rc<Self>, job: &JobId, known: KnownJob, new_owner: JobOwner) {
         let from = known.head.owner.as_ref().map(|owner| owner.vm.clone());
-        let to = heir.vm.clone();
+        let to = new_owner.vm.clone();
         let mut given = known.head;
-        given.owner = Some(heir);
+        given.owner = Some(new_owner);
         let store = &self.parts.store;
         let listed = given.listed;
         match store
@@ -331,12 +331,12 @@
             .await
         {
             Ok(HeadOutcome::Applied(version)) => {
-                tracing::info!(event = "job_given", %job, from = from.as_deref(), %to, listed, version);
+                tracing::info!(event = "job_reassigned", %job, from = from.as_deref(), %to, listed, version);
                 self.accept(job, given, version, None);
             }
             Ok(HeadOutcome::Conflict(Some((head, version)))) => self.learn(job, head, version),
             Ok(HeadOutcome::Conflict(None)) => self.book.borrow_mut().forget(job, RowVersion::MAX),
-            Err(error) => tracing::info!(event = "job_not_given", %job, %error),
+            Err(error) => tracing::info!(event = "job_not_reassigned", %job, %error),
         }
     }
 
@@ -359,7 +359,7 @@
             let end = inner.run_job(&job, head, version, items, stopped).await;
             match end {
                 RunEnd::Done => tracing::info!(event = "job_done", %job),
-                RunEnd::Lost => tracing::info!(event = "job_left", %job),
+                RunEnd::Lost => tracing::info!(event = "job_lost", %job),
                 RunEnd::Released(head, version) => inner.release(&job, head, version).await,
             }
             inner.running.borrow_mut().remove(&job);
@@ -380,7 +380,7 @@
             Ok(HeadOutcome::Applied(version)) => {
                 tracing::info!(event = "job_released", %job, listed, version);
             }
-            Ok(HeadOutcome::Conflict(_)) => tracing::info!(event = "job_left", %job),
+            Ok(HeadOutcome::Conflict(_)) => tracing::info!(event = "job_lost", %job),
             Err(error) => tracing::info!(event = "job_not_released", %job, %error),
         }
     }
@@ -566,7 +566,7 @@
                     let accepted = Duration::from_millis(known.head.accepted_ms);
                     !known.head.is_open() && wall.saturating_sub(accepted) > kept
                 });
-                old.filter(|(job, _)| fleet.falls_to(job, &self.parts.own))
+                old.filter(|(job, _)| fleet.reassigns(job, &self.parts.own))
                     .map(|(job, _)| job.clone())
                     .collect()
             };
--- a/crates/jobs/tests/all/job_book.rs
+++ b/crates/jobs/tests/all/job_book.rs
@@ -36,28 +36,31 @@
 
 /// Guards against orphaned jobs that nobody takes, or that several VMs take, and against VMs that get them all.
 #[test]
-fn one_heir() {
+fn one_new_owner() {
     let mut book = JobBook::default();
     for number in 0..60 {
         let mut orphan = head(3);
         orphan.owner = Some(owner("gone", 1));
         book.learn(&JobId::from(format!("j{number}")), orphan, 1);
     }
-    let mut heirs = BTreeMap::new();
+    let mut new_owners = BTreeMap::new();
     for (domain, members) in [("a", ["a1", "a2", "a3"]), ("b", ["b1", "b2", "b3"])] {
         let fleet = fleet(domain, &members);
         for own in &members {
-            for (job, _, heir) in book.orphans(&owner(own, 5), &fleet) {
+            for (job, _, new_owner) in book.orphans(&owner(own, 5), &fleet) {
                 assert!(
-                    heirs.insert(job, heir.vm).is_none(),
+                    new_owners.insert(job, new_owner.vm).is_none(),
                     "two VMs give the job away"
                 );
             }
         }
     }
-    assert_eq!(heirs.len(), 60);
+    assert_eq!(new_owners.len(), 60);
     for name in ["a1", "a2", "a3", "b1", "b2", "b3"] {
-        let count = heirs.values().filter(|heir| *heir == name).count();
+        let count = new_owners
+            .values()
+            .filter(|new_owner| *new_owner == name)
+            .count();
         assert!((3..25).contains(&count), "{name} gets {count}");
     }
 }
--- a/crates/jobs/tests/all/job_faults.rs
+++ b/crates/jobs/tests/all/job_faults.rs
@@ -283,7 +283,7 @@
 
 /// Guards against a VM that does not learn of its job's end, or of a job given to it, because it does not read the store.
 #[actix_rt::test]
-async fn told_by_reader() {
+async fn updated_by_reader() {
     let world = TestWorld::start().await;
     let reader = world.vm("reader", 1);
     let other = world.vm("other", 1);
@@ -307,7 +307,7 @@
     let tell = async || {
         for _ in 0..20 {
             actix_rt::time::sleep(Duration::from_millis(150)).await;
-            other.jobs.take_news(reader.jobs.news());
+            other.jobs.apply_updates(reader.jobs.recent_updates());
         }
     };
     tell().await;
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -1,9 +1,9 @@
-//! Structured logs of bounded volume, and the story of one request from them.
+//! Structured logs of bounded volume, and the trace of one request from them.
 
 mod budget;
 mod output;
-mod story;
+mod trace;
 
 pub use budget::{DroppedLines, LineBudget};
 pub use output::{BudgetFilter, LogOutput};
-pub use story::{StoryLine, request_story};
+pub use trace::{TraceLine, request_trace};
--- a/crates/logs/src/story.rs
+++ b/crates/logs/src/trace.rs
@@ -1,16 +1,16 @@
-//! The story of one request, item or job, joined from the logs of several VMs.
+//! The trace of one request, item or job, joined from the logs of several VMs.
 
 use serde_json::Value;
 use std::collections::BTreeSet;
 
 /// Fields by which lines name what they are about.
 const ID_FIELDS: [&str; 3] = ["request", "item", "job"];
-/// Fields that are not worth repeating in a story.
+/// Fields that are not worth repeating in a trace.
 const FRAME_FIELDS: [&str; 3] = ["timestamp", "level", "event"];
 
-/// One line of a story.
+/// One line of a trace.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct StoryLine {
+pub struct TraceLine {
     /// Time, as the VM wrote it.
     pub time: String,
     /// Log that it comes from.
@@ -24,10 +24,10 @@
 /// The lines about `id` in `logs` (name and text of each), in order of time. The lines about a job include those about
 /// its items, and the lines about an item those about its job.
 #[must_use]
-pub fn request_story<'a>(
+pub fn request_trace<'a>(
     id: &str,
     logs: impl Iterator<Item = (&'a str, &'a str)>,
-) -> Vec<StoryLine> {
+) -> Vec<TraceLine> {
     let lines: Vec<(&str, Value)> = logs
         .flat_map(|(source, text)| text.lines().map(move |line| (source, line)))
         .filter_map(|(source, line)| Some((source, read_line(line)?)))
@@ -39,13 +39,13 @@
             ids.extend(names.into_iter().map(str::to_owned));
         }
     }
-    let mut story: Vec<StoryLine> = lines
+    let mut trace: Vec<TraceLine> = lines
         .iter()
         .filter(|(_, line)| names_of(line).iter().any(|name| ids.contains(*name)))
-        .map(|(source, line)| story_line(source, line))
+        .map(|(source, line)| trace_line(source, line))
         .collect();
-    story.sort();
-    story
+    trace.sort();
+    trace
 }
 
 /// The JSON object in a line, which may have other text before it.
@@ -61,7 +61,7 @@
     names.collect()
 }
 
-fn story_line(source: &str, line: &Value) -> StoryLine {
+fn trace_line(source: &str, line: &Value) -> TraceLine {
     let text = |field: &str| {
         line.get(field)
             .and_then(Value::as_str)
@@ -73,7 +73,7 @@
     let others: Vec<String> = others
         .map(|(name, value)| format!("{name}={value}"))
         .collect();
-    StoryLine {
+    TraceLine {
         time: text("timestamp"),
         source: source.to_owned(),
         event: text("event"),
--- a/crates/logs/tests/story.rs
+++ b/crates/logs/tests/trace.rs
@@ -1,6 +1,6 @@
-//! The story of one request from several logs.
+//! The trace of one request from several logs.
 
-use plantainmill_logs::request_story;
+use plantainmill_logs::request_trace;
 
 const FIRST: &str = r#"{"timestamp":"2026-01-01T00:00:02Z","event":"send_failed","request":"r1","target":"t1"}
 not a line
@@ -12,8 +12,8 @@
 
 fn events(id: &str) -> Vec<String> {
     let logs = [("vm-1", FIRST), ("vm-2", SECOND)];
-    let story = request_story(id, logs.into_iter());
-    story
+    let trace = request_trace(id, logs.into_iter());
+    trace
         .into_iter()
         .map(|line| format!("{} {}", line.source, line.event))
         .collect()
@@ -26,7 +26,7 @@
     assert!(events("unknown").is_empty());
 }
 
-/// Guards against an item whose story ends at the VM that accepted its job.
+/// Guards against an item whose trace ends at the VM that accepted its job.
 #[test]
 fn item_and_job() {
     let whole = [
--- a/crates/patterns/src/engine.rs
+++ b/crates/patterns/src/engine.rs
@@ -15,7 +15,7 @@
 
 /// What happened to a call in a step.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EngineNews {
+pub enum EngineEvent {
     /// Its first event was sent.
     First(CallId),
     /// It ended.
@@ -79,28 +79,28 @@
     }
 
     /// Works for `step` milliseconds.
-    pub fn work(&mut self, step: u64) -> Vec<EngineNews> {
+    pub fn work(&mut self, step: u64) -> Vec<EngineEvent> {
         while self.running.len() < self.slots
             && let Some(call) = self.queue.pop_front()
         {
             self.running.push(call);
         }
-        let mut news = Vec::new();
+        let mut updates = Vec::new();
         for call in &mut self.running {
             if call.first_left > 0 {
                 call.first_left = call.first_left.saturating_sub(step);
                 if call.first_left == 0 {
-                    news.push(EngineNews::First(call.id));
+                    updates.push(EngineEvent::First(call.id));
                 }
             } else {
                 call.rest_left = call.rest_left.saturating_sub(step);
                 if call.rest_left == 0 {
-                    news.push(EngineNews::Done(call.id));
+                    updates.push(EngineEvent::Done(call.id));
                 }
             }
         }
         self.running
             .retain(|call| call.first_left > 0 || call.rest_left > 0);
-        news
+        updates
     }
 }
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -15,7 +15,7 @@
     Shared,
     /// The shared choice without reports of peers: each VM knows only its own calls.
     Alone,
-    /// The less loaded of two random targets by own calls; batch items start at once and never give way.
+    /// The less loaded of two random targets by own calls; batch items start at once and are never preempted.
     RandomTwo,
 }
 
--- a/crates/patterns/src/world.rs
+++ b/crates/patterns/src/world.rs
@@ -1,6 +1,6 @@
 //! The world that a pattern is played in.
 
-use crate::engine::{CallId, Engine, EngineNews};
+use crate::engine::{CallId, Engine, EngineEvent};
 use crate::pattern::{LoadPattern, PatternEvent};
 use crate::policy::{PolicyKind, VmPolicy, exchange, ledger_request};
 use crate::report::PatternReport;
@@ -311,7 +311,7 @@
         self.later.push((self.now + retry_ms, call));
     }
 
-    /// A batch call gives way, and goes on later with what is left.
+    /// A batch call is preempted, and goes on later with what is left.
     fn interrupt(&mut self, vm: usize, number: u64) {
         let id = self.by_number.get(&(vm, number)).copied();
         let Some(mut call) = id.and_then(|id| self.remove(id).map(|call| (id, call))) else {
@@ -339,8 +339,8 @@
             self.ask(call);
         }
         for position in 0..self.engines.len() {
-            for news in self.engines[position].work(STEP) {
-                self.take_news(news);
+            for event in self.engines[position].work(STEP) {
+                self.apply_event(event);
             }
         }
         self.leave_early();
@@ -369,9 +369,9 @@
         self.now += STEP;
     }
 
-    fn take_news(&mut self, news: EngineNews) {
-        match news {
-            EngineNews::First(id) => {
+    fn apply_event(&mut self, event: EngineEvent) {
+        match event {
+            EngineEvent::First(id) => {
                 let Some(call) = self.calls.get_mut(&id) else {
                     return;
                 };
@@ -382,7 +382,7 @@
                 }
                 call.has_first = true;
             }
-            EngineNews::Done(id) => {
+            EngineEvent::Done(id) => {
                 let Some(call) = self.remove(id) else { return };
                 if call.class == TrafficClass::Batch
                     && call.arrived + BATCH_DUE < RUN_TIME
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -230,9 +230,9 @@
         let until = Instant::now() + self.time_left(call.deadline);
         // A silent target is left only if another one may run the request.
         let may_move = call.may_repeat && progress.runs + 1 < call.runs;
-        let patience = (call.objective * 2).max(limits.first_event_floor);
+        let hedge_delay = (call.objective * 2).max(limits.first_event_floor);
         let silent_at = if may_move {
-            until.min(Instant::now() + patience)
+            until.min(Instant::now() + hedge_delay)
         } else {
             until
         };
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -1,8 +1,8 @@
-//! `plantainmill explain`: the story of one request from the logs of several VMs.
+//! `plantainmill explain`: the trace of one request from the logs of several VMs.
 
 use anyhow::Context as _;
 use clap::Args;
-use plantainmill_logs::request_story;
+use plantainmill_logs::request_trace;
 use std::path::PathBuf;
 
 /// Options of `explain`.
@@ -26,9 +26,9 @@
     let logs = texts
         .iter()
         .map(|(name, text)| (name.as_str(), text.as_str()));
-    let story = request_story(&args.id, logs);
-    anyhow::ensure!(!story.is_empty(), "no line names {}", args.id);
-    for line in story {
+    let trace = request_trace(&args.id, logs);
+    anyhow::ensure!(!trace.is_empty(), "no line names {}", args.id);
+    for line in trace {
         println!(
             "{} {} {} {}",
             line.time, line.source, line.event, line.fields
--- a/src/main.rs
+++ b/src/main.rs
@@ -50,7 +50,7 @@
     Admin(commands::admin::AdminArgs),
     /// Print the state of one VM as JSON.
     Dump(commands::dump::DumpArgs),
-    /// Tell the story of one request, item or job from the logs of several VMs.
+    /// Print the trace of one request, item or job from the logs of several VMs.
     Explain(commands::explain::ExplainArgs),
     /// Print the table of result codes.
     Codes(commands::codes::CodesArgs),
