--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -1,5 +1,6 @@
 //! Clocks. Decision code takes the time as an argument; only actors and HTTP handlers hold a clock.
 
+use crate::id::Incarnation;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -56,6 +57,13 @@
     }
 }
 
+/// The incarnation of a process that starts at `time`: microseconds since the Unix epoch, which rise from start to start.
+#[must_use]
+pub fn incarnation_at(time: SystemTime) -> Incarnation {
+    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Whole seconds since the Unix epoch, as written into table rows and API answers.
 #[must_use]
 pub fn unix_seconds(time: SystemTime) -> u64 {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,15 +2,21 @@
 
 pub mod clock;
 pub mod code;
+pub mod encoding;
+pub mod flight;
 pub mod id;
 pub mod problem;
 pub mod response;
 pub mod secret;
+pub mod signal;
 
-pub use clock::{Clock, ManualClock, SystemClock, Uptime};
+pub use clock::{Clock, ManualClock, SystemClock, Uptime, incarnation_at};
 pub use code::ResultCode;
+pub use encoding::encode_cbor;
+pub use flight::{FlightCounter, FlightGuard};
 pub use id::{
     DomainName, Incarnation, ItemId, JobId, KeyId, OrganisationId, RegionName, ServiceName,
     TargetId, VmId,
 };
 pub use problem::{Executed, Problem};
+pub use signal::wait_set;
--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -1,13 +1,13 @@
 //! Answers to callers.
 
-use crate::state::{EdgeState, FlightGuard};
+use crate::state::EdgeState;
 use actix_web::HttpResponse;
 use actix_web::HttpResponseBuilder;
 use actix_web::http::StatusCode;
 use actix_web::http::header::{CONNECTION, HeaderMap, RETRY_AFTER};
 use futures_util::StreamExt as _;
 use plantainmill_core::response::{EXECUTED_HEADER, RESULT_HEADER};
-use plantainmill_core::{Problem, ResultCode};
+use plantainmill_core::{FlightGuard, Problem, ResultCode};
 use plantainmill_proxy::relay::RelayAnswer;
 use std::collections::HashSet;
 
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -3,6 +3,7 @@
 use crate::state::EdgeState;
 use actix_web::{HttpRequest, HttpResponse, web};
 use plantainmill_admission::RateLimiter as _;
+use plantainmill_core::encode_cbor;
 use plantainmill_dispatch::Dispatcher as _;
 use serde::Serialize;
 use std::rc::Rc;
@@ -19,8 +20,6 @@
 const METRICS_PATH: &str = "/metrics";
 /// Largest call of the rows, in bytes: the store takes changes of 1 MB.
 pub(crate) const CALL_LIMIT_BYTES: usize = 4 << 20;
-/// Largest answer taken from a peer, in bytes: room for 100,000 organisations.
-pub(crate) const ANSWER_LIMIT_BYTES: usize = 32 << 20;
 
 /// Answers other VMs and operators.
 pub(crate) async fn handle(
@@ -58,14 +57,7 @@
 }
 
 fn encoded(value: &impl Serialize) -> HttpResponse {
-    let mut content = Vec::new();
-    match ciborium::into_writer(value, &mut content) {
-        Ok(()) => HttpResponse::Ok().body(content),
-        Err(error) => {
-            tracing::warn!(event = "answer_not_encoded", %error);
-            HttpResponse::InternalServerError().finish()
-        }
-    }
+    HttpResponse::Ok().body(encode_cbor(value))
 }
 
 async fn dump(state: &EdgeState) -> serde_json::Value {
@@ -74,7 +66,7 @@
         "incarnation": state.incarnation,
         "ready": state.is_ready(),
         "leaving": state.leaving.get(),
-        "in_flight": state.in_flight.get(),
+        "in_flight": state.flights.in_flight(),
         "document_version": state.view.version(),
         "document_age_ms": state.document_age().map(|age| age.as_millis()),
         "dispatch": state.dispatcher.dump().await,
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -7,7 +7,7 @@
 use actix_web::http::header::{AUTHORIZATION, EXPECT, HOST, HeaderMap};
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
-use compact_str::{CompactString, ToCompactString};
+use compact_str::CompactString;
 use plantainmill_admission::{RateLimiter as _, RateVerdict};
 use plantainmill_core::{OrganisationId, Problem, ResultCode, Uptime};
 use plantainmill_dispatch::TrafficClass;
@@ -61,32 +61,23 @@
     state: web::Data<Rc<EdgeState>>,
 ) -> HttpResponse {
     let state = Rc::clone(&state);
-    let guard = state.enter();
+    let guard = state.flights.enter();
     let arrived = state.clock.uptime();
     let head = state.codec.read_head(request.headers());
-    let limits = state
-        .view
-        .load()
-        .map_or_else(CallerLimits::default, |document| document.limits);
-    let body = match payload.to_bytes_limited(limits.body_bytes).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
-            let cause = Problem::new(ResultCode::BadRequest, error.to_string());
-            return problem(&state, head.id.as_deref().unwrap_or("-"), &cause);
-        }
-        Err(_) => {
-            let reason = format!("the body exceeds {} bytes", limits.body_bytes);
-            let cause = Problem::new(ResultCode::BodyTooLarge, reason);
-            return problem(&state, head.id.as_deref().unwrap_or("-"), &cause);
-        }
-    };
-    let read = ReadRequest {
+    let mut read = ReadRequest {
         request,
-        body,
+        body: Bytes::new(),
         head,
         arrived,
     };
-    match serve(&state, &read).await {
+    let served = match read_body(&state, payload).await {
+        Ok(body) => {
+            read.body = body;
+            serve(&state, &read).await
+        }
+        Err(cause) => Err(cause),
+    };
+    match served {
         Ok(Served::Relayed(answer)) => {
             state.meters.count_request(0);
             let passed = state.clock.uptime().saturating_sub(arrived);
@@ -102,6 +93,19 @@
     }
 }
 
+async fn read_body(state: &EdgeState, payload: web::Payload) -> Result<Bytes, Problem> {
+    let limits = state
+        .view
+        .load()
+        .map_or_else(CallerLimits::default, |document| document.limits);
+    let body = payload.to_bytes_limited(limits.body_bytes).await;
+    let body = body.map_err(|_| {
+        let reason = format!("the body exceeds {} bytes", limits.body_bytes);
+        Problem::new(ResultCode::BodyTooLarge, reason)
+    })?;
+    body.map_err(|error| Problem::new(ResultCode::BadRequest, error.to_string()))
+}
+
 enum Served {
     Relayed(plantainmill_proxy::relay::RelayAnswer),
     Own(HttpResponse),
@@ -210,7 +214,7 @@
         objective: route.objective,
         event_gap: route.event_gap,
         last_event: read.head.last_event,
-        id: id.to_compact_string(),
+        id,
     })
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod listen;
 mod message;
 mod meters;
+mod peer_client;
 mod peers;
 mod proxied_rows;
 mod roster;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -11,6 +11,7 @@
 use actix_web::dev::{AppConfig, ServiceRequest, ServiceResponse};
 use actix_web::{App, Error, web};
 use anyhow::{Context as _, anyhow};
+use plantainmill_core::wait_set;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,14 +34,6 @@
     pub close: watch::Receiver<bool>,
 }
 
-/// Ends when `signal` is set.
-async fn wait_set(mut signal: watch::Receiver<bool>) {
-    if signal.wait_for(|set| *set).await.is_err() {
-        // The VM is gone, and with it all that could set the signal.
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Serves callers on `address` until the VM stops.
 pub(crate) async fn callers(
     address: SocketAddr,
@@ -94,14 +87,17 @@
         .await
         .with_context(|| format!("cannot listen on {address}"))?;
     let app = app.into_factory().map_err(|error| error.error_response());
-    let StopSignals { drain, close } = stop;
+    let StopSignals { drain, mut close } = stop;
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(IDLE_TIME))
         .client_request_timeout(HEAD_TIME)
         .h1_allow_half_closed(false)
         .tcp_nodelay(true)
         // A caller with an idle connection uses another VM then, instead of one that ends under its next request.
-        .graceful_shutdown_signal(move || wait_set(drain.clone()))
+        .graceful_shutdown_signal(move || {
+            let mut drain = drain.clone();
+            async move { wait_set(&mut drain).await }
+        })
         .finish(map_config(app, |()| AppConfig::default()))
         .tcp();
     let service = factory
@@ -113,7 +109,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = wait_set(close.clone()) => return,
+                () = wait_set(&mut close) => return,
             };
             match accepted {
                 Ok((stream, _)) => {
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -99,11 +99,7 @@
     /// Encodes the message.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
-        let mut content = Vec::new();
-        // Writing to a vector cannot fail.
-        let written = ciborium::into_writer(self, &mut content);
-        debug_assert!(written.is_ok());
-        content
+        plantainmill_core::encode_cbor(self)
     }
 
     /// Decodes a datagram; none if it is malformed.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,24 +1,22 @@
 //! Reports between VMs, and what a VM learns from the readers of its failure domain.
 
-use crate::control::{ANSWER_LIMIT_BYTES, DOCUMENT_PATH, TARGETS_PATH};
+use crate::control::{DOCUMENT_PATH, TARGETS_PATH};
 use crate::message::{DomainReport, PeerMessage, PeerReport, VmRow};
 use crate::roster::Roster;
 use crate::state::EdgeState;
-use anyhow::anyhow;
 use bytes::Bytes;
 use plantainmill_admission::UsageSource;
-use plantainmill_core::Uptime;
+use plantainmill_core::{Uptime, encode_cbor};
 use plantainmill_dispatch::shared::{LoadSource, PeerLoad};
 use plantainmill_provider::{PartitionStore, RowChange, StoreError};
 use plantainmill_routing::{FleetDocument, TargetEntry};
-use serde::de::DeserializeOwned;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Table of the VMs' rows; the part is the failure domain.
 const VM_TABLE: &str = "vms";
@@ -32,6 +30,8 @@
 const IDLE_INTERVAL: Duration = Duration::from_millis(300);
 /// Reports to other domains of which one says what was admitted.
 const USAGE_TURNS: u64 = 3;
+/// Least time between looks at who is heard: a seventh of the time after which a silent reader is replaced.
+const FLEET_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between looks at what waits for a slot.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time between reads of the VMs' rows.
@@ -134,12 +134,16 @@
     async fn report_near(self: Rc<Self>) {
         let mut sent_at = Instant::now();
         let mut sent: Option<PeerLoad> = None;
+        let mut fleet_at = None;
         loop {
             tokio::select! {
                 () = self.state.dispatcher.announced() => {}
                 () = sleep_until(sent_at + NEAR_INTERVAL) => {}
             }
-            self.update_fleet();
+            if fleet_at.is_none_or(|fleet_at: Instant| fleet_at.elapsed() >= FLEET_INTERVAL) {
+                fleet_at = Some(Instant::now());
+                self.update_fleet();
+            }
             let load = self.state.dispatcher.report();
             if sent.as_ref() == Some(&load) && sent_at.elapsed() < IDLE_INTERVAL {
                 sleep(NEAR_INTERVAL / 2).await;
@@ -182,12 +186,12 @@
                 let addresses: Vec<SocketAddr> = due.map(|(_, address)| address).collect();
                 (roster.members(now), addresses)
             };
-            let usage = self.state.limiter.domain_report();
+            let tells_usage = far_due || turn.is_multiple_of(USAGE_TURNS);
             let report = DomainReport {
                 aggregator: self.own.clone(),
                 members,
                 load: self.state.dispatcher.domain_report(),
-                usage: (far_due || turn.is_multiple_of(USAGE_TURNS)).then_some(usage),
+                usage: tells_usage.then(|| self.state.limiter.domain_report()),
                 passed_on: false,
             };
             let content = PeerMessage::Domain(report).encode();
@@ -362,11 +366,9 @@
     }
 
     async fn write_row(&self) -> Result<(), StoreError> {
-        let mut content = Vec::new();
-        ciborium::into_writer(&self.own, &mut content)
-            .map_err(|error| StoreError::Malformed(error.to_string()))?;
         let change = RowChange::of(self.own.domain.clone());
-        let change = change.put(VM_TABLE, &self.own.vm, Bytes::from(content));
+        let content = Bytes::from(encode_cbor(&self.own));
+        let change = change.put(VM_TABLE, &self.own.vm, content);
         self.rows.change(change).await.map(drop)
     }
 
@@ -478,7 +480,7 @@
             actix_rt::spawn(async move {
                 let sent_at = state.clock.uptime();
                 let read: anyhow::Result<(FleetDocument, Duration)> =
-                    read_peer(control, DOCUMENT_PATH).await;
+                    state.peer_client.read(control, DOCUMENT_PATH).await;
                 match read {
                     Ok((document, age)) => {
                         let version = document.version;
@@ -499,7 +501,7 @@
             actix_rt::spawn(async move {
                 let sent_at = exchange.now();
                 let read: anyhow::Result<(Vec<TargetEntry>, Duration)> =
-                    read_peer(control, TARGETS_PATH).await;
+                    exchange.state.peer_client.read(control, TARGETS_PATH).await;
                 exchange.reads_targets.set(false);
                 match read {
                     Ok((entries, age)) => {
@@ -520,18 +522,3 @@
     row.map_err(|error| tracing::warn!(event = "vm_row_malformed", key, %error))
         .ok()
 }
-
-/// Reads from the control listener of a peer.
-async fn read_peer<T: DeserializeOwned>(control: SocketAddr, path: &str) -> anyhow::Result<T> {
-    let url = format!("http://{control}{path}");
-    let read = async {
-        let sent = awc::Client::default().get(url).send().await;
-        let mut answer = sent.map_err(|error| anyhow!("{error}"))?;
-        let body = answer.body().limit(ANSWER_LIMIT_BYTES).await;
-        let body = body.map_err(|error| anyhow!("{error}"))?;
-        anyhow::Ok(ciborium::from_reader(body.as_ref())?)
-    };
-    timeout(PROOF_LIMIT, read)
-        .await
-        .map_err(|_| anyhow!("no answer in time"))?
-}
--- a/crates/edge/src/proxied_rows.rs
+++ b/crates/edge/src/proxied_rows.rs
@@ -3,7 +3,8 @@
 //! A change that is sent twice, once directly and once through a peer, is safe: all changes have conditions, and whoever
 //! sends them takes a conflict with its own rows for success.
 
-use crate::control::{ANSWER_LIMIT_BYTES, ROWS_PATH};
+use crate::control::ROWS_PATH;
+use crate::peer_client::PeerClient;
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::FutureExt as _;
@@ -19,7 +20,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// Time without an answer of the store after which a peer is asked as well. A slow store is slow for peers, too.
 const HEDGE_DELAY: Duration = Duration::from_millis(250);
@@ -29,8 +30,6 @@
 const PROXY_TIME: Duration = Duration::from_millis(1_500);
 /// Peers asked for one call.
 const PROXY_COUNT: usize = 2;
-/// Time for a call through a peer: its own call of the store and the way there.
-const PROXY_LIMIT: Duration = Duration::from_millis(1_800);
 
 /// A call of the rows, as one VM asks another one to make it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -84,6 +83,7 @@
 /// Rows of the store, directly or through a peer.
 pub(crate) struct ProxiedRows {
     direct: Rc<dyn PartitionStore>,
+    peer_client: Rc<PeerClient>,
     clock: Arc<dyn Clock>,
     failed_at: Cell<Option<Uptime>>,
     proxies: RefCell<Vec<(SocketAddr, Uptime)>>,
@@ -91,9 +91,14 @@
 
 impl ProxiedRows {
     /// Rows that are `direct` if possible.
-    pub fn new(direct: Rc<dyn PartitionStore>, clock: Arc<dyn Clock>) -> ProxiedRows {
+    pub fn new(
+        direct: Rc<dyn PartitionStore>,
+        peer_client: Rc<PeerClient>,
+        clock: Arc<dyn Clock>,
+    ) -> ProxiedRows {
         ProxiedRows {
             direct,
+            peer_client,
             clock,
             failed_at: Cell::new(None),
             proxies: RefCell::default(),
@@ -171,6 +176,15 @@
         })
     }
 
+    async fn call_proxy(
+        &self,
+        proxy: SocketAddr,
+        call: &RowsCall,
+    ) -> Result<RowsAnswer, StoreError> {
+        let answered = self.peer_client.call(proxy, ROWS_PATH, call).await;
+        answered.map_err(|error| StoreError::Unknown(format!("through {proxy}: {error}")))
+    }
+
     /// Makes a call directly, and through a peer if the store does not answer soon.
     async fn call<T>(
         &self,
@@ -215,7 +229,7 @@
         }
         let mut reason = String::new();
         for proxy in proxies {
-            match call_proxy(proxy, &call).await.and_then(&read_answer) {
+            match self.call_proxy(proxy, &call).await.and_then(&read_answer) {
                 Err(StoreError::Unavailable(error)) => {
                     self.note_proxy(proxy, false);
                     reason = error;
@@ -237,23 +251,6 @@
     }
 }
 
-async fn call_proxy(proxy: SocketAddr, call: &RowsCall) -> Result<RowsAnswer, StoreError> {
-    let mut content = Vec::new();
-    ciborium::into_writer(call, &mut content)
-        .map_err(|error| StoreError::Malformed(error.to_string()))?;
-    let lost = |reason: String| StoreError::Unknown(format!("through {proxy}: {reason}"));
-    let url = format!("http://{proxy}{ROWS_PATH}");
-    let asked = async {
-        let sent = awc::Client::default().post(url).send_body(content).await;
-        let mut answer = sent.map_err(|error| lost(error.to_string()))?;
-        let body = answer.body().limit(ANSWER_LIMIT_BYTES).await;
-        let body = body.map_err(|error| lost(error.to_string()))?;
-        ciborium::from_reader(body.as_ref()).map_err(|error| lost(error.to_string()))
-    };
-    let answered = timeout(PROXY_LIMIT, asked).await;
-    answered.unwrap_or_else(|_| Err(lost("no answer in time".to_owned())))
-}
-
 fn proxied_row(row: PartRow) -> ProxiedRow {
     ProxiedRow {
         table: row.table,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -2,10 +2,11 @@
 
 use crate::codec::CallCodec;
 use crate::meters::EdgeMeters;
+use crate::peer_client::PeerClient;
 use crate::proxied_rows::ProxiedRows;
 use crate::settings::{BoundSettings, EdgeSettings};
 use plantainmill_admission::SharedLimiter;
-use plantainmill_core::{Clock, Incarnation, Uptime};
+use plantainmill_core::{Clock, FlightCounter, Incarnation, Uptime};
 use plantainmill_dispatch::SharedDispatcher;
 use plantainmill_jobs::JobService;
 use plantainmill_proxy::relay::RelayCaller;
@@ -36,6 +37,7 @@
     pub codec: Rc<dyn CallCodec>,
     /// Rows, directly or through a peer.
     pub rows: Rc<ProxiedRows>,
+    pub peer_client: Rc<PeerClient>,
     pub meters: EdgeMeters,
     /// Targets, as read from the store or from a reader of the domain.
     pub targets: RefCell<TargetRegistry>,
@@ -46,29 +48,10 @@
     /// Notified when the document or the targets changed.
     pub changed: Notify,
     pub leaving: Cell<bool>,
-    pub in_flight: Rc<Cell<usize>>,
-}
-
-/// Counts a request until it is dropped.
-pub(crate) struct FlightGuard {
-    in_flight: Rc<Cell<usize>>,
-}
-
-impl Drop for FlightGuard {
-    fn drop(&mut self) {
-        self.in_flight.set(self.in_flight.get() - 1);
-    }
+    pub flights: FlightCounter,
 }
 
 impl EdgeState {
-    /// Counts a request.
-    pub fn enter(&self) -> FlightGuard {
-        self.in_flight.set(self.in_flight.get() + 1);
-        FlightGuard {
-            in_flight: Rc::clone(&self.in_flight),
-        }
-    }
-
     /// Time since the document in force was certainly the newest one.
     pub fn document_age(&self) -> Option<Duration> {
         self.view.age(self.clock.uptime())
@@ -116,6 +99,6 @@
     pub fn is_ready(&self) -> bool {
         let limit = self.bounds.get().key_time().mul_f64(READY_PART);
         let is_fresh = self.document_age().is_some_and(|age| age < limit);
-        is_fresh && self.targets.borrow().is_known() && !self.leaving.get()
+        is_fresh && self.targets_at.get().is_some() && !self.leaving.get()
     }
 }
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -5,13 +5,14 @@
 use crate::listen::{self, StopSignals};
 use crate::message::VmRow;
 use crate::meters::EdgeMeters;
+use crate::peer_client::PeerClient;
 use crate::peers::PeerExchange;
 use crate::proxied_rows::ProxiedRows;
 use crate::settings::EdgeSettings;
 use crate::state::EdgeState;
 use anyhow::Context as _;
 use plantainmill_admission::SharedLimiter;
-use plantainmill_core::{Clock, Incarnation, SystemClock};
+use plantainmill_core::{Clock, FlightCounter, Incarnation, SystemClock, incarnation_at};
 use plantainmill_dispatch::SharedDispatcher;
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_jobs::{JobOwner, JobParts, JobService, JobSettings, JobStore};
@@ -21,7 +22,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
@@ -65,7 +66,7 @@
     /// Fails when a listener cannot be opened.
     pub async fn start(settings: EdgeSettings, platform: EdgePlatform) -> anyhow::Result<EdgeVm> {
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-        let incarnation = incarnation_of(clock.as_ref());
+        let incarnation = incarnation_at(clock.wall());
         let listen = settings.listen;
         let socket = UdpSocket::bind(listen.peers)
             .await
@@ -121,11 +122,14 @@
             .stop_time()
             .saturating_sub(CLOSE_TIME);
         self.state.leaving.set(true);
-        tracing::info!(event = "stopping", in_flight = self.state.in_flight.get());
+        tracing::info!(
+            event = "stopping",
+            in_flight = self.state.flights.in_flight()
+        );
         self.state.jobs.stop().await;
         let mut quiet_since = Instant::now();
         while started.elapsed() < limit {
-            if self.state.in_flight.get() > 0 {
+            if self.state.flights.in_flight() > 0 {
                 quiet_since = Instant::now();
             }
             let is_noticed = started.elapsed() >= NOTICE_TIME.min(limit);
@@ -139,7 +143,7 @@
         }
         self.close.send_replace(true);
         self.peers.announce_leaving().await;
-        tracing::info!(event = "stopped", cut = self.state.in_flight.get());
+        tracing::info!(event = "stopped", cut = self.state.flights.in_flight());
     }
 }
 
@@ -158,8 +162,10 @@
         clock: Arc::clone(&clock),
     });
     let codec = Rc::clone(&platform.codec);
+    let peer_client = Rc::new(PeerClient::new());
     let rows = Rc::new(ProxiedRows::new(
         Rc::clone(&platform.rows),
+        Rc::clone(&peer_client),
         Arc::clone(&clock),
     ));
     let caller = RelayCaller::new(
@@ -194,22 +200,17 @@
         jobs,
         codec,
         rows,
+        peer_client,
         meters: EdgeMeters::new()?,
         targets: RefCell::default(),
         targets_at: Cell::new(None),
         is_reader: Cell::new(true),
         changed: Notify::new(),
         leaving: Cell::new(false),
-        in_flight: Rc::default(),
+        flights: FlightCounter::default(),
     })
 }
 
-/// The start of this process in microseconds since the Unix epoch, which rises from start to start.
-fn incarnation_of(clock: &dyn Clock) -> Incarnation {
-    let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-}
-
 /// A part of a core in whole percent, for comparing VMs.
 fn whole_percent(percent: f64) -> u32 {
     (0..=10_000)
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,6 +1,5 @@
 //! Answers to callers.
 
-use crate::drain::FlightGuard;
 use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
 use actix_web::web::Bytes;
@@ -9,6 +8,7 @@
 use futures_util::stream::LocalBoxStream;
 use plantainmill_admission::KeyOwner;
 use plantainmill_config::ConfigView;
+use plantainmill_core::FlightGuard;
 use plantainmill_core::response::{EXECUTED_HEADER, RESULT_HEADER};
 use plantainmill_core::{Executed, Problem, ResultCode};
 use plantainmill_proxy::{StreamAnswer, WholeAnswer};
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -1,8 +1,8 @@
-//! Requests in flight and the steps of a graceful stop.
+//! The steps of a graceful stop.
 
-use plantainmill_core::{Problem, ResultCode};
+use plantainmill_core::{FlightCounter, FlightGuard, Problem, ResultCode};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// When a caller that was refused by a stopping VM may try another one.
@@ -18,16 +18,10 @@
 struct DrainInner {
     leaving: AtomicBool,
     refusing: AtomicBool,
-    in_flight: AtomicUsize,
+    flights: FlightCounter,
     ready: AtomicBool,
 }
 
-/// Counts one request until it is dropped.
-#[derive(Debug)]
-pub struct FlightGuard {
-    inner: Arc<DrainInner>,
-}
-
 impl DrainState {
     /// Tells the balancer that the VM may be used.
     pub fn set_ready(&self, ready: bool) {
@@ -59,7 +53,7 @@
     /// Requests being served.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        self.inner.in_flight.load(Ordering::Acquire)
+        self.inner.flights.in_flight()
     }
 
     /// Registers a request.
@@ -69,10 +63,7 @@
     /// Refuses it when the VM is past the time that the balancer needs to notice a stop.
     pub fn enter(&self) -> Result<FlightGuard, Problem> {
         // The request is counted before the check, so that a stop that sees zero requests cannot miss one.
-        self.inner.in_flight.fetch_add(1, Ordering::AcqRel);
-        let guard = FlightGuard {
-            inner: Arc::clone(&self.inner),
-        };
+        let guard = self.inner.flights.enter();
         if self.inner.refusing.load(Ordering::Acquire) {
             let problem = Problem::new(ResultCode::Draining, "this VM is stopping");
             return Err(problem.with_retry_after(DRAIN_RETRY_AFTER));
@@ -80,9 +71,3 @@
         Ok(guard)
     }
 }
-
-impl Drop for FlightGuard {
-    fn drop(&mut self) {
-        self.inner.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,7 @@
 mod completions;
 mod services;
 
-pub use drain::{DrainState, FlightGuard};
+pub use drain::DrainState;
 pub use state::{CallerFactory, GatewayParts, GatewayState};
 
 use actix_web::web;
--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -1,6 +1,5 @@
 //! The steps that every online call goes through before a target is called.
 
-use crate::drain::FlightGuard;
 use crate::identity::{admit, admit_address, identify};
 use crate::state::{GatewayParts, GatewayState};
 use actix_web::HttpRequest;
@@ -8,6 +7,7 @@
 use compact_str::{CompactString, ToCompactString};
 use plantainmill_admission::KeyOwner;
 use plantainmill_config::ServiceSpec;
+use plantainmill_core::FlightGuard;
 use plantainmill_core::{Problem, ResultCode, Uptime};
 use plantainmill_dispatch::TrafficClass;
 use plantainmill_proxy::TargetRequest;
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -5,8 +5,8 @@
 use awc::http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use compact_str::CompactString;
 use futures_util::StreamExt as _;
-use plantainmill_core::{Clock, Executed, OrganisationId, TargetId, Uptime};
-use plantainmill_dispatch::{CallOutcome, TargetTicket, TicketRequest, TrafficClass};
+use plantainmill_core::{Clock, Executed, OrganisationId, TargetId, Uptime, wait_set};
+use plantainmill_dispatch::{CallOutcome, TargetTicket, TrafficClass};
 use plantainmill_proxy::relay::{
     EventSplitter, OpenAnswer, RelayCall, RelayCaller, TryEnd, check_order, send_once,
 };
@@ -157,10 +157,7 @@
     }
 
     async fn acquire(&mut self, call: &RelayCall) -> Option<TargetTicket> {
-        let request = TicketRequest {
-            deadline: self.job.due,
-            ..call.ticket_request(&self.excluded)
-        };
+        let request = call.ticket_request(&self.excluded);
         // A target is left out for one send only.
         self.excluded.clear();
         match self.parts.caller.dispatcher().acquire(request).await {
@@ -177,7 +174,7 @@
         let exchange = self.exchange(call, &ticket);
         let end = tokio::select! {
             biased;
-            () = wait_true(&mut preempted) => Err(TryEnd {
+            () = wait_set(&mut preempted) => Err(TryEnd {
                 executed: Executed::Unknown,
                 outcome: CallOutcome::Abandoned,
                 is_deadline: false,
@@ -284,10 +281,3 @@
         reason: "the target fell silent".to_owned(),
     }
 }
-
-async fn wait_true(signal: &mut tokio::sync::watch::Receiver<bool>) {
-    if signal.wait_for(|set| *set).await.is_err() {
-        // The dispatcher has let go of the call; it is never preempted then.
-        std::future::pending::<()>().await;
-    }
-}
--- a/crates/jobs/src/stored.rs
+++ b/crates/jobs/src/stored.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use plantainmill_core::{Incarnation, ItemId, JobId, OrganisationId, VmId};
+use plantainmill_core::{Incarnation, ItemId, JobId, OrganisationId, VmId, encode_cbor};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -126,11 +126,7 @@
 
 /// Encodes a row's value.
 pub(crate) fn encode<T: Serialize>(value: &T) -> Bytes {
-    let mut content = Vec::new();
-    // Writing to a vector cannot fail, and all stored types have a CBOR form.
-    let written = ciborium::into_writer(value, &mut content);
-    debug_assert!(written.is_ok());
-    content.into()
+    encode_cbor(value).into()
 }
 
 /// Decodes a row's value; none if it is malformed.
--- a/crates/node/src/parts.rs
+++ b/crates/node/src/parts.rs
@@ -10,8 +10,7 @@
 };
 use plantainmill_batch::{BatchHandle, BatchParts, BatchService, StopBatch};
 use plantainmill_config::{ConfigOptions, ConfigService, ConfigView, ReadyState};
-use plantainmill_core::clock::Uptime;
-use plantainmill_core::{Clock, Incarnation, SystemClock};
+use plantainmill_core::{Clock, Incarnation, SystemClock, incarnation_at};
 use plantainmill_dispatch::node::NodePlace;
 use plantainmill_dispatch::{DispatchHandle, DispatchParts, DispatchService, Dispatcher};
 use plantainmill_gateway::{DrainState, GatewayParts};
@@ -27,7 +26,7 @@
 use plantainmill_timer::TimerService;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// Time between looks at the readiness of the configuration.
@@ -191,7 +190,7 @@
             ..ClientSettings::default()
         };
         Ok(NodeBase {
-            incarnation: incarnation_of(clock.as_ref()),
+            incarnation: incarnation_at(clock.wall()),
             timer: TimerService::new(Arc::clone(&clock)).start(),
             platform: Arc::new(HttpPlatform::new(&settings.platform.table, client)),
             objects: Arc::new(HttpObjects::new(&settings.platform.objects, client)),
@@ -359,9 +358,3 @@
         }
     }
 }
-
-/// The start of this process in microseconds since the Unix epoch, which rises from start to start.
-fn incarnation_of(clock: &dyn Clock) -> Incarnation {
-    let since: Uptime = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/provider/src/http/client.rs
+++ b/crates/provider/src/http/client.rs
@@ -108,7 +108,8 @@
 }
 
 /// A call that found no connection had no effect; any other failure may have had one.
-fn send_error(error: &SendRequestError) -> StoreError {
+#[must_use]
+pub fn send_error(error: &SendRequestError) -> StoreError {
     let reason = error.to_string();
     match error {
         SendRequestError::Connect(ConnectError::Disconnected) => StoreError::Unknown(reason),
--- a/crates/proxy/src/live.rs
+++ b/crates/proxy/src/live.rs
@@ -8,7 +8,7 @@
 use crate::meters::CallMeters;
 use bytes::Bytes;
 use futures_util::{FutureExt as _, StreamExt as _, stream};
-use plantainmill_core::{Problem, ResultCode, TargetId};
+use plantainmill_core::{Problem, ResultCode, TargetId, wait_set};
 use plantainmill_dispatch::{CallOutcome, PreemptSignal, TargetTicket};
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,14 +17,6 @@
 /// Time for the end of the body after the last event; a connection that needs longer is not reused.
 const END_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Waits until a request has to give way.
-pub(crate) async fn wait_preempted(signal: &mut PreemptSignal) {
-    // An error means that the dispatcher has let go of the request, which never gives way then.
-    if signal.wait_for(|preempted| *preempted).await.is_err() {
-        std::future::pending::<()>().await;
-    }
-}
-
 /// The failure of a try that had to give way.
 pub(crate) fn preempt_failure() -> TryFailure {
     TryFailure::new(ResultCode::Preempted, "online work needed the target")
@@ -133,7 +125,7 @@
         let until = self.wait_until();
         let chunk = tokio::select! {
             biased;
-            () = wait_preempted(&mut self.preempted) => return Err(preempt_failure()),
+            () = wait_set(&mut self.preempted) => return Err(preempt_failure()),
             chunk = timeout_at(until, self.payload.next()) => chunk,
         };
         match chunk {
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -74,6 +74,20 @@
         is_safe && !end.is_deadline && self.runs < self.call.runs && self.sends < limits.sends
     }
 
+    /// Whether another target may run the request if the one at work fails it.
+    fn may_move(&self) -> bool {
+        self.call.may_repeat && self.runs + 1 < self.call.runs
+    }
+
+    /// A failure of the target is passed on only if no other target may run the request.
+    fn check_status(&self, status: u16) -> Result<(), TryEnd> {
+        if status >= 500 && self.may_move() {
+            let reason = format!("the target failed with status {status}");
+            return Err(TryEnd::new(Executed::Yes, CallOutcome::Failed, reason));
+        }
+        Ok(())
+    }
+
     /// The final answer of a call without an answer to pass on.
     pub fn problem(&self, end: &TryEnd) -> Problem {
         let code = match (self.executed, end.is_deadline) {
@@ -168,55 +182,50 @@
         ticket.map_err(|problem| progress.no_slot(problem))
     }
 
-    /// Opens a stream and waits for its first events.
-    pub(super) async fn start_stream(
+    /// Tries one target after the other until `attempt` succeeds or no further try may follow.
+    async fn try_targets<T>(
         &self,
         progress: &mut CallProgress,
-        last_event: Option<u64>,
-    ) -> Result<StartedAnswer, Problem> {
+        attempt: impl AsyncFn(&CallProgress, &TargetTicket) -> Result<T, TryEnd>,
+    ) -> Result<(T, TargetTicket), Problem> {
         loop {
             let ticket = self.acquire(progress).await?;
             progress.sends += 1;
-            let target = ticket.target.clone();
-            let end = match self.try_stream(progress, ticket, last_event).await {
-                Ok(started) => {
-                    progress.runs += 1;
-                    progress.executed = Executed::Yes;
-                    return Ok(started);
-                }
+            let end = match attempt(progress, &ticket).await {
+                Ok(opened) => return Ok((opened, ticket)),
                 Err(end) => end,
             };
-            tracing_failure(&progress.call, &target, &end);
+            let target = ticket.target.clone();
+            ticket.finish(end.outcome);
+            log_failure(&progress.call, &target, &end);
             if !progress.note_failure(&target, &end, &self.parts.limits) {
                 return Err(progress.problem(&end));
             }
         }
     }
 
-    async fn try_stream(
+    /// Opens a stream and waits for its first events.
+    pub(super) async fn start_stream(
         &self,
-        progress: &CallProgress,
-        ticket: TargetTicket,
+        progress: &mut CallProgress,
         last_event: Option<u64>,
-    ) -> Result<StartedAnswer, TryEnd> {
-        let started = self.read_first(progress, &ticket, last_event).await;
-        match started {
-            Ok((answer, splitter, first, last_event)) => {
-                let first_byte = answer.sent_at.elapsed();
-                Ok(StartedAnswer {
-                    answer,
-                    ticket,
-                    splitter,
-                    first,
-                    last_event,
-                    first_byte,
-                })
-            }
-            Err(end) => {
-                ticket.finish(end.outcome);
-                Err(end)
-            }
-        }
+    ) -> Result<StartedAnswer, Problem> {
+        let attempt = async |progress: &CallProgress, ticket: &TargetTicket| {
+            self.read_first(progress, ticket, last_event).await
+        };
+        let (opened, ticket) = self.try_targets(progress, attempt).await?;
+        let (answer, splitter, first, last_event) = opened;
+        progress.runs += 1;
+        progress.executed = Executed::Yes;
+        let first_byte = answer.sent_at.elapsed();
+        Ok(StartedAnswer {
+            answer,
+            ticket,
+            splitter,
+            first,
+            last_event,
+            first_byte,
+        })
     }
 
     async fn read_first(
@@ -229,9 +238,8 @@
         let limits = &self.parts.limits;
         let until = Instant::now() + self.time_left(call.deadline);
         // A silent target is left only if another one may run the request.
-        let may_move = call.may_repeat && progress.runs + 1 < call.runs;
         let hedge_delay = (call.objective * 2).max(limits.first_event_floor);
-        let silent_at = if may_move {
+        let silent_at = if progress.may_move() {
             until.min(Instant::now() + hedge_delay)
         } else {
             until
@@ -290,11 +298,7 @@
         mut answer: OpenAnswer,
         until: Instant,
     ) -> Result<(OpenAnswer, EventSplitter, Bytes, Option<u64>), TryEnd> {
-        let may_move = progress.call.may_repeat && progress.runs + 1 < progress.call.runs;
-        if answer.status >= 500 && may_move {
-            let reason = format!("the target failed with status {}", answer.status);
-            return Err(TryEnd::new(Executed::Yes, CallOutcome::Failed, reason));
-        }
+        progress.check_status(answer.status)?;
         let body = self.read_whole(&mut answer, until).await?;
         Ok((answer, EventSplitter::default(), body, None))
     }
@@ -319,31 +323,20 @@
     }
 
     async fn whole_answer(&self, progress: &mut CallProgress) -> Result<RelayAnswer, Problem> {
-        loop {
-            let ticket = self.acquire(progress).await?;
-            progress.sends += 1;
-            let target = ticket.target.clone();
-            let end = match self.try_whole(progress, &ticket).await {
-                Ok((answer, body)) => {
-                    let first_byte = answer.sent_at.elapsed();
-                    ticket.finish(CallOutcome::Completed { first_byte });
-                    return Ok(RelayAnswer {
-                        status: answer.status,
-                        headers: answer.headers,
-                        body: futures_util::stream::iter([Ok(body)]).boxed_local(),
-                    });
-                }
-                Err(end) => end,
-            };
-            ticket.finish(end.outcome);
-            tracing_failure(&progress.call, &target, &end);
-            if !progress.note_failure(&target, &end, &self.parts.limits) {
-                return Err(progress.problem(&end));
-            }
-        }
+        let attempt = async |progress: &CallProgress, ticket: &TargetTicket| {
+            self.read_answer(progress, ticket).await
+        };
+        let ((answer, body), ticket) = self.try_targets(progress, attempt).await?;
+        let first_byte = answer.sent_at.elapsed();
+        ticket.finish(CallOutcome::Completed { first_byte });
+        Ok(RelayAnswer {
+            status: answer.status,
+            headers: answer.headers,
+            body: futures_util::stream::iter([Ok(body)]).boxed_local(),
+        })
     }
 
-    async fn try_whole(
+    async fn read_answer(
         &self,
         progress: &CallProgress,
         ticket: &TargetTicket,
@@ -353,11 +346,7 @@
         let until = Instant::now() + left;
         let mut answer = send_once(call, &self.parts.names, ticket, call.last_event, left).await?;
         let body = self.read_whole(&mut answer, until).await?;
-        let may_move = call.may_repeat && progress.runs + 1 < call.runs;
-        if answer.status >= 500 && may_move {
-            let reason = format!("the target failed with status {}", answer.status);
-            return Err(TryEnd::new(Executed::Yes, CallOutcome::Failed, reason));
-        }
+        progress.check_status(answer.status)?;
         Ok((answer, body))
     }
 }
@@ -377,7 +366,7 @@
     joined.freeze()
 }
 
-pub(super) fn tracing_failure(call: &RelayCall, target: &TargetId, end: &TryEnd) {
+pub(super) fn log_failure(call: &RelayCall, target: &TargetId, end: &TryEnd) {
     tracing::info!(
         event = "send_failed",
         request = %call.id,
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -4,7 +4,7 @@
 use super::events::{StreamEvent, check_order};
 use super::exchange::TryEnd;
 use super::open::{
-    CallProgress, RelayAnswer, RelayCaller, StartedAnswer, join_events, tracing_failure,
+    CallProgress, RelayAnswer, RelayCaller, StartedAnswer, join_events, log_failure,
 };
 use bytes::Bytes;
 use futures_util::{StreamExt as _, stream};
@@ -154,7 +154,7 @@
         let may_move = self.may_move() && !end.is_deadline;
         self.finish(Some(end.outcome));
         if let Some(target) = target {
-            tracing_failure(self.call(), &target, &end);
+            log_failure(self.call(), &target, &end);
             self.progress.excluded.push(target);
         }
         if !may_move {
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use plantainmill_core::{DomainName, ServiceName, TargetId, Uptime};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::hash::{Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -50,7 +50,6 @@
     /// Until then, a missing entry may only wait to be renewed.
     renewed_by: Uptime,
     failing: bool,
-    read_at: Option<Uptime>,
 }
 
 impl TargetRegistry {
@@ -70,11 +69,11 @@
             self.failing = false;
             self.renewed_by = now + RENEWAL_TIME;
         }
-        let is_missing = |id: &TargetId| entries.iter().all(|entry| entry.id != *id);
+        let present: HashSet<&TargetId> = entries.iter().map(|entry| &entry.id).collect();
         let vanished = self
             .targets
             .iter()
-            .filter(|(id, known)| known.gone_at.is_none() && is_missing(id));
+            .filter(|(id, known)| known.gone_at.is_none() && !present.contains(id));
         // Many entries at once lapse together when the registry was away for the targets alone.
         if vanished.count() * 2 >= self.targets.len().max(4) {
             self.renewed_by = now + RENEWAL_TIME;
@@ -84,12 +83,11 @@
 
     /// Replaces all entries. Missing ones count as gone from `renewed_by` on.
     fn replace(&mut self, entries: Vec<TargetEntry>, renewed_by: Uptime, now: Uptime) {
-        self.read_at = Some(now);
         let mut present: BTreeMap<TargetId, TargetEntry> = entries
             .into_iter()
             .map(|entry| (entry.id.clone(), entry))
             .collect();
-        let addresses: Vec<SocketAddr> = present.values().map(|entry| entry.address).collect();
+        let addresses: HashSet<SocketAddr> = present.values().map(|entry| entry.address).collect();
         self.targets.retain(|id, known| {
             if let Some(entry) = present.remove(id) {
                 known.entry = entry;
@@ -136,10 +134,4 @@
             .map(|known| known.entry.clone())
             .collect()
     }
-
-    /// Whether the registry was read at least once.
-    #[must_use]
-    pub fn is_known(&self) -> bool {
-        self.read_at.is_some()
-    }
 }
