--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -41,6 +41,8 @@
     pub headers: HashMap<String, String>,
     /// Body.
     pub body: Vec<u8>,
+    /// The target ran it: its answer does not say otherwise.
+    pub ran: bool,
 }
 
 /// Names of the headers that the target knows.
@@ -117,6 +119,12 @@
         self.state.seen.borrow().clone()
     }
 
+    /// Takes the requests seen since the last call.
+    #[must_use]
+    pub fn take_seen(&self) -> Vec<SeenRequest> {
+        self.state.seen.take()
+    }
+
     /// Requests whose answers are being sent.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -146,8 +154,11 @@
                 .unwrap_or_default();
             let last = request.headers.get("last-event-id");
             let last = last.and_then(|last| last.parse().ok()).unwrap_or(0);
-            self.seen.borrow_mut().push(request);
             let act = self.acts.borrow_mut().pop_front().unwrap_or_default();
+            self.seen.borrow_mut().push(SeenRequest {
+                ran: act != TargetAct::Refuse,
+                ..request
+            });
             match act {
                 TargetAct::Refuse => {
                     let refused = format!("{}: 1\r\n", self.names.not_executed);
