A soak of VMs as processes, with faults from outside

Nothing of the project's own ran the real programs as processes and hit them with signals, cut connections and a store that misbehaves, in random order.

Ruled out: faults inside the VMs (they would need hooks in the product); a proxy between the VMs' datagrams, since a VM announces the address on which it listens; a changed wall clock, which needs rights that a test has not: pauses of processes move the clock between two steps instead.

Change: `crates/soak` starts four VMs as processes, five targets behind proxies, and the stand-in for the store; plays faults drawn from a seed (stops, kills of one or all, pauses, reloads, link faults in each direction, store faults for one or all VMs, late changes, lost history, targets that drain, crash or break answers); and checks what callers and targets saw: refusals are true, nothing runs twice that must not, whole answers are whole, withdrawn keys and drained targets are left alone, rates hold, jobs are complete and stable, planned work cuts nothing, processes do not end by themselves, all VMs serve again.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,3 +21,4 @@
 pub use events::{EventReader, error_event};
 pub use http_caller::HttpCaller;
 pub use limits::CallLimits;
+pub use transport::strict_client;
--- a/crates/proxy/src/transport.rs
+++ b/crates/proxy/src/transport.rs
@@ -69,7 +69,7 @@
 }
 
 thread_local! {
-    static CLIENT: awc::Client = new_client();
+    static CLIENT: awc::Client = strict_client();
 }
 
 /// The client of this thread. Connections are pooled per thread, because `awc` clients cannot move.
@@ -77,7 +77,9 @@
     CLIENT.with(Clone::clone)
 }
 
-fn new_client() -> awc::Client {
+/// A client whose answers end with an error when their connection ends.
+#[must_use]
+pub fn strict_client() -> awc::Client {
     let connect = fn_service(connect);
     let connector = awc::Connector::new()
         .connector(connect)
--- /dev/null
+++ b/crates/soak/src/link_proxy.rs
@@ -0,0 +1,144 @@
+//! A loopback proxy for one link, with the faults of a network.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// Largest part passed on at once, in bytes.
+const PART_BYTES: usize = 16 << 10;
+
+/// What a link does.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LinkMode {
+    /// Passes everything on.
+    #[default]
+    Open,
+    /// Passes everything on after a delay.
+    Slow(Duration),
+    /// Resets all connections, open and new ones.
+    Reset,
+    /// Holds back what callers send.
+    HoldCalls,
+    /// Holds back what comes as an answer.
+    HoldAnswers,
+    /// Holds back everything.
+    Silent,
+}
+
+impl LinkMode {
+    fn holds(self, direction: Direction) -> bool {
+        match self {
+            LinkMode::Silent => true,
+            LinkMode::HoldCalls => direction == Direction::Call,
+            LinkMode::HoldAnswers => direction == Direction::Answer,
+            LinkMode::Open | LinkMode::Slow(_) | LinkMode::Reset => false,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Direction {
+    Call,
+    Answer,
+}
+
+/// A proxy in front of one address.
+pub struct LinkProxy {
+    /// Where to connect instead.
+    pub address: SocketAddr,
+    mode: Rc<watch::Sender<LinkMode>>,
+}
+
+impl LinkProxy {
+    /// Starts a proxy to `upstream`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub async fn start(upstream: SocketAddr) -> io::Result<LinkProxy> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let proxy = LinkProxy {
+            address: listener.local_addr()?,
+            mode: Rc::new(watch::Sender::new(LinkMode::Open)),
+        };
+        let mode = Rc::clone(&proxy.mode);
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(relay(stream, upstream, mode.subscribe()));
+            }
+        });
+        Ok(proxy)
+    }
+
+    /// Sets what the link does from now on, also on open connections.
+    pub fn set_mode(&self, mode: LinkMode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+async fn relay(caller: TcpStream, upstream: SocketAddr, mode: watch::Receiver<LinkMode>) {
+    let mut reset = mode.clone();
+    // The peer sees the end of the connection, whatever the error was.
+    if wait_passable(&mut mode.clone(), Direction::Call)
+        .await
+        .is_err()
+    {
+        drop(caller.set_zero_linger());
+        return;
+    }
+    let Ok(target) = TcpStream::connect(upstream).await else {
+        drop(caller.set_zero_linger());
+        return;
+    };
+    for stream in [&caller, &target] {
+        drop(stream.set_nodelay(true));
+    }
+    let (caller_read, caller_write) = caller.into_split();
+    let (target_read, target_write) = target.into_split();
+    let calls = pump(caller_read, target_write, mode.clone(), Direction::Call);
+    let answers = pump(target_read, caller_write, mode, Direction::Answer);
+    tokio::select! {
+        // Both ends close when either direction ends: nothing here uses half-closed connections.
+        write = calls => drop(write),
+        write = answers => drop(write),
+        _ = reset.wait_for(|mode| *mode == LinkMode::Reset) => {}
+    }
+}
+
+/// Passes on what `from` sends until it ends. A reset gives an error.
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut mode: watch::Receiver<LinkMode>,
+    direction: Direction,
+) -> io::Result<()> {
+    let mut part = vec![0; PART_BYTES];
+    loop {
+        let size = from.read(&mut part).await?;
+        let delay = wait_passable(&mut mode, direction).await?;
+        sleep(delay).await;
+        if size == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&part[..size]).await?;
+    }
+}
+
+/// Waits until the link passes something on, and gives its delay.
+async fn wait_passable(
+    mode: &mut watch::Receiver<LinkMode>,
+    direction: Direction,
+) -> io::Result<Duration> {
+    let passable = mode.wait_for(|mode| !mode.holds(direction)).await;
+    match passable.map(|mode| *mode) {
+        Ok(LinkMode::Reset) | Err(_) => Err(io::ErrorKind::ConnectionReset.into()),
+        Ok(LinkMode::Slow(delay)) => Ok(delay),
+        Ok(_) => Ok(Duration::ZERO),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/vm_process.rs
@@ -0,0 +1,133 @@
+//! A VM as a process.
+
+use anyhow::{Context as _, ensure};
+use plantainmill_adapter::SETTINGS_VARIABLE;
+use plantainmill_stand_in::VmPlan;
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// A VM that runs as a process of its own.
+pub struct VmProcess {
+    /// Its settings.
+    pub plan: VmPlan,
+    program: PathBuf,
+    folder: PathBuf,
+    child: Option<Child>,
+    starts: u32,
+}
+
+impl VmProcess {
+    /// Starts `program` with settings and logs in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings cannot be written or the process cannot be started.
+    pub fn start(program: &Path, folder: &Path, plan: VmPlan) -> anyhow::Result<VmProcess> {
+        let mut process = VmProcess {
+            plan,
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            child: None,
+            starts: 0,
+        };
+        process.write_settings()?;
+        process.restart()?;
+        Ok(process)
+    }
+
+    /// Writes the settings file anew.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be written.
+    pub fn write_settings(&self) -> anyhow::Result<()> {
+        std::fs::write(self.settings_path(), self.plan.text())
+            .with_context(|| format!("cannot write the settings of {}", self.plan.id))
+    }
+
+    fn settings_path(&self) -> PathBuf {
+        self.folder.join(format!("{}.toml", self.plan.id))
+    }
+
+    /// Starts the process if it does not run.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn restart(&mut self) -> anyhow::Result<()> {
+        if self.child.is_some() {
+            return Ok(());
+        }
+        self.starts += 1;
+        let name = format!("{}.{}.log", self.plan.id, self.starts);
+        let log = File::create(self.folder.join(name))?;
+        let errors = log.try_clone()?;
+        let child = Command::new(&self.program)
+            .args(["--log-format", "json", "serve", "--platform"])
+            .env(SETTINGS_VARIABLE, self.settings_path())
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .with_context(|| format!("cannot start {}", self.program.display()))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if it runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signal cannot be sent.
+    pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        let pid = Pid::from_child(child);
+        kill_process(pid, signal).with_context(|| format!("cannot signal {}", self.plan.id))
+    }
+
+    /// How the process ended, if it has.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the state of the process cannot be read.
+    pub fn take_exit(&mut self) -> anyhow::Result<Option<ExitStatus>> {
+        let Some(child) = &mut self.child else {
+            return Ok(None);
+        };
+        let status = child.try_wait()?;
+        if status.is_some() {
+            self.child = None;
+        }
+        Ok(status)
+    }
+
+    /// Kills the process and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot be killed.
+    pub fn kill(&mut self) -> anyhow::Result<()> {
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            let status = child.wait()?;
+            ensure!(
+                !status.success(),
+                "{} ended before it was killed",
+                self.plan.id
+            );
+        }
+        Ok(())
+    }
+}
+
+impl Drop for VmProcess {
+    fn drop(&mut self) {
+        if let Err(error) = self.kill() {
+            eprintln!("{}: {error:#}", self.plan.id);
+        }
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,4 +8,5 @@
 mod graceful_stop;
 mod online_calls;
 mod rate_limits;
+mod short_soak;
 mod vm_loss;
