Settings of the platform are checked like all others; metrics have an address of their own

Cause: the platform's settings were read by serde, which stops at the first error, names no field for some, and has no number; `plantainmill check` did not know them. A bound that a deployment does not name would have kept every VM from starting.

Ruled out: a second reader of settings; the one of the other form takes decimals and lenient ends now.

Change: `EdgeSettings` reads through `SettingsReader`: all errors at once, each numbered, with file, line and field; unknown fields are ignored with a line each; absent bounds have defaults. `check` takes both forms.

Each run now has a loopback address of its own.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -35,13 +35,18 @@
         DOCUMENT_PATH => document(&state),
         TARGETS_PATH => targets(&state),
         STATE_PATH => HttpResponse::Ok().json(dump(&state).await),
-        METRICS_PATH => HttpResponse::Ok()
-            .content_type("text/plain; version=0.0.4")
-            .body(state.meters.text()),
+        METRICS_PATH => metrics(state).await,
         _ => HttpResponse::NotFound().finish(),
     }
 }
 
+/// All metrics as Prometheus text.
+pub(crate) async fn metrics(state: web::Data<Rc<EdgeState>>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(state.meters.text())
+}
+
 fn document(state: &EdgeState) -> HttpResponse {
     let (Some(document), Some(age)) = (state.view.load(), state.document_age()) else {
         return HttpResponse::ServiceUnavailable().finish();
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -71,6 +71,18 @@
     serve(address, app, stop).await
 }
 
+/// Serves a collector of metrics.
+pub(crate) async fn metrics(
+    address: SocketAddr,
+    state: Rc<EdgeState>,
+    stop: StopSignals,
+) -> anyhow::Result<()> {
+    let app = App::new()
+        .app_data(web::Data::new(state))
+        .default_service(web::to(control::metrics));
+    serve(address, app, stop).await
+}
+
 async fn serve<T, B>(address: SocketAddr, app: App<T>, stop: StopSignals) -> anyhow::Result<()>
 where
     T: ServiceFactory<
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -91,13 +91,13 @@
 
     /// Whether keys may be used: no key can have been withdrawn long enough ago without this VM knowing it.
     pub fn may_use_keys(&self) -> bool {
-        let limit = self.bounds.get().key_time().saturating_sub(KEY_MARGIN);
+        let limit = self.bounds.get().key_time.saturating_sub(KEY_MARGIN);
         self.document_age().is_some_and(|age| age < limit)
     }
 
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
-        let limit = self.bounds.get().key_time().mul_f64(READY_PART);
+        let limit = self.bounds.get().key_time.mul_f64(READY_PART);
         let is_fresh = self.document_age().is_some_and(|age| age < limit);
         is_fresh && self.targets_at.get().is_some() && !self.leaving.get()
     }
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -90,6 +90,9 @@
         listen::callers(listen.callers, Rc::clone(&state), stop.clone()).await?;
         listen::readiness(listen.readiness, Rc::clone(&state), stop.clone()).await?;
         listen::control(listen.control, Rc::clone(&state), stop.clone()).await?;
+        if let Some(metrics) = listen.metrics {
+            listen::metrics(metrics, Rc::clone(&state), stop).await?;
+        }
         actix_rt::spawn(follow_document(Rc::clone(&state), platform.document));
         actix_rt::spawn(follow_targets(Rc::clone(&state), platform.targets));
         let peers = PeerExchange::start(Rc::clone(&state), socket, own);
@@ -115,12 +118,7 @@
     /// Stops gracefully: not ready, jobs handed over, requests finished, peers told.
     pub async fn stop(&self) {
         let started = Instant::now();
-        let limit = self
-            .state
-            .bounds
-            .get()
-            .stop_time()
-            .saturating_sub(CLOSE_TIME);
+        let limit = self.state.bounds.get().stop_time.saturating_sub(CLOSE_TIME);
         self.state.leaving.set(true);
         tracing::info!(
             event = "stopping",
@@ -184,7 +182,7 @@
         view: view.clone(),
         clock: Arc::clone(&clock),
         settings: JobSettings {
-            result_time: settings.bounds.results_time(),
+            result_time: settings.bounds.results_time,
             stop_time: HAND_OVER_TIME,
         },
     });
--- a/crates/edge/tests/all/edge_settings.rs
+++ b/crates/edge/tests/all/edge_settings.rs
@@ -1,5 +1,6 @@
 //! Settings that are read, and settings that are refused.
 
+use plantainmill_core::ResultCode;
 use plantainmill_edge::EdgeSettings;
 use rstest::rstest;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 readiness = "10.1.0.21:8687"
 control = "10.1.0.21:7360"
 peers = "10.1.0.21:7360"
+metrics = "10.1.0.21:9464"
 [store]
 address = "10.200.1.7:8688"
 [bounds]
@@ -30,25 +32,51 @@
 /// Guards against settings that are read from the wrong field, and against new fields that stop a start.
 #[test]
 fn whole_file() {
-    let settings = EdgeSettings::parse(SETTINGS).expect("settings");
+    let settings = EdgeSettings::parse("settings.toml", SETTINGS).expect("settings");
     assert_eq!(settings.vm.id, "front-1");
     assert_eq!(settings.listen.readiness.port(), 8687);
-    assert_eq!(settings.bounds.key_time(), Duration::from_secs(5));
-    assert_eq!(settings.bounds.stop_time(), Duration::from_secs(8));
+    assert_eq!(
+        settings.listen.metrics.map(|address| address.port()),
+        Some(9464)
+    );
+    let unknown: Vec<&str> = settings
+        .unknown
+        .iter()
+        .map(|field| field.field.as_str())
+        .collect();
+    assert_eq!(unknown, ["new_field"]);
+    assert_eq!(settings.bounds.key_time, Duration::from_secs(5));
+    assert_eq!(settings.bounds.stop_time, Duration::from_secs(8));
 }
 
 /// Guards against a start with settings that are wrong, and against errors that do not name the field.
 #[rstest]
-#[case("id = \"front-1\"", "id = \"\"", "vm.id")]
-#[case("region = \"north\"", "region = \"south\"", "regions")]
-#[case("key_ms = 5000", "key_ms = 0", "bounds.key_ms")]
-#[case("key_ms = 5000", "key_ms = -1", "key_ms")]
-#[case("stop_s = 8", "stop_s = nan", "bounds.stop_s")]
-#[case("10.200.1.7:8688", "store.example", "address")]
-#[case("[bounds]", "[others]", "bounds")]
-fn wrong_field(#[case] right: &str, #[case] wrong: &str, #[case] named: &str) {
+#[case("id = \"front-1\"", "id = \"\"", 4, "vm.id")]
+#[case("region = \"north\"", "region = \"south\"", 8, "regions.a")]
+#[case("key_ms = 5000", "key_ms = 0", 20, "bounds.key_ms")]
+#[case("key_ms = 5000", "key_ms = -1", 20, "bounds.key_ms")]
+#[case("key_ms = 5000", "key_ms = \"5000\"", 20, "bounds.key_ms")]
+#[case("stop_s = 8", "stop_s = nan", 21, "bounds.stop_s")]
+#[case("10.1.0.21:9464", "9464", 16, "listen.metrics")]
+#[case("10.200.1.7:8688", "store.example", 18, "store.address")]
+#[case("[store]", "[others]", 1, "store.address")]
+fn wrong_field(#[case] right: &str, #[case] wrong: &str, #[case] line: usize, #[case] field: &str) {
     let text = SETTINGS.replacen(right, wrong, 1);
-    let error = EdgeSettings::parse(&text).expect_err("refused");
-    let error = format!("{error:#}");
-    assert!(error.contains(named), "{error}");
+    let problems = EdgeSettings::parse("settings.toml", &text).expect_err("refused");
+    let [problem] = problems.as_slice() else {
+        panic!("{problems:?}");
+    };
+    assert_eq!((problem.line, problem.field.as_str()), (line, field));
+    let code = ResultCode::SettingsInvalid.number().to_string();
+    assert!(problem.to_string().starts_with(&code), "{problem}");
+}
+
+/// Guards against a platform that names no bounds and keeps all VMs from starting.
+#[test]
+fn default_bounds() {
+    let text = SETTINGS.split("[bounds]").next().expect("a part");
+    let settings = EdgeSettings::parse("settings.toml", text).expect("settings");
+    assert_eq!(settings.bounds.key_time, Duration::from_secs(5));
+    assert_eq!(settings.bounds.stop_time, Duration::from_secs(8));
+    assert_eq!(settings.bounds.results_time, Duration::from_mins(2));
 }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -2,7 +2,7 @@
 
 use plantainmill_core::ResultCode;
 use std::fmt;
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 use std::str::FromStr;
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
@@ -45,6 +45,8 @@
     text: &'a str,
     tables: Vec<(Spanned<std::borrow::Cow<'a, str>>, Spanned<DeValue<'a>>)>,
     problems: Vec<SettingsProblem>,
+    /// Fields and tables that were not taken.
+    unknown: Vec<SettingsProblem>,
 }
 
 impl<'a> SettingsReader<'a> {
@@ -56,6 +58,7 @@
             text,
             tables: Vec::new(),
             problems: Vec::new(),
+            unknown: Vec::new(),
         };
         // `toml::from_str` is asked first because only its errors carry a place in the text.
         if let Err(error) = toml::from_str::<toml::Table>(text) {
@@ -69,12 +72,22 @@
 
     /// Collects an error.
     pub fn report(&mut self, line: usize, field: String, reason: String) {
-        self.problems.push(SettingsProblem {
+        let problem = self.problem(line, field, reason);
+        self.problems.push(problem);
+    }
+
+    fn report_unknown(&mut self, line: usize, field: String, reason: &str) {
+        let problem = self.problem(line, field, reason.to_owned());
+        self.unknown.push(problem);
+    }
+
+    fn problem(&self, line: usize, field: String, reason: String) -> SettingsProblem {
+        SettingsProblem {
             file: self.file.clone(),
             line,
             field,
             reason,
-        });
+        }
     }
 
     /// Takes the table `name`; an absent one is empty.
@@ -161,6 +174,17 @@
         parsed
     }
 
+    /// Takes a text and parses it, if it is there.
+    pub fn optional_parsed<T: FromStr>(
+        &mut self,
+        section: &mut SettingsSection<'a>,
+        key: &str,
+        expected: &str,
+    ) -> Option<T> {
+        let is_there = section.fields.iter().any(|(name, _)| name.get_ref() == key);
+        is_there.then(|| self.parsed(section, key, expected))?
+    }
+
     /// Takes a whole number between `range.start` and `range.end - 1`, or `default` when it is absent.
     pub fn number(
         &mut self,
@@ -187,34 +211,97 @@
         default
     }
 
+    /// Takes a number within `range`, or `default` when it is absent. Without a default it has to be there.
+    pub fn decimal(
+        &mut self,
+        section: &mut SettingsSection<'a>,
+        key: &str,
+        range: &RangeInclusive<f64>,
+        default: Option<f64>,
+    ) -> f64 {
+        let Some((line, value)) = self.take(section, key) else {
+            if default.is_none() {
+                self.report(section.line, section.field(key), "is missing".to_owned());
+            }
+            return default.unwrap_or_default();
+        };
+        let parsed: Option<f64> = match &value {
+            DeValue::Integer(integer) => integer.as_str().parse().ok(),
+            DeValue::Float(float) => float.as_str().parse().ok(),
+            _ => None,
+        };
+        if let Some(number) = parsed.filter(|number| range.contains(number)) {
+            return number;
+        }
+        let reason = format!("must be a number from {} to {}", range.start(), range.end());
+        self.report(line, section.field(key), reason);
+        default.unwrap_or_default()
+    }
+
+    /// Takes all fields of `section`, which have to be texts.
+    pub fn all_texts(&mut self, section: &mut SettingsSection<'a>) -> Vec<(String, String)> {
+        let keys: Vec<String> = section
+            .fields
+            .iter()
+            .map(|(key, _)| key.get_ref().to_string())
+            .collect();
+        keys.into_iter()
+            .filter_map(|key| {
+                let text = self.optional_text(section, &key)?;
+                Some((key, text))
+            })
+            .collect()
+    }
+
     /// Reports the fields of `section` that were not taken.
     pub fn end_section(&mut self, section: &SettingsSection<'a>) {
         for (key, _) in &section.fields {
             let line = line_of(self.text, Some(&key.span()));
             let field = section.field(key.get_ref());
-            self.report(line, field, "is not a known setting".to_owned());
+            self.report_unknown(line, field, "is not a known setting");
+        }
+    }
+
+    /// Gives all errors, in the order of lines. What is unknown is an error.
+    #[must_use]
+    pub fn finish(self) -> Vec<SettingsProblem> {
+        let (mut problems, unknown) = self.finish_lenient();
+        // After a syntax error nothing was read, so everything would be unknown.
+        if problems.iter().all(|problem| !problem.field.is_empty()) {
+            problems.extend(unknown);
         }
+        problems.sort_by_key(|problem| problem.line);
+        problems
     }
 
-    /// Reports the tables that were not taken and gives all errors, in the order of lines.
+    /// Gives all errors, and apart from them what is unknown, both in the order of lines.
     #[must_use]
-    pub fn finish(mut self) -> Vec<SettingsProblem> {
+    pub fn finish_lenient(mut self) -> (Vec<SettingsProblem>, Vec<SettingsProblem>) {
         for (key, _) in std::mem::take(&mut self.tables) {
             let line = line_of(self.text, Some(&key.span()));
             let field = key.into_inner().into_owned();
-            self.report(line, field, "is not a known table".to_owned());
+            self.report_unknown(line, field, "is not a known table");
         }
         // After a syntax error nothing was read, so every field would be reported as missing.
         if self.problems.iter().any(|problem| problem.field.is_empty()) {
             self.problems.retain(|problem| problem.field.is_empty());
         }
         self.problems.sort_by_key(|problem| problem.line);
-        self.problems
+        self.unknown.sort_by_key(|problem| problem.line);
+        (self.problems, self.unknown)
     }
 }
 
 impl SettingsSection<'_> {
-    fn field(&self, key: &str) -> String {
+    /// Line of the section's name, from 1.
+    #[must_use]
+    pub fn line(&self) -> usize {
+        self.line
+    }
+
+    /// Full name of a field.
+    #[must_use]
+    pub fn field(&self, key: &str) -> String {
         format!("{}.{key}", self.name)
     }
 
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -6,7 +6,7 @@
 use plantainmill_stand_in::{StoreServer, VmPlan, WireFault};
 use rustix::process::Signal;
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
 use std::process::ExitStatus;
 use std::rc::Rc;
@@ -61,7 +61,7 @@
 }
 
 impl SoakFleet {
-    /// Starts `count` VMs on the store's rows.
+    /// Starts `count` VMs on the store's rows, for the run of `seed`.
     ///
     /// # Errors
     ///
@@ -71,11 +71,12 @@
         folder: &Path,
         store: &StoreServer,
         records: SharedRecords,
-        count: usize,
+        (seed, count): (u64, usize),
     ) -> anyhow::Result<SoakFleet> {
+        let address = run_address(seed);
         let mut vms = Vec::new();
         for number in 0..count {
-            vms.push(start_vm(program, folder, store, number).await?);
+            vms.push(start_vm(program, folder, store, address, number).await?);
         }
         let fleet = SoakFleet {
             vms: Rc::new(vms),
@@ -269,16 +270,17 @@
     program: &Path,
     folder: &Path,
     store: &StoreServer,
+    address: IpAddr,
     number: usize,
 ) -> anyhow::Result<SoakVm> {
     let store = StoreServer::on(store.rows.clone()).await;
     let store_link = LinkProxy::start(store.address).await?;
     let plan = VmPlan {
         id: format!("vm-{number}"),
-        callers: free_port()?,
-        readiness: free_port()?,
-        control: free_port()?,
-        peers: UdpSocket::bind("127.0.0.1:0")?.local_addr()?,
+        callers: free_port(address)?,
+        readiness: free_port(address)?,
+        control: free_port(address)?,
+        peers: UdpSocket::bind((address, 0))?.local_addr()?,
         store: store_link.address,
         key_ms: u64::try_from(KEY_TIME.as_millis())?,
     };
@@ -296,8 +298,18 @@
     })
 }
 
-fn free_port() -> anyhow::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+/// The loopback address of a run's VMs. A VM that is down for a while finds its ports free again only if nothing else
+/// binds them meanwhile: neither another run nor the source port of a connection.
+fn run_address(seed: u64) -> IpAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let [.., run] = seed.to_be_bytes();
+    // The last part is neither zero nor 255, and the second one is not that of the usual 127.0.0.1.
+    let last = low.clamp(1, 254);
+    IpAddr::V4(Ipv4Addr::new(127, run | 1, high, last))
+}
+
+fn free_port(address: IpAddr) -> anyhow::Result<SocketAddr> {
+    Ok(TcpListener::bind((address, 0))?.local_addr()?)
 }
 
 /// Says what is wrong with the end of a process.
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -100,7 +100,7 @@
         &options.folder,
         &store,
         Rc::clone(&records),
-        VMS,
+        (options.seed, VMS),
     )
     .await?;
     let load = CallerLoad::new(fleet.clone(), Rc::clone(&records), keys);
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -3,13 +3,15 @@
 use anyhow::{Context as _, bail};
 use clap::Args;
 use plantainmill_config::{FleetConfig, parse_fleet_file};
+use plantainmill_edge::EdgeSettings;
 use plantainmill_settings::NodeSettings;
 use std::path::PathBuf;
 
 /// Options of `check`.
 #[derive(Args, Debug)]
 pub struct CheckArgs {
-    /// Settings of a VM, or a fleet configuration, in TOML. A file with a `[vm]` table is taken as settings.
+    /// Settings of a VM, or a fleet configuration, in TOML. A file with a `[vm]` table is taken as
+    /// settings, and with a `[store]` table as well as settings for the users' platform.
     file: PathBuf,
 }
 
@@ -18,7 +20,9 @@
     let file = args.file.display().to_string();
     let text =
         std::fs::read_to_string(&args.file).with_context(|| format!("cannot read {file}"))?;
-    let errors = if is_settings(&text) {
+    let errors = if has_table(&text, "vm") && has_table(&text, "store") {
+        check_platform_settings(&file, &text)
+    } else if has_table(&text, "vm") {
         check_settings(args)
     } else {
         check_fleet(&file, &text)
@@ -33,8 +37,22 @@
     Ok(())
 }
 
-fn is_settings(text: &str) -> bool {
-    text.lines().any(|line| line.trim() == "[vm]")
+fn has_table(text: &str, name: &str) -> bool {
+    let head = format!("[{name}]");
+    text.lines().any(|line| line.trim() == head)
+}
+
+/// Settings of a VM on the users' platform. What is unknown there is printed and is no error.
+fn check_platform_settings(file: &str, text: &str) -> Vec<String> {
+    match EdgeSettings::parse(file, text) {
+        Ok(settings) => {
+            for field in &settings.unknown {
+                println!("ignored: {field}");
+            }
+            Vec::new()
+        }
+        Err(problems) => problems.iter().map(ToString::to_string).collect(),
+    }
 }
 
 fn check_settings(args: &CheckArgs) -> Vec<String> {
--- a/src/commands/edge.rs
+++ b/src/commands/edge.rs
@@ -1,5 +1,6 @@
 //! `plantainmill serve --platform`: one VM on the users' platform.
 
+use super::serve::report_problems;
 use anyhow::Context as _;
 use plantainmill_edge::{EdgeSettings, EdgeVm};
 use plantainmill_logs::LogOutput;
@@ -17,7 +18,8 @@
 pub fn run(output: Option<LogOutput>) -> anyhow::Result<()> {
     let path = plantainmill_adapter::settings_path();
     let path = path.context("the platform names no settings file")?;
-    let settings = EdgeSettings::load(&path)?;
+    let settings = EdgeSettings::load(&path).map_err(|problems| report_problems(&problems))?;
+    log_unknown(&settings);
     actix_rt::System::new().block_on(serve(settings, &path, output))
 }
 
@@ -63,15 +65,25 @@
 /// Takes changed settings. Wrong ones change nothing.
 fn reload(vm: &EdgeVm, path: &Path) {
     match EdgeSettings::load(path) {
-        Ok(settings) => vm.reload(&settings),
-        Err(error) => {
-            let error = format!("{error:#}");
-            tracing::warn!(
-                event = "settings_refused",
-                error,
-                "the former settings stay in force"
-            );
+        Ok(settings) => {
+            log_unknown(&settings);
+            vm.reload(&settings);
         }
+        Err(problems) => {
+            for problem in problems {
+                tracing::warn!(
+                    event = "settings_refused",
+                    error = %problem,
+                    "the former settings stay in force"
+                );
+            }
+        }
+    }
+}
+
+fn log_unknown(settings: &EdgeSettings) {
+    for field in &settings.unknown {
+        tracing::info!(event = "setting_ignored", line = field.line, field = %field.field, reason = %field.reason);
     }
 }
 
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -28,7 +28,8 @@
     actix_rt::System::new().block_on(serve(settings))
 }
 
-fn report_problems(problems: &[SettingsProblem]) -> anyhow::Error {
+/// Prints every error of a settings file.
+pub fn report_problems(problems: &[SettingsProblem]) -> anyhow::Error {
     for problem in problems {
         eprintln!("{problem}");
     }
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -46,6 +46,26 @@
     assert!(output.contains("burst"), "{output}");
 }
 
+/// Guards against settings for the users' platform that are checked as others, and against unknown fields that are errors.
+#[test]
+fn platform_settings() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = directory.path().join("settings.toml");
+    let right = "[vm]\nid = \"v1\"\ndomain = \"a\"\nregion = \"r\"\nnew = 1\n[regions]\na = \"r\"\n[listen]\n\
+        callers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\ncontrol = \"127.0.0.1:3\"\npeers = \"127.0.0.1:3\"\n\
+        [store]\naddress = \"127.0.0.1:4\"\n";
+    std::fs::write(&path, right).expect("a file");
+    let name = path.to_str().expect("a path");
+    let (success, output) = run(&["check", name]);
+    assert!(success && output.contains("vm.new"), "{output}");
+    std::fs::write(&path, right.replace("127.0.0.1:4", "nowhere")).expect("a file");
+    let (success, output) = run(&["check", name]);
+    assert!(
+        !success && output.contains(":14: store.address"),
+        "{output}"
+    );
+}
+
 /// Guards against a VM that starts half when one of its ports is taken.
 #[test]
 fn port_in_use() {
