--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -6,7 +6,7 @@
 use plantainmill_stand_in::{StoreServer, VmPlan, WireFault};
 use rustix::process::Signal;
 use std::cell::{Cell, RefCell};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::process::ExitStatus;
 use std::rc::Rc;
@@ -17,6 +17,8 @@
 pub const KEY_TIME: Duration = Duration::from_secs(3);
 /// Time for a planned stop: the eight seconds of the settings, and the exit.
 const STOP_TIME: Duration = Duration::from_secs(9);
+/// Least time between the end of a process and its next start.
+const LEAST_DOWN_TIME: Duration = Duration::from_millis(200);
 /// Time between looks at the processes.
 const WATCH_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between the balancer's questions.
@@ -114,7 +116,8 @@
                 self.note_broken(broken);
             }
             vm.stops_since.set(None);
-            vm.restart_at.set(Some(now + vm.restart_delay.get()));
+            let delay = vm.restart_delay.get().max(LEAST_DOWN_TIME);
+            vm.restart_at.set(Some(now + delay));
         }
         let is_overdue = vm
             .stops_since
@@ -275,15 +278,9 @@
 ) -> anyhow::Result<SoakVm> {
     let store = StoreServer::on(store.rows.clone()).await;
     let store_link = LinkProxy::start(store.address).await?;
-    let plan = VmPlan {
-        id: format!("vm-{number}"),
-        callers: free_port(address)?,
-        readiness: free_port(address)?,
-        control: free_port(address)?,
-        peers: UdpSocket::bind((address, 0))?.local_addr()?,
-        store: store_link.address,
-        key_ms: u64::try_from(KEY_TIME.as_millis())?,
-    };
+    let id = format!("vm-{number}");
+    let key_ms = u64::try_from(KEY_TIME.as_millis())?;
+    let plan = VmPlan::on_free_ports(id, address, store_link.address, key_ms)?;
     Ok(SoakVm {
         callers: LinkProxy::start(plan.callers).await?,
         store_link,
@@ -308,10 +305,6 @@
     IpAddr::V4(Ipv4Addr::new(127, run | 1, high, last))
 }
 
-fn free_port(address: IpAddr) -> anyhow::Result<SocketAddr> {
-    Ok(TcpListener::bind((address, 0))?.local_addr()?)
-}
-
 /// Says what is wrong with the end of a process.
 fn check_end(id: &str, expected: ExpectedEnd, status: ExitStatus) -> Option<String> {
     let is_expected = match expected {
