Fair shares of organisations in the shared policy, and turns at slots that all VMs see fall free

Cause: while one organisation sends many times its usual, requests of the others waited behind it: first come, first served at each VM, and up to ten requests in a target's queue, since all VMs with waiting requests filled the slot that one report showed.

A threshold at two thirds of a VM's calls (trial): fair shares push the organisation below it.

Change: waiting requests are ordered by priority, by the calls of their organisation under way, by age; arrivals are tried in that order, too. VMs say whether online requests wait; a slot that a VM did not free itself is filled in turns. An organisation with more than half of a VM's online calls leaves one slot of each target. Priorities of organisations and routes reach the dispatcher.

Tests: `waiting_order`, `dominant_organisation`, `turns_at_free_slots`, `surge_of_one`.

--- a/crates/dispatch/benches/decisions.rs
+++ b/crates/dispatch/benches/decisions.rs
@@ -60,6 +60,7 @@
         wait_limit: None,
         service: "assistant".into(),
         organisation: Some("o0".into()),
+        priority: 0,
         class,
         prefix_hash,
         deadline: NOW + Duration::from_mins(1),
--- a/crates/dispatch/examples/dispatch_comparison/world.rs
+++ b/crates/dispatch/examples/dispatch_comparison/world.rs
@@ -186,6 +186,7 @@
             wait_limit: None,
             service: "assistant".into(),
             organisation: Some(format!("o{organisation}").into()),
+            priority: 0,
             class,
             prefix_hash: None,
             deadline: self.now + Duration::from_secs(wait),
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -24,6 +24,8 @@
     pub service: ServiceName,
     /// Organisation it runs for; absent on open routes.
     pub organisation: Option<OrganisationId>,
+    /// Rank among requests of the class that wait; zero goes first.
+    pub priority: u32,
     /// Class.
     pub class: TrafficClass,
     /// Hash of the prompt's start, for prefix affinity.
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -206,6 +206,8 @@
         let (sender, receiver) = oneshot::channel();
         let asked = LedgerRequest {
             service: request.service,
+            organisation: request.organisation,
+            priority: request.priority,
             class: request.class,
             prefix_hash: request.prefix_hash,
             deadline: request.deadline,
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -4,8 +4,10 @@
 use super::health::CallHealth;
 use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse};
 use crate::dispatcher::{CallOutcome, TrafficClass};
-use crate::rendezvous::score;
-use plantainmill_core::{DomainName, RegionName, ServiceName, TargetId, Uptime, VmId};
+use crate::rendezvous::{key_of, score};
+use plantainmill_core::{
+    DomainName, OrganisationId, RegionName, ServiceName, TargetId, Uptime, VmId,
+};
 use plantainmill_routing::TargetEntry;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -16,8 +18,16 @@
 
 /// Online requests that may wait at a target beyond its slots. A slot that falls free is taken without a round trip.
 const QUEUED_ONLINE: u32 = 2;
+/// Slots of each target that an organisation with most of this VM's online calls leaves to the others.
+const DOMINANT_RESERVE: u32 = 1;
+/// Calls from which an organisation counts as such. Fewer may be so by chance.
+const DOMINANT_CALLS: u32 = 6;
 /// Slots of each target that batch calls leave free, so that online requests seldom wait for a preemption.
 const BATCH_RESERVE: u32 = 1;
+/// Times by which turns are rarer than the VMs that take them, so that seldom two have the same turn.
+const TURN_SPREAD: u64 = 2;
+/// Length of a turn: after it, peers have heard who filled a slot.
+const TURN_TIME: Duration = Duration::from_millis(50);
 /// Longest wait of an online request for a slot, unless the request names one.
 const ONLINE_WAIT: Duration = Duration::from_millis(100);
 /// Shortest time after which a refused request is worth a repeat: one pass of short requests through the slots.
@@ -30,6 +40,10 @@
 pub struct LedgerRequest {
     /// Service to call.
     pub service: ServiceName,
+    /// Organisation it runs for, if any.
+    pub organisation: Option<OrganisationId>,
+    /// Rank among online requests that wait; zero goes first.
+    pub priority: u32,
     /// Class.
     pub class: TrafficClass,
     /// Hash of the prompt's shared part.
@@ -82,6 +96,7 @@
 #[derive(Debug)]
 struct RunningCall {
     target: TargetId,
+    organisation: Option<OrganisationId>,
     class: TrafficClass,
     granted_at: Uptime,
     is_preempted: bool,
@@ -102,6 +117,8 @@
     targets: BTreeMap<TargetId, LedgerTarget>,
     peers: PeerLoads,
     calls: HashMap<RequestNumber, RunningCall>,
+    /// Own online calls of each organisation.
+    running: HashMap<Option<OrganisationId>, u32>,
     online: Vec<WaitingRequest>,
     batch: Vec<WaitingRequest>,
     next_number: RequestNumber,
@@ -126,6 +143,7 @@
             targets: BTreeMap::new(),
             peers: PeerLoads::default(),
             calls: HashMap::new(),
+            running: HashMap::new(),
             online: Vec::new(),
             batch: Vec::new(),
             next_number: 0,
@@ -185,9 +203,8 @@
                     });
                     return (number, effects);
                 }
-                if !self.online.is_empty() || !self.grant_online(&waiting, now, &mut effects) {
-                    self.online.push(waiting);
-                }
+                self.online.push(waiting);
+                self.serve_online(now, None, &mut effects);
             }
             TrafficClass::Batch => {
                 self.batch.push(waiting);
@@ -217,6 +234,14 @@
         let Some(call) = self.calls.remove(&number) else {
             return Vec::new();
         };
+        if call.class == TrafficClass::Online
+            && let Some(count) = self.running.get_mut(&call.organisation)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(&call.organisation);
+            }
+        }
         if let Some(target) = self.targets.get_mut(&call.target) {
             target.health.note(outcome, now);
         }
@@ -224,7 +249,7 @@
             self.free_slot(&call.target, call.class);
         }
         let mut effects = Vec::new();
-        self.serve_online(now, &mut effects);
+        self.serve_online(now, Some(&call.target), &mut effects);
         effects
     }
 
@@ -239,7 +264,7 @@
         self.peers.hear(peer, load, now);
         let mut effects = Vec::new();
         self.preempt_for_peers(&mut effects);
-        self.serve_online(now, &mut effects);
+        self.serve_online(now, None, &mut effects);
         effects
     }
 
@@ -252,7 +277,7 @@
     pub fn tick(&mut self, now: Uptime) -> Vec<LedgerEffect> {
         self.peers.expire(now);
         let mut effects = Vec::new();
-        self.serve_online(now, &mut effects);
+        self.serve_online(now, None, &mut effects);
         self.serve_batch(now, &mut effects);
         effects
     }
@@ -267,6 +292,7 @@
         PeerLoad {
             slots: busy.map(|(id, target)| (id.clone(), target.own)).collect(),
             waiting_vms: u32::from(!self.batch.is_empty()),
+            crowded_vms: u32::from(!self.online.is_empty()),
         }
     }
 
@@ -294,10 +320,38 @@
         Some((known.entry.slots, slots))
     }
 
-    fn serve_online(&mut self, now: Uptime, effects: &mut Vec<LedgerEffect>) {
-        let mut waiting = std::mem::take(&mut self.online).into_iter();
-        for next in waiting.by_ref() {
-            if self.grant_online(&next, now, effects) {
+    /// Puts the waiting requests in order: by priority, then those of the organisations with the fewest calls of this
+    /// VM under way, then by age. So an organisation that sends many times its share waits for itself, not for others.
+    fn order_online(&mut self) {
+        let running = &self.running;
+        self.online.sort_by_cached_key(|waiting| {
+            let request = &waiting.request;
+            let own = running.get(&request.organisation).copied().unwrap_or(0);
+            (request.priority, own, waiting.since)
+        });
+    }
+
+    /// Whether the organisation of a request has most of this VM's online calls, so that others would wait behind it.
+    fn is_dominant(&self, request: &LedgerRequest) -> bool {
+        let own = self.running.get(&request.organisation);
+        let own = own.copied().unwrap_or(0);
+        let all: u32 = self.running.values().sum();
+        own >= DOMINANT_CALLS && own * 2 > all && own < all
+    }
+
+    /// Serves waiting requests. A slot that this VM has just `released` is its own to fill.
+    fn serve_online(
+        &mut self,
+        now: Uptime,
+        released: Option<&TargetId>,
+        effects: &mut Vec<LedgerEffect>,
+    ) {
+        if self.online.is_empty() {
+            return;
+        }
+        self.order_online();
+        for next in std::mem::take(&mut self.online) {
+            if self.grant_online(&next, now, released, effects) {
                 continue;
             }
             let limit = next.request.wait_limit.unwrap_or(ONLINE_WAIT);
@@ -325,24 +379,15 @@
         &mut self,
         waiting: &WaitingRequest,
         now: Uptime,
+        released: Option<&TargetId>,
         effects: &mut Vec<LedgerEffect>,
     ) -> bool {
         let request = &waiting.request;
+        let is_dominant = self.is_dominant(request);
         let candidates = self.candidates(request, |target, peers| {
-            let online = target.own.online + peers.online;
-            let total = online + target.own.batch + peers.batch;
-            let slots = target.entry.slots;
-            if target.health.is_paused(now) {
-                (total < slots).then_some(SlotState::Suspect)
-            } else if total < slots {
-                Some(SlotState::Free)
-            } else if online < slots && target.own.batch > 0 {
-                Some(SlotState::OwnBatch)
-            } else if online < slots {
-                Some(SlotState::PeerBatch)
-            } else {
-                (total < slots + QUEUED_ONLINE).then_some(SlotState::Queued)
-            }
+            let has_turn = released == Some(&target.entry.id) || self.has_turn(target, now);
+            let state = online_state(target, peers, is_dominant, now)?;
+            (has_turn || state == SlotState::OwnBatch).then_some(state)
         });
         let order = CandidateOrder {
             prefix_hash: request.prefix_hash,
@@ -360,6 +405,14 @@
         true
     }
 
+    /// Whether this VM may fill a slot of the target that any VM may fill. Where several VMs have waiting requests, all
+    /// see the same free slots at the same time, so they take turns by chance.
+    fn has_turn(&self, target: &LedgerTarget, now: Uptime) -> bool {
+        let sharers = 1 + TURN_SPREAD * u64::from(self.peers.crowded_vms());
+        let turn = u64::try_from(now.as_millis() / TURN_TIME.as_millis()).unwrap_or(0);
+        score(&self.vm, key_of(&target.entry.id) ^ turn).is_multiple_of(sharers)
+    }
+
     fn candidates(
         &self,
         request: &LedgerRequest,
@@ -405,10 +458,14 @@
         });
         let call = RunningCall {
             target: id.clone(),
+            organisation: waiting.request.organisation.clone(),
             class,
             granted_at: now,
             is_preempted: false,
         };
+        if class == TrafficClass::Online {
+            *self.running.entry(call.organisation.clone()).or_default() += 1;
+        }
         self.calls.insert(waiting.number, call);
     }
 
@@ -508,3 +565,29 @@
         true
     }
 }
+
+/// How a target can take an online request, if it can.
+fn online_state(
+    target: &LedgerTarget,
+    peers: SlotUse,
+    is_dominant: bool,
+    now: Uptime,
+) -> Option<SlotState> {
+    let online = target.own.online + peers.online;
+    let total = target.own.total() + peers.total();
+    let slots = target.entry.slots;
+    if is_dominant && online + DOMINANT_RESERVE >= slots {
+        return None;
+    }
+    if target.health.is_paused(now) {
+        return (total < slots).then_some(SlotState::Suspect);
+    }
+    if total < slots {
+        return Some(SlotState::Free);
+    }
+    match (online < slots, target.own.batch > 0) {
+        (true, true) => Some(SlotState::OwnBatch),
+        (true, false) => Some(SlotState::PeerBatch),
+        (false, _) => (total < slots + QUEUED_ONLINE).then_some(SlotState::Queued),
+    }
+}
--- a/crates/dispatch/src/shared/peers.rs
+++ b/crates/dispatch/src/shared/peers.rs
@@ -57,6 +57,9 @@
     pub slots: Vec<(TargetId, SlotUse)>,
     /// VMs with batch requests that wait for a slot.
     pub waiting_vms: u32,
+    /// VMs with online requests that wait for a slot.
+    #[serde(default)]
+    pub crowded_vms: u32,
 }
 
 /// Who reports calls.
@@ -129,6 +132,14 @@
             .sum()
     }
 
+    /// Number of peers that wait for online slots.
+    pub fn crowded_vms(&self) -> u32 {
+        self.heard
+            .values()
+            .map(|heard| heard.load.crowded_vms)
+            .sum()
+    }
+
     /// The calls of this VM's domain: those of the heard VMs and `own`.
     pub fn domain_load(&self, own: &PeerLoad) -> PeerLoad {
         let heard = self.heard.iter();
@@ -136,8 +147,10 @@
         let loads = near.map(|(_, heard)| &heard.load).chain([own]);
         let mut sums: BTreeMap<&TargetId, SlotUse> = BTreeMap::new();
         let mut waiting_vms = 0;
+        let mut crowded_vms = 0;
         for load in loads {
             waiting_vms += load.waiting_vms;
+            crowded_vms += load.crowded_vms;
             for (target, slots) in &load.slots {
                 let sum = sums.entry(target).or_default();
                 *sum = sum.plus(*slots);
@@ -149,6 +162,7 @@
                 .map(|(target, slots)| (target.clone(), slots))
                 .collect(),
             waiting_vms,
+            crowded_vms,
         }
     }
 
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -46,6 +46,8 @@
 fn request(class: TrafficClass) -> LedgerRequest {
     LedgerRequest {
         service: "llm".into(),
+        organisation: None,
+        priority: 0,
         class,
         prefix_hash: None,
         deadline: at(60_000),
@@ -87,6 +89,7 @@
     PeerLoad {
         slots: vec![(target.into(), SlotUse { online, batch })],
         waiting_vms: 0,
+        crowded_vms: 0,
     }
 }
 
@@ -301,3 +304,95 @@
     effects.extend(ledger.tick(at(20)));
     assert_eq!(granted(&effects), ["t1"]);
 }
+
+fn request_of(organisation: &str, priority: u32) -> LedgerRequest {
+    LedgerRequest {
+        organisation: Some(organisation.into()),
+        priority,
+        ..request(TrafficClass::Online)
+    }
+}
+
+/// Fills all places of the only target with calls of organisations `filling`, lets `waiting` wait, frees one place, and
+/// gives the position of the request that gets it.
+fn first_served(filling: &[&str], waiting: &[(&str, u32)]) -> Option<usize> {
+    let mut ledger = ledger("vm", &[("t1", "a")]);
+    let calls: Vec<u64> = filling
+        .iter()
+        .map(|organisation| ledger.request(request_of(organisation, 0), at(0)).0)
+        .collect();
+    let numbers: Vec<u64> = waiting
+        .iter()
+        .map(|(organisation, priority)| {
+            let (number, effects) = ledger.request(request_of(organisation, *priority), at(10));
+            assert_eq!(granted(&effects), Vec::<String>::new());
+            number
+        })
+        .collect();
+    let effects = ledger.release(calls[0], CallOutcome::Abandoned, at(20));
+    effects.iter().find_map(|effect| match effect {
+        LedgerEffect::Grant { number, .. } => numbers.iter().position(|known| known == number),
+        _ => None,
+    })
+}
+
+/// Guards against an organisation that gets slot after slot while others wait, and against ranks that change nothing.
+#[rstest]
+#[case::fewest_calls(&["x", "a", "a", "a", "b", "a"], &[("a", 0), ("b", 0)], 1)]
+#[case::oldest_of_equals(&["x", "a", "b", "a", "b", "x"], &[("b", 0), ("a", 0)], 0)]
+#[case::rank_first(&["x", "a", "a", "a", "b", "a"], &[("b", 1), ("a", 0)], 1)]
+fn waiting_order(
+    #[case] filling: &[&str],
+    #[case] waiting: &[(&str, u32)],
+    #[case] expected: usize,
+) {
+    assert_eq!(first_served(filling, waiting), Some(expected));
+}
+
+/// Guards against an organisation whose surge leaves no slot to others, and against slots that are left free when there
+/// is no other organisation.
+#[rstest]
+#[case::beside_another("b", 6)]
+#[case::alone("a", 7)]
+fn dominant_organisation(#[case] other: &str, #[case] expected: usize) {
+    let mut ledger = ledger("vm", &[("t1", "a"), ("t2", "a")]);
+    ledger.request(request_of(other, 0), at(0));
+    let grants = (0..7).filter(|_| {
+        let (_, effects) = ledger.request(request_of("a", 0), at(0));
+        !granted(&effects).is_empty()
+    });
+    assert_eq!(grants.count(), expected);
+    let (_, effects) = ledger.request(request_of("c", 0), at(1));
+    let is_free = !granted(&effects).is_empty();
+    assert!(is_free, "another organisation has to wait");
+}
+
+/// Guards against all VMs with waiting requests filling the one slot that they see fall free, and against VMs that wait
+/// for their turn at a slot that they have freed themselves.
+#[test]
+fn turns_at_free_slots() {
+    let mut filled = 0;
+    for number in 0..300 {
+        let mut ledger = ledger(&format!("vm{number}"), &[("t1", "a")]);
+        let mut load = peer_load("t1", SLOTS + 2, 0);
+        load.crowded_vms = 11;
+        ledger.hear(&vm("peers"), load.clone(), at(0));
+        assert_eq!(online(&mut ledger, 10), None);
+        load.slots[0].1.online = SLOTS - 1;
+        let effects = ledger.hear(&vm("peers"), load, at(20));
+        filled += granted(&effects).len();
+    }
+    // Twelve VMs wait, so a twelfth may fill it.
+    assert!(
+        (1..=25).contains(&filled),
+        "{filled} of 300 VMs filled the slot"
+    );
+    let mut ledger = ledger("vm", &[("t1", "a")]);
+    let (own, _) = ledger.request(request(TrafficClass::Online), at(0));
+    let mut load = peer_load("t1", SLOTS + 1, 0);
+    load.crowded_vms = 11;
+    ledger.hear(&vm("peers"), load, at(5));
+    assert_eq!(online(&mut ledger, 10), None);
+    let effects = ledger.release(own, CallOutcome::Abandoned, at(20));
+    assert_eq!(granted(&effects), ["t1"]);
+}
--- a/crates/dispatch/tests/all/support.rs
+++ b/crates/dispatch/tests/all/support.rs
@@ -55,6 +55,7 @@
         wait_limit: None,
         service: SERVICE.into(),
         organisation: Some(CompactString::from(organisation)),
+        priority: 0,
         class,
         prefix_hash: None,
         deadline: now + Duration::from_mins(1),
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -197,9 +197,14 @@
     })?;
     let wanted = read.head.deadline.unwrap_or(route.time_limit);
     let path = read.request.uri().path_and_query();
+    let own_priority = organisation.as_ref().and_then(|organisation| {
+        let rule = document.organisations.get(organisation)?;
+        rule.priority
+    });
     Ok(RelayCall {
         service,
         organisation,
+        priority: own_priority.unwrap_or(route.priority),
         class: TrafficClass::Online,
         method: read.request.method().clone(),
         path: path.map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -139,6 +139,7 @@
             id: self.item.id.clone(),
             service: service.clone(),
             organisation: Some(self.job.organisation.clone()),
+            priority: route.priority,
             class: TrafficClass::Batch,
             method: Method::POST,
             path: self.item.path.clone(),
--- a/crates/patterns/examples/load_patterns.rs
+++ b/crates/patterns/examples/load_patterns.rs
@@ -7,14 +7,18 @@
 
 fn main() {
     println!(
-        "| pattern | policy | online in time | late | lost | batch in time | idle while waiting, slot s | interrupted |"
+        "| pattern | policy | online in time | others in a surge | late | lost | batch in time | idle while waiting, slot s | interrupted |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for pattern in LoadPattern::all() {
         for kind in PolicyKind::ALL {
             let report = run_pattern(&pattern, kind, SEED);
+            let others = match report.others {
+                0 => "-".to_owned(),
+                _ => format!("{:.3}", report.others_share()),
+            };
             println!(
-                "| {} | {} | {:.3} | {} | {} | {:.3} | {} | {} |",
+                "| {} | {} | {:.3} | {others} | {} | {} | {:.3} | {} | {} |",
                 pattern.name,
                 kind.name(),
                 report.online_share(),
--- a/crates/patterns/src/lib.rs
+++ b/crates/patterns/src/lib.rs
@@ -9,7 +9,7 @@
 mod report;
 mod world;
 
-pub use pattern::{LoadPattern, PatternEvent};
+pub use pattern::{LoadPattern, LoadSurge, PatternEvent};
 pub use policy::PolicyKind;
 pub use report::PatternReport;
 pub use world::run_pattern;
--- a/crates/patterns/src/pattern.rs
+++ b/crates/patterns/src/pattern.rs
@@ -26,6 +26,17 @@
     },
 }
 
+/// A time in which one organisation sends more than usual.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadSurge {
+    /// Start, in milliseconds.
+    pub from: u64,
+    /// End, in milliseconds.
+    pub until: u64,
+    /// Online requests per second that the organisation sends beyond its usual ones.
+    pub online_per_s: f64,
+}
+
 /// A load.
 #[derive(Clone, Debug)]
 pub struct LoadPattern {
@@ -39,6 +50,8 @@
     pub batch_per_s: f64,
     /// Share of callers that leave after 100 ms.
     pub leaving: f64,
+    /// One organisation's surge.
+    pub surge: Option<LoadSurge>,
     /// What happens when, in milliseconds.
     pub events: Vec<(u64, PatternEvent)>,
 }
@@ -51,6 +64,7 @@
             swing: (0.383, 1.87),
             batch_per_s: 10.0,
             leaving: 0.0,
+            surge: None,
             events: Vec::new(),
         }
     }
@@ -94,6 +108,14 @@
                 leaving: 0.2,
                 ..LoadPattern::new("callers that leave early")
             },
+            LoadPattern {
+                surge: Some(LoadSurge {
+                    from: 8_000,
+                    until: 16_000,
+                    online_per_s: 200.0,
+                }),
+                ..steady("one organisation's surge", 5.0)
+            },
             with(
                 "VMs killed and back",
                 vec![
@@ -104,6 +126,12 @@
         ]
     }
 
+    /// The surge, if it is under way at `now`.
+    pub(crate) fn surge_at(&self, now: u64) -> Option<LoadSurge> {
+        self.surge
+            .filter(|surge| (surge.from..surge.until).contains(&now))
+    }
+
     /// Load at `now`, in times of the average: a peak of 2.4 s in every 5.8 s.
     pub(crate) fn swing_at(&self, now: u64) -> f64 {
         if now % 5_800 < 3_400 {
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -192,9 +192,15 @@
 }
 
 /// A request of a class.
-pub(crate) fn ledger_request(class: TrafficClass, deadline: Duration) -> LedgerRequest {
+pub(crate) fn ledger_request(
+    class: TrafficClass,
+    organisation: usize,
+    deadline: Duration,
+) -> LedgerRequest {
     LedgerRequest {
         service: "llm".into(),
+        organisation: Some(format!("o{organisation}").into()),
+        priority: 0,
         class,
         prefix_hash: None,
         deadline,
--- a/crates/patterns/src/report.rs
+++ b/crates/patterns/src/report.rs
@@ -11,6 +11,10 @@
     pub late: u64,
     /// Those refused or failed in the end.
     pub lost: u64,
+    /// Online requests that the other organisations sent during one organisation's surge.
+    pub others: u64,
+    /// Those with a first event within the objective.
+    pub others_in_time: u64,
     /// Batch items that were due within the run.
     pub items: u64,
     /// Those done when they were due.
@@ -28,6 +32,12 @@
         share(self.in_time, self.online)
     }
 
+    /// Requests of the other organisations in time during a surge, as a share.
+    #[must_use]
+    pub fn others_share(&self) -> f64 {
+        share(self.others_in_time, self.others)
+    }
+
     /// Batch items in time, as a share.
     #[must_use]
     pub fn batch_share(&self) -> f64 {
--- a/crates/patterns/src/world.rs
+++ b/crates/patterns/src/world.rs
@@ -17,6 +17,10 @@
 const VM_COUNT: usize = 12;
 const TARGET_COUNT: usize = 18;
 const SLOTS: u32 = 8;
+const ORGANISATIONS: usize = 8;
+/// An organisation with a large part of the usual requests.
+const LARGE_ORGANISATION: usize = 1;
+const LARGE_PART: f64 = 0.4;
 /// Length of a run and of a step, in milliseconds.
 const RUN_TIME: u64 = 34_000;
 const STEP: u64 = 5;
@@ -35,7 +39,8 @@
 struct Call {
     vm: usize,
     number: u64,
-    class: TrafficClass,
+    arrival: Arrival,
+    organisation: usize,
     arrived: u64,
     /// Work after the first event.
     left: u64,
@@ -43,7 +48,43 @@
     has_first: bool,
     /// It came back once after a refusal.
     returned: bool,
-    leaves: bool,
+}
+
+/// What arrives.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Arrival {
+    Online {
+        leaves: bool,
+        during_surge: bool,
+    },
+    /// Of the organisation that sends more than usual.
+    Surge,
+    Batch,
+}
+
+impl Arrival {
+    fn class(self) -> TrafficClass {
+        match self {
+            Arrival::Online { .. } | Arrival::Surge => TrafficClass::Online,
+            Arrival::Batch => TrafficClass::Batch,
+        }
+    }
+
+    /// The caller leaves early.
+    fn leaves(self) -> bool {
+        matches!(self, Arrival::Online { leaves: true, .. })
+    }
+
+    /// It comes from another organisation while one sends more than usual.
+    fn is_beside_surge(self) -> bool {
+        matches!(
+            self,
+            Arrival::Online {
+                during_surge: true,
+                ..
+            }
+        )
+    }
 }
 
 struct World {
@@ -74,10 +115,21 @@
         let step_s = Duration::from_millis(STEP).as_secs_f64();
         if random.random::<f64>() < pattern.online_per_s * swing * step_s {
             let leaves = random.random::<f64>() < pattern.leaving;
-            world.arrive(TrafficClass::Online, leaves, &mut random);
+            let during_surge = pattern.surge_at(world.now).is_some();
+            world.arrive(
+                Arrival::Online {
+                    leaves,
+                    during_surge,
+                },
+                &mut random,
+            );
+        }
+        let surge = pattern.surge_at(world.now);
+        if surge.is_some_and(|surge| random.random::<f64>() < surge.online_per_s * step_s) {
+            world.arrive(Arrival::Surge, &mut random);
         }
         if random.random::<f64>() < pattern.batch_per_s * step_s {
-            world.arrive(TrafficClass::Batch, false, &mut random);
+            world.arrive(Arrival::Batch, &mut random);
         }
         world.step();
     }
@@ -159,7 +211,7 @@
                 }
             }
             PatternEvent::BatchBurst { items } => {
-                (0..items).for_each(|_| self.arrive(TrafficClass::Batch, false, random));
+                (0..items).for_each(|_| self.arrive(Arrival::Batch, random));
             }
         }
     }
@@ -171,40 +223,45 @@
             .unwrap_or(0)
     }
 
-    fn arrive(&mut self, class: TrafficClass, leaves: bool, random: &mut SmallRng) {
+    fn arrive(&mut self, arrival: Arrival, random: &mut SmallRng) {
         let vm = self.live_vm(random.random_range(0..VM_COUNT));
-        let (left, counted) = match class {
-            TrafficClass::Online => (
-                random.random_range(ONLINE_TIME / 2..ONLINE_TIME * 3 / 2),
-                !leaves,
-            ),
-            TrafficClass::Batch => {
-                let is_due = self.now + BATCH_DUE < RUN_TIME;
-                self.report.items += u64::from(is_due);
-                (
-                    random.random_range(BATCH_TIME / 2..BATCH_TIME * 3 / 2),
-                    false,
-                )
+        let usual = match arrival.class() {
+            TrafficClass::Online => ONLINE_TIME,
+            TrafficClass::Batch => BATCH_TIME,
+        };
+        let left = random.random_range(usual / 2..usual * 3 / 2);
+        let organisation = match arrival {
+            Arrival::Surge => 0,
+            Arrival::Online { .. } | Arrival::Batch => {
+                // Some organisations are large.
+                let is_large = random.random_bool(LARGE_PART);
+                let first = if is_large { LARGE_ORGANISATION } else { 2 };
+                let last = if is_large { 2 } else { ORGANISATIONS };
+                random.random_range(first..last)
             }
         };
-        self.report.online += u64::from(counted);
+        let is_due = arrival == Arrival::Batch && self.now + BATCH_DUE < RUN_TIME;
+        self.report.items += u64::from(is_due);
+        let is_owed = arrival != Arrival::Batch && !arrival.leaves();
+        self.report.online += u64::from(is_owed);
+        self.report.others += u64::from(arrival.is_beside_surge());
         self.ask(Call {
             vm,
             number: 0,
-            class,
+            arrival,
+            organisation,
             arrived: self.now,
             left,
             target: None,
             has_first: false,
             returned: false,
-            leaves,
         });
     }
 
     /// Asks the policy of the call's VM for a slot.
     fn ask(&mut self, mut call: Call) {
         let vm = call.vm;
-        let deadline = match call.class {
+        let deadline = match call.arrival.class() {
             TrafficClass::Online => call.arrived + 5_000,
             TrafficClass::Batch => call.arrived + BATCH_DUE,
         };
@@ -212,7 +269,11 @@
         let Some(policy) = &mut self.policies[vm] else {
             return;
         };
-        let request = ledger_request(call.class, Duration::from_millis(deadline));
+        let request = ledger_request(
+            call.arrival.class(),
+            call.organisation,
+            Duration::from_millis(deadline),
+        );
         let (number, effects) = policy.request(request, now);
         self.next_call += 1;
         call.number = number;
@@ -288,10 +349,10 @@
         if let Some(target) = call.target {
             self.engines[target].cancel(id);
         }
-        if call.class == TrafficClass::Batch {
+        if call.arrival.class() == TrafficClass::Batch {
             call.vm = self.live_vm(call.vm);
             self.later.push((self.now + 2_000, call));
-        } else if !call.leaves && !call.has_first {
+        } else if !call.arrival.leaves() && !call.has_first {
             self.report.lost += 1;
         }
     }
@@ -302,7 +363,7 @@
             return;
         };
         if call.returned {
-            self.report.lost += u64::from(!call.leaves);
+            self.report.lost += u64::from(!call.arrival.leaves());
             return;
         }
         call.returned = true;
@@ -375,16 +436,21 @@
                 let Some(call) = self.calls.get_mut(&id) else {
                     return;
                 };
-                if call.class == TrafficClass::Online && !call.has_first && !call.leaves {
+                if call.arrival.class() == TrafficClass::Online
+                    && !call.has_first
+                    && !call.arrival.leaves()
+                {
                     let is_in_time = self.now - call.arrived <= OBJECTIVE;
                     self.report.in_time += u64::from(is_in_time);
+                    let is_other = is_in_time && call.arrival.is_beside_surge();
+                    self.report.others_in_time += u64::from(is_other);
                     self.report.late += u64::from(!is_in_time);
                 }
                 call.has_first = true;
             }
             EngineEvent::Done(id) => {
                 let Some(call) = self.remove(id) else { return };
-                if call.class == TrafficClass::Batch
+                if call.arrival.class() == TrafficClass::Batch
                     && call.arrived + BATCH_DUE < RUN_TIME
                     && self.now <= call.arrived + BATCH_DUE
                 {
@@ -401,7 +467,7 @@
         let gone = self
             .calls
             .iter()
-            .filter(|(_, call)| call.leaves && now >= call.arrived + LEAVE_TIME);
+            .filter(|(_, call)| call.arrival.leaves() && now >= call.arrived + LEAVE_TIME);
         let mut gone: Vec<CallId> = gone.map(|(id, _)| *id).collect();
         gone.sort_unstable();
         for id in gone {
--- a/crates/patterns/tests/load_patterns.rs
+++ b/crates/patterns/tests/load_patterns.rs
@@ -40,6 +40,31 @@
     }
 }
 
+/// Guards against one organisation that takes the slots of all others by sending many times its usual load: it bears the
+/// shortage that it makes.
+#[test]
+fn surge_of_one() {
+    let name = "one organisation's surge";
+    let shared = reports(name, PolicyKind::Shared);
+    for report in &shared {
+        assert!(report.others_share() > report.online_share(), "{report:?}");
+    }
+    for kind in [PolicyKind::Alone, PolicyKind::RandomTwo] {
+        for (report, baseline) in shared.iter().zip(reports(name, kind)) {
+            let (others, before) = (report.others_share(), baseline.others_share());
+            assert!(others > before, "{report:?} {baseline:?}");
+        }
+    }
+}
+
+/// Guards against others that are late during the surge although the slots suffice for them.
+#[test]
+fn others_in_a_surge() {
+    for report in reports("one organisation's surge", PolicyKind::Shared) {
+        assert!(report.others_share() >= ONLINE_BAR, "{report:?}");
+    }
+}
+
 /// Guards against a policy that is no better than one without knowledge of its peers, in any load.
 #[rstest]
 #[case("periodic peak")]
@@ -50,6 +75,7 @@
 #[case("rolling replacement")]
 #[case("callers that leave early")]
 #[case("VMs killed and back")]
+#[case("one organisation's surge")]
 fn against_baselines(#[case] name: &str) {
     let shared = reports(name, PolicyKind::Shared);
     for kind in [PolicyKind::Alone, PolicyKind::RandomTwo] {
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -124,6 +124,7 @@
             wait_limit: None,
             service: self.request.service.clone(),
             organisation: self.request.organisation.clone(),
+            priority: 0,
             class: self.request.class,
             prefix_hash: self.request.prefix_hash,
             deadline: self.request.deadline,
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -60,6 +60,8 @@
     pub service: ServiceName,
     /// Organisation it runs for; absent on public routes.
     pub organisation: Option<OrganisationId>,
+    /// Rank among waiting requests; zero goes first.
+    pub priority: u32,
     /// Class.
     pub class: TrafficClass,
     /// Method.
@@ -97,6 +99,7 @@
         TicketRequest {
             service: self.service.clone(),
             organisation: self.organisation.clone(),
+            priority: self.priority,
             class: self.class,
             prefix_hash: self.prefix_hash,
             deadline: self.deadline,
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -98,6 +98,7 @@
         id: "r1".into(),
         service: "llm".into(),
         organisation: Some("ward".into()),
+        priority: 0,
         class: TrafficClass::Online,
         method: Method::POST,
         path: "/ask/1?x=2".into(),
