An organisation dominates by the calls of all VMs, and leaves a quarter of the slots

Change: each report names its VM's busiest organisation with its calls; domains sum these up. An organisation with more than half of all online calls leaves a quarter of each target's slots.

--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -2,7 +2,7 @@
 
 use super::choice::{Candidate, CandidateOrder, PlaceMap, SlotState};
 use super::health::CallHealth;
-use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse};
+use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse, busiest_of};
 use crate::dispatcher::{CallOutcome, TrafficClass};
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{
@@ -18,8 +18,8 @@
 
 /// Online requests that may wait at a target beyond its slots. A slot that falls free is taken without a round trip.
 const QUEUED_ONLINE: u32 = 2;
-/// Slots of each target that an organisation with most of this VM's online calls leaves to the others.
-const DOMINANT_RESERVE: u32 = 1;
+/// Part of each target's slots that an organisation with most of the online calls leaves to the others: a quarter.
+const DOMINANT_RESERVE: u32 = 4;
 /// Calls from which an organisation counts as such. Fewer may be so by chance.
 const DOMINANT_CALLS: u32 = 6;
 /// Slots of each target that batch calls leave free, so that online requests seldom wait for a preemption.
@@ -289,10 +289,13 @@
             .targets
             .iter()
             .filter(|(_, target)| target.own.total() > 0);
+        let running = self.running.iter();
+        let running = running.filter_map(|(name, count)| Some((name.as_ref()?, *count)));
         PeerLoad {
             slots: busy.map(|(id, target)| (id.clone(), target.own)).collect(),
             waiting_vms: u32::from(!self.batch.is_empty()),
             crowded_vms: u32::from(!self.online.is_empty()),
+            busiest: busiest_of(running),
         }
     }
 
@@ -331,12 +334,17 @@
         });
     }
 
-    /// Whether the organisation of a request has most of this VM's online calls, so that others would wait behind it.
+    /// Whether the organisation of a request has most of the online calls of all VMs, so that others would wait behind it.
     fn is_dominant(&self, request: &LedgerRequest) -> bool {
+        let Some(organisation) = &request.organisation else {
+            return false;
+        };
         let own = self.running.get(&request.organisation);
         let own = own.copied().unwrap_or(0);
-        let all: u32 = self.running.values().sum();
-        own >= DOMINANT_CALLS && own * 2 > all && own < all
+        let (peers, all) = self.peers.online_of(organisation);
+        let count = own + peers;
+        let all = all + self.running.values().sum::<u32>();
+        count >= DOMINANT_CALLS && count * 2 > all && count < all
     }
 
     /// Serves waiting requests. A slot that this VM has just `released` is its own to fill.
@@ -576,7 +584,7 @@
     let online = target.own.online + peers.online;
     let total = target.own.total() + peers.total();
     let slots = target.entry.slots;
-    if is_dominant && online + DOMINANT_RESERVE >= slots {
+    if is_dominant && online + slots / DOMINANT_RESERVE >= slots {
         return None;
     }
     if target.health.is_paused(now) {
--- a/crates/dispatch/src/shared/peers.rs
+++ b/crates/dispatch/src/shared/peers.rs
@@ -2,8 +2,9 @@
 
 use crate::dispatcher::TrafficClass;
 use crate::rendezvous::{key_of, score};
-use plantainmill_core::{DomainName, TargetId, Uptime, VmId};
+use plantainmill_core::{DomainName, OrganisationId, TargetId, Uptime, VmId};
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -60,6 +61,17 @@
     /// VMs with online requests that wait for a slot.
     #[serde(default)]
     pub crowded_vms: u32,
+    /// The organisation with the most online requests, and their number.
+    #[serde(default)]
+    pub busiest: Option<(OrganisationId, u32)>,
+}
+
+/// The organisation with the most requests; the first one of equals.
+pub(super) fn busiest_of<'a>(
+    organisations: impl Iterator<Item = (&'a OrganisationId, u32)>,
+) -> Option<(OrganisationId, u32)> {
+    let busiest = organisations.max_by_key(|(name, count)| (*count, Reverse(*name)));
+    busiest.map(|(name, count)| (name.clone(), count))
 }
 
 /// Who reports calls.
@@ -140,6 +152,18 @@
             .sum()
     }
 
+    /// Online requests of all peers: those of `organisation` where it is a peer's busiest one, and all.
+    pub fn online_of(&self, organisation: &OrganisationId) -> (u32, u32) {
+        let loads = || self.heard.values().map(|heard| &heard.load);
+        let busiest = loads().filter_map(|load| load.busiest.as_ref());
+        let own = busiest.filter(|(busiest, _)| busiest == organisation);
+        let all = loads().flat_map(|load| &load.slots);
+        (
+            own.map(|(_, count)| count).sum(),
+            all.map(|(_, slots)| slots.online).sum(),
+        )
+    }
+
     /// The calls of this VM's domain: those of the heard VMs and `own`.
     pub fn domain_load(&self, own: &PeerLoad) -> PeerLoad {
         let heard = self.heard.iter();
@@ -148,7 +172,11 @@
         let mut sums: BTreeMap<&TargetId, SlotUse> = BTreeMap::new();
         let mut waiting_vms = 0;
         let mut crowded_vms = 0;
+        let mut organisations: BTreeMap<&OrganisationId, u32> = BTreeMap::new();
         for load in loads {
+            if let Some((organisation, count)) = &load.busiest {
+                *organisations.entry(organisation).or_default() += count;
+            }
             waiting_vms += load.waiting_vms;
             crowded_vms += load.crowded_vms;
             for (target, slots) in &load.slots {
@@ -163,6 +191,7 @@
                 .collect(),
             waiting_vms,
             crowded_vms,
+            busiest: busiest_of(organisations.into_iter()),
         }
     }
 
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -90,6 +90,7 @@
         slots: vec![(target.into(), SlotUse { online, batch })],
         waiting_vms: 0,
         crowded_vms: 0,
+        busiest: None,
     }
 }
 
@@ -396,3 +397,32 @@
     let effects = ledger.release(own, CallOutcome::Abandoned, at(20));
     assert_eq!(granted(&effects), ["t1"]);
 }
+
+/// Guards against an organisation that each VM takes for a small one, because its calls are spread over all VMs.
+#[rstest]
+#[case::most_of_all(Some(("a", 7)), false)]
+#[case::half_of_all(Some(("a", 5)), true)]
+#[case::another_one(Some(("b", 7)), true)]
+#[case::unknown(None, true)]
+fn dominant_over_all_vms(#[case] busiest: Option<(&str, u32)>, #[case] is_granted: bool) {
+    let mut ledger = ledger("vm", &[("t1", "a"), ("t2", "a"), ("t3", "a")]);
+    let full = SLOTS - 1;
+    let load = PeerLoad {
+        slots: ["t1", "t2", "t3"]
+            .map(|target| {
+                (
+                    target.into(),
+                    SlotUse {
+                        online: full,
+                        batch: 0,
+                    },
+                )
+            })
+            .into(),
+        busiest: busiest.map(|(name, count)| (name.into(), count)),
+        ..PeerLoad::default()
+    };
+    ledger.hear(&vm("peer"), load, at(0));
+    let (_, effects) = ledger.request(request_of("a", 0), at(1));
+    assert_eq!(!granted(&effects).is_empty(), is_granted);
+}
