--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -127,6 +127,7 @@
         loop {
             sleep(TICK_INTERVAL).await;
             self.state.dispatcher.tick();
+            self.state.note_readiness();
         }
     }
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -48,6 +48,8 @@
     /// Notified when the document or the targets changed.
     pub changed: Notify,
     pub leaving: Cell<bool>,
+    /// Whether the balancer was last told that this VM is ready, or would have been.
+    pub was_ready: Cell<bool>,
     pub flights: FlightCounter,
 }
 
@@ -95,6 +97,21 @@
         self.document_age().is_some_and(|age| age < limit)
     }
 
+    /// Logs when readiness changes, with what decides it.
+    pub fn note_readiness(&self) {
+        let is_ready = self.is_ready();
+        if self.was_ready.replace(is_ready) != is_ready {
+            tracing::info!(
+                event = "readiness_changed",
+                is_ready,
+                document_version = self.view.version(),
+                document_age_ms = self.document_age().map(|age| age.as_millis()),
+                targets_age_ms = self.targets_age().map(|age| age.as_millis()),
+                leaving = self.leaving.get(),
+            );
+        }
+    }
+
     /// Whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
         let limit = self.bounds.get().key_time.mul_f64(READY_PART);
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -205,6 +205,7 @@
         is_reader: Cell::new(true),
         changed: Notify::new(),
         leaving: Cell::new(false),
+        was_ready: Cell::new(false),
         flights: FlightCounter::default(),
     })
 }
