--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -30,6 +30,10 @@
     LoseAnswer,
     /// Answers with the id of another request.
     CrossAnswer,
+    /// Answers without a length: the body ends with the connection.
+    Unframed,
+    /// The same, with a connection that is reset after this event.
+    UnframedReset(u64),
 }
 
 /// A request as the target saw it.
@@ -197,7 +201,12 @@
         last: u64,
         act: TargetAct,
     ) -> io::Result<bool> {
-        let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+        let is_framed = !matches!(act, TargetAct::Unframed | TargetAct::UnframedReset(_));
+        let framing = if is_framed {
+            "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
+        } else {
+            "content-type: text/event-stream\r\nconnection: close\r\n"
+        };
         stream
             .write_all(self.head(200, id, "", framing).as_bytes())
             .await?;
@@ -217,14 +226,24 @@
                     stream.read_to_end(&mut rest).await?;
                     return Ok(false);
                 }
+                TargetAct::UnframedReset(after) if number > after => {
+                    stream.set_zero_linger()?;
+                    return Ok(false);
+                }
                 TargetAct::Skip(skipped) if number == skipped => continue,
                 _ => {}
             }
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            let chunk = if is_framed {
+                format!("{:x}\r\n{event}\r\n", event.len())
+            } else {
+                event
+            };
             stream.write_all(chunk.as_bytes()).await?;
         }
-        stream.write_all(b"0\r\n\r\n").await?;
-        Ok(true)
+        if is_framed {
+            stream.write_all(b"0\r\n\r\n").await?;
+        }
+        Ok(is_framed)
     }
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod limits;
 pub mod relay;
 
+mod answer_head;
 mod body;
 mod context;
 mod exchange;
--- a/crates/proxy/src/transport.rs
+++ b/crates/proxy/src/transport.rs
@@ -1,5 +1,6 @@
 //! The HTTP client of a thread, on connections that report a cut as an error.
 
+use crate::answer_head::AnswerHead;
 use crate::limits::CONNECT_TIMEOUT;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::fn_service;
@@ -14,14 +15,17 @@
 /// Time that an idle connection to a target is kept; below the 75 s after which servers usually close it.
 const KEEP_ALIVE: Duration = Duration::from_secs(15);
 
+/// Read at once while a head is awaited, in bytes: heads are a few hundred.
+const PART_BYTES: usize = 4 << 10;
+
 /// A connection whose end is an error.
 ///
-/// `awc` takes the end of a connection for the end of a body, even of a chunked one that has no last chunk. As a
-/// body without a length cannot be told from a cut one, a connection that ends while an answer is read is always
-/// a failure.
+/// `awc` takes the end of a connection for the end of a body, even of a chunked one that has no last chunk. So the end is
+/// always an error here, and whoever reads a body without a length takes it for the end of that body.
 #[derive(Debug)]
 pub(crate) struct StrictStream {
     inner: TcpStream,
+    head: AnswerHead,
 }
 
 impl AsyncRead for StrictStream {
@@ -30,6 +34,23 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        loop {
+            if let Some(taken) = self.head.take(buffer.remaining()) {
+                buffer.put_slice(&taken);
+                return Poll::Ready(Ok(()));
+            }
+            if !self.head.is_expected() {
+                break;
+            }
+            let mut part = [0; PART_BYTES];
+            let mut part = ReadBuf::new(&mut part);
+            ready!(Pin::new(&mut self.inner).poll_read(context, &mut part))?;
+            if part.filled().is_empty() {
+                self.head.release();
+            } else {
+                self.head.push(part.filled());
+            }
+        }
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
         let is_end = buffer.filled().len() == filled && buffer.remaining() > 0;
@@ -46,6 +67,7 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.head.note_write(buffer);
         Pin::new(&mut self.inner).poll_write(context, buffer)
     }
 
@@ -101,6 +123,9 @@
         .await
         .map_err(ConnectError::Io)?;
     inner.set_nodelay(true).map_err(ConnectError::Io)?;
-    let stream = StrictStream { inner };
+    let stream = StrictStream {
+        inner,
+        head: AnswerHead::default(),
+    };
     Ok(Connection::new(info.request().clone(), stream))
 }
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -191,6 +191,43 @@
     assert_eq!(fleet.sends(), 1);
 }
 
+/// Guards against answers without a length that are lost, and against a reset one that looks complete: streams, whole
+/// answers, and requests on connections that were used before.
+#[rstest]
+#[case::whole_stream(TargetAct::Unframed, true, None)]
+#[case::whole_answer(TargetAct::Unframed, false, None)]
+#[case::reset_stream(TargetAct::UnframedReset(3), true, Some(3))]
+#[case::reset_answer(TargetAct::UnframedReset(3), false, Some(0))]
+#[actix_rt::test]
+async fn answer_without_length(
+    #[case] act: TargetAct,
+    #[case] is_stream: bool,
+    #[case] cut_after: Option<u64>,
+) {
+    let fleet = Fleet::start(1).await;
+    let once = RelayCall {
+        is_stream,
+        ..call(false)
+    };
+    read_answer(&fleet, once.clone()).await.expect("an answer");
+    for target in &fleet.targets {
+        target.set_pause(Duration::from_millis(10));
+    }
+    fleet.plan_first(act);
+    let answer = read_answer(&fleet, once.clone()).await;
+    match cut_after {
+        None => assert_eq!(answer.expect("an answer"), (all_events(), None)),
+        Some(0) => assert!(answer.is_err()),
+        Some(last) => {
+            let (ids, problem) = answer.expect("an answer");
+            assert_eq!(ids, (1..=last).collect::<Vec<_>>());
+            assert!(problem.is_some());
+        }
+    }
+    let (ids, problem) = read_answer(&fleet, once).await.expect("an answer");
+    assert_eq!((ids, problem), (all_events(), None));
+}
+
 /// Guards against a cut stream that looks complete, where it may not go on.
 #[actix_rt::test]
 async fn cut_is_seen() {
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -158,13 +158,15 @@
 }
 
 fn draw_act(random: &mut SmallRng) -> TargetAct {
-    match random.random_range(0..7) {
+    match random.random_range(0..9) {
         0 => TargetAct::CutAfter(random.random_range(0..5)),
         1 => TargetAct::SilentAfter(random.random_range(0..5)),
         2 => TargetAct::Skip(random.random_range(1..5)),
         3 => TargetAct::Refuse,
         4 => TargetAct::Fail(500),
         5 => TargetAct::LoseAnswer,
+        6 => TargetAct::Unframed,
+        7 => TargetAct::UnframedReset(random.random_range(0..5)),
         _ => TargetAct::CrossAnswer,
     }
 }
