Names and sums of the shared loads; results decoded once in the stand-in

Change: online calls are summed up when a report comes; `batch_waiting_vms`, `online_waiting_vms`; results of jobs are decoded in the stand-in. No decision changes.

--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -18,8 +18,8 @@
 
 /// Online requests that may wait at a target beyond its slots. A slot that falls free is taken without a round trip.
 const QUEUED_ONLINE: u32 = 2;
-/// Part of each target's slots that an organisation with most of the online calls leaves to the others: a quarter.
-const DOMINANT_RESERVE: u32 = 4;
+/// An organisation with most of the online calls leaves one in so many slots of each target to the others.
+const DOMINANT_RESERVE_PART: u32 = 4;
 /// Calls from which an organisation counts as such. Fewer may be so by chance.
 const DOMINANT_CALLS: u32 = 6;
 /// Slots of each target that batch calls leave free, so that online requests seldom wait for a preemption.
@@ -234,14 +234,7 @@
         let Some(call) = self.calls.remove(&number) else {
             return Vec::new();
         };
-        if call.class == TrafficClass::Online
-            && let Some(count) = self.running.get_mut(&call.organisation)
-        {
-            *count -= 1;
-            if *count == 0 {
-                self.running.remove(&call.organisation);
-            }
-        }
+        self.end_running(&call);
         if let Some(target) = self.targets.get_mut(&call.target) {
             target.health.note(outcome, now);
         }
@@ -253,6 +246,17 @@
         effects
     }
 
+    fn end_running(&mut self, call: &RunningCall) {
+        if call.class == TrafficClass::Online
+            && let Some(count) = self.running.get_mut(&call.organisation)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(&call.organisation);
+            }
+        }
+    }
+
     fn free_slot(&mut self, target: &TargetId, class: TrafficClass) {
         if let Some(target) = self.targets.get_mut(target) {
             target.own.remove(class);
@@ -293,8 +297,8 @@
         let running = running.filter_map(|(name, count)| Some((name.as_ref()?, *count)));
         PeerLoad {
             slots: busy.map(|(id, target)| (id.clone(), target.own)).collect(),
-            waiting_vms: u32::from(!self.batch.is_empty()),
-            crowded_vms: u32::from(!self.online.is_empty()),
+            batch_waiting_vms: u32::from(!self.batch.is_empty()),
+            online_waiting_vms: u32::from(!self.online.is_empty()),
             busiest: busiest_of(running),
         }
     }
@@ -416,7 +420,7 @@
     /// Whether this VM may fill a slot of the target that any VM may fill. Where several VMs have waiting requests, all
     /// see the same free slots at the same time, so they take turns by chance.
     fn has_turn(&self, target: &LedgerTarget, now: Uptime) -> bool {
-        let sharers = 1 + TURN_SPREAD * u64::from(self.peers.crowded_vms());
+        let sharers = 1 + TURN_SPREAD * u64::from(self.peers.online_waiting_vms());
         let turn = u64::try_from(now.as_millis() / TURN_TIME.as_millis()).unwrap_or(0);
         score(&self.vm, key_of(&target.entry.id) ^ turn).is_multiple_of(sharers)
     }
@@ -541,7 +545,7 @@
                 (target.entry.slots.saturating_sub(BATCH_RESERVE)).saturating_sub(used)
             })
             .sum();
-        let sharers = 1 + self.peers.waiting_vms();
+        let sharers = 1 + self.peers.batch_waiting_vms();
         usize::try_from(free.div_ceil(sharers)).unwrap_or(0)
     }
 
@@ -584,7 +588,7 @@
     let online = target.own.online + peers.online;
     let total = target.own.total() + peers.total();
     let slots = target.entry.slots;
-    if is_dominant && online + slots / DOMINANT_RESERVE >= slots {
+    if is_dominant && online + slots / DOMINANT_RESERVE_PART >= slots {
         return None;
     }
     if target.health.is_paused(now) {
--- a/crates/dispatch/src/shared/peers.rs
+++ b/crates/dispatch/src/shared/peers.rs
@@ -57,10 +57,10 @@
     /// Requests by target.
     pub slots: Vec<(TargetId, SlotUse)>,
     /// VMs with batch requests that wait for a slot.
-    pub waiting_vms: u32,
+    pub batch_waiting_vms: u32,
     /// VMs with online requests that wait for a slot.
     #[serde(default)]
-    pub crowded_vms: u32,
+    pub online_waiting_vms: u32,
     /// The organisation with the most online requests, and their number.
     #[serde(default)]
     pub busiest: Option<(OrganisationId, u32)>,
@@ -94,6 +94,8 @@
 pub(super) struct PeerLoads {
     heard: HashMap<LoadSource, HeardLoad>,
     sums: HashMap<TargetId, SlotUse>,
+    /// Online requests at all targets.
+    online: u32,
 }
 
 impl PeerLoads {
@@ -129,6 +131,7 @@
             let sum = self.sums.entry(target.clone()).or_default();
             *sum = sum.plus(*slots);
         }
+        self.online = self.sums.values().map(|slots| slots.online).sum();
     }
 
     /// What all peers run at `target`.
@@ -137,31 +140,27 @@
     }
 
     /// Number of peers that wait for batch slots.
-    pub fn waiting_vms(&self) -> u32 {
+    pub fn batch_waiting_vms(&self) -> u32 {
         self.heard
             .values()
-            .map(|heard| heard.load.waiting_vms)
+            .map(|heard| heard.load.batch_waiting_vms)
             .sum()
     }
 
     /// Number of peers that wait for online slots.
-    pub fn crowded_vms(&self) -> u32 {
+    pub fn online_waiting_vms(&self) -> u32 {
         self.heard
             .values()
-            .map(|heard| heard.load.crowded_vms)
+            .map(|heard| heard.load.online_waiting_vms)
             .sum()
     }
 
     /// Online requests of all peers: those of `organisation` where it is a peer's busiest one, and all.
     pub fn online_of(&self, organisation: &OrganisationId) -> (u32, u32) {
-        let loads = || self.heard.values().map(|heard| &heard.load);
-        let busiest = loads().filter_map(|load| load.busiest.as_ref());
+        let loads = self.heard.values().map(|heard| &heard.load);
+        let busiest = loads.filter_map(|load| load.busiest.as_ref());
         let own = busiest.filter(|(busiest, _)| busiest == organisation);
-        let all = loads().flat_map(|load| &load.slots);
-        (
-            own.map(|(_, count)| count).sum(),
-            all.map(|(_, slots)| slots.online).sum(),
-        )
+        (own.map(|(_, count)| count).sum(), self.online)
     }
 
     /// The calls of this VM's domain: those of the heard VMs and `own`.
@@ -170,15 +169,15 @@
         let near = heard.filter(|(source, _)| matches!(source, LoadSource::Vm(_)));
         let loads = near.map(|(_, heard)| &heard.load).chain([own]);
         let mut sums: BTreeMap<&TargetId, SlotUse> = BTreeMap::new();
-        let mut waiting_vms = 0;
-        let mut crowded_vms = 0;
+        let mut batch_waiting_vms = 0;
+        let mut online_waiting_vms = 0;
         let mut organisations: BTreeMap<&OrganisationId, u32> = BTreeMap::new();
         for load in loads {
             if let Some((organisation, count)) = &load.busiest {
                 *organisations.entry(organisation).or_default() += count;
             }
-            waiting_vms += load.waiting_vms;
-            crowded_vms += load.crowded_vms;
+            batch_waiting_vms += load.batch_waiting_vms;
+            online_waiting_vms += load.online_waiting_vms;
             for (target, slots) in &load.slots {
                 let sum = sums.entry(target).or_default();
                 *sum = sum.plus(*slots);
@@ -189,8 +188,8 @@
                 .into_iter()
                 .map(|(target, slots)| (target.clone(), slots))
                 .collect(),
-            waiting_vms,
-            crowded_vms,
+            batch_waiting_vms,
+            online_waiting_vms,
             busiest: busiest_of(organisations.into_iter()),
         }
     }
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -88,8 +88,8 @@
 fn peer_load(target: &str, online: u32, batch: u32) -> PeerLoad {
     PeerLoad {
         slots: vec![(target.into(), SlotUse { online, batch })],
-        waiting_vms: 0,
-        crowded_vms: 0,
+        batch_waiting_vms: 0,
+        online_waiting_vms: 0,
         busiest: None,
     }
 }
@@ -376,7 +376,7 @@
     for number in 0..300 {
         let mut ledger = ledger(&format!("vm{number}"), &[("t1", "a")]);
         let mut load = peer_load("t1", SLOTS + 2, 0);
-        load.crowded_vms = 11;
+        load.online_waiting_vms = 11;
         ledger.hear(&vm("peers"), load.clone(), at(0));
         assert_eq!(online(&mut ledger, 10), None);
         load.slots[0].1.online = SLOTS - 1;
@@ -391,7 +391,7 @@
     let mut ledger = ledger("vm", &[("t1", "a")]);
     let (own, _) = ledger.request(request(TrafficClass::Online), at(0));
     let mut load = peer_load("t1", SLOTS + 1, 0);
-    load.crowded_vms = 11;
+    load.online_waiting_vms = 11;
     ledger.hear(&vm("peers"), load, at(5));
     assert_eq!(online(&mut ledger, 10), None);
     let effects = ledger.release(own, CallOutcome::Abandoned, at(20));
--- a/crates/soak/src/promise_checks.rs
+++ b/crates/soak/src/promise_checks.rs
@@ -185,13 +185,15 @@
             broken.push(format!("job {id}: items without a result: {missing:?}"));
         }
         for result in job.results.values() {
-            if result.state != "succeeded" || result.output != whole {
+            if !result.succeeded || result.output != whole {
                 let JobResult {
                     item,
-                    state,
+                    succeeded,
                     output,
                 } = result;
-                broken.push(format!("job {id}: item {item} is {state} with {output:?}"));
+                broken.push(format!(
+                    "job {id}: item {item} ended with {output:?}, succeeded: {succeeded}"
+                ));
             }
         }
     }
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -73,7 +73,8 @@
         folder: &Path,
         store: &StoreServer,
         records: SharedRecords,
-        (seed, count): (u64, usize),
+        seed: u64,
+        count: usize,
     ) -> anyhow::Result<SoakFleet> {
         let address = run_address(seed);
         let mut vms = Vec::new();
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -100,7 +100,8 @@
         &options.folder,
         &store,
         Rc::clone(&records),
-        (options.seed, VMS),
+        options.seed,
+        VMS,
     )
     .await?;
     let load = CallerLoad::new(fleet.clone(), Rc::clone(&records), keys);
--- a/crates/soak/tests/broken_promises.rs
+++ b/crates/soak/tests/broken_promises.rs
@@ -43,7 +43,7 @@
 fn job(start: Instant, items: &[&str], output: &str) -> JobRecord {
     let results = items.iter().map(|item| JobResult {
         item: (*item).to_owned(),
-        state: "succeeded".to_owned(),
+        succeeded: true,
         output: output.to_owned(),
     });
     JobRecord {
@@ -91,7 +91,7 @@
 }, "without a result")]
 #[case::wrong_output(|records: &mut RunRecords, start: Instant| {
     records.jobs.insert("j1".to_owned(), job(start, &["e1", "e2"], "piece 1"));
-}, "is succeeded with")]
+}, "ended with")]
 #[case::after_the_drain(|records: &mut RunRecords, start: Instant| {
     records.draining.insert("i-1".to_owned(), start);
     records.runs[0].at = start + Duration::from_secs(3);
