The soak lists the faults of a seed, and runs a seed with pauses and kills with the tests

Ruled out: a test of its own for a frozen VM: the soak pauses processes and checks every promise afterwards.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,4 +17,4 @@
 pub use fault_plan::SoakProfile;
 pub use plantainmill_stand_in::JobResult;
 pub use promise_checks::check_promises;
-pub use soak_run::{SoakOptions, SoakReport, run_seed};
+pub use soak_run::{SoakOptions, SoakReport, list_faults, run_seed};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::{Context as _, bail, ensure};
 use clap::Parser;
-use plantainmill_soak::{SoakOptions, SoakProfile, SoakReport, run_seed};
+use plantainmill_soak::{SoakOptions, SoakProfile, SoakReport, list_faults, run_seed};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode};
 use std::time::Duration;
@@ -26,6 +26,9 @@
     /// Runs at a time.
     #[arg(long, default_value_t = 2)]
     jobs: usize,
+    /// Print the faults of the first seed instead: start, length, fault.
+    #[arg(long)]
+    list: bool,
     /// Folder in which the logs of failed runs are kept.
     #[arg(long, default_value = "target/soak")]
     keep: PathBuf,
@@ -42,6 +45,12 @@
 }
 
 fn run(args: &SoakArgs) -> anyhow::Result<()> {
+    if args.list {
+        for fault in list_faults(args.first, Duration::from_secs(args.seconds)) {
+            println!("{fault}");
+        }
+        return Ok(());
+    }
     if args.count == 1 {
         return run_one(args);
     }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -80,6 +80,17 @@
     pub faults: usize,
 }
 
+/// The faults of a seed, one line each.
+#[must_use]
+pub fn list_faults(seed: u64, time: Duration) -> Vec<String> {
+    let faults = draw_faults(seed, SoakProfile::of_seed(seed), time, VMS, TARGETS);
+    let lines = faults.into_iter().map(|planned| {
+        let PlannedFault { at, lasts, fault } = planned;
+        format!("{at:>9.3?} {lasts:>8.3?} {fault:?}")
+    });
+    lines.collect()
+}
+
 /// Runs one seed.
 ///
 /// # Errors
--- a/tests/all/short_soak.rs
+++ b/tests/all/short_soak.rs
@@ -10,6 +10,7 @@
 #[rstest]
 #[case::planned_work(4)]
 #[case::troubles(1)]
+#[case::pauses_and_kills(41)]
 fn kept_promises(#[case] seed: u64) {
     let folder = tempfile::tempdir().expect("a folder for settings and logs");
     let options = SoakOptions {
