The test of a reset answer allows what a reset does to bytes that were not read yet

The trace: "the stream was cut before its first event: Connection reset by peer". TCP drops received bytes that were not read when a reset arrives, so on a busy machine the events before it may be gone. Ruled out: a fault of the transport: an error came, nothing was taken for whole, and no event was wrong. Change: the case expects a cut with any first part of the events, in order, or an error that promises nothing. Conclusion: the check was wrong about what a reset leaves; whole answers are checked as before.

--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -194,16 +194,12 @@
 /// Guards against answers without a length that are lost, and against a reset one that looks complete: streams, whole
 /// answers, and requests on connections that were used before.
 #[rstest]
-#[case::whole_stream(TargetAct::Unframed, true, None)]
-#[case::whole_answer(TargetAct::Unframed, false, None)]
-#[case::reset_stream(TargetAct::UnframedReset(3), true, Some(3))]
-#[case::reset_answer(TargetAct::UnframedReset(3), false, Some(0))]
+#[case::whole_stream(TargetAct::Unframed, true)]
+#[case::whole_answer(TargetAct::Unframed, false)]
+#[case::reset_stream(TargetAct::UnframedReset(3), true)]
+#[case::reset_answer(TargetAct::UnframedReset(3), false)]
 #[actix_rt::test]
-async fn answer_without_length(
-    #[case] act: TargetAct,
-    #[case] is_stream: bool,
-    #[case] cut_after: Option<u64>,
-) {
+async fn answer_without_length(#[case] act: TargetAct, #[case] is_stream: bool) {
     let fleet = Fleet::start(1).await;
     let once = RelayCall {
         is_stream,
@@ -215,14 +211,17 @@
     }
     fleet.plan_first(act);
     let answer = read_answer(&fleet, once.clone()).await;
-    match cut_after {
-        None => assert_eq!(answer.expect("an answer"), (all_events(), None)),
-        Some(0) => assert!(answer.is_err()),
-        Some(last) => {
-            let (ids, problem) = answer.expect("an answer");
-            assert_eq!(ids, (1..=last).collect::<Vec<_>>());
+    match (act, answer) {
+        (TargetAct::Unframed, answer) => {
+            assert_eq!(answer.expect("an answer"), (all_events(), None));
+        }
+        // A reset may take with it what came before and was not read yet.
+        (_, Ok((ids, problem))) => {
+            assert!(is_stream && ids.len() <= 3, "{ids:?}");
+            assert_eq!(ids, all_events()[..ids.len()]);
             assert!(problem.is_some());
         }
+        (_, Err(problem)) => assert_eq!(problem.executed, Executed::Unknown),
     }
     let (ids, problem) = read_answer(&fleet, once).await.expect("an answer");
     assert_eq!((ids, problem), (all_events(), None));
