Rename the filter of answers' heads: the crate has an AnswerHead already

Cause: the read of the diff: two types of one name in one crate. Ruled out: renaming the older one, which the rest of the crate uses. Change: HeadFilter in head_filter.rs. Nothing else.

--- a/crates/proxy/src/answer_head.rs
+++ b/crates/proxy/src/head_filter.rs
@@ -14,7 +14,7 @@
 
 /// Holds back the head of an answer until it is whole.
 #[derive(Debug, Default)]
-pub(crate) enum AnswerHead {
+pub(crate) enum HeadFilter {
     /// No answer is expected, or its body arrives.
     #[default]
     Passed,
@@ -24,25 +24,25 @@
     Released(BytesMut),
 }
 
-impl AnswerHead {
+impl HeadFilter {
     /// Takes what is written to the connection. A request starts the wait for a head.
     pub fn note_write(&mut self, written: &[u8]) {
-        if matches!(self, AnswerHead::Passed) && starts_request(written) {
-            *self = AnswerHead::Expected {
+        if matches!(self, HeadFilter::Passed) && starts_request(written) {
+            *self = HeadFilter::Expected {
                 held: BytesMut::new(),
                 start: 0,
             };
         }
     }
 
-    /// Whether what is read has to be given to [`AnswerHead::push`].
+    /// Whether what is read has to be given to [`HeadFilter::push`].
     pub fn is_expected(&self) -> bool {
-        matches!(self, AnswerHead::Expected { .. })
+        matches!(self, HeadFilter::Expected { .. })
     }
 
     /// Takes a part of the answer.
     pub fn push(&mut self, part: &[u8]) {
-        let AnswerHead::Expected { held, start } = self else {
+        let HeadFilter::Expected { held, start } = self else {
             return;
         };
         held.extend_from_slice(part);
@@ -65,19 +65,19 @@
 
     /// Passes on what is held, whole or not.
     pub fn release(&mut self) {
-        if let AnswerHead::Expected { held, .. } = self {
-            *self = AnswerHead::Released(std::mem::take(held));
+        if let HeadFilter::Expected { held, .. } = self {
+            *self = HeadFilter::Released(std::mem::take(held));
         }
     }
 
     /// Gives up to `most` bytes of what is passed on; none when there are none.
     pub fn take(&mut self, most: usize) -> Option<BytesMut> {
-        let AnswerHead::Released(held) = self else {
+        let HeadFilter::Released(held) = self else {
             return None;
         };
         let taken = held.split_to(most.min(held.len()));
         if !held.has_remaining() {
-            *self = AnswerHead::Passed;
+            *self = HeadFilter::Passed;
         }
         (!taken.is_empty()).then_some(taken)
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,10 +5,10 @@
 pub mod limits;
 pub mod relay;
 
-mod answer_head;
 mod body;
 mod context;
 mod exchange;
+mod head_filter;
 mod headers;
 mod hedge;
 mod http_caller;
--- a/crates/proxy/src/transport.rs
+++ b/crates/proxy/src/transport.rs
@@ -1,6 +1,6 @@
 //! The HTTP client of a thread, on connections that report a cut as an error.
 
-use crate::answer_head::AnswerHead;
+use crate::head_filter::HeadFilter;
 use crate::limits::CONNECT_TIMEOUT;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::fn_service;
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 pub(crate) struct StrictStream {
     inner: TcpStream,
-    head: AnswerHead,
+    head: HeadFilter,
 }
 
 impl AsyncRead for StrictStream {
@@ -125,7 +125,7 @@
     inner.set_nodelay(true).map_err(ConnectError::Io)?;
     let stream = StrictStream {
         inner,
-        head: AnswerHead::default(),
+        head: HeadFilter::default(),
     };
     Ok(Connection::new(info.request().clone(), stream))
 }
