The soak's links pass a reset on as a reset

The proxy of a link dropped both sides after an error, which ends a connection cleanly, and a clean end is the end of such an answer. Ruled out: the product's transport: without a proxy between, `relay::answer_without_length` sees the reset. Change: after an error or in the mode that resets, both sides of a link are reset. Figures: `link_ends::kept_apart`: both cases of a reset fail on the former proxy and pass now.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod vm_process;
 
 pub use fault_plan::SoakProfile;
+pub use link_proxy::{LinkMode, LinkProxy};
 pub use plantainmill_stand_in::JobResult;
 pub use promise_checks::check_promises;
 pub use soak_run::{SoakOptions, SoakReport, list_faults, run_seed};
--- a/crates/soak/src/link_proxy.rs
+++ b/crates/soak/src/link_proxy.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -82,39 +82,48 @@
     }
 }
 
-async fn relay(caller: TcpStream, upstream: SocketAddr, mode: watch::Receiver<LinkMode>) {
-    let mut reset = mode.clone();
-    // The peer sees the end of the connection, whatever the error was.
-    if wait_passable(&mut mode.clone(), Direction::Call)
-        .await
-        .is_err()
-    {
-        drop(caller.set_zero_linger());
-        return;
-    }
-    let Ok(target) = TcpStream::connect(upstream).await else {
-        drop(caller.set_zero_linger());
+async fn relay(mut caller: TcpStream, upstream: SocketAddr, mode: watch::Receiver<LinkMode>) {
+    let passable = wait_passable(&mut mode.clone(), Direction::Call).await;
+    let Ok(mut target) = passable.and(TcpStream::connect(upstream).await) else {
+        reset(&caller);
         return;
     };
     for stream in [&caller, &target] {
-        drop(stream.set_nodelay(true));
+        if let Err(error) = stream.set_nodelay(true) {
+            eprintln!("a link is not as fast as it should be: {error}");
+        }
     }
-    let (caller_read, caller_write) = caller.into_split();
-    let (target_read, target_write) = target.into_split();
-    let calls = pump(caller_read, target_write, mode.clone(), Direction::Call);
-    let answers = pump(target_read, caller_write, mode, Direction::Answer);
-    tokio::select! {
-        // Both ends close when either direction ends: nothing here uses half-closed connections.
-        write = calls => drop(write),
-        write = answers => drop(write),
-        _ = reset.wait_for(|mode| *mode == LinkMode::Reset) => {}
+    let mut resets = mode.clone();
+    let end = {
+        let (caller_read, caller_write) = caller.split();
+        let (target_read, target_write) = target.split();
+        tokio::select! {
+            // Both ends close when either direction ends: nothing here uses half-closed connections.
+            end = pump(caller_read, target_write, mode.clone(), Direction::Call) => end,
+            end = pump(target_read, caller_write, mode, Direction::Answer) => end,
+            _ = resets.wait_for(|mode| *mode == LinkMode::Reset) => {
+                Err(io::ErrorKind::ConnectionReset.into())
+            }
+        }
+    };
+    // An end that is no clean one may not look like one at the other side.
+    if end.is_err() {
+        reset(&caller);
+        reset(&target);
+    }
+}
+
+/// Makes the end of a connection a reset.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = stream.set_zero_linger() {
+        eprintln!("a link cannot be reset: {error}");
     }
 }
 
 /// Passes on what `from` sends until it ends. A reset gives an error.
 async fn pump(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut mode: watch::Receiver<LinkMode>,
     direction: Direction,
 ) -> io::Result<()> {
