Each VM of a soak has a loopback address of its own

Its log was not kept. Most likely a port that two VMs had been given: a VM's ports are let go before its process binds them, and the next VM chooses meanwhile. Ruled out: settings that are half written, which a later start would have read whole; ports of other runs, whose addresses differ. Change: an address for each VM, on which nothing else binds; the last log line of a process that ends by itself is part of the report, so that the cause is seen next time.

--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -17,6 +17,8 @@
 pub const KEY_TIME: Duration = Duration::from_secs(3);
 /// Time for a planned stop: the eight seconds of the settings, and the exit.
 const STOP_TIME: Duration = Duration::from_secs(9);
+/// Addresses of one run, so that runs of neighbouring seeds have others.
+const VMS_PER_RUN: u8 = 8;
 /// Least time between the end of a process and its next start.
 const LEAST_DOWN_TIME: Duration = Duration::from_millis(200);
 /// Time between looks at the processes.
@@ -76,10 +78,9 @@
         seed: u64,
         count: usize,
     ) -> anyhow::Result<SoakFleet> {
-        let address = run_address(seed);
         let mut vms = Vec::new();
         for number in 0..count {
-            vms.push(start_vm(program, folder, store, address, number).await?);
+            vms.push(start_vm(program, folder, store, vm_address(seed, number), number).await?);
         }
         let fleet = SoakFleet {
             vms: Rc::new(vms),
@@ -114,7 +115,7 @@
         if let Some(status) = process.take_exit()? {
             let id = &process.plan.id;
             if let Some(broken) = check_end(id, vm.expected_end.get(), status) {
-                self.note_broken(broken);
+                self.note_broken(format!("{broken}: {}", process.last_line()));
             }
             vm.stops_since.set(None);
             let delay = vm.restart_delay.get().max(LEAST_DOWN_TIME);
@@ -296,14 +297,16 @@
     })
 }
 
-/// The loopback address of a run's VMs. A VM that is down for a while finds its ports free again only if nothing else
-/// binds them meanwhile: neither another run nor the source port of a connection.
-fn run_address(seed: u64) -> IpAddr {
+/// The loopback address of a VM. It finds its ports free at each start only if nothing else binds them meanwhile: neither
+/// another run, nor another VM that starts, nor the source port of a connection.
+fn vm_address(seed: u64, number: usize) -> IpAddr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let [.., run] = seed.to_be_bytes();
-    // The last part is neither zero nor 255, and the second one is not that of the usual 127.0.0.1.
-    let last = low.clamp(1, 254);
-    IpAddr::V4(Ipv4Addr::new(127, run | 1, high, last))
+    let number = u8::try_from(number).unwrap_or(u8::MAX);
+    // Neither zero nor 255, and with the third part never that of the usual 127.0.0.1.
+    let last = low.clamp(2, 254);
+    let second = run.wrapping_mul(VMS_PER_RUN).wrapping_add(number);
+    IpAddr::V4(Ipv4Addr::new(127, second, high, last))
 }
 
 /// Says what is wrong with the end of a process.
--- a/crates/soak/src/vm_process.rs
+++ b/crates/soak/src/vm_process.rs
@@ -47,6 +47,21 @@
             .with_context(|| format!("cannot write the settings of {}", self.plan.id))
     }
 
+    fn log_path(&self) -> PathBuf {
+        let name = format!("{}.{}.log", self.plan.id, self.starts);
+        self.folder.join(name)
+    }
+
+    /// The last line of the log, which says why a process ended by itself.
+    #[must_use]
+    pub fn last_line(&self) -> String {
+        let log = std::fs::read_to_string(self.log_path());
+        match log {
+            Ok(log) => log.lines().last().unwrap_or_default().to_owned(),
+            Err(error) => format!("its log cannot be read: {error}"),
+        }
+    }
+
     fn settings_path(&self) -> PathBuf {
         self.folder.join(format!("{}.toml", self.plan.id))
     }
@@ -61,8 +76,7 @@
             return Ok(());
         }
         self.starts += 1;
-        let name = format!("{}.{}.log", self.plan.id, self.starts);
-        let log = File::create(self.folder.join(name))?;
+        let log = File::create(self.log_path())?;
         let errors = log.try_clone()?;
         let child = Command::new(&self.program)
             .args(["--log-format", "json", "serve", "--platform"])
