One request type in the dispatcher, one listener, one reader of a settings file

Cause: a last read of the whole change. `LedgerRequest` was `TicketRequest` without two fields, and each request was copied from one to the other. Both forms of settings read their file with the same lines. `own_response` wrote `mark_leaving` again.

Ruled out: the like shapes of trait implementations (`PartitionStore` in three places) and of small structs: they share signatures, no logic.

Change: the shared ledger takes `TicketRequest`; `listen::serve` takes a handler; `reader::read_file` serves both forms; `mark_leaving` serves answers about jobs, too.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -30,7 +30,7 @@
     pub class: TrafficClass,
     /// Hash of the prompt's start, for prefix affinity.
     pub prefix_hash: Option<u64>,
-    /// Uptime after which a ticket is of no use.
+    /// Uptime after which a ticket is of no use. Of waiting batch requests, the earliest goes first.
     pub deadline: Uptime,
     /// Longest wait for a free slot; absent means that the policy decides.
     pub wait_limit: Option<Duration>,
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -11,5 +11,5 @@
 mod peers;
 
 pub use dispatcher::{SharedDispatcher, SharedParts};
-pub use ledger::{LedgerEffect, LedgerRequest, LoadLedger};
+pub use ledger::{LedgerEffect, LoadLedger};
 pub use peers::{LoadSource, PeerLoad, SlotUse};
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -1,6 +1,6 @@
 //! The shared policy behind the [`Dispatcher`] interface.
 
-use super::ledger::{LedgerEffect, LedgerRequest, LoadLedger, RequestNumber};
+use super::ledger::{LedgerEffect, LoadLedger, RequestNumber};
 use super::peers::{LoadSource, PeerLoad};
 use crate::dispatcher::{CallOutcome, Dispatcher, TargetTicket, TicketRequest};
 use futures_util::FutureExt as _;
@@ -204,19 +204,9 @@
     async fn wait_slot(&self, request: TicketRequest) -> Result<TargetTicket, Problem> {
         let now = self.inner.clock.uptime();
         let (sender, receiver) = oneshot::channel();
-        let asked = LedgerRequest {
-            service: request.service,
-            organisation: request.organisation,
-            priority: request.priority,
-            class: request.class,
-            prefix_hash: request.prefix_hash,
-            deadline: request.deadline,
-            wait_limit: request.wait_limit,
-            excluded: request.excluded,
-        };
         let number = {
             let mut state = self.inner.lock();
-            let (number, effects) = state.ledger.request(asked, now);
+            let (number, effects) = state.ledger.request(request, now);
             state.waiting.insert(number, sender);
             self.inner.carry_out(&mut state, effects);
             number
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -3,7 +3,7 @@
 use super::choice::{Candidate, CandidateOrder, PlaceMap, SlotState};
 use super::health::CallHealth;
 use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse, busiest_of};
-use crate::dispatcher::{CallOutcome, TrafficClass};
+use crate::dispatcher::{CallOutcome, TicketRequest, TrafficClass};
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{
     DomainName, OrganisationId, RegionName, ServiceName, TargetId, Uptime, VmId,
@@ -35,27 +35,6 @@
 /// Time over which the repeats of refused requests are spread: a load peak takes a few seconds.
 const RETRY_SPREAD: Duration = Duration::from_millis(1_200);
 
-/// A request for a slot.
-#[derive(Clone, Debug)]
-pub struct LedgerRequest {
-    /// Service to call.
-    pub service: ServiceName,
-    /// Organisation it runs for, if any.
-    pub organisation: Option<OrganisationId>,
-    /// Rank among online requests that wait; zero goes first.
-    pub priority: u32,
-    /// Class.
-    pub class: TrafficClass,
-    /// Hash of the prompt's shared part.
-    pub prefix_hash: Option<u64>,
-    /// Online: when an answer is of no use any more. Batch: when the result is due; the earliest goes first.
-    pub deadline: Uptime,
-    /// Longest wait.
-    pub wait_limit: Option<Duration>,
-    /// Targets that already failed the request.
-    pub excluded: Vec<TargetId>,
-}
-
 /// What the state machine wants done.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LedgerEffect {
@@ -105,7 +84,7 @@
 #[derive(Debug)]
 struct WaitingRequest {
     number: RequestNumber,
-    request: LedgerRequest,
+    request: TicketRequest,
     since: Uptime,
 }
 
@@ -182,7 +161,7 @@
     /// Takes a request; its number is in the effects.
     pub fn request(
         &mut self,
-        request: LedgerRequest,
+        request: TicketRequest,
         now: Uptime,
     ) -> (RequestNumber, Vec<LedgerEffect>) {
         self.next_number += 1;
@@ -339,7 +318,7 @@
     }
 
     /// Whether the organisation of a request has most of the online calls of all VMs, so that others would wait behind it.
-    fn is_dominant(&self, request: &LedgerRequest) -> bool {
+    fn is_dominant(&self, request: &TicketRequest) -> bool {
         let Some(organisation) = &request.organisation else {
             return false;
         };
@@ -427,7 +406,7 @@
 
     fn candidates(
         &self,
-        request: &LedgerRequest,
+        request: &TicketRequest,
         state_of: impl Fn(&LedgerTarget, SlotUse) -> Option<SlotState>,
     ) -> Vec<Candidate> {
         let serving = || {
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -1,9 +1,7 @@
 //! Decisions of the shared policy, one at a time.
 
-use plantainmill_dispatch::shared::{
-    LedgerEffect, LedgerRequest, LoadLedger, LoadSource, PeerLoad, SlotUse,
-};
-use plantainmill_dispatch::{CallOutcome, TrafficClass};
+use plantainmill_dispatch::shared::{LedgerEffect, LoadLedger, LoadSource, PeerLoad, SlotUse};
+use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_routing::TargetEntry;
 use rstest::rstest;
 use std::collections::HashMap;
@@ -43,8 +41,8 @@
     ledger
 }
 
-fn request(class: TrafficClass) -> LedgerRequest {
-    LedgerRequest {
+fn request(class: TrafficClass) -> TicketRequest {
+    TicketRequest {
         service: "llm".into(),
         organisation: None,
         priority: 0,
@@ -53,6 +51,8 @@
         deadline: at(60_000),
         wait_limit: None,
         excluded: Vec::new(),
+        body_bytes: 0,
+        is_retry: false,
     }
 }
 
@@ -306,8 +306,8 @@
     assert_eq!(granted(&effects), ["t1"]);
 }
 
-fn request_of(organisation: &str, priority: u32) -> LedgerRequest {
-    LedgerRequest {
+fn request_of(organisation: &str, priority: u32) -> TicketRequest {
+    TicketRequest {
         organisation: Some(organisation.into()),
         priority,
         ..request(TrafficClass::Online)
--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -37,7 +37,7 @@
 }
 
 /// Tells the caller to use another connection while this VM stops.
-fn mark_leaving(state: &EdgeState, builder: &mut HttpResponseBuilder) {
+pub(crate) fn mark_leaving(state: &EdgeState, builder: &mut HttpResponseBuilder) {
     if state.leaving.get() {
         builder.force_close();
     }
--- a/crates/edge/src/jobs.rs
+++ b/crates/edge/src/jobs.rs
@@ -1,8 +1,9 @@
 //! Calls of callers about batch jobs.
 
+use crate::answer::mark_leaving;
 use crate::ingress::ReadRequest;
 use crate::state::EdgeState;
-use actix_web::HttpResponse;
+use actix_web::{HttpResponse, HttpResponseBuilder};
 use plantainmill_core::{OrganisationId, Problem, ResultCode};
 use plantainmill_jobs::{JobCall, ListedResult, ResultPage};
 use plantainmill_routing::RouteRule;
@@ -66,13 +67,8 @@
     }
 }
 
-fn own_response(
-    state: &EdgeState,
-    mut builder: actix_web::HttpResponseBuilder,
-) -> actix_web::HttpResponseBuilder {
-    if state.leaving.get() {
-        builder.force_close();
-    }
+fn own_response(state: &EdgeState, mut builder: HttpResponseBuilder) -> HttpResponseBuilder {
+    mark_leaving(state, &mut builder);
     builder
 }
 
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -1,15 +1,13 @@
 //! HTTP listeners on the VM's one thread.
 
-use crate::control;
-use crate::ingress;
+use crate::control::CALL_LIMIT_BYTES;
 use crate::state::EdgeState;
 use actix_http::{HttpService, KeepAlive};
 use actix_service::{
-    IntoServiceFactory as _, Service as _, ServiceFactory, ServiceFactoryExt as _, map_config,
+    IntoServiceFactory as _, Service as _, ServiceFactory as _, ServiceFactoryExt as _, map_config,
 };
-use actix_web::body::MessageBody;
-use actix_web::dev::{AppConfig, ServiceRequest, ServiceResponse};
-use actix_web::{App, Error, web};
+use actix_web::dev::AppConfig;
+use actix_web::{App, FromRequest, Handler, Responder, web};
 use anyhow::{Context as _, anyhow};
 use plantainmill_core::wait_set;
 use std::net::SocketAddr;
@@ -34,67 +32,22 @@
     pub close: watch::Receiver<bool>,
 }
 
-/// Serves callers on `address` until the VM stops.
-pub(crate) async fn callers(
+/// Answers requests on `address` with `handler` until the VM stops.
+pub(crate) async fn serve<F, Args>(
     address: SocketAddr,
     state: Rc<EdgeState>,
     stop: StopSignals,
-) -> anyhow::Result<()> {
-    let app = App::new()
-        .app_data(web::Data::new(state))
-        .default_service(web::to(ingress::handle));
-    serve(address, app, stop).await
-}
-
-/// Serves the balancer's questions.
-pub(crate) async fn readiness(
-    address: SocketAddr,
-    state: Rc<EdgeState>,
-    stop: StopSignals,
-) -> anyhow::Result<()> {
-    let app = App::new()
-        .app_data(web::Data::new(state))
-        .default_service(web::to(control::readiness));
-    serve(address, app, stop).await
-}
-
-/// Serves other VMs and operators.
-pub(crate) async fn control(
-    address: SocketAddr,
-    state: Rc<EdgeState>,
-    stop: StopSignals,
-) -> anyhow::Result<()> {
-    let app = App::new()
-        .app_data(web::Data::new(state))
-        .app_data(web::PayloadConfig::new(control::CALL_LIMIT_BYTES))
-        .default_service(web::to(control::handle));
-    serve(address, app, stop).await
-}
-
-/// Serves a collector of metrics.
-pub(crate) async fn metrics(
-    address: SocketAddr,
-    state: Rc<EdgeState>,
-    stop: StopSignals,
-) -> anyhow::Result<()> {
-    let app = App::new()
-        .app_data(web::Data::new(state))
-        .default_service(web::to(control::metrics));
-    serve(address, app, stop).await
-}
-
-async fn serve<T, B>(address: SocketAddr, app: App<T>, stop: StopSignals) -> anyhow::Result<()>
+    handler: F,
+) -> anyhow::Result<()>
 where
-    T: ServiceFactory<
-            ServiceRequest,
-            Config = (),
-            Response = ServiceResponse<B>,
-            Error = Error,
-            InitError = (),
-        > + 'static,
-    T::Future: 'static,
-    B: MessageBody + 'static,
+    F: Handler<Args>,
+    F::Output: Responder + 'static,
+    Args: FromRequest + 'static,
 {
+    let app = App::new()
+        .app_data(web::Data::new(state))
+        .app_data(web::PayloadConfig::new(CALL_LIMIT_BYTES))
+        .default_service(web::to(handler));
     let listener = TcpListener::bind(address)
         .await
         .with_context(|| format!("cannot listen on {address}"))?;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use plantainmill_core::{DomainName, RegionName, VmId};
-use plantainmill_settings::reader::SettingsSection;
+use plantainmill_settings::reader::{SettingsSection, read_file};
 use plantainmill_settings::{SettingsProblem, SettingsReader};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -96,15 +96,7 @@
     ///
     /// Gives every error, each with file, line and field.
     pub fn load(path: &Path) -> Result<EdgeSettings, Vec<SettingsProblem>> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            vec![SettingsProblem {
-                file: file.clone(),
-                line: 1,
-                field: String::new(),
-                reason: format!("cannot be read: {error}"),
-            }]
-        })?;
+        let (file, text) = read_file(path)?;
         EdgeSettings::parse(&file, &text)
     }
 
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -1,7 +1,9 @@
 //! Builds a VM and stops it.
 
 use crate::codec::CallCodec;
+use crate::control;
 use crate::follow::{follow_document, follow_targets};
+use crate::ingress;
 use crate::listen::{self, StopSignals};
 use crate::message::VmRow;
 use crate::meters::EdgeMeters;
@@ -87,11 +89,16 @@
             drain: drained,
             close: closed,
         };
-        listen::callers(listen.callers, Rc::clone(&state), stop.clone()).await?;
-        listen::readiness(listen.readiness, Rc::clone(&state), stop.clone()).await?;
-        listen::control(listen.control, Rc::clone(&state), stop.clone()).await?;
+        let shared = || (Rc::clone(&state), stop.clone());
+        let (vm, signals) = shared();
+        listen::serve(listen.callers, vm, signals, ingress::handle).await?;
+        let (vm, signals) = shared();
+        listen::serve(listen.readiness, vm, signals, control::readiness).await?;
+        let (vm, signals) = shared();
+        listen::serve(listen.control, vm, signals, control::handle).await?;
         if let Some(metrics) = listen.metrics {
-            listen::metrics(metrics, Rc::clone(&state), stop).await?;
+            let (vm, signals) = shared();
+            listen::serve(metrics, vm, signals, control::metrics).await?;
         }
         actix_rt::spawn(follow_document(Rc::clone(&state), platform.document));
         actix_rt::spawn(follow_targets(Rc::clone(&state), platform.targets));
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -1,7 +1,7 @@
 //! The policy of the product and the baselines it is compared with.
 
-use plantainmill_dispatch::shared::{LedgerEffect, LedgerRequest, LoadLedger, LoadSource};
-use plantainmill_dispatch::{CallOutcome, TrafficClass};
+use plantainmill_dispatch::shared::{LedgerEffect, LoadLedger, LoadSource};
+use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_routing::TargetEntry;
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -84,7 +84,7 @@
         }
     }
 
-    pub fn request(&mut self, request: LedgerRequest, now: Duration) -> (u64, Vec<LedgerEffect>) {
+    pub fn request(&mut self, request: TicketRequest, now: Duration) -> (u64, Vec<LedgerEffect>) {
         match self {
             VmPolicy::Ledger { ledger, .. } => ledger.request(request, now),
             VmPolicy::RandomTwo {
@@ -192,12 +192,12 @@
 }
 
 /// A request of a class.
-pub(crate) fn ledger_request(
+pub(crate) fn ticket_request(
     class: TrafficClass,
     organisation: usize,
     deadline: Duration,
-) -> LedgerRequest {
-    LedgerRequest {
+) -> TicketRequest {
+    TicketRequest {
         service: "llm".into(),
         organisation: Some(format!("o{organisation}").into()),
         priority: 0,
@@ -206,5 +206,7 @@
         deadline,
         wait_limit: (class == TrafficClass::Online).then_some(Duration::from_millis(75)),
         excluded: Vec::new(),
+        body_bytes: 0,
+        is_retry: false,
     }
 }
--- a/crates/patterns/src/world.rs
+++ b/crates/patterns/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::engine::{CallId, Engine, EngineEvent};
 use crate::pattern::{LoadPattern, PatternEvent};
-use crate::policy::{PolicyKind, VmPolicy, exchange, ledger_request};
+use crate::policy::{PolicyKind, VmPolicy, exchange, ticket_request};
 use crate::report::PatternReport;
 use plantainmill_core::TargetId;
 use plantainmill_dispatch::shared::LedgerEffect;
@@ -269,7 +269,7 @@
         let Some(policy) = &mut self.policies[vm] else {
             return;
         };
-        let request = ledger_request(
+        let request = ticket_request(
             call.arrival.class(),
             call.organisation,
             Duration::from_millis(deadline),
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,6 +1,6 @@
 //! Settings of one VM.
 
-use crate::reader::{SettingsProblem, SettingsReader, SettingsSection};
+use crate::reader::{SettingsProblem, SettingsReader, SettingsSection, read_file};
 use crate::secrets::{LineProblem, OperatorKey, parse_fleet_secrets, parse_operator_keys};
 use compact_str::CompactString;
 use plantainmill_core::id::is_valid_id;
@@ -96,15 +96,7 @@
     ///
     /// Gives every error, each with file, line and field.
     pub fn load(path: &Path) -> Result<NodeSettings, Vec<SettingsProblem>> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|error| {
-            vec![SettingsProblem {
-                file: file.clone(),
-                line: 1,
-                field: String::new(),
-                reason: format!("cannot be read: {error}"),
-            }]
-        })?;
+        let (file, text) = read_file(path)?;
         let directory = path.parent().unwrap_or(Path::new("."));
         NodeSettings::parse(&file, &text, directory)
     }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -3,6 +3,7 @@
 use plantainmill_core::ResultCode;
 use std::fmt;
 use std::ops::{Range, RangeInclusive};
+use std::path::Path;
 use std::str::FromStr;
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
@@ -32,6 +33,24 @@
     }
 }
 
+/// Reads a settings file and gives its name, as errors show it, and its text.
+///
+/// # Errors
+///
+/// Fails when the file cannot be read.
+pub fn read_file(path: &Path) -> Result<(String, String), Vec<SettingsProblem>> {
+    let file = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok((file, text)),
+        Err(error) => Err(vec![SettingsProblem {
+            file,
+            line: 1,
+            field: String::new(),
+            reason: format!("cannot be read: {error}"),
+        }]),
+    }
+}
+
 /// A table of the document whose fields are taken one by one; what is left over is unknown.
 pub struct SettingsSection<'a> {
     name: &'static str,
