--- a/crates/admission/src/shared/ledger.rs
+++ b/crates/admission/src/shared/ledger.rs
@@ -3,7 +3,8 @@
 use crate::limiter::RateVerdict;
 use plantainmill_core::{DomainName, Incarnation, OrganisationId, Uptime, VmId};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::ops::Bound;
 use std::time::Duration;
 
 /// A peer without a report for this long counts as unreachable.
@@ -23,6 +24,8 @@
 const MAX_SAVED_TIME: Duration = Duration::from_millis(500);
 /// An organisation without requests for this long is left out of reports.
 const REPORT_IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Unchanged organisations that each report of changes repeats in turn, so that a lost report is made good.
+const REPEATED_ENTRIES: usize = 16;
 /// Retry delay of refused requests: a VM's share of a low rate takes about this long to yield a token.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -77,8 +80,59 @@
     last_report: Uptime,
     /// Number of VMs that the peer reports for.
     vms: usize,
-    admitted: HashMap<OrganisationId, u64>,
-    demand: HashMap<OrganisationId, f64>,
+    entries: HashMap<OrganisationId, PeerEntry>,
+}
+
+impl PeerUsage {
+    /// Demand of an organisation at the peer. Without requests it decays here as it does at the peer, which therefore
+    /// need not report it again.
+    fn demand_of(&self, organisation: &OrganisationId, now: Uptime) -> f64 {
+        let entry = self.entries.get(organisation);
+        entry.map_or(0.0, |entry| {
+            decayed(entry.demand, now.saturating_sub(entry.recorded_at))
+        })
+    }
+}
+
+/// The last usage that a peer reported for an organisation.
+#[derive(Debug)]
+struct PeerEntry {
+    admitted: u64,
+    demand: f64,
+    recorded_at: Uptime,
+}
+
+/// What is left of a demand after `elapsed` without requests.
+fn decayed(demand: f64, elapsed: Duration) -> f64 {
+    demand * (-elapsed.as_secs_f64() / DEMAND_TIME_CONSTANT.as_secs_f64()).exp()
+}
+
+/// Which organisations a report of changes has to list.
+#[derive(Debug, Default)]
+struct PendingReport {
+    changed: BTreeSet<OrganisationId>,
+    /// The last organisation that was repeated although it had not changed.
+    last_repeated: Option<OrganisationId>,
+}
+
+impl PendingReport {
+    /// Takes the organisations that changed since the last call, and the next few of the others.
+    fn take<T>(&mut self, organisations: &BTreeMap<OrganisationId, T>) -> BTreeSet<OrganisationId> {
+        let mut taken = std::mem::take(&mut self.changed);
+        let start = self
+            .last_repeated
+            .as_ref()
+            .map_or(Bound::Unbounded, Bound::Excluded);
+        let next: Vec<OrganisationId> = organisations
+            .range::<OrganisationId, _>((start, Bound::Unbounded))
+            .map(|(organisation, _)| organisation.clone())
+            .take(REPEATED_ENTRIES)
+            .collect();
+        // After the last organisation, the next report starts with the first one again.
+        self.last_repeated = next.last().cloned();
+        taken.extend(next);
+        taken
+    }
 }
 
 /// Rate limit of an organisation.
@@ -93,8 +147,12 @@
 /// Usage of all organisations as known to one VM, from its own admissions and the reports of its peers.
 #[derive(Debug, Default)]
 pub struct UsageLedger {
-    organisations: HashMap<OrganisationId, OrganisationUsage>,
+    organisations: BTreeMap<OrganisationId, OrganisationUsage>,
     peers: HashMap<UsageSource, PeerUsage>,
+    /// Changes that the next report on this VM lists.
+    pending: PendingReport,
+    /// Changes that the next report on this VM's failure domain lists.
+    pending_domain: PendingReport,
 }
 
 impl UsageLedger {
@@ -131,6 +189,8 @@
         }
         usage.admitted += 1;
         usage.domain_admitted += 1;
+        self.pending.changed.insert(organisation.clone());
+        self.pending_domain.changed.insert(organisation.clone());
         RateVerdict::Admitted
     }
 
@@ -149,7 +209,7 @@
             .peers
             .values()
             .filter(|peer| !unreachable(peer))
-            .filter_map(|peer| peer.demand.get(organisation))
+            .map(|peer| peer.demand_of(organisation, now))
             .sum();
         let min_share = MIN_SHARE_FRACTION / ratio(reachable_vms, 1);
         let share = if own + others > 0.0 {
@@ -200,19 +260,18 @@
         let known = self.peers.entry(peer.clone()).or_insert_with(|| PeerUsage {
             last_report: now,
             vms,
-            admitted: HashMap::new(),
-            demand: HashMap::new(),
+            entries: HashMap::new(),
         });
         known.last_report = now;
         known.vms = vms;
-        known.demand.clear();
         for entry in entries {
-            let before = known
-                .admitted
-                .insert(entry.organisation.clone(), entry.admitted);
-            known
-                .demand
-                .insert(entry.organisation.clone(), entry.demand);
+            let current = PeerEntry {
+                admitted: entry.admitted,
+                demand: entry.demand,
+                recorded_at: now,
+            };
+            let before = known.entries.insert(entry.organisation.clone(), current);
+            let before = before.map(|before| before.admitted);
             let usage = self.organisations.entry(entry.organisation.clone());
             let usage = usage.or_insert_with(|| OrganisationUsage::remote_only(now));
             // A lower count means that the peer has restarted.
@@ -224,8 +283,10 @@
             } else {
                 usage.level - to_f64(spent)
             };
-            if in_own_domain {
+            if in_own_domain && spent > 0 {
                 usage.domain_admitted += spent;
+                let changed = &mut self.pending_domain.changed;
+                changed.insert(entry.organisation.clone());
             }
             if !usage.level_known {
                 usage.level_known = true;
@@ -249,44 +310,89 @@
     #[must_use]
     pub fn domain_report(&self, now: Uptime) -> Vec<UsageEntry> {
         let organisations = self.organisations.iter();
-        let active = organisations.filter(|(_, usage)| usage.domain_admitted > 0);
-        active
-            .map(|(organisation, usage)| UsageEntry {
-                organisation: organisation.clone(),
-                admitted: usage.domain_admitted,
-                demand: usage.demand_at(now) + domain_peer_demand(&self.peers, organisation),
-                level: usage.level_at(now),
-            })
+        organisations
+            .filter_map(|(organisation, usage)| self.domain_entry(organisation, usage, now))
+            .collect()
+    }
+
+    /// What changed in the report on this VM's failure domain since the last call, and some of the rest in turn.
+    pub fn take_domain_changes(&mut self, now: Uptime) -> Vec<UsageEntry> {
+        let listed = self.pending_domain.take(&self.organisations);
+        let organisations = listed
+            .iter()
+            .filter_map(|organisation| self.organisations.get_key_value(organisation));
+        organisations
+            .filter_map(|(organisation, usage)| self.domain_entry(organisation, usage, now))
             .collect()
     }
 
     /// Usage report on this VM, for its peers.
     #[must_use]
     pub fn report(&self, now: Uptime) -> Vec<UsageEntry> {
-        let active = self.organisations.iter().filter(|(_, usage)| {
-            usage.admitted > 0 && now.saturating_sub(usage.last_request) < REPORT_IDLE_LIMIT
-        });
-        active
-            .map(|(organisation, usage)| UsageEntry {
-                organisation: organisation.clone(),
-                admitted: usage.admitted,
-                demand: usage.demand_at(now),
-                level: usage.level_at(now),
-            })
+        let organisations = self.organisations.iter();
+        organisations
+            .filter_map(|(organisation, usage)| own_entry(organisation, usage, now))
             .collect()
     }
+
+    /// What changed in the report on this VM since the last call, and some of the rest in turn.
+    pub fn take_changes(&mut self, now: Uptime) -> Vec<UsageEntry> {
+        let listed = self.pending.take(&self.organisations);
+        let organisations = listed
+            .iter()
+            .filter_map(|organisation| self.organisations.get_key_value(organisation));
+        organisations
+            .filter_map(|(organisation, usage)| own_entry(organisation, usage, now))
+            .collect()
+    }
+
+    /// Makes the next reports of changes list all organisations, for a peer that knows none of the former ones.
+    pub fn report_all(&mut self) {
+        let organisations: BTreeSet<OrganisationId> = self.organisations.keys().cloned().collect();
+        self.pending.changed.clone_from(&organisations);
+        self.pending_domain.changed = organisations;
+    }
+
+    fn domain_entry(
+        &self,
+        organisation: &OrganisationId,
+        usage: &OrganisationUsage,
+        now: Uptime,
+    ) -> Option<UsageEntry> {
+        (usage.domain_admitted > 0).then(|| UsageEntry {
+            organisation: organisation.clone(),
+            admitted: usage.domain_admitted,
+            demand: usage.demand_at(now) + domain_peer_demand(&self.peers, organisation, now),
+            level: usage.level_at(now),
+        })
+    }
+}
+
+fn own_entry(
+    organisation: &OrganisationId,
+    usage: &OrganisationUsage,
+    now: Uptime,
+) -> Option<UsageEntry> {
+    let is_idle = now.saturating_sub(usage.last_request) >= REPORT_IDLE_LIMIT;
+    (usage.admitted > 0 && !is_idle).then(|| UsageEntry {
+        organisation: organisation.clone(),
+        admitted: usage.admitted,
+        demand: usage.demand_at(now),
+        level: usage.level_at(now),
+    })
 }
 
 /// Demand of one organisation at the other VMs of this VM's domain.
 fn domain_peer_demand(
     peers: &HashMap<UsageSource, PeerUsage>,
     organisation: &OrganisationId,
+    now: Uptime,
 ) -> f64 {
     let in_own_domain = peers
         .iter()
         .filter(|(peer, _)| matches!(peer, UsageSource::Vm(_)));
     in_own_domain
-        .filter_map(|(_, peer)| peer.demand.get(organisation))
+        .map(|(_, peer)| peer.demand_of(organisation, now))
         .sum()
 }
 
@@ -322,8 +428,7 @@
     }
 
     fn demand_at(&self, now: Uptime) -> f64 {
-        let elapsed = now.saturating_sub(self.last_request).as_secs_f64();
-        self.demand * (-elapsed / DEMAND_TIME_CONSTANT.as_secs_f64()).exp()
+        decayed(self.demand, now.saturating_sub(self.last_request))
     }
 
     fn record_demand(&mut self, now: Uptime) {
--- a/crates/admission/src/shared/limiter.rs
+++ b/crates/admission/src/shared/limiter.rs
@@ -43,6 +43,27 @@
         self.lock().domain_report(self.clock.uptime())
     }
 
+    /// What changed in the usage of this VM's failure domain since the last call, for other domains.
+    #[must_use]
+    pub fn take_domain_changes(&self) -> Vec<UsageEntry> {
+        self.lock().take_domain_changes(self.clock.uptime())
+    }
+
+    /// What changed in the usage of this VM since the last call, for its peers. Also expires peers that have not
+    /// reported for a long time.
+    #[must_use]
+    pub fn take_changes(&self) -> Vec<UsageEntry> {
+        let now = self.clock.uptime();
+        let mut ledger = self.lock();
+        ledger.expire_peers(now);
+        ledger.take_changes(now)
+    }
+
+    /// Makes the next reports of changes list all organisations, for a peer that knows none of the former ones.
+    pub fn report_all(&self) {
+        self.lock().report_all();
+    }
+
     /// Removes a peer that has stopped, which frees its share of the rate.
     pub fn remove_peer(&self, peer: &UsageSource) {
         self.lock().remove_peer(peer);
--- a/crates/admission/tests/all/shared_usage.rs
+++ b/crates/admission/tests/all/shared_usage.rs
@@ -1,9 +1,12 @@
 //! Fleet-wide rate limits based on usage reports.
 
 use plantainmill_admission::RateVerdict;
-use plantainmill_admission::shared::{RateLimit, UsageLedger, UsageSource};
+use plantainmill_admission::shared::{RateLimit, UsageEntry, UsageLedger, UsageSource};
 use plantainmill_core::OrganisationId;
+use rand::rngs::SmallRng;
+use rand::{RngExt as _, SeedableRng as _};
 use rstest::rstest;
+use std::collections::HashSet;
 use std::time::Duration;
 
 const LIMIT: RateLimit = RateLimit {
@@ -198,3 +201,119 @@
         both.max_window()
     );
 }
+
+/// A fleet whose VMs report only what has changed, over a network that loses, repeats and delays reports.
+struct LossyFleet {
+    fleet: Fleet,
+    /// Reports under way: time of arrival in milliseconds, sender, receiver, content.
+    network: Vec<(u64, usize, usize, Vec<UsageEntry>)>,
+    random: SmallRng,
+    loss: f64,
+}
+
+impl LossyFleet {
+    fn new(count: usize, loss: f64, seed: u64) -> LossyFleet {
+        LossyFleet {
+            fleet: Fleet::new(count),
+            network: Vec::new(),
+            random: SmallRng::seed_from_u64(seed),
+            loss,
+        }
+    }
+
+    fn run_load(&mut self, from: u64, until: u64, per_s: u64) {
+        let count = self.fleet.ledgers.len();
+        let mut sent = 0;
+        for millis in from..until {
+            let now = Duration::from_millis(millis);
+            for vm in (0..count).filter(|vm| (millis + *vm as u64 * 7).is_multiple_of(100)) {
+                let changes = self.fleet.ledgers[vm].take_changes(now);
+                for receiver in (0..count).filter(|receiver| *receiver != vm) {
+                    // A repeated datagram arrives twice.
+                    let copies = 1 + usize::from(self.random.random_bool(0.02));
+                    for _ in 0..copies {
+                        if !self.random.random_bool(self.loss) {
+                            let arrival = millis + self.random.random_range(0..=60);
+                            self.network.push((arrival, vm, receiver, changes.clone()));
+                        }
+                    }
+                }
+            }
+            let due: Vec<_> = self
+                .network
+                .extract_if(.., |(arrival, ..)| *arrival <= millis)
+                .collect();
+            for (_, vm, receiver, changes) in due {
+                let peer = UsageSource::Vm(format!("vm{vm}").into());
+                self.fleet.ledgers[receiver].record_report(&peer, 1, changes, now);
+            }
+            while sent * 1_000 < (millis - from) * per_s {
+                let vm = self.random.random_range(0..count);
+                self.fleet.send_request(vm, now);
+                sent += 1;
+            }
+        }
+    }
+}
+
+/// Guards against a limit that fails when reports list only changes: lost, repeated and overtaken reports, and a VM
+/// that restarts in between.
+#[rstest]
+#[case::sound(0.0, 12)]
+#[case::lossy(0.05, 12)]
+#[case::very_lossy(0.2, 12)]
+#[case::large(0.01, 48)]
+fn reported_changes(#[case] loss: f64, #[case] count: usize) {
+    for seed in 0..4 {
+        let mut lossy = LossyFleet::new(count, loss, seed);
+        lossy.run_load(0, 3_000, 40);
+        lossy.run_load(3_000, 9_000, 330);
+        lossy.fleet.ledgers[1] = UsageLedger::default();
+        for ledger in &mut lossy.fleet.ledgers {
+            ledger.report_all();
+        }
+        lossy.run_load(9_000, 15_000, 330);
+        let worst = lossy.fleet.max_window();
+        assert!(worst <= bound(), "seed {seed}: {worst}");
+        assert!(worst >= 70 * 5 * 9 / 10, "seed {seed}: {worst}");
+    }
+}
+
+/// Guards against refusals within the rate because demand elsewhere is remembered although it has ended, or because a
+/// lost report of changes is never made good.
+#[test]
+fn forgotten_demand() {
+    let mut lossy = LossyFleet::new(12, 0.1, 5);
+    lossy.run_load(0, 4_000, 330);
+    lossy.run_load(8_000, 14_000, 10);
+    let refused = lossy.fleet.refused;
+    lossy.run_load(14_000, 24_000, 55);
+    let refused = lossy.fleet.refused - refused;
+    assert!(refused <= 550 / 100, "{refused} of 550 refused");
+}
+
+/// Guards against reports of changes that leave an organisation out for good: each is listed again in turn, however many
+/// there are.
+#[test]
+fn repeated_entries() {
+    const ORGANISATIONS: usize = 100;
+    let mut ledger = UsageLedger::default();
+    for number in 0..ORGANISATIONS {
+        let organisation = format!("organisation-{number}").into();
+        assert_eq!(
+            ledger.admit(&organisation, LIMIT, Duration::ZERO),
+            RateVerdict::Admitted
+        );
+    }
+    let now = Duration::from_secs(1);
+    assert_eq!(ledger.take_changes(now).len(), ORGANISATIONS);
+    let repeated = (0..10).map(|_| ledger.take_changes(now));
+    let repeated: Vec<Vec<UsageEntry>> = repeated.collect();
+    assert!(repeated.iter().all(|entries| entries.len() <= 16));
+    let listed: HashSet<_> = repeated
+        .into_iter()
+        .flatten()
+        .map(|entry| entry.organisation)
+        .collect();
+    assert_eq!(listed.len(), ORGANISATIONS);
+}
--- a/crates/dispatch/src/shared/choice.rs
+++ b/crates/dispatch/src/shared/choice.rs
@@ -2,6 +2,7 @@
 
 use crate::rendezvous::score;
 use plantainmill_core::{DomainName, RegionName, TargetId};
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 /// Cost of a target in another failure domain of the region, as a difference in occupancy: it is preferred to a target
@@ -14,6 +15,11 @@
 /// Largest random cost, as a difference in occupancy. Makes VMs with the same load reports select different targets.
 const MAX_RANDOM_COST: f64 = 0.12;
 
+/// Number of targets at one distance that a VM compares while load reports come late. All VMs then act on old reports of
+/// the same age: if each compared all targets, all would send to the few that seem least occupied, and overfill them
+/// before the next reports.
+const SUBSET_SIZE: usize = 3;
+
 /// Location of this VM and of the failure domains, from which network distances follow.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LocalityMap {
@@ -65,22 +71,51 @@
     pub distance_cost: f64,
 }
 
+/// Reduces the candidates at each distance to the first few in the order of the VM with `vm_key`. Each VM thus uses few
+/// targets, to which it has open connections, and the others only while those cannot serve as well.
+fn subset(mut candidates: Vec<Candidate>, vm_key: u64) -> Vec<Candidate> {
+    if candidates.len() <= SUBSET_SIZE {
+        return candidates;
+    }
+    candidates.sort_by_cached_key(|candidate| Reverse(score(&candidate.target, vm_key)));
+    let mut counts: Vec<(f64, usize)> = Vec::new();
+    candidates.retain(|candidate| {
+        let distance = candidate.distance_cost;
+        let known = counts
+            .iter()
+            .position(|(other, _)| other.total_cmp(&distance).is_eq());
+        let position = known.unwrap_or_else(|| {
+            counts.push((distance, 0));
+            counts.len() - 1
+        });
+        counts[position].1 += 1;
+        counts[position].1 <= SUBSET_SIZE
+    });
+    candidates
+}
+
 /// Order of the candidates for one request.
 pub(super) struct CandidateOrder {
     /// Hash of the start of the prompt, for prefix affinity.
     pub prefix_hash: Option<u64>,
+    /// Hash of this VM, which determines the targets that it prefers among many. None compares all of them.
+    pub vm_key: Option<u64>,
     /// Differs between VMs and requests, and so randomises the choice between similar candidates.
     pub salt: u64,
 }
 
 impl CandidateOrder {
-    /// The candidate with the lowest cost among those in the best state.
+    /// The candidate with the lowest cost among the VM's subset of those in the best state.
     pub fn best(&self, candidates: Vec<Candidate>) -> Option<Candidate> {
         let state = candidates.iter().map(|candidate| candidate.state).min()?;
         let best: Vec<Candidate> = candidates
             .into_iter()
             .filter(|candidate| candidate.state == state)
             .collect();
+        let best = match self.vm_key {
+            Some(vm_key) => subset(best, vm_key),
+            None => best,
+        };
         let affinity_target = self.prefix_hash.and_then(|hash| {
             let nearest = best.iter().map(|candidate| candidate.distance_cost);
             let nearest = nearest.fold(f64::INFINITY, f64::min);
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -49,6 +49,8 @@
     state: Mutex<SharedState>,
     clock: Arc<dyn Clock>,
     report_request: Notify,
+    load_change: Notify,
+    wait_start: Notify,
 }
 
 /// The shared policy, by which VMs use targets on the basis of load reports. Clones share the same state.
@@ -72,6 +74,8 @@
                 state: Mutex::new(state),
                 clock: parts.clock,
                 report_request: Notify::new(),
+                load_change: Notify::new(),
+                wait_start: Notify::new(),
             }),
         }
     }
@@ -81,11 +85,16 @@
         self.inner.lock().ledger.set_targets(entries);
     }
 
-    /// Records the load report of a peer, and preempts or grants accordingly.
-    pub fn record_report(&self, peer: &LoadSource, load: PeerLoad) {
+    /// States whether load reports arrive through relays, later than direct ones.
+    pub fn set_late_reports(&self, has_late_reports: bool) {
+        self.inner.lock().ledger.set_late_reports(has_late_reports);
+    }
+
+    /// Records load reports that arrived together, and preempts or grants accordingly.
+    pub fn record_reports(&self, reports: Vec<(LoadSource, PeerLoad)>) {
         let now = self.inner.clock.uptime();
         let mut state = self.inner.lock();
-        let effects = state.ledger.record_report(peer, load, now);
+        let effects = state.ledger.record_reports(reports, now);
         self.inner.apply_effects(&mut state, effects);
     }
 
@@ -119,6 +128,22 @@
     pub async fn report_requested(&self) {
         self.inner.report_request.notified().await;
     }
+
+    /// Completes when a call has started or ended since the last completion.
+    pub async fn load_changed(&self) {
+        self.inner.load_change.notified().await;
+    }
+
+    /// Completes when a request has started to wait for a slot since the last completion.
+    pub async fn wait_started(&self) {
+        self.inner.wait_start.notified().await;
+    }
+
+    /// Whether any request waits for a slot.
+    #[must_use]
+    pub fn has_waiting(&self) -> bool {
+        self.inner.lock().ledger.waiting() != (0, 0)
+    }
 }
 
 impl SharedInner {
@@ -134,6 +159,7 @@
                     target,
                     address,
                 } => {
+                    self.load_change.notify_one();
                     let (signal, preempted) = watch::channel(false);
                     state.preempt_signals.insert(number, signal);
                     let decision = SlotDecision::Granted {
@@ -168,6 +194,7 @@
         let now = self.clock.uptime();
         let mut state = self.lock();
         state.preempt_signals.remove(&number);
+        self.load_change.notify_one();
         let effects = state.ledger.release(number, outcome, now);
         self.apply_effects(&mut state, effects);
     }
@@ -210,6 +237,9 @@
             let (number, effects) = state.ledger.request(request, now);
             state.waiting.insert(number, sender);
             self.inner.apply_effects(&mut state, effects);
+            if state.waiting.contains_key(&number) {
+                self.inner.wait_start.notify_one();
+            }
             number
         };
         let mut guard = RequestGuard {
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -24,6 +24,9 @@
 const MIN_DOMINANT_CALLS: u32 = 6;
 /// Slots of each target that batch calls leave free, so that online requests rarely wait for a preemption.
 const BATCH_RESERVE: u32 = 1;
+/// Time after a preemption in which this VM starts no batch calls. Load reports do not show yet who else will need the
+/// slots that look free, and a call that is preempted again before its first token has only occupied one.
+const PREEMPTION_PAUSE: Duration = Duration::from_millis(500);
 /// Factor by which turns are rarer than one per waiting VM, so that two VMs rarely have the same turn.
 const TURN_SPREAD: u64 = 2;
 /// Length of a turn: after it, peers have received a report of who filled a slot.
@@ -101,6 +104,10 @@
     running_online: HashMap<Option<OrganisationId>, u32>,
     online: Vec<WaitingRequest>,
     batch: Vec<WaitingRequest>,
+    /// Load reports arrive through relays, later than direct ones.
+    has_late_reports: bool,
+    /// Time until which no batch calls are started, because some were preempted.
+    batch_paused_until: Uptime,
     next_number: RequestId,
 }
 
@@ -126,10 +133,17 @@
             running_online: HashMap::new(),
             online: Vec::new(),
             batch: Vec::new(),
+            has_late_reports: false,
+            batch_paused_until: Uptime::ZERO,
             next_number: 0,
         }
     }
 
+    /// States whether load reports arrive through relays, later than direct ones.
+    pub fn set_late_reports(&mut self, has_late_reports: bool) {
+        self.has_late_reports = has_late_reports;
+    }
+
     /// Replaces the targets that may receive new requests. Those that stay keep their calls and backoff.
     pub fn set_targets<'a>(&mut self, entries: impl Iterator<Item = &'a TargetEntry>) {
         let mut known = std::mem::take(&mut self.targets);
@@ -250,9 +264,20 @@
         load: PeerLoad,
         now: Uptime,
     ) -> Vec<LedgerEffect> {
-        self.peers.record_report(peer, load, now);
+        self.record_reports(vec![(peer.clone(), load)], now)
+    }
+
+    /// Records load reports that arrived together, and decides once for all of them.
+    pub fn record_reports(
+        &mut self,
+        reports: Vec<(LoadSource, PeerLoad)>,
+        now: Uptime,
+    ) -> Vec<LedgerEffect> {
+        for (peer, load) in reports {
+            self.peers.record_report(&peer, load, now);
+        }
         let mut effects = Vec::new();
-        self.preempt_for_peers(&mut effects);
+        self.preempt_for_peers(now, &mut effects);
         self.serve_online(now, None, &mut effects);
         effects
     }
@@ -394,13 +419,14 @@
         });
         let order = CandidateOrder {
             prefix_hash: request.prefix_hash,
+            vm_key: self.has_late_reports.then(|| key_of(&self.vm)),
             salt: score(&self.vm, waiting.number),
         };
         let Some(best) = order.best(candidates) else {
             return false;
         };
         match best.state {
-            SlotState::OwnBatch => self.preempt_at(&best.target, 1, effects),
+            SlotState::OwnBatch => self.preempt_at(&best.target, 1, now, effects),
             SlotState::PeerBatch => effects.push(LedgerEffect::SendReport),
             SlotState::Free | SlotState::Queued | SlotState::Suspect => {}
         }
@@ -476,7 +502,13 @@
     }
 
     /// Preempts up to `count` of this VM's batch calls at a target, newest first.
-    fn preempt_at(&mut self, id: &TargetId, count: u32, effects: &mut Vec<LedgerEffect>) {
+    fn preempt_at(
+        &mut self,
+        id: &TargetId,
+        count: u32,
+        now: Uptime,
+        effects: &mut Vec<LedgerEffect>,
+    ) {
         for _ in 0..count {
             let batch = self.calls.iter_mut().filter(|(_, call)| {
                 call.class == TrafficClass::Batch && !call.is_preempted && call.target == *id
@@ -484,6 +516,7 @@
             let newest = batch.max_by_key(|(number, call)| (call.granted_at, **number));
             let Some((number, call)) = newest else { return };
             call.is_preempted = true;
+            self.batch_paused_until = now + PREEMPTION_PAUSE;
             effects.push(LedgerEffect::Preempt { number: *number });
             self.free_slot(id, TrafficClass::Batch);
         }
@@ -491,7 +524,7 @@
 
     /// Preempts batch calls of this VM at targets where online requests wait behind batch calls. All VMs order the
     /// holders of batch calls alike, so that only as many calls are preempted as needed.
-    fn preempt_for_peers(&mut self, effects: &mut Vec<LedgerEffect>) {
+    fn preempt_for_peers(&mut self, now: Uptime, effects: &mut Vec<LedgerEffect>) {
         let overcommitted: Vec<(TargetId, u32)> = self
             .targets
             .iter()
@@ -510,12 +543,13 @@
                 .peers
                 .preceding_batch(&id, &self.vm, &self.locality.domain);
             let share = needed.saturating_sub(before).min(own);
-            self.preempt_at(&id, share, effects);
+            self.preempt_at(&id, share, now, effects);
         }
     }
 
     fn serve_batch(&mut self, now: Uptime, effects: &mut Vec<LedgerEffect>) {
-        if self.batch.is_empty() || !self.online.is_empty() {
+        let is_paused = now < self.batch_paused_until;
+        if self.batch.is_empty() || !self.online.is_empty() || is_paused {
             return;
         }
         // Requests past their deadline go after those that can still meet theirs.
@@ -565,6 +599,7 @@
         });
         let order = CandidateOrder {
             prefix_hash: waiting.request.prefix_hash,
+            vm_key: self.has_late_reports.then(|| key_of(&self.vm)),
             salt: score(&self.vm, waiting.number),
         };
         let Some(best) = order.best(candidates) else {
--- a/crates/dispatch/src/shared/peers.rs
+++ b/crates/dispatch/src/shared/peers.rs
@@ -49,6 +49,13 @@
             batch: self.batch + other.batch,
         }
     }
+
+    fn minus(self, other: SlotUse) -> SlotUse {
+        SlotUse {
+            online: self.online - other.online,
+            batch: self.batch - other.batch,
+        }
+    }
 }
 
 /// Load report of one VM, or the sum of the reports of a failure domain.
@@ -99,39 +106,52 @@
 }
 
 impl PeerLoads {
-    /// Records a report.
+    /// Records a report. The sums change only by the difference to the peer's former report.
     pub fn record_report(&mut self, peer: &LoadSource, load: PeerLoad, now: Uptime) {
+        self.remove_peer(peer);
+        for (target, slots) in &load.slots {
+            let sum = self.sums.entry(target.clone()).or_default();
+            *sum = sum.plus(*slots);
+            self.online += slots.online;
+        }
         let report = ReceivedReport {
             received_at: now,
             load,
         };
         self.reports.insert(peer.clone(), report);
-        self.recompute_sums();
     }
 
     /// Removes the report of a peer that has stopped.
     pub fn remove_peer(&mut self, peer: &LoadSource) {
-        self.reports.remove(peer);
-        self.recompute_sums();
+        if let Some(report) = self.reports.remove(peer) {
+            self.subtract(&report.load);
+        }
     }
 
     /// Removes the reports of peers that sent none for [`REPORT_TIMEOUT`].
     pub fn expire(&mut self, now: Uptime) {
-        let before = self.reports.len();
-        self.reports
-            .retain(|_, report| now.saturating_sub(report.received_at) < REPORT_TIMEOUT);
-        if self.reports.len() != before {
-            self.recompute_sums();
-        }
+        let is_expired =
+            |report: &ReceivedReport| now.saturating_sub(report.received_at) >= REPORT_TIMEOUT;
+        let expired: Vec<LoadSource> = self
+            .reports
+            .iter()
+            .filter(|(_, report)| is_expired(report))
+            .map(|(peer, _)| peer.clone())
+            .collect();
+        expired.iter().for_each(|peer| self.remove_peer(peer));
     }
 
-    fn recompute_sums(&mut self) {
-        self.sums.clear();
-        for (target, slots) in self.reports.values().flat_map(|report| &report.load.slots) {
-            let sum = self.sums.entry(target.clone()).or_default();
-            *sum = sum.plus(*slots);
+    fn subtract(&mut self, load: &PeerLoad) {
+        for (target, slots) in &load.slots {
+            self.online -= slots.online;
+            let Some(sum) = self.sums.get_mut(target) else {
+                continue;
+            };
+            *sum = sum.minus(*slots);
+            if sum.total() == 0 {
+                self.sums.remove(target);
+            }
         }
-        self.online = self.sums.values().map(|slots| slots.online).sum();
     }
 
     /// Requests of all peers at `target`.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,7 +1,9 @@
 //! Runs one VM on a platform that stores the routes, targets and jobs: assembles its components, opens its listeners
 //! and shuts it down gracefully.
 
+mod age_queries;
 mod codec;
+mod compact_batch;
 mod control;
 mod ingress;
 mod jobs;
@@ -10,8 +12,11 @@
 mod metrics;
 mod peer_client;
 mod peer_directory;
+mod peer_discovery;
 mod peer_exchange;
+mod peer_reports;
 mod proxied_rows;
+mod report_relay;
 mod response;
 mod settings;
 mod state;
@@ -19,7 +24,8 @@
 mod vm;
 
 pub use codec::{RequestCodec, RequestHead};
-pub use message::{DomainReport, PeerMessage, PeerReport, VmRow};
-pub use peer_directory::PeerDirectory;
+pub use message::{DomainReport, DomainUpdate, PeerMessage, PeerReport, ReportBatch, VmRow};
+pub use peer_directory::{PeerDirectory, ReportRoute};
+pub use report_relay::{ReportRelay, split_updates};
 pub use settings::{BoundSettings, EdgeSettings, ListenSettings, VmSettings};
 pub use vm::{EdgePlatform, EdgeVm};
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -1,5 +1,6 @@
 //! Datagrams between VMs, encoded as CBOR.
 
+use crate::compact_batch::CompactBatch;
 use plantainmill_admission::UsageEntry;
 use plantainmill_core::{DomainName, Incarnation, RegionName, VmId};
 use plantainmill_dispatch::shared::PeerLoad;
@@ -25,6 +26,9 @@
     pub control: SocketAddr,
     /// Processor share of the VM in percent of one core, rounded down.
     pub processor_percent: u32,
+    /// The VM understands report batches. One of an older release does not, and gets single reports.
+    #[serde(default)]
+    pub reads_batches: bool,
 }
 
 /// Report of one VM to the other VMs of its failure domain.
@@ -40,7 +44,40 @@
     pub usage: Vec<UsageEntry>,
 }
 
-/// Aggregated report of one failure domain to the others.
+/// Reports of VMs of the sender's failure domain, and updates on domains.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(from = "CompactBatch", into = "CompactBatch")]
+pub struct ReportBatch {
+    /// VM that sends the batch.
+    pub sender: VmRow,
+    /// The sender forwards within its own domain what it has received. Otherwise it reports on itself or its domain.
+    pub is_relayed: bool,
+    /// Reports of VMs of the sender's domain. Their usage lists what changed since the last report of the same VM.
+    pub reports: Vec<PeerReport>,
+    /// Updates on the sender's domain, or relayed ones on other domains.
+    pub domains: Vec<DomainUpdate>,
+}
+
+/// Aggregated report of one failure domain to the others, without what has not changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DomainUpdate {
+    /// Failure domain that the update is about.
+    pub domain: DomainName,
+    /// VM that aggregates the domain's reports.
+    pub aggregator: JobOwner,
+    /// Sequence number; it increases with each update of one incarnation of the aggregator.
+    pub sequence: u64,
+    /// Number of live VMs of the domain.
+    pub member_count: usize,
+    /// Live VMs of the domain. Absent from most updates.
+    pub members: Option<Vec<JobOwner>>,
+    /// Sum of the loads of all members.
+    pub load: PeerLoad,
+    /// Admission usage of all members, of the organisations for which it has changed.
+    pub usage: Vec<UsageEntry>,
+}
+
+/// Aggregated report of one failure domain to VMs that do not read batches, or by such a VM.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct DomainReport {
     /// VM that aggregates the domain's reports.
@@ -69,6 +106,8 @@
     },
     /// Report of another failure domain, received from its aggregator or forwarded within the own domain.
     Domain(DomainReport),
+    /// Reports of several VMs or domains.
+    Batch(ReportBatch),
     /// Job heads that the sender has read from the store.
     Jobs(Vec<HeadUpdate>),
     /// Queries the age of the peer's document and targets.
--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -1,9 +1,10 @@
 //! Directory of the known VMs: which are alive, which read the store for their failure domain, and who reports to whom.
 //!
-//! Reports of single VMs stay within their failure domain. The first reader of each domain aggregates them for the
-//! other domains, so that the traffic between domains does not grow with the number of VMs.
+//! Reports of single VMs stay within their failure domain. In a large domain they go to its readers, which relay them
+//! in batches. The first reader of each domain aggregates them for the other domains, so that the traffic between
+//! domains does not grow with the number of VMs.
 
-use crate::message::VmRow;
+use crate::message::{DomainUpdate, VmRow};
 use plantainmill_core::{DomainName, Incarnation, Uptime, VmId};
 use plantainmill_dispatch::rendezvous::{key_of, score};
 use plantainmill_jobs::{FleetSnapshot, JobOwner};
@@ -21,11 +22,31 @@
 /// Time without a report after which a VM's row is deleted from the store.
 const ROW_RETENTION: Duration = Duration::from_mins(1);
 
+/// Number of VMs of a domain up to which each reports to all others itself. The traffic of a larger domain would grow with
+/// the square of its size.
+const DIRECT_REPORT_VMS: usize = 16;
+/// Time without the own report in a relayed batch after which a VM reports to all others itself. Two reports fit into
+/// it, and it ends before the silent readers are replaced.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(450);
+
+/// Who gets the next report of this VM.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReportRoute {
+    /// These VMs, because the domain is small or because no relay forwards this VM's reports.
+    Direct(Vec<VmRow>),
+    /// The relays, which forward it.
+    Relays(Vec<VmRow>),
+    /// All VMs of the domain, with the next batch: this VM is a relay.
+    OwnBatch,
+}
+
 struct PeerRecord {
     row: VmRow,
     sequence: u64,
     last_report_at: Option<Uptime>,
     discovered_at: Uptime,
+    /// Last incarnation that announced its stop. Its reports may still arrive through a relay.
+    stopped_incarnation: Option<Incarnation>,
 }
 
 impl PeerRecord {
@@ -40,12 +61,18 @@
     rows: Vec<VmRow>,
     members: Vec<JobOwner>,
     last_report_at: Option<Uptime>,
+    /// Aggregator and sequence number of the last update.
+    last_update: Option<(JobOwner, u64)>,
 }
 
 impl RemoteDomain {
+    /// Whether the domain reports and its members are known: without them, all of its jobs would seem to have lost their
+    /// owners.
     fn is_live(&self, now: Uptime) -> bool {
-        self.last_report_at
-            .is_some_and(|last_report_at| now.saturating_sub(last_report_at) < LIVENESS_TIMEOUT)
+        let is_reporting = self
+            .last_report_at
+            .is_some_and(|last_report_at| now.saturating_sub(last_report_at) < LIVENESS_TIMEOUT);
+        is_reporting && !self.members.is_empty()
     }
 }
 
@@ -54,6 +81,9 @@
     own_row: VmRow,
     local: HashMap<VmId, PeerRecord>,
     remote: BTreeMap<DomainName, RemoteDomain>,
+    /// Last time at which a relay forwarded a report of this VM.
+    relayed_at: Option<Uptime>,
+    has_joined_peer: bool,
 }
 
 impl PeerDirectory {
@@ -64,6 +94,8 @@
             own_row,
             local: HashMap::new(),
             remote: BTreeMap::new(),
+            relayed_at: None,
+            has_joined_peer: false,
         }
     }
 
@@ -82,7 +114,11 @@
                 sequence: 0,
                 last_report_at: None,
                 discovered_at: now,
+                stopped_incarnation: None,
             });
+        if known.stopped_incarnation >= Some(row.incarnation) {
+            return false;
+        }
         let is_same_incarnation = row.incarnation == known.row.incarnation;
         if row.incarnation < known.row.incarnation
             || is_same_incarnation && sequence < known.sequence
@@ -92,6 +128,7 @@
         if !is_same_incarnation || known.last_report_at.is_none() {
             let incarnation = row.incarnation;
             tracing::info!(event = "peer_joined", peer = %row.vm, incarnation);
+            self.has_joined_peer = true;
         }
         known.row = row.clone();
         known.sequence = sequence;
@@ -99,6 +136,52 @@
         true
     }
 
+    /// Returns whether a VM of the domain has started, or was heard again, since the last call.
+    pub fn take_joined(&mut self) -> bool {
+        std::mem::take(&mut self.has_joined_peer)
+    }
+
+    /// Records that a relay forwarded a report of this VM.
+    pub fn confirm_relay(&mut self, incarnation: Incarnation, now: Uptime) {
+        if incarnation == self.own_row.incarnation {
+            self.relayed_at = Some(now);
+        }
+    }
+
+    /// Returns whether the readers of the own domain relay its reports.
+    #[must_use]
+    pub fn has_relays(&self) -> bool {
+        self.local.len() + 1 > DIRECT_REPORT_VMS
+    }
+
+    /// Returns whether this VM forwards the reports of its domain.
+    #[must_use]
+    pub fn is_relay(&self, now: Uptime) -> bool {
+        self.has_relays() && self.is_reader(now)
+    }
+
+    /// Returns who gets the next report of this VM.
+    #[must_use]
+    pub fn report_route(&self, now: Uptime) -> ReportRoute {
+        if self.is_relay(now) {
+            return ReportRoute::OwnBatch;
+        }
+        let is_relayed = self
+            .relayed_at
+            .is_some_and(|relayed_at| now.saturating_sub(relayed_at) < RELAY_TIMEOUT);
+        if self.has_relays() && is_relayed {
+            let relays = self.readers(now).into_iter();
+            let relays = relays.filter(|row| row.vm != self.own_row.vm);
+            return ReportRoute::Relays(relays.cloned().collect());
+        }
+        ReportRoute::Direct(self.local_rows().cloned().collect())
+    }
+
+    /// Returns the other VMs of the own domain, including those that have not reported yet.
+    pub fn local_rows(&self) -> impl Iterator<Item = &VmRow> {
+        self.local.values().map(|known| &known.row)
+    }
+
     /// Marks a VM of the own domain as stopped; its address stays known while its row is stored. Returns false if the VM
     /// is unknown or has restarted since that incarnation.
     #[must_use]
@@ -111,6 +194,7 @@
         }
         tracing::info!(event = "peer_left", peer = %vm, incarnation);
         known.last_report_at = None;
+        known.stopped_incarnation = Some(incarnation);
         true
     }
 
@@ -126,6 +210,38 @@
         remote.last_report_at = Some(now);
     }
 
+    /// Records an update on another domain by its aggregator and sequence number. Returns whether it is at least as
+    /// recent as the last one; updates on the own domain are ignored.
+    #[must_use]
+    pub fn record_domain_update(&mut self, update: &DomainUpdate, now: Uptime) -> bool {
+        if update.domain == self.own_row.domain {
+            return false;
+        }
+        let remote = self.remote.entry(update.domain.clone()).or_default();
+        let is_overtaken = remote
+            .last_update
+            .as_ref()
+            .is_some_and(|(aggregator, last)| {
+                *aggregator == update.aggregator && update.sequence < *last
+            });
+        if is_overtaken {
+            return false;
+        }
+        remote.last_update = Some((update.aggregator.clone(), update.sequence));
+        remote.last_report_at = Some(now);
+        if let Some(members) = &update.members {
+            remote.members.clone_from(members);
+        }
+        true
+    }
+
+    /// Returns the live VMs of another domain, as last reported.
+    #[must_use]
+    pub fn remote_members(&self, domain: &DomainName) -> Vec<JobOwner> {
+        let remote = self.remote.get(domain);
+        remote.map_or_else(Vec::new, |remote| remote.members.clone())
+    }
+
     /// Merges the stored rows of the own domain's VMs. Returns the positions of the rows whose VMs have not reported
     /// within the retention period, so that the caller can delete them.
     #[must_use]
@@ -146,6 +262,7 @@
                     sequence: 0,
                     last_report_at: None,
                     discovered_at: now,
+                    stopped_incarnation: None,
                 });
             if row.incarnation > known.row.incarnation {
                 known.row = row.clone();
@@ -192,7 +309,7 @@
     /// Returns the datagram addresses of the own domain's other VMs, including those that have not reported yet.
     #[must_use]
     pub fn local_addresses(&self) -> Vec<SocketAddr> {
-        self.local.values().map(|known| known.row.peers).collect()
+        self.local_rows().map(|row| row.peers).collect()
     }
 
     /// Returns one VM of each other domain, which forwards reports within that domain. Successive values of `round`
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -81,6 +81,7 @@
             peers: listen.peers,
             control: listen.control,
             processor_percent: whole_percent(settings.vm.processor_percent),
+            reads_batches: true,
         };
         let state = Rc::new(build_state(settings, &platform, clock, incarnation)?);
         let (drain, drained) = watch::channel(false);
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -1,4 +1,7 @@
-//! Tests of the settings and the peer directory of a VM.
+//! Tests of the settings, the peer directory and the report relay of a VM.
 
 mod edge_settings;
 mod peer_directory;
+mod relay_fleet;
+mod report_relay;
+mod support;
--- a/crates/edge/tests/all/peer_directory.rs
+++ b/crates/edge/tests/all/peer_directory.rs
@@ -1,27 +1,12 @@
 //! Which VMs read the store, aggregate reports for their domain, and receive the reports of other domains.
 
-use plantainmill_edge::{PeerDirectory, VmRow};
+use crate::support::{at, owner, row, update};
+use plantainmill_edge::{PeerDirectory, ReportRoute};
 use plantainmill_jobs::JobOwner;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-fn row(domain: &str, number: u16) -> VmRow {
-    VmRow {
-        vm: format!("{domain}{number}").into(),
-        incarnation: 1,
-        domain: domain.into(),
-        region: "north".into(),
-        peers: SocketAddr::from(([10, 0, 0, 1], number)),
-        control: SocketAddr::from(([10, 0, 0, 2], number)),
-        processor_percent: 50,
-    }
-}
-
-const fn at(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
 /// The directory of VM `number` of domain "a" after reports of all other VMs up to `count`.
 fn directory(number: u16, count: u16) -> PeerDirectory {
     let mut directory = PeerDirectory::new(row("a", number));
@@ -132,3 +117,50 @@
     assert!(directory.record_report(&row("a", 2), 2, at(60_000)));
     assert_eq!(directory.update_local_rows(&rows, at(61_000)), [2]);
 }
+
+/// Guards against a small domain that depends on relays, and against reports to a relay that does not forward them.
+#[test]
+fn report_routes() {
+    let small = directory(1, 16);
+    assert!(matches!(small.report_route(at(0)), ReportRoute::Direct(rows) if rows.len() == 15));
+    let mut large = PeerDirectory::new(row("a", 1));
+    for number in 2..=20 {
+        let mut other = row("a", number);
+        other.processor_percent = 90;
+        assert!(large.record_report(&other, 1, at(0)));
+    }
+    assert!(matches!(large.report_route(at(0)), ReportRoute::Direct(rows) if rows.len() == 19));
+    large.confirm_relay(1, at(10));
+    let ReportRoute::Relays(relays) = large.report_route(at(20)) else {
+        panic!("a relay forwards the reports");
+    };
+    assert_eq!(relays.len(), 2);
+    assert!(matches!(
+        large.report_route(at(600)),
+        ReportRoute::Direct(_)
+    ));
+    large.confirm_relay(0, at(600));
+    assert!(
+        matches!(large.report_route(at(601)), ReportRoute::Direct(_)),
+        "the report of an earlier incarnation was forwarded"
+    );
+}
+
+/// Guards against updates on a domain that arrive out of order, and against a domain that counts as live before its
+/// members are known: its jobs would all seem to have lost their owners.
+#[test]
+fn domain_updates() {
+    let mut directory = directory(1, 2);
+    assert!(directory.record_domain_update(&update(5, Vec::new()), at(0)));
+    assert!(!directory.job_fleet(at(0)).domains.contains(&"b".into()));
+    let mut with_members = update(6, Vec::new());
+    with_members.members = Some(vec![owner("b", 1), owner("b", 2)]);
+    assert!(directory.record_domain_update(&with_members, at(10)));
+    assert!(!directory.record_domain_update(&update(5, Vec::new()), at(20)));
+    assert!(directory.job_fleet(at(20)).domains.contains(&"b".into()));
+    assert_eq!(directory.job_fleet(at(20)).live.len(), 4);
+    let mut successor = update(1, Vec::new());
+    successor.aggregator = owner("b", 2);
+    assert!(directory.record_domain_update(&successor, at(30)));
+    assert_eq!(directory.job_fleet(at(30)).live.len(), 4);
+}
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -26,9 +26,8 @@
 /// Delay between reads of the change feed. It batches changes, and stays well below the 1 s within which VMs have to
 /// agree.
 const FEED_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Time for which a head that was read is sent to the other VMs of the domain. Covers several reads of the change
-/// feed.
-const UPDATE_RETENTION: Duration = Duration::from_secs(1);
+/// Time for which a head that was read is sent to the other VMs of the domain: in two messages of each reader.
+const UPDATE_RETENTION: Duration = Duration::from_millis(400);
 /// Delay before a failed store operation is retried.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval between checks for jobs that this VM has to resume or reassign.
@@ -138,8 +137,8 @@
         *self.inner.fleet.borrow_mut() = fleet;
     }
 
-    /// Returns the heads read within the last second, for VMs that do not read the change feed. Several calls
-    /// return the same head, so that one lost message does not lose it.
+    /// Returns the latest head of each job that was read a short time ago, for VMs that do not read the change feed.
+    /// Several calls return the same head, so that one lost message does not lose it.
     #[must_use]
     pub fn recent_updates(&self) -> Vec<HeadUpdate> {
         let now = self.inner.parts.clock.uptime();
@@ -150,11 +149,27 @@
         {
             recent.pop_front();
         }
-        recent.iter().map(|(_, update)| update.clone()).collect()
+        let mut latest: HashMap<&JobId, &HeadUpdate> = HashMap::new();
+        for (_, update) in recent.iter() {
+            latest.insert(&update.0, update);
+        }
+        let mut updates: Vec<HeadUpdate> = latest.into_values().cloned().collect();
+        updates.sort_by_key(|(_, _, version)| *version);
+        updates
     }
 
-    /// Applies heads that a reader of the domain has sent. Outdated ones are ignored.
+    /// Applies heads that a reader of the domain has sent. Outdated ones are ignored. The other reader need not send them
+    /// as well.
     pub fn apply_updates(&self, updates: Vec<HeadUpdate>) {
+        let mut recent = self.inner.recent.borrow_mut();
+        if !recent.is_empty() {
+            let sent: HashMap<&JobId, RowVersion> = updates
+                .iter()
+                .map(|(job, _, version)| (job, *version))
+                .collect();
+            recent.retain(|(_, (job, _, version))| sent.get(job).is_none_or(|sent| sent < version));
+        }
+        drop(recent);
         for (job, head, version) in updates {
             self.inner.record(&job, head, version);
         }
--- a/crates/patterns/src/lib.rs
+++ b/crates/patterns/src/lib.rs
@@ -11,6 +11,6 @@
 mod simulated_target;
 
 pub use load_simulation::run_pattern;
-pub use pattern::{LoadPattern, LoadSurge, PatternEvent};
+pub use pattern::{FleetShape, LoadPattern, LoadSurge, PatternEvent};
 pub use policy::PolicyKind;
 pub use report::PatternReport;
--- a/crates/patterns/src/load_simulation.rs
+++ b/crates/patterns/src/load_simulation.rs
@@ -1,7 +1,9 @@
 //! Simulation of one load pattern in fixed time steps.
 
-use crate::pattern::{LoadPattern, PatternEvent};
-use crate::policy::{PolicyKind, VmPolicy, exchange_reports, ticket_request};
+use crate::pattern::{FleetShape, LoadPattern, PatternEvent};
+use crate::policy::{
+    PolicyKind, ReportRound, VmPolicy, collect_reports, deliver_reports, ticket_request,
+};
 use crate::report::PatternReport;
 use crate::simulated_target::{CallId, SimulatedTarget, TargetEvent};
 use plantainmill_core::TargetId;
@@ -10,24 +12,17 @@
 use plantainmill_routing::TargetEntry;
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// VMs and targets of a current site.
-const VM_COUNT: usize = 12;
-const TARGET_COUNT: usize = 18;
 const SLOTS_PER_TARGET: u32 = 8;
 const ORGANISATION_COUNT: usize = 8;
 /// Index of the organisation that sends `LARGE_ORGANISATION_SHARE` of the regular load.
 const LARGE_ORGANISATION: usize = 1;
 const LARGE_ORGANISATION_SHARE: f64 = 0.4;
-const RUN_MS: u64 = 34_000;
 const STEP_MS: u64 = 5;
 /// Time from the start in a slot to the first event.
 const FIRST_EVENT_MS: u64 = 45;
-/// Mean time from the first event to the end, by traffic class.
-const ONLINE_REST_MS: u64 = 700;
-const BATCH_REST_MS: u64 = 4_900;
 /// Objective for the time from arrival to the first event of an online request.
 const OBJECTIVE_MS: u64 = 300;
 /// Time from arrival to the deadline of a batch item.
@@ -95,6 +90,9 @@
 }
 
 struct LoadSimulation {
+    shape: FleetShape,
+    /// Load reports under way, oldest first, with the times of their arrival.
+    reports_in_transit: VecDeque<(u64, ReportRound)>,
     targets: Vec<SimulatedTarget>,
     entries: Vec<TargetEntry>,
     policies: Vec<Option<VmPolicy>>,
@@ -111,16 +109,17 @@
 #[must_use]
 pub fn run_pattern(pattern: &LoadPattern, kind: PolicyKind, seed: u64) -> PatternReport {
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut simulation = LoadSimulation::new(kind, seed);
+    let mut simulation = LoadSimulation::new(pattern.shape, kind, seed);
     let mut events = pattern.events.iter().peekable();
     let mut replaced = 0;
-    while simulation.now_ms < RUN_MS {
+    while simulation.now_ms < pattern.shape.run_ms {
         while let Some((_, event)) = events.next_if(|(at, _)| *at <= simulation.now_ms) {
             simulation.apply_disturbance(*event, kind, seed, &mut replaced, &mut random);
         }
         let load_factor = pattern.load_factor_at(simulation.now_ms);
         let step_s = Duration::from_millis(STEP_MS).as_secs_f64();
-        if random.random::<f64>() < pattern.online_per_s * load_factor * step_s {
+        let online = pattern.online_per_s * load_factor * step_s;
+        for _ in 0..arrivals(online, &mut random) {
             let disconnects = random.random::<f64>() < pattern.disconnecting_share;
             let during_surge = pattern.surge_at(simulation.now_ms).is_some();
             simulation.add_arrival(
@@ -135,7 +134,7 @@
         if surge.is_some_and(|surge| random.random::<f64>() < surge.online_per_s * step_s) {
             simulation.add_arrival(CallSource::Surge, &mut random);
         }
-        if random.random::<f64>() < pattern.batch_per_s * step_s {
+        for _ in 0..arrivals(pattern.batch_per_s * step_s, &mut random) {
             simulation.add_arrival(CallSource::Batch, &mut random);
         }
         simulation.step();
@@ -143,12 +142,28 @@
     simulation.report
 }
 
+/// Number of arrivals in a step with a mean of `mean`.
+fn arrivals(mean: f64, random: &mut SmallRng) -> usize {
+    let mut rest = mean;
+    let mut count = 0;
+    while rest > 0.0 {
+        count += usize::from(random.random::<f64>() < rest);
+        rest -= 1.0;
+    }
+    count
+}
+
 impl LoadSimulation {
-    fn new(kind: PolicyKind, seed: u64) -> LoadSimulation {
-        let entries: Vec<TargetEntry> = (0..TARGET_COUNT).map(target_entry).collect();
-        let policies = (0..VM_COUNT).map(|vm| Some(VmPolicy::new(kind, vm, &entries, seed)));
+    fn new(shape: FleetShape, kind: PolicyKind, seed: u64) -> LoadSimulation {
+        let entries: Vec<TargetEntry> = (0..shape.targets)
+            .map(|position| target_entry(position, shape.domains))
+            .collect();
+        let policies =
+            (0..shape.vms).map(|vm| Some(VmPolicy::new(kind, vm, &shape, &entries, seed)));
         LoadSimulation {
-            targets: (0..TARGET_COUNT)
+            shape,
+            reports_in_transit: VecDeque::new(),
+            targets: (0..shape.targets)
                 .map(|_| SimulatedTarget::new(SLOTS_PER_TARGET as usize))
                 .collect(),
             policies: policies.collect(),
@@ -176,7 +191,7 @@
     ) {
         match event {
             PatternEvent::TargetsCrashed { every } => {
-                for target in (0..TARGET_COUNT).step_by(every) {
+                for target in (0..self.shape.targets).step_by(every) {
                     let lost = self.targets[target].crash();
                     for id in lost {
                         self.resubmit_failed(id);
@@ -189,14 +204,14 @@
                     .for_each(|target| target.is_alive = true);
             }
             PatternEvent::TargetReplaced => {
-                let mut entries: Vec<TargetEntry> = (0..TARGET_COUNT).map(target_entry).collect();
-                entries.remove(*replaced % TARGET_COUNT);
+                let mut entries = self.entries.clone();
+                entries.remove(*replaced % self.shape.targets);
                 *replaced += 1;
                 let policies = self.policies.iter_mut().flatten();
                 policies.for_each(|policy| policy.set_targets(&entries));
             }
             PatternEvent::VmsKilled { every } => {
-                for vm in (0..VM_COUNT).step_by(every) {
+                for vm in (0..self.shape.vms).step_by(every) {
                     self.policies[vm] = None;
                     let mut lost: Vec<CallId> = self
                         .calls
@@ -211,9 +226,10 @@
                 }
             }
             PatternEvent::VmsRestarted => {
-                for vm in 0..VM_COUNT {
+                for vm in 0..self.shape.vms {
                     if self.policies[vm].is_none() {
-                        self.policies[vm] = Some(VmPolicy::new(kind, vm, &self.entries, seed));
+                        let policy = VmPolicy::new(kind, vm, &self.shape, &self.entries, seed);
+                        self.policies[vm] = Some(policy);
                     }
                 }
             }
@@ -224,17 +240,17 @@
     }
 
     fn live_vm(&self, first_choice: usize) -> usize {
-        let vms = (0..VM_COUNT).map(|step| (first_choice + step) % VM_COUNT);
+        let vms = (0..self.shape.vms).map(|step| (first_choice + step) % self.shape.vms);
         vms.into_iter()
             .find(|vm| self.policies[*vm].is_some())
             .unwrap_or(0)
     }
 
     fn add_arrival(&mut self, source: CallSource, random: &mut SmallRng) {
-        let vm = self.live_vm(random.random_range(0..VM_COUNT));
+        let vm = self.live_vm(random.random_range(0..self.shape.vms));
         let mean_ms = match source.class() {
-            TrafficClass::Online => ONLINE_REST_MS,
-            TrafficClass::Batch => BATCH_REST_MS,
+            TrafficClass::Online => self.shape.online_rest_ms,
+            TrafficClass::Batch => self.shape.batch_rest_ms,
         };
         let remaining_ms = random.random_range(mean_ms / 2..mean_ms * 3 / 2);
         let organisation = match source {
@@ -247,7 +263,8 @@
                 random.random_range(first..last)
             }
         };
-        let is_due_in_run = source == CallSource::Batch && self.now_ms + BATCH_DEADLINE_MS < RUN_MS;
+        let is_due_in_run =
+            source == CallSource::Batch && self.now_ms + BATCH_DEADLINE_MS < self.shape.run_ms;
         self.report.items += u64::from(is_due_in_run);
         let is_counted = source != CallSource::Batch && !source.disconnects();
         self.report.online += u64::from(is_counted);
@@ -273,14 +290,15 @@
             TrafficClass::Batch => call.arrived_ms + BATCH_DEADLINE_MS,
         };
         let now = self.time();
-        let Some(policy) = &mut self.policies[vm] else {
-            return;
-        };
         let request = ticket_request(
             call.source.class(),
             call.organisation,
             Duration::from_millis(deadline),
+            self.shared_prefix(&call),
         );
+        let Some(policy) = &mut self.policies[vm] else {
+            return;
+        };
         let (number, effects) = policy.request(request, now);
         self.last_id += 1;
         call.number = number;
@@ -289,6 +307,13 @@
         self.apply_effects(vm, effects);
     }
 
+    /// Hash of the prompt prefix of a call. It depends on the arrival only, so that retries have the same.
+    fn shared_prefix(&self, call: &SimulatedCall) -> Option<u64> {
+        let is_online = call.source.class() == TrafficClass::Online;
+        let seed = call.arrived_ms ^ call.remaining_ms;
+        (is_online && self.shape.shared_prefixes > 0).then(|| seed % self.shape.shared_prefixes)
+    }
+
     fn apply_effects(&mut self, vm: usize, effects: Vec<LedgerEffect>) {
         for effect in effects {
             match effect {
@@ -299,13 +324,9 @@
                     ..
                 } => self.refuse(vm, number, retry_after),
                 LedgerEffect::Preempt { number } => self.preempt(vm, number),
-                LedgerEffect::SendReport => {
-                    let now = self.time();
-                    let effects = exchange_reports(&mut self.policies, now);
-                    for (vm, effect) in effects {
-                        self.apply_effects(vm, vec![effect]);
-                    }
-                }
+                // A relay forwards the report with its next batch.
+                LedgerEffect::SendReport if self.shape.report_delay_ms > 0 => {}
+                LedgerEffect::SendReport => self.exchange_reports(),
             }
         }
     }
@@ -416,13 +437,9 @@
         }
         self.disconnect_callers();
         if self.now_ms.is_multiple_of(REPORT_INTERVAL_MS) {
+            self.exchange_reports();
             let now = self.time();
-            let effects = exchange_reports(&mut self.policies, now);
-            for (vm, effect) in effects {
-                self.apply_effects(vm, vec![effect]);
-            }
-            let now = self.time();
-            for vm in 0..VM_COUNT {
+            for vm in 0..self.shape.vms {
                 let effects = self.policies[vm].as_mut().map(|policy| policy.tick(now));
                 self.apply_effects(vm, effects.unwrap_or_default());
             }
@@ -440,6 +457,24 @@
         self.now_ms += STEP_MS;
     }
 
+    /// Takes the load reports of all VMs, and delivers those that are due.
+    fn exchange_reports(&mut self) {
+        let reports = collect_reports(&mut self.policies);
+        let arrival_ms = self.now_ms + self.shape.report_delay_ms;
+        self.reports_in_transit.push_back((arrival_ms, reports));
+        let (now, now_ms) = (self.time(), self.now_ms);
+        while let Some((_, reports)) = self
+            .reports_in_transit
+            .pop_front_if(|(arrival_ms, _)| *arrival_ms <= now_ms)
+        {
+            let domains = self.shape.domains;
+            let effects = deliver_reports(&mut self.policies, &reports, domains, now);
+            for (vm, effect) in effects {
+                self.apply_effects(vm, vec![effect]);
+            }
+        }
+    }
+
     fn apply_event(&mut self, event: TargetEvent) {
         match event {
             TargetEvent::FirstEvent(id) => {
@@ -461,7 +496,7 @@
             TargetEvent::Completed(id) => {
                 let Some(call) = self.remove(id) else { return };
                 if call.source.class() == TrafficClass::Batch
-                    && call.arrived_ms + BATCH_DEADLINE_MS < RUN_MS
+                    && call.arrived_ms + BATCH_DEADLINE_MS < self.shape.run_ms
                     && self.now_ms <= call.arrived_ms + BATCH_DEADLINE_MS
                 {
                     self.report.items_in_time += 1;
@@ -494,13 +529,13 @@
     }
 }
 
-fn target_entry(position: usize) -> TargetEntry {
+fn target_entry(position: usize, domains: usize) -> TargetEntry {
     let port = u16::try_from(position).unwrap_or(0);
     TargetEntry {
         id: format!("t{position}").into(),
         service: "llm".into(),
         address: ([10, 0, 0, 1], port).into(),
-        domain: crate::policy::DOMAINS[position % crate::policy::DOMAINS.len()].into(),
+        domain: crate::policy::DOMAINS[position % domains].into(),
         slots: SLOTS_PER_TARGET,
         draining: false,
         born: 0,
--- a/crates/patterns/src/pattern.rs
+++ b/crates/patterns/src/pattern.rs
@@ -38,11 +38,59 @@
     pub online_per_s: f64,
 }
 
+/// Size of the simulated fleet, and the age of what its VMs know of each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FleetShape {
+    /// Number of VMs.
+    pub vms: usize,
+    /// Number of targets, with 8 slots each.
+    pub targets: usize,
+    /// Number of failure domains, at most 3. VMs and targets are assigned in rotation.
+    pub domains: usize,
+    /// Time in milliseconds from a load report to its arrival at the peers.
+    pub report_delay_ms: u64,
+    /// Length of the run in milliseconds.
+    pub run_ms: u64,
+    /// Mean time from the first event to the end of an online request, in milliseconds.
+    pub online_rest_ms: u64,
+    /// Mean time from the first event to the end of a batch item, in milliseconds.
+    pub batch_rest_ms: u64,
+    /// Number of different prompt prefixes that online requests share; none if zero.
+    pub shared_prefixes: u64,
+}
+
+impl FleetShape {
+    /// A current site, whose VMs report to each other directly.
+    pub const SITE: FleetShape = FleetShape {
+        vms: 12,
+        targets: 18,
+        domains: 3,
+        report_delay_ms: 0,
+        run_ms: 34_000,
+        online_rest_ms: 700,
+        batch_rest_ms: 4_900,
+        shared_prefixes: 0,
+    };
+    /// Two failure domains of a fleet of 300 VMs, whose reports are relayed.
+    pub const LARGE: FleetShape = FleetShape {
+        vms: 98,
+        targets: 50,
+        domains: 2,
+        report_delay_ms: 100,
+        run_ms: 24_000,
+        online_rest_ms: 700,
+        batch_rest_ms: 4_900,
+        shared_prefixes: 3,
+    };
+}
+
 /// Arrival rates and disturbances of one run.
 #[derive(Clone, Debug)]
 pub struct LoadPattern {
     /// Name, by which tests and tables refer to the pattern.
     pub name: &'static str,
+    /// Size of the fleet.
+    pub shape: FleetShape,
     /// Mean rate of online requests per second, before `load_factors` is applied.
     pub online_per_s: f64,
     /// Factors on `online_per_s` in a trough and at a peak.
@@ -61,6 +109,7 @@
     fn new(name: &'static str) -> LoadPattern {
         LoadPattern {
             name,
+            shape: FleetShape::SITE,
             online_per_s: 85.0,
             load_factors: (0.383, 1.87),
             batch_per_s: 10.0,
@@ -70,7 +119,7 @@
         }
     }
 
-    /// All patterns, with rates for the size of current sites: 12 VMs and 18 targets of 8 slots.
+    /// All patterns. Most have rates for the size of current sites: 12 VMs and 18 targets of 8 slots.
     #[must_use]
     pub fn all() -> Vec<LoadPattern> {
         let steady = |name, batch_per_s| LoadPattern {
@@ -125,6 +174,21 @@
                     (11_500, PatternEvent::VmsRestarted),
                 ],
             ),
+            LoadPattern {
+                shape: FleetShape::LARGE,
+                online_per_s: 234.0,
+                batch_per_s: 22.0,
+                ..LoadPattern::new("peak with late reports")
+            },
+            LoadPattern {
+                shape: FleetShape::LARGE,
+                online_per_s: 234.0,
+                batch_per_s: 16.0,
+                ..with_events(
+                    "batch burst with late reports",
+                    vec![(6_000, PatternEvent::BatchBurst { items: 240 })],
+                )
+            },
         ]
     }
 
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -1,6 +1,7 @@
 //! The shared dispatch policy and the baselines that it is compared with.
 
-use plantainmill_dispatch::shared::{LedgerEffect, LoadLedger, LoadSource};
+use crate::pattern::FleetShape;
+use plantainmill_dispatch::shared::{LedgerEffect, LoadLedger, LoadSource, PeerLoad};
 use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_routing::TargetEntry;
 use rand::rngs::SmallRng;
@@ -54,17 +55,25 @@
     },
 }
 
-/// Failure domains of the simulation, all in one region. VMs and targets are assigned in rotation.
+/// Failure domains of the simulation, all in one region. VMs and targets are assigned to the first ones in rotation.
 pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
 impl VmPolicy {
-    pub fn new(kind: PolicyKind, vm: usize, targets: &[TargetEntry], seed: u64) -> VmPolicy {
-        let domain = DOMAINS[vm % DOMAINS.len()];
+    pub fn new(
+        kind: PolicyKind,
+        vm: usize,
+        shape: &FleetShape,
+        targets: &[TargetEntry],
+        seed: u64,
+    ) -> VmPolicy {
+        let domain = DOMAINS[vm % shape.domains];
         let mut policy = match kind {
             PolicyKind::Shared | PolicyKind::Isolated => {
                 let regions = DOMAINS.iter().map(|name| ((*name).into(), "r".into()));
                 let name = format!("vm{vm}").into();
-                let ledger = LoadLedger::new(name, domain.into(), "r".into(), regions.collect());
+                let mut ledger =
+                    LoadLedger::new(name, domain.into(), "r".into(), regions.collect());
+                ledger.set_late_reports(shape.report_delay_ms > 0);
                 VmPolicy::Ledger {
                     ledger: Box::new(ledger),
                     exchanges_reports: kind == PolicyKind::Shared,
@@ -162,41 +171,48 @@
     }
 }
 
-/// Delivers load reports: those of single VMs within a domain, and one aggregate report of each other domain.
-pub(crate) fn exchange_reports(
-    policies: &mut [Option<VmPolicy>],
-    now: Duration,
-) -> Vec<(usize, LedgerEffect)> {
+/// The load reports of all VMs at one time: VM, its own report, and the one of its domain.
+pub(crate) type ReportRound = Vec<(usize, PeerLoad, PeerLoad)>;
+
+/// Takes the load reports of all VMs that exchange them.
+pub(crate) fn collect_reports(policies: &mut [Option<VmPolicy>]) -> ReportRound {
     let mut reports = Vec::new();
     for (vm, policy) in policies.iter_mut().enumerate() {
         if let Some(ledger) = policy.as_mut().and_then(VmPolicy::exchanging_ledger) {
             reports.push((vm, ledger.report(), ledger.domain_report()));
         }
     }
+    reports
+}
+
+/// Delivers load reports: those of single VMs within a domain, and one aggregate report of each other domain.
+pub(crate) fn deliver_reports(
+    policies: &mut [Option<VmPolicy>],
+    reports: &ReportRound,
+    domains: usize,
+    now: Duration,
+) -> Vec<(usize, LedgerEffect)> {
     let mut effects = Vec::new();
     for (vm, policy) in policies.iter_mut().enumerate() {
         let Some(ledger) = policy.as_mut().and_then(VmPolicy::exchanging_ledger) else {
             continue;
         };
-        let own_domain = vm % DOMAINS.len();
+        let own_domain = vm % domains;
         let mut domain_recorded = [false; DOMAINS.len()];
+        let mut loads = Vec::new();
         for (other, report, domain_report) in reports.iter().filter(|(other, ..)| *other != vm) {
-            let domain = other % DOMAINS.len();
-            let recorded = if domain == own_domain {
+            let domain = other % domains;
+            if domain == own_domain {
                 let source = LoadSource::Vm(format!("vm{other}").into());
-                ledger.record_report(&source, report.clone(), now)
-            } else if domain_recorded[domain] {
-                continue;
-            } else {
+                loads.push((source, report.clone()));
+            } else if !domain_recorded[domain] {
                 domain_recorded[domain] = true;
-                ledger.record_report(
-                    &LoadSource::Domain(DOMAINS[domain].into()),
-                    domain_report.clone(),
-                    now,
-                )
-            };
-            effects.extend(recorded.into_iter().map(|effect| (vm, effect)));
+                let source = LoadSource::Domain(DOMAINS[domain].into());
+                loads.push((source, domain_report.clone()));
+            }
         }
+        let recorded = ledger.record_reports(loads, now);
+        effects.extend(recorded.into_iter().map(|effect| (vm, effect)));
     }
     effects
 }
@@ -206,13 +222,14 @@
     class: TrafficClass,
     organisation: usize,
     deadline: Duration,
+    prefix_hash: Option<u64>,
 ) -> TicketRequest {
     TicketRequest {
         service: "llm".into(),
         organisation: Some(format!("o{organisation}").into()),
         priority: 0,
         class,
-        prefix_hash: None,
+        prefix_hash,
         deadline,
         wait_limit: (class == TrafficClass::Online).then_some(Duration::from_millis(75)),
         excluded: Vec::new(),
