Bound answers that never end, and count the progress of a stream by its events

Cause: an event stream whose bytes complete no event was buffered without a limit, 32 MB were read of each other response, and an item's output had no limit: one target that sends bytes until the caller closes could take the memory of a VM of 160 MB. And each received byte renewed the time limit for the next event, so that a target which sends a comment now and then kept a stream open until its deadline, and an item's run without end.

Change: an event has at most 256 KiB, a buffered response 8 MiB, all buffered responses of a VM 48 MiB, an item's output 4 MiB; what exceeds them fails like a broken answer, and other targets go on where that is allowed. The pause of a stream is counted from its last complete event. A head without end was bounded already.

Tests: endless_answer, endless_answer_once, stream_without_progress and slow_stream in the relay's tests.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -34,8 +34,21 @@
     Unframed,
     /// The same, with a connection that is reset after this event.
     UnframedReset(u64),
+    /// Sends bytes of a head that never ends, until the caller closes.
+    EndlessHead,
+    /// Fails with status 500 and a body that never ends, until the caller closes.
+    EndlessBody,
+    /// Sends bytes without the end of an event after this one, until the caller closes.
+    EndlessEvent(u64),
+    /// Sends a comment now and then, but no event after this one, until the caller closes.
+    TrickleAfter(u64),
 }
 
+/// Bytes that an endless answer sends at a time.
+const ENDLESS_PART_BYTES: usize = 16 << 10;
+/// Interval between the comments of a stream without progress.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A request as the target saw it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct SeenRequest {
@@ -174,6 +187,15 @@
                     stream.write_all(head.as_bytes()).await?;
                 }
                 TargetAct::LoseAnswer => return Ok(()),
+                TargetAct::EndlessHead => {
+                    stream.write_all(b"HTTP/1.1 200 Any\r\nfiller: ").await?;
+                    return send_endless(&mut stream, &[b'x'; ENDLESS_PART_BYTES]).await;
+                }
+                TargetAct::EndlessBody => {
+                    let head = self.head(500, &id, "", "connection: close\r\n");
+                    stream.write_all(head.as_bytes()).await?;
+                    return send_endless(&mut stream, &[b'x'; ENDLESS_PART_BYTES]).await;
+                }
                 TargetAct::CrossAnswer => {
                     self.send_events(&mut stream, "another", last, act).await?;
                 }
@@ -230,6 +252,16 @@
                     stream.set_zero_linger()?;
                     return Ok(false);
                 }
+                TargetAct::EndlessEvent(after) if number > after => {
+                    let part = "x".repeat(ENDLESS_PART_BYTES);
+                    let chunk = format!("{:x}\r\n{part}\r\n", part.len());
+                    send_endless(stream, chunk.as_bytes()).await?;
+                    return Ok(false);
+                }
+                TargetAct::TrickleAfter(after) if number > after => loop {
+                    sleep(TRICKLE_INTERVAL).await;
+                    stream.write_all(b"2\r\n:\n\r\n").await?;
+                },
                 TargetAct::Skip(skipped) if number == skipped => continue,
                 _ => {}
             }
@@ -247,6 +279,13 @@
     }
 }
 
+/// Sends `part` again and again. Ends with an error when the caller closes the connection.
+async fn send_endless(stream: &mut TcpStream, part: &[u8]) -> io::Result<()> {
+    loop {
+        stream.write_all(part).await?;
+    }
+}
+
 /// Reads one request; none at the end of the connection.
 async fn read_request(
     stream: &mut TcpStream,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -14,14 +14,17 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Response status of a target for an item that can never succeed.
 const UNPROCESSABLE_STATUS: u16 = 422;
 /// Response status of a target that ran an item and failed.
 const FAILURE_STATUS: u16 = 500;
-/// Maximum time without data from a target that runs an item. Several times the event interval of a slow target.
+/// Maximum time without an event from a target that runs an item. Several times the event interval of a slow target.
+/// Bytes that complete no event are no progress.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Largest output of an item in bytes. A target that goes on beyond it has failed.
+const MAX_OUTPUT_BYTES: usize = 4 << 20;
 /// Delay before the next attempt when there is no fleet document or no target.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Delay before the next attempt after a target failed.
@@ -256,11 +259,15 @@
             reason,
         };
         let mut splitter = EventSplitter::default();
+        let mut progress_at = Instant::now();
         loop {
-            let chunk = timeout(IDLE_TIMEOUT, response.payload.next()).await;
+            let chunk = timeout_at(progress_at + IDLE_TIMEOUT, response.payload.next()).await;
             match chunk.map_err(|_| idle_timeout())? {
                 Some(Ok(chunk)) => {
-                    let events = splitter.push(&chunk);
+                    let events = splitter.push(&chunk).map_err(failed)?;
+                    if !events.is_empty() {
+                        progress_at = Instant::now();
+                    }
                     check_order(&events, &mut self.last_event).map_err(failed)?;
                     for event in events {
                         if self.has_events {
@@ -269,6 +276,11 @@
                         self.has_events = true;
                         self.output.extend_from_slice(&event.data());
                     }
+                    if self.output.len() > MAX_OUTPUT_BYTES {
+                        return Err(failed(format!(
+                            "the output exceeds {MAX_OUTPUT_BYTES} bytes"
+                        )));
+                    }
                 }
                 Some(Err(error)) => return Err(failed(format!("the stream was cut: {error}"))),
                 None if splitter.is_at_boundary() => return Ok(()),
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -38,6 +38,8 @@
     pub min_event_gap: Duration,
     /// Maximum size of a response that is buffered, in bytes.
     pub max_response_bytes: usize,
+    /// Maximum size of all responses that are buffered at a time, in bytes: a third of the memory of a small VM.
+    pub max_buffered_bytes: usize,
 }
 
 impl Default for RelayLimits {
@@ -46,7 +48,8 @@
             max_sends: 4,
             min_first_event_timeout: Duration::from_millis(600),
             min_event_gap: Duration::from_millis(450),
-            max_response_bytes: 32 << 20,
+            max_response_bytes: 8 << 20,
+            max_buffered_bytes: 48 << 20,
         }
     }
 }
--- a/crates/proxy/src/relay/events.rs
+++ b/crates/proxy/src/relay/events.rs
@@ -2,6 +2,10 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Largest event in bytes. An event of a model is some hundred bytes; all connections of a small VM can have one of this
+/// size.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// One complete event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StreamEvent {
@@ -36,7 +40,11 @@
 
 impl EventSplitter {
     /// Appends `chunk` and returns the events that are complete now.
-    pub fn push(&mut self, chunk: &[u8]) -> Vec<StreamEvent> {
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the bytes of an incomplete event exceed 256 KiB.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<Vec<StreamEvent>, String> {
         self.buffer.extend_from_slice(chunk);
         let mut events = Vec::new();
         while let Some(offset) = find_line_feed(&self.buffer[self.scanned..]) {
@@ -56,7 +64,10 @@
             self.line_start = self.scanned;
         }
         self.scanned = self.buffer.len();
-        events
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(format!("an event exceeds {MAX_EVENT_BYTES} bytes"));
+        }
+        Ok(events)
     }
 
     fn end_event(&mut self, events: &mut Vec<StreamEvent>) {
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -10,6 +10,7 @@
 use futures_util::stream::LocalBoxStream;
 use plantainmill_core::{Clock, Executed, Problem, ResultCode, TargetId, Uptime};
 use plantainmill_dispatch::{CallOutcome, Dispatcher, TargetTicket};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +40,33 @@
     pub clock: Arc<dyn Clock>,
     pub names: HeaderNames,
     pub limits: RelayLimits,
+    /// Bytes of all responses that are being buffered.
+    pub buffered_bytes: Cell<usize>,
+}
+
+/// Share of one response in the bytes being buffered. Dropping it returns them.
+struct BufferLease {
+    shared: Rc<RelayShared>,
+    bytes: usize,
+}
+
+impl BufferLease {
+    fn new(shared: Rc<RelayShared>) -> BufferLease {
+        BufferLease { shared, bytes: 0 }
+    }
+
+    fn extend(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        let buffered = &self.shared.buffered_bytes;
+        buffered.set(buffered.get() + bytes);
+    }
+}
+
+impl Drop for BufferLease {
+    fn drop(&mut self) {
+        let buffered = &self.shared.buffered_bytes;
+        buffered.set(buffered.get() - self.bytes);
+    }
 }
 
 /// A call and the results of its sends so far.
@@ -128,6 +156,8 @@
     pub first: Bytes,
     pub last_event: Option<u64>,
     pub first_byte: Duration,
+    /// When the last complete event arrived.
+    pub progress_at: Instant,
 }
 
 impl RelayCaller {
@@ -145,6 +175,7 @@
                 clock,
                 names,
                 limits,
+                buffered_bytes: Cell::new(0),
             }),
         }
     }
@@ -235,6 +266,7 @@
             first,
             last_event,
             first_byte,
+            progress_at: Instant::now(),
         })
     }
 
@@ -278,11 +310,11 @@
             let part = timeout_at(silence_deadline, response.payload.next());
             match part.await.map_err(|_| silence_failure())? {
                 Some(Ok(part)) => {
-                    let events = splitter.push(&part);
+                    let failed =
+                        |reason| SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
+                    let events = splitter.push(&part).map_err(failed)?;
                     let mut last_event = last_event;
-                    check_order(&events, &mut last_event).map_err(|reason| {
-                        SendFailure::new(Executed::Yes, CallOutcome::Failed, reason)
-                    })?;
+                    check_order(&events, &mut last_event).map_err(failed)?;
                     if !events.is_empty() {
                         let first = join_events(events.iter().map(|event| &event.bytes));
                         return Ok((response, splitter, first, last_event));
@@ -329,10 +361,14 @@
         until: Instant,
     ) -> Result<Bytes, SendFailure> {
         let mut body = BytesMut::new();
+        let mut lease = BufferLease::new(Rc::clone(&self.shared));
         loop {
             let part = timeout_at(until, response.payload.next()).await;
             match part.map_err(|_| SendFailure::deadline())? {
-                Some(Ok(part)) => body.extend_from_slice(&part),
+                Some(Ok(part)) => {
+                    body.extend_from_slice(&part);
+                    lease.extend(part.len());
+                }
                 Some(Err(error)) => {
                     let reason = format!("the answer was cut: {error}");
                     return Err(SendFailure::new(
@@ -343,14 +379,15 @@
                 }
                 None => return Ok(body.freeze()),
             }
-            if body.len() > self.shared.limits.max_response_bytes {
-                let reason = "the answer is too large";
-                return Err(SendFailure::new(
-                    Executed::Yes,
-                    CallOutcome::Abandoned,
-                    reason,
-                ));
-            }
+            let limits = &self.shared.limits;
+            let reason = if body.len() > limits.max_response_bytes {
+                "the answer is too large"
+            } else if self.shared.buffered_bytes.get() > limits.max_buffered_bytes {
+                "the answers being read exceed the memory for them"
+            } else {
+                continue;
+            };
+            return Err(SendFailure::new(Executed::Yes, CallOutcome::Failed, reason));
         }
     }
 
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -116,7 +116,9 @@
         }
         let min_gap = self.caller.shared.limits.min_event_gap;
         let gap: Duration = self.call().event_gap.max(min_gap);
-        let silence_deadline = Instant::now() + gap;
+        // Counted from the last event: bytes that complete none are no progress.
+        let progress_at = self.current.as_ref().map(|started| started.progress_at);
+        let silence_deadline = progress_at.unwrap_or_else(Instant::now) + gap;
         (silence_deadline.min(deadline), deadline <= silence_deadline)
     }
 
@@ -130,7 +132,13 @@
         };
         match timeout_at(until, started.response.payload.next()).await {
             Ok(Some(Ok(part))) => {
-                let events = started.splitter.push(&part);
+                let events = match started.splitter.push(&part) {
+                    Ok(events) => events,
+                    Err(reason) => return failed(reason),
+                };
+                if !events.is_empty() {
+                    started.progress_at = Instant::now();
+                }
                 match check_order(&events, &mut started.last_event) {
                     Ok(()) => PartRead::Events(events),
                     Err(reason) => failed(reason),
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -14,7 +14,7 @@
 use rstest::rstest;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const EVENTS: u64 = 6;
 const NAMES: TargetNames = TargetNames {
@@ -127,7 +127,10 @@
     let mut ids = Vec::new();
     while let Some(part) = response.body.next().await {
         match part {
-            Ok(part) => ids.extend(splitter.push(&part).iter().filter_map(|event| event.id)),
+            Ok(part) => {
+                let events = splitter.push(&part).expect("events of a usual size");
+                ids.extend(events.iter().filter_map(|event| event.id));
+            }
             Err(problem) => return Ok((ids, Some(problem))),
         }
     }
@@ -314,7 +317,7 @@
         let events: Vec<_> = text
             .as_bytes()
             .chunks(size)
-            .flat_map(|piece| splitter.push(piece))
+            .flat_map(|piece| splitter.push(piece).expect("events of a usual size"))
             .collect();
         assert_eq!(
             events
@@ -333,9 +336,99 @@
 fn order_check() {
     let mut splitter = EventSplitter::default();
     let events = splitter.push(b"id: 4\n\nid: 6\n\n");
+    let events = events.expect("events of a usual size");
     let mut last = Some(3);
     assert!(check_order(&events, &mut last).is_err());
     assert_eq!(last, Some(3));
     assert!(check_order(&events[..1], &mut last).is_ok());
     assert_eq!(last, Some(4));
 }
+
+/// Guards against targets whose bytes never end and are no answer: in a head, in the body of a failure, or in a stream.
+/// The request goes on at the other target, and nothing stays buffered.
+#[rstest]
+#[case::head(TargetAct::EndlessHead)]
+#[case::body(TargetAct::EndlessBody)]
+#[case::first_event(TargetAct::EndlessEvent(0))]
+#[case::later_event(TargetAct::EndlessEvent(3))]
+#[actix_rt::test]
+async fn endless_answer(#[case] act: TargetAct) {
+    let fleet = Fleet::start(2).await;
+    fleet.plan_first(act);
+    let started = Instant::now();
+    let repeatable = RelayCall {
+        max_executions: 3,
+        deadline: SystemClock.uptime() + Duration::from_secs(10),
+        ..call(true)
+    };
+    let response = read_response(&fleet, repeatable).await;
+    assert_eq!(response.expect("a response"), (all_events(), None));
+    assert!(started.elapsed() < Duration::from_secs(5));
+    wait_until_idle(&fleet).await;
+}
+
+/// Guards against an endless answer to a request that may not be repeated: it must end before the deadline, with a
+/// problem that does not deny the execution.
+#[rstest]
+#[case::head(TargetAct::EndlessHead, true)]
+#[case::body(TargetAct::EndlessBody, false)]
+#[case::first_event(TargetAct::EndlessEvent(0), true)]
+#[actix_rt::test]
+async fn endless_answer_once(#[case] act: TargetAct, #[case] is_stream: bool) {
+    let fleet = Fleet::start(2).await;
+    fleet.plan_first(act);
+    let started = Instant::now();
+    let once = RelayCall {
+        is_stream,
+        deadline: SystemClock.uptime() + Duration::from_secs(20),
+        ..call(false)
+    };
+    let problem = read_response(&fleet, once).await.expect_err("no response");
+    assert_ne!(problem.executed, Executed::No);
+    assert!(started.elapsed() < Duration::from_secs(10));
+    assert_eq!(fleet.sends(), 1);
+    wait_until_idle(&fleet).await;
+}
+
+/// Guards against a stream without progress that is kept open because its target sends a comment now and then.
+#[rstest]
+#[case(TargetAct::TrickleAfter(0))]
+#[case(TargetAct::TrickleAfter(3))]
+#[actix_rt::test]
+async fn stream_without_progress(#[case] act: TargetAct) {
+    let fleet = Fleet::start(2).await;
+    fleet.plan_first(act);
+    let repeatable = RelayCall {
+        max_executions: 3,
+        deadline: SystemClock.uptime() + Duration::from_secs(20),
+        ..call(true)
+    };
+    let started = Instant::now();
+    let response = read_response(&fleet, repeatable).await;
+    assert_eq!(response.expect("a response"), (all_events(), None));
+    assert!(started.elapsed() < Duration::from_secs(5));
+    wait_until_idle(&fleet).await;
+}
+
+/// Guards against a slow stream that is cut although each event arrives within the allowed pause.
+#[actix_rt::test]
+async fn slow_stream() {
+    let fleet = Fleet::start(2).await;
+    for target in &fleet.targets {
+        target.set_pause(Duration::from_millis(100));
+    }
+    let response = read_response(&fleet, call(true)).await;
+    assert_eq!(response.expect("a response"), (all_events(), None));
+    assert_eq!(fleet.sends(), 1);
+}
+
+/// Waits until no target works on a request any more: the connections of abandoned answers are closed.
+async fn wait_until_idle(fleet: &Fleet) {
+    for _ in 0..100 {
+        if fleet.targets.iter().all(|target| target.running() == 0) {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("a target still works on an abandoned request");
+}
