--- a/crates/dispatch/src/shared/peers.rs
+++ b/crates/dispatch/src/shared/peers.rs
@@ -138,7 +138,9 @@
             .filter(|(_, report)| is_expired(report))
             .map(|(peer, _)| peer.clone())
             .collect();
-        expired.iter().for_each(|peer| self.remove_peer(peer));
+        for peer in &expired {
+            self.remove_peer(peer);
+        }
     }
 
     fn subtract(&mut self, load: &PeerLoad) {
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -4,7 +4,7 @@
 use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_routing::TargetEntry;
 use rstest::rstest;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 const SLOTS: u32 = 4;
@@ -427,3 +427,47 @@
     let (_, effects) = ledger.request(request_of("a", 0), at(1));
     assert_eq!(!granted(&effects).is_empty(), is_granted);
 }
+
+/// Guards against batch calls that start again at once after a preemption, while the peers' reports do not show yet who
+/// needs the slots that look free.
+#[test]
+fn pause_after_preemption() {
+    let mut ledger = ledger("vm", &[("t1", "a"), ("t2", "a")]);
+    for _ in 0..6 {
+        ledger.request(request(TrafficClass::Batch), at(0));
+    }
+    assert_eq!(granted(&ledger.tick(at(0))).len(), 6);
+    // With a request on the last free slots, the next one needs a preemption.
+    for _ in 0..2 {
+        assert!(online(&mut ledger, 10).is_some());
+    }
+    let (_, effects) = ledger.request(request(TrafficClass::Online), at(20));
+    assert_eq!(preempted(&effects), 1);
+    let entries = [entry("t1", "a"), entry("t2", "a"), entry("t3", "a")];
+    ledger.set_targets(entries.iter());
+    ledger.request(request(TrafficClass::Batch), at(30));
+    assert!(granted(&ledger.tick(at(50))).is_empty());
+    assert!(granted(&ledger.tick(at(500))).is_empty());
+    assert_eq!(granted(&ledger.tick(at(520))), ["t3"]);
+}
+
+/// Guards against VMs that all send to the target that a late report shows as the least occupied one, and against a VM
+/// that stays with its preferred targets when they are full.
+#[test]
+fn preferred_targets() {
+    let names: Vec<String> = (0..24).map(|number| format!("t{number}")).collect();
+    let targets: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "a")).collect();
+    let used_by = |vm: &str, has_late_reports: bool, count: u32| {
+        let mut ledger = ledger(vm, &targets);
+        ledger.set_late_reports(has_late_reports);
+        let used = (0..count).map(|_| online(&mut ledger, 0).expect("a free slot"));
+        used.collect::<BTreeSet<String>>()
+    };
+    assert_eq!(used_by("vm1", true, 2 * SLOTS).len(), 3);
+    assert_eq!(used_by("vm1", true, 24 * SLOTS).len(), 24);
+    assert!(used_by("vm1", false, 2 * SLOTS).len() > 3);
+    let first_targets: BTreeSet<String> = (0..40)
+        .flat_map(|number| used_by(&format!("vm{number}"), true, 3))
+        .collect();
+    assert!(first_targets.len() > 20, "{first_targets:?}");
+}
--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -40,6 +40,18 @@
     OwnBatch,
 }
 
+impl ReportRoute {
+    /// Name of the route in logs.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            ReportRoute::Direct(_) => "direct",
+            ReportRoute::Relays(_) => "relays",
+            ReportRoute::OwnBatch => "own_batch",
+        }
+    }
+}
+
 struct PeerRecord {
     row: VmRow,
     sequence: u64,
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -38,6 +38,8 @@
     pub(crate) relay: RefCell<ReportRelay>,
     pub(crate) pending_queries: RefCell<HashMap<u64, Uptime>>,
     pub(crate) next_nonce: Cell<u64>,
+    /// Name of the route of this VM's last report.
+    pub(crate) last_route: Cell<&'static str>,
     /// Sequence number of the last report of this VM, or update on its domain.
     pub(crate) sequence: Cell<u64>,
     /// A read of the targets from a peer is in progress; only one runs at a time.
@@ -56,6 +58,7 @@
             own_row,
             relay: RefCell::default(),
             pending_queries: RefCell::default(),
+            last_route: Cell::new(""),
             sequence: Cell::new(0),
             is_fetching_targets: Cell::new(false),
         });
--- a/crates/edge/src/peer_reports.rs
+++ b/crates/edge/src/peer_reports.rs
@@ -99,6 +99,9 @@
             let older: Vec<SocketAddr> = older.map(|row| row.peers).collect();
             (directory.report_route(self.now()), older)
         };
+        if self.last_route.replace(route.name()) != route.name() {
+            tracing::info!(event = "report_route_changed", route = route.name());
+        }
         if !older.is_empty() {
             let usage = self.state.limiter.report();
             let report = PeerReport {
@@ -359,9 +362,9 @@
         }
         if is_relay {
             let mut relay = self.relay.borrow_mut();
-            updates
-                .into_iter()
-                .for_each(|update| relay.add_update(update));
+            for update in updates {
+                relay.add_update(update);
+            }
             return;
         }
         let receivers = batch_addresses(&rows);
--- a/crates/patterns/tests/load_patterns.rs
+++ b/crates/patterns/tests/load_patterns.rs
@@ -98,6 +98,35 @@
     }
 }
 
+/// Guards against VMs that act alike on the same late reports: online requests then queue at the few targets that seemed
+/// free, and the policy is no better than one without reports.
+#[rstest]
+#[case("peak with late reports")]
+#[case("batch burst with late reports")]
+fn late_reports(#[case] name: &str) {
+    let pattern = pattern(name);
+    for seed in SEEDS {
+        let shared = run_pattern(&pattern, PolicyKind::Shared, seed);
+        let baseline = run_pattern(&pattern, PolicyKind::TwoChoices, seed);
+        assert!(
+            shared.online_share() > baseline.online_share(),
+            "{name}: {shared:?} {baseline:?}"
+        );
+        assert!(
+            shared.batch_share() >= BATCH_OBJECTIVE,
+            "{name}: {shared:?}"
+        );
+    }
+}
+
+/// Guards against online requests that come late in a large fleet although the slots suffice for them.
+#[test]
+fn objective_with_late_reports() {
+    for report in reports("peak with late reports", PolicyKind::Shared) {
+        assert!(report.online_share() >= ONLINE_OBJECTIVE, "{report:?}");
+    }
+}
+
 /// Guards against results that depend on the iteration order of hash maps or on the load of the host.
 #[rstest]
 #[case("periodic peak")]
