Report on a domain only when its members are known

Cause, found by reading: the first of a domain's VMs by size takes over its reports to other domains as soon as it restarts, when it has heard none or few of the others. Its list of members was then short for up to 300 ms, and the other domains take the jobs of missing members over at their next check, each 400 ms.

Test: peer_directory::aggregation_delay, which fails without the delay.

--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -29,6 +29,10 @@
 /// it, and it ends before the silent readers are replaced.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Time after its start in which a VM does not report on its domain: it has not heard all members yet, and the other
+/// domains would take the jobs of those that its report leaves out.
+const AGGREGATION_DELAY: Duration = Duration::from_secs(1);
+
 /// Who gets the next report of this VM.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ReportRoute {
@@ -93,19 +97,21 @@
     own_row: VmRow,
     local: HashMap<VmId, PeerRecord>,
     remote: BTreeMap<DomainName, RemoteDomain>,
+    started_at: Uptime,
     /// Last time at which a relay forwarded a report of this VM.
     relayed_at: Option<Uptime>,
     has_joined_peer: bool,
 }
 
 impl PeerDirectory {
-    /// Creates a directory that contains only the VM itself.
+    /// Creates a directory that contains only the VM itself, which starts at `now`.
     #[must_use]
-    pub fn new(own_row: VmRow) -> PeerDirectory {
+    pub fn new(own_row: VmRow, now: Uptime) -> PeerDirectory {
         PeerDirectory {
             own_row,
             local: HashMap::new(),
             remote: BTreeMap::new(),
+            started_at: now,
             relayed_at: None,
             has_joined_peer: false,
         }
@@ -318,6 +324,13 @@
         readers.first().is_some_and(|row| row.vm == self.own_row.vm)
     }
 
+    /// Returns whether this VM is the aggregator and has run long enough to know the members of its domain.
+    #[must_use]
+    pub fn may_aggregate(&self, now: Uptime) -> bool {
+        let is_settled = now.saturating_sub(self.started_at) >= AGGREGATION_DELAY;
+        is_settled && self.is_aggregator(now)
+    }
+
     /// Returns the datagram addresses of the own domain's other VMs, including those that have not reported yet.
     #[must_use]
     pub fn local_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -51,7 +51,7 @@
     pub fn start(state: Rc<EdgeState>, socket: UdpSocket, own_row: VmRow) -> Rc<PeerExchange> {
         let exchange = Rc::new(PeerExchange {
             next_nonce: Cell::new(own_row.incarnation),
-            directory: RefCell::new(PeerDirectory::new(own_row.clone())),
+            directory: RefCell::new(PeerDirectory::new(own_row.clone(), state.clock.uptime())),
             rows: Rc::clone(&state.rows) as Rc<dyn PartitionStore>,
             state,
             socket,
--- a/crates/edge/src/peer_reports.rs
+++ b/crates/edge/src/peer_reports.rs
@@ -34,10 +34,10 @@
 const CROSS_REGION_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which a VM checks whether it has become the aggregator of its domain.
 const AGGREGATOR_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Rounds of reports to other domains in which a changed list of members is sent, since single datagrams are lost.
+/// Rounds of reports to other domains in which a changed list of members is sent, since single datagrams are lost. An
+/// unchanged one goes out only when all domains get the report: well within the time after which a VM that has started
+/// takes over jobs whose owners it does not know.
 const CHANGED_MEMBERS_ROUNDS: u64 = 8;
-/// One of this many rounds repeats an unchanged list of members.
-const MEMBERS_PERIOD: u64 = 8;
 
 /// What the aggregator of a domain has sent to the other domains.
 #[derive(Default)]
@@ -187,7 +187,7 @@
     pub(crate) async fn report_to_other_domains(self: Rc<Self>) {
         let mut aggregation: Option<AggregationState> = None;
         loop {
-            if !self.directory.borrow().is_aggregator(self.now()) {
+            if !self.directory.borrow().may_aggregate(self.now()) {
                 aggregation = None;
                 sleep(AGGREGATOR_CHECK_INTERVAL).await;
                 continue;
@@ -226,8 +226,7 @@
             aggregation.members.clone_from(&members);
             aggregation.members_until = round + CHANGED_MEMBERS_ROUNDS;
         }
-        let sends_members =
-            round < aggregation.members_until || round.is_multiple_of(MEMBERS_PERIOD);
+        let sends_members = cross_region_due || round < aggregation.members_until;
         // Usage is sent when all domains get the update, so that each gets every change.
         let usage = if cross_region_due {
             self.state.limiter.take_domain_changes()
--- a/crates/edge/tests/all/peer_directory.rs
+++ b/crates/edge/tests/all/peer_directory.rs
@@ -9,7 +9,7 @@
 
 /// The directory of VM `number` of domain "a" after reports of all other VMs up to `count`.
 fn directory(number: u16, count: u16) -> PeerDirectory {
-    let mut directory = PeerDirectory::new(row("a", number));
+    let mut directory = PeerDirectory::new(row("a", number), at(0));
     for other in (1..=count).filter(|other| *other != number) {
         assert!(directory.record_report(&row("a", other), 1, at(0)));
     }
@@ -50,7 +50,7 @@
 /// Guards against small VMs that become readers although larger ones are available.
 #[test]
 fn largest_first() {
-    let mut directory = PeerDirectory::new(row("a", 1));
+    let mut directory = PeerDirectory::new(row("a", 1), at(0));
     let mut large = row("a", 2);
     large.processor_percent = 90;
     assert!(directory.record_report(&large, 1, at(0)));
@@ -123,7 +123,7 @@
 fn report_routes() {
     let small = directory(1, 16);
     assert!(matches!(small.report_route(at(0)), ReportRoute::Direct(rows) if rows.len() == 15));
-    let mut large = PeerDirectory::new(row("a", 1));
+    let mut large = PeerDirectory::new(row("a", 1), at(0));
     for number in 2..=20 {
         let mut other = row("a", number);
         other.processor_percent = 90;
@@ -164,3 +164,15 @@
     assert!(directory.record_domain_update(&successor, at(30)));
     assert_eq!(directory.job_fleet(at(30)).live.len(), 4);
 }
+
+/// Guards against a VM that reports on its domain right after its start: the other domains would take over the jobs of the
+/// members that it has not heard yet.
+#[test]
+fn aggregation_delay() {
+    let own = row("a", 1);
+    let directory = PeerDirectory::new(own, at(5_000));
+    assert!(directory.is_aggregator(at(5_100)));
+    assert!(!directory.may_aggregate(at(5_100)));
+    assert!(!directory.may_aggregate(at(5_900)));
+    assert!(directory.may_aggregate(at(6_000)));
+}
--- a/crates/edge/tests/all/relay_fleet.rs
+++ b/crates/edge/tests/all/relay_fleet.rs
@@ -44,7 +44,7 @@
     fn new(count: u16, loss: u32, delay_ms: u64, seed: u64) -> DomainFleet {
         let rows: Vec<VmRow> = (1..=count).map(|number| row("a", number)).collect();
         let vms = rows.iter().map(|own| {
-            let mut directory = PeerDirectory::new(own.clone());
+            let mut directory = PeerDirectory::new(own.clone(), at(0));
             let stale = directory.update_local_rows(&rows, at(0));
             assert!(stale.is_empty());
             DomainVm {
