--- a/crates/edge/src/peer_reports.rs
+++ b/crates/edge/src/peer_reports.rs
@@ -26,7 +26,7 @@
 const RELAY_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between the batches of the other relay, which forwards what the first one has not.
 const STANDBY_RELAY_INTERVAL: Duration = Duration::from_millis(150);
-/// Interval between updates of the fleet view: a seventh of the time after which a silent reader is replaced.
+/// Minimum interval between updates of the fleet view: a seventh of the time after which a silent reader is replaced.
 const FLEET_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum interval between reports to other failure domains of the same region.
 const REGION_REPORT_INTERVAL: Duration = Duration::from_millis(100);
