Log prompt parts and lost connections of failed sends

At each lost target a call had no event yet, but the log could not tell whether those calls had anything in common, so it could not decide between a request that crashes targets and targets that end by load.

Requests and items now carry the ids of their prompt parts. send_failed and item_interrupted show them, and name the outcome connection_lost where the connection ended after the send and before the first event. target_tries counts it separately.

No change of behaviour: connection_lost is handled like a failure.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -1,6 +1,7 @@
 //! Identifiers: short strings, set by operators or generated at random.
 
 use compact_str::CompactString;
+use std::fmt::{self, Display, Formatter};
 
 /// Identifies one VM; set in its settings.
 pub type VmId = CompactString;
@@ -20,6 +21,8 @@
 pub type JobId = CompactString;
 /// Identifies an item of a batch job: the caller's `custom_id`.
 pub type ItemId = CompactString;
+/// Identifies a part of a prompt by the hash of its content, or of the id that stands for the content.
+pub type PartId = u64;
 /// Distinguishes the starts of a VM at one address; a later start has a higher value.
 ///
 /// It is the wall-clock time of the start in microseconds since the Unix epoch.
@@ -38,3 +41,16 @@
         .all(|character| character.is_ascii_alphanumeric() || matches!(character, '.' | '_' | '-'));
     has_valid_start && all_allowed && text.len() <= ID_LIMIT_BYTES
 }
+
+/// Shows parts of a prompt in log lines, in hexadecimal and separated by commas.
+pub struct PartList<'a>(pub &'a [PartId]);
+
+impl Display for PartList<'_> {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(formatter, "{separator}{part:016x}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,8 +16,8 @@
 pub use encoding::encode_cbor;
 pub use flight::{InFlightCounter, InFlightGuard};
 pub use id::{
-    DomainName, Incarnation, ItemId, JobId, KeyId, OrganisationId, RegionName, ServiceName,
-    TargetId, VmId,
+    DomainName, Incarnation, ItemId, JobId, KeyId, OrganisationId, PartId, PartList, RegionName,
+    ServiceName, TargetId, VmId,
 };
 pub use problem::{Executed, Problem};
 pub use signal::wait_until_set;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -55,6 +55,9 @@
     },
     /// The connection failed, or the response was missing, truncated or malformed.
     Failed,
+    /// The target took the request and its connection ended before the first event, or before the end of a buffered
+    /// response: what a target that crashes looks like.
+    ConnectionLost,
     /// The target rejected the request because it is overloaded or leaving.
     Rejected,
     /// The caller disconnected, or the request was preempted.
--- a/crates/dispatch/src/local.rs
+++ b/crates/dispatch/src/local.rs
@@ -167,7 +167,9 @@
             CallOutcome::Completed { first_byte } => {
                 entry.window.on_first_byte(first_byte, entry.in_flight, now);
             }
-            CallOutcome::Failed | CallOutcome::Rejected => entry.window.on_rejected(now),
+            CallOutcome::ConnectionLost | CallOutcome::Failed | CallOutcome::Rejected => {
+                entry.window.on_rejected(now)
+            }
             CallOutcome::Abandoned => {}
         }
         entry.in_flight = entry.in_flight.saturating_sub(1);
--- a/crates/dispatch/src/ticket_queue.rs
+++ b/crates/dispatch/src/ticket_queue.rs
@@ -426,7 +426,7 @@
                 self.window.on_first_byte(first_byte, used, now);
             }
             CallOutcome::Rejected => self.window.on_rejected(now),
-            CallOutcome::Failed | CallOutcome::Abandoned => {}
+            CallOutcome::ConnectionLost | CallOutcome::Failed | CallOutcome::Abandoned => {}
         }
     }
 
--- a/crates/edge/src/codec.rs
+++ b/crates/edge/src/codec.rs
@@ -2,6 +2,7 @@
 
 use actix_web::http::header::HeaderMap;
 use compact_str::CompactString;
+use plantainmill_core::PartId;
 use plantainmill_jobs::JobCodec;
 use plantainmill_proxy::relay::HeaderNames;
 use std::time::Duration;
@@ -15,6 +16,8 @@
     pub timeout: Option<Duration>,
     /// Hash of the prompt parts that are shared with other requests.
     pub prefix_hash: Option<u64>,
+    /// Parts of the prompt, in order.
+    pub parts: Vec<PartId>,
     /// Number of the last event that the caller received from an interrupted stream.
     pub last_event: Option<u64>,
 }
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -227,6 +227,7 @@
         headers: target_headers(state, buffered.request.headers(), document),
         body: buffered.body.clone(),
         prefix_hash: buffered.head.prefix_hash,
+        parts: buffered.head.parts.clone(),
         deadline: buffered.arrived_at + requested_time.min(route.time_limit),
         wait_limit: route.objective / SLOT_WAIT_DIVISOR,
         max_executions: route.attempts.max(1),
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -5,7 +5,9 @@
 use awc::http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use compact_str::CompactString;
 use futures_util::StreamExt as _;
-use plantainmill_core::{Clock, Executed, OrganisationId, TargetId, Uptime, wait_until_set};
+use plantainmill_core::{
+    Clock, Executed, OrganisationId, PartList, TargetId, Uptime, wait_until_set,
+};
 use plantainmill_dispatch::{CallOutcome, TargetTicket, TrafficClass};
 use plantainmill_proxy::relay::{
     EventSplitter, RelayCall, RelayCaller, SendFailure, TargetResponse, check_order, send_once,
@@ -153,6 +155,7 @@
             headers,
             body: self.item.body.clone(),
             prefix_hash: None,
+            parts: self.item.parts.clone(),
             deadline: self.job.due_at,
             wait_limit: Duration::MAX,
             max_executions: u32::MAX,
@@ -200,7 +203,9 @@
                 tracing::info!(
                     event = "item_interrupted",
                     item = %self.item.id,
+                    parts = %PartList(&self.item.parts),
                     target = %ticket.target,
+                    outcome = ?failure.outcome,
                     last_event = self.last_event,
                     reason = %failure.reason,
                 );
@@ -260,6 +265,7 @@
         };
         let mut splitter = EventSplitter::default();
         let mut progress_at = Instant::now();
+        let mut has_started = false;
         loop {
             let chunk = timeout_at(progress_at + IDLE_TIMEOUT, response.payload.next()).await;
             match chunk.map_err(|_| idle_timeout())? {
@@ -267,6 +273,7 @@
                     let events = splitter.push(&chunk).map_err(failed)?;
                     if !events.is_empty() {
                         progress_at = Instant::now();
+                        has_started = true;
                     }
                     check_order(&events, &mut self.last_event).map_err(failed)?;
                     for event in events {
@@ -282,7 +289,15 @@
                         )));
                     }
                 }
-                Some(Err(error)) => return Err(failed(format!("the stream was cut: {error}"))),
+                Some(Err(error)) => {
+                    let failure = failed(format!("the stream was cut: {error}"));
+                    let outcome = if has_started {
+                        CallOutcome::Failed
+                    } else {
+                        CallOutcome::ConnectionLost
+                    };
+                    return Err(SendFailure { outcome, ..failure });
+                }
                 None if splitter.is_at_boundary() => return Ok(()),
                 None => return Err(failed("the stream ended within an event".to_owned())),
             }
--- a/crates/jobs/src/stored.rs
+++ b/crates/jobs/src/stored.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
-use plantainmill_core::{Incarnation, ItemId, JobId, OrganisationId, VmId, encode_cbor};
+use plantainmill_core::{Incarnation, ItemId, JobId, OrganisationId, PartId, VmId, encode_cbor};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -100,6 +100,9 @@
     pub headers: Vec<(CompactString, CompactString)>,
     /// Body of the request.
     pub body: Bytes,
+    /// Parts of the prompt, in order.
+    #[serde(default)]
+    pub parts: Vec<PartId>,
     /// Prompt tokens plus the maximum number of output tokens.
     pub tokens: u64,
 }
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -88,6 +88,7 @@
         path: format!("/guides/{number}"),
         headers: vec![("model".into(), "m".into())],
         body: vec![7; 100].into(),
+        parts: Vec::new(),
         tokens: 100,
     });
     Submission {
--- a/crates/proxy/src/meters.rs
+++ b/crates/proxy/src/meters.rs
@@ -35,6 +35,7 @@
     pub fn count_attempt(&self, outcome: CallOutcome) {
         let name = match outcome {
             CallOutcome::Completed { .. } => "completed",
+            CallOutcome::ConnectionLost => "connection_lost",
             CallOutcome::Failed => "failed",
             CallOutcome::Rejected => "rejected",
             CallOutcome::Abandoned => "abandoned",
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -4,7 +4,7 @@
 use awc::http::header::{HeaderMap, HeaderName};
 use bytes::Bytes;
 use compact_str::CompactString;
-use plantainmill_core::{OrganisationId, ServiceName, TargetId, Uptime};
+use plantainmill_core::{OrganisationId, PartId, ServiceName, TargetId, Uptime};
 use plantainmill_dispatch::{TicketRequest, TrafficClass};
 use std::time::Duration;
 
@@ -77,6 +77,8 @@
     pub body: Bytes,
     /// Hash of the shared prompt prefix, for prefix-affinity routing.
     pub prefix_hash: Option<u64>,
+    /// Parts of the prompt, in order.
+    pub parts: Vec<PartId>,
     /// Uptime by which the response must be complete.
     pub deadline: Uptime,
     /// Maximum time to wait for a free slot.
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::call::{HeaderNames, RelayCall};
 use crate::transport::client;
+use actix_web::error::ParseError;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::Uri;
 use awc::http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
@@ -68,6 +69,8 @@
     pub headers: HeaderMap,
     /// Body. An error means that it is incomplete.
     pub payload: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
+    /// Whether the end of the body is marked, by a length or by chunks, and not only by the end of the connection.
+    pub is_framed: bool,
     /// When the request was sent.
     pub sent_at: Instant,
 }
@@ -171,6 +174,7 @@
         status,
         headers,
         payload: payload.boxed_local(),
+        is_framed,
         sent_at,
     })
 }
@@ -191,5 +195,16 @@
         }
         _ => Executed::Unknown,
     };
-    SendFailure::new(executed, CallOutcome::Failed, format!("no answer: {error}"))
+    let is_lost = matches!(
+        error,
+        SendRequestError::Connect(ConnectError::Disconnected)
+            | SendRequestError::Response(ParseError::Io(_))
+            | SendRequestError::Send(_)
+    );
+    let outcome = if is_lost {
+        CallOutcome::ConnectionLost
+    } else {
+        CallOutcome::Failed
+    };
+    SendFailure::new(executed, outcome, format!("no answer: {error}"))
 }
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use futures_util::stream::LocalBoxStream;
-use plantainmill_core::{Clock, Executed, Problem, ResultCode, TargetId, Uptime};
+use plantainmill_core::{Clock, Executed, PartList, Problem, ResultCode, TargetId, Uptime};
 use plantainmill_dispatch::{CallOutcome, Dispatcher, TargetTicket};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -324,7 +324,7 @@
                     let reason = format!("the stream was cut before its first event: {error}");
                     return Err(SendFailure::new(
                         Executed::Unknown,
-                        CallOutcome::Failed,
+                        CallOutcome::ConnectionLost,
                         reason,
                     ));
                 }
@@ -335,7 +335,7 @@
                     let reason = "the stream ended within its first event";
                     return Err(SendFailure::new(
                         Executed::Unknown,
-                        CallOutcome::Failed,
+                        CallOutcome::ConnectionLost,
                         reason,
                     ));
                 }
@@ -373,7 +373,7 @@
                     let reason = format!("the answer was cut: {error}");
                     return Err(SendFailure::new(
                         Executed::Unknown,
-                        CallOutcome::Failed,
+                        CallOutcome::ConnectionLost,
                         reason,
                     ));
                 }
@@ -440,8 +440,10 @@
     tracing::info!(
         event = "send_failed",
         request = %call.id,
+        parts = %PartList(&call.parts),
         %target,
         executed = failure.executed.as_str(),
+        outcome = ?failure.outcome,
         reason = %failure.reason,
     );
 }
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -105,6 +105,7 @@
         headers: HeaderMap::new(),
         body: "question".into(),
         prefix_hash: None,
+        parts: Vec::new(),
         deadline: SystemClock.uptime() + Duration::from_secs(2),
         wait_limit: Duration::from_millis(75),
         max_executions: 2,
