--- a/crates/dispatch/src/local.rs
+++ b/crates/dispatch/src/local.rs
@@ -168,7 +168,7 @@
                 entry.window.on_first_byte(first_byte, entry.in_flight, now);
             }
             CallOutcome::ConnectionLost | CallOutcome::Failed | CallOutcome::Rejected => {
-                entry.window.on_rejected(now)
+                entry.window.on_rejected(now);
             }
             CallOutcome::Abandoned => {}
         }
--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 /// What the target does with one request.
@@ -86,6 +87,10 @@
     acts: RefCell<VecDeque<TargetAct>>,
     seen: RefCell<Vec<SeenRequest>>,
     running: Cell<usize>,
+    /// A request with this text in a header crashes the target.
+    crash_marker: RefCell<Option<String>>,
+    /// Notifies all connections of a crash.
+    crash: Notify,
 }
 
 impl StreamTarget {
@@ -105,6 +110,8 @@
                 acts: RefCell::default(),
                 seen: RefCell::default(),
                 running: Cell::new(0),
+                crash_marker: RefCell::default(),
+                crash: Notify::new(),
             }),
         };
         let state = Rc::clone(&target.state);
@@ -112,8 +119,11 @@
             while let Ok((stream, _)) = listener.accept().await {
                 let state = Rc::clone(&state);
                 actix_rt::spawn(async move {
-                    // A caller that goes away ends the connection, as intended.
-                    drop(state.serve(stream).await);
+                    tokio::select! {
+                        // A caller that goes away ends the connection, as intended.
+                        result = state.serve(stream) => drop(result),
+                        () = state.crash.notified() => {}
+                    }
                 });
             }
         });
@@ -130,6 +140,12 @@
         self.state.pause.set(pause);
     }
 
+    /// A request with `marker` in a header ends all connections as soon as its answer has begun, as a crash does. The
+    /// target takes new ones at once.
+    pub fn crash_on(&self, marker: &str) {
+        *self.state.crash_marker.borrow_mut() = Some(marker.to_owned());
+    }
+
     /// Requests seen so far.
     #[must_use]
     pub fn seen(&self) -> Vec<SeenRequest> {
@@ -172,10 +188,18 @@
             let last = request.headers.get("last-event-id");
             let last = last.and_then(|last| last.parse().ok()).unwrap_or(0);
             let act = self.acts.borrow_mut().pop_front().unwrap_or_default();
+            let crashes = self.has_crash_marker(&request);
             self.seen.borrow_mut().push(SeenRequest {
                 ran: act != TargetAct::Refuse,
                 ..request
             });
+            if crashes {
+                let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+                let head = self.head(200, &id, "", framing);
+                stream.write_all(head.as_bytes()).await?;
+                self.crash.notify_waiters();
+                return Ok(());
+            }
             match act {
                 TargetAct::Refuse => {
                     let refused = format!("{}: 1\r\n", self.names.not_executed);
@@ -210,6 +234,14 @@
         }
     }
 
+    fn has_crash_marker(&self, request: &SeenRequest) -> bool {
+        let marker = self.crash_marker.borrow();
+        let mut values = request.headers.values();
+        marker
+            .as_ref()
+            .is_some_and(|marker| values.any(|value| value.contains(marker)))
+    }
+
     fn head(&self, status: u16, id: &str, extra: &str, framing: &str) -> String {
         let name = self.names.request_id;
         format!("HTTP/1.1 {status} Any\r\n{name}: {id}\r\nstamp: s1\r\n{extra}{framing}\r\n")
