--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -70,6 +70,8 @@
     pub request_id: &'static str,
     /// Present on answers to requests that did not run.
     pub not_executed: &'static str,
+    /// Requests a second that the target takes from all VMs together.
+    pub limit: &'static str,
 }
 
 /// A running target. Clones share the same state.
@@ -91,6 +93,8 @@
     crash_marker: RefCell<Option<String>>,
     /// Notifies all connections of a crash.
     crash: Notify,
+    /// Requests a second that responses name as the limit of this target.
+    limit: Cell<Option<f64>>,
 }
 
 impl StreamTarget {
@@ -112,6 +116,7 @@
                 running: Cell::new(0),
                 crash_marker: RefCell::default(),
                 crash: Notify::new(),
+                limit: Cell::new(None),
             }),
         };
         let state = Rc::clone(&target.state);
@@ -146,6 +151,11 @@
         *self.state.crash_marker.borrow_mut() = Some(marker.to_owned());
     }
 
+    /// Sets the limit, in requests a second, that all responses name.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        self.state.limit.set(limit);
+    }
+
     /// Requests seen so far.
     #[must_use]
     pub fn seen(&self) -> Vec<SeenRequest> {
@@ -244,7 +254,11 @@
 
     fn head(&self, status: u16, id: &str, extra: &str, framing: &str) -> String {
         let name = self.names.request_id;
-        format!("HTTP/1.1 {status} Any\r\n{name}: {id}\r\nstamp: s1\r\n{extra}{framing}\r\n")
+        let limit = self.limit.get();
+        let limit = limit.map_or_else(String::new, |limit| {
+            format!("{}: {limit}\r\n", self.names.limit)
+        });
+        format!("HTTP/1.1 {status} Any\r\n{name}: {id}\r\nstamp: s1\r\n{limit}{extra}{framing}\r\n")
     }
 
     /// Sends the events after `last`. Says whether the connection may be used again.
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -24,6 +24,7 @@
 const NAMES: TargetNames = TargetNames {
     request_id: "request-id",
     not_executed: "not-executed",
+    limit: "server-limit",
 };
 
 pub fn owner(vm: &str, incarnation: u64) -> JobOwner {
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -20,6 +20,7 @@
 const NAMES: TargetNames = TargetNames {
     request_id: "request-id",
     not_executed: "not-executed",
+    limit: "server-limit",
 };
 
 struct Fleet {
