Keep to the limits that targets name, over all VMs together

Cause: no VM read the limit. The class is a bound that holds for the sum over all VMs, so each VM following it alone would only change the factor.

dispatch::limits reads it from each response, tells the other VMs, and lets a few VMs of the target's domain divide it by rendezvous order; what they do not use is saved for online requests. It stands behind the quarantine and in front of every dispatch policy, so every kind of send counts.

--- a/crates/dispatch/benches/decisions.rs
+++ b/crates/dispatch/benches/decisions.rs
@@ -64,6 +64,8 @@
         class,
         prefix_hash,
         parts: Vec::new(),
+        barred: Vec::new(),
+        spared: Vec::new(),
         deadline: NOW + Duration::from_mins(1),
         excluded: Vec::new(),
         body_bytes: 2_000,
--- a/crates/dispatch/examples/dispatch_comparison/simulation.rs
+++ b/crates/dispatch/examples/dispatch_comparison/simulation.rs
@@ -191,6 +191,8 @@
             class,
             prefix_hash: None,
             parts: Vec::new(),
+            barred: Vec::new(),
+            spared: Vec::new(),
             deadline: self.now + Duration::from_secs(wait),
             excluded: Vec::new(),
             body_bytes: 2_000,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -4,6 +4,7 @@
 use plantainmill_core::{OrganisationId, PartId, Problem, ServiceName, TargetId, Uptime};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 
@@ -38,6 +39,10 @@
     pub wait_limit: Option<Duration>,
     /// Targets to avoid, because they already failed this request.
     pub excluded: Vec<TargetId>,
+    /// Targets that must not get the request, whatever other targets there are.
+    pub barred: Vec<TargetId>,
+    /// Targets that get the request only if it would have to wait at all others.
+    pub spared: Vec<TargetId>,
     /// Size of the request body in bytes, for the budget of the link between regions.
     pub body_bytes: usize,
     /// The request is a retry and counts against the retry budget.
@@ -66,6 +71,14 @@
     Abandoned,
 }
 
+/// Observes the call of a ticket while it runs.
+pub trait CallObserver: Send + Sync {
+    /// The target has begun its answer.
+    fn call_started(&self) {}
+    /// A response of the target names the requests a second that it takes from all VMs together, or names no limit.
+    fn limit_named(&self, _rate: Option<f64>) {}
+}
+
 /// Permission to send one request to one target. Dropping it without [`TargetTicket::finish`] reports the call as
 /// abandoned.
 pub struct TargetTicket {
@@ -75,7 +88,7 @@
     pub address: SocketAddr,
     /// Becomes true when the request is preempted; never for online requests.
     pub preempted: PreemptSignal,
-    on_start: Option<Box<dyn FnOnce() + Send>>,
+    observers: Vec<Arc<dyn CallObserver>>,
     on_finish: Option<Box<dyn FnOnce(CallOutcome) + Send>>,
 }
 
@@ -92,23 +105,35 @@
             target,
             address,
             preempted,
-            on_start: None,
+            observers: Vec::new(),
             on_finish: Some(on_finish),
         }
     }
 
-    /// Also calls `on_start` when the target begins its answer.
+    /// Adds an observer of the call.
     #[must_use]
-    pub fn with_start(mut self, on_start: Box<dyn FnOnce() + Send>) -> TargetTicket {
-        self.on_start = Some(on_start);
+    pub fn with_observer(mut self, observer: Arc<dyn CallObserver>) -> TargetTicket {
+        self.observers.push(observer);
         self
     }
 
+    /// Removes and returns the observers, for a ticket that takes the place of this one.
+    pub(crate) fn take_observers(&mut self) -> Vec<Arc<dyn CallObserver>> {
+        std::mem::take(&mut self.observers)
+    }
+
     /// Reports that the target has begun its answer: its first event has arrived, or all of a buffered response.
-    pub fn record_start(&mut self) {
-        if let Some(on_start) = self.on_start.take() {
-            on_start();
-        }
+    pub fn record_start(&self) {
+        self.observers
+            .iter()
+            .for_each(|observer| observer.call_started());
+    }
+
+    /// Reports the limit, in requests a second, that a response of the target names; `None` if it names none.
+    pub fn record_limit(&self, rate: Option<f64>) {
+        self.observers
+            .iter()
+            .for_each(|observer| observer.limit_named(rate));
     }
 
     /// Ends the ticket and reports the outcome of its call.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,7 +1,8 @@
 //! Dispatch of requests to targets: target selection, admission by tickets, traffic classes, concurrency windows and
 //! retry budgets.
 //!
-//! [`QuarantineDispatcher`] stands in front of any policy and rejects requests under which targets crash.
+//! [`QuarantineDispatcher`] and [`LimitDispatcher`] stand in front of any policy: one rejects requests under which targets
+//! crash, the other keeps to the limits that targets name.
 //!
 //! Three policies implement [`Dispatcher`]. [`LocalDispatcher`] decides on the state of its own VM alone. The ticketed
 //! policy ([`DispatchHandle`], [`DispatchService`]) gives each target an owner VM that queues requests and grants
@@ -13,12 +14,14 @@
 pub mod handle;
 pub mod health;
 pub mod holding;
+pub mod limits;
 pub mod link;
 pub mod local;
 pub mod local_dispatcher;
 pub mod message;
 pub mod metrics;
 pub mod node;
+pub mod notice;
 pub mod quarantine;
 pub mod rendezvous;
 pub mod retry;
@@ -30,9 +33,10 @@
 pub mod window;
 
 pub use dispatcher::{
-    CallOutcome, Dispatcher, PreemptSignal, TargetTicket, TicketRequest, TrafficClass,
+    CallObserver, CallOutcome, Dispatcher, PreemptSignal, TargetTicket, TicketRequest, TrafficClass,
 };
 pub use handle::DispatchHandle;
+pub use limits::{LimitDispatcher, TargetLimits};
 pub use local_dispatcher::LocalDispatcher;
 pub use quarantine::{PartQuarantine, QuarantineDispatcher};
 pub use service::{DispatchParts, DispatchService};
--- /dev/null
+++ b/crates/dispatch/src/limits/ledger.rs
@@ -0,0 +1,401 @@
+//! State machine of the limits that targets name, and of this VM's share of them.
+
+use super::message::{LimitEntry, LimitReport};
+use crate::dispatcher::TrafficClass;
+use crate::notice::ReportScope;
+use crate::rendezvous::{key_of, score};
+use plantainmill_core::{DomainName, ServiceName, TargetId, Uptime, VmId};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+/// Time without a response that names it after which a limit counts as ended.
+const LIMIT_RETENTION: Duration = Duration::from_mins(1);
+/// Bound on the delay of a report, by which the times of responses at different VMs may be wrong.
+const REPORT_DELAY: Duration = Duration::from_millis(750);
+/// Largest number of VMs that share a limit.
+const MAX_HOLDERS: usize = 32;
+/// Requests a second of a limit for each VM that shares it. Fewer VMs can each save more requests.
+const RATE_PER_HOLDER: f64 = 2.0;
+/// Time for which the unused part of a limit is saved. The limit is kept on average over a few seconds.
+const SAVED_TIME: Duration = Duration::from_secs(1);
+/// Requests that all VMs may have saved at one target in addition, so that each of them can save whole ones.
+const SAVED_REQUESTS: f64 = 2.0;
+/// Rounding error of the saved requests.
+const TOKEN_ERROR: f64 = 1e-6;
+/// Smallest rate, in requests a second, so that the end of a limit is noticed.
+const MIN_RATE: f64 = 0.1;
+/// Largest number of targets whose limits are known.
+const MAX_LIMITED: usize = 1_024;
+/// Largest number of entries in one report, which fits into a datagram.
+const MAX_REPORTED: usize = 256;
+/// Time for which news are repeated in reports, since single datagrams are lost.
+const NEWS_TIME: Duration = Duration::from_secs(1);
+/// Change of a limit, as a fraction, from which it is news.
+const NEWS_CHANGE: f64 = 0.1;
+
+/// A target, as far as limits concern it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LimitedTarget {
+    /// Id of the target.
+    pub id: TargetId,
+    /// Service that it provides.
+    pub service: ServiceName,
+    /// Failure domain that it runs in.
+    pub domain: DomainName,
+}
+
+/// A change of state, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LimitEvent {
+    /// A target has named another limit, or none any more.
+    Changed {
+        /// Target that named it.
+        target: TargetId,
+        /// Limit in requests a second.
+        rate: Option<f64>,
+        /// Part of it that this VM may use, in requests a second.
+        share: f64,
+    },
+}
+
+#[derive(Debug)]
+struct NamedLimit {
+    rate: Option<f64>,
+    observer: u64,
+    observed_ms: u64,
+    observed_at: Uptime,
+    /// When the limit last became news.
+    news_at: Uptime,
+    /// Part of the rate that this VM may use.
+    share: f64,
+    /// Requests that this VM may have saved.
+    max_tokens: f64,
+    tokens: f64,
+    refilled_at: Uptime,
+}
+
+/// The limits of all targets, as known to one VM.
+#[derive(Debug)]
+pub struct LimitLedger {
+    vm: VmId,
+    vm_key: u64,
+    targets: HashMap<TargetId, LimitedTarget>,
+    members: BTreeMap<DomainName, Vec<VmId>>,
+    limits: BTreeMap<TargetId, NamedLimit>,
+}
+
+impl LimitLedger {
+    /// An empty ledger of `vm`.
+    #[must_use]
+    pub fn new(vm: VmId) -> LimitLedger {
+        LimitLedger {
+            vm_key: key_of(&vm),
+            vm,
+            targets: HashMap::new(),
+            members: BTreeMap::new(),
+            limits: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the targets. Limits of targets that are not listed stay until they end, since an entry may lapse.
+    pub fn set_targets(&mut self, targets: impl Iterator<Item = LimitedTarget>, now: Uptime) {
+        let targets = targets.map(|target| (target.id.clone(), target));
+        self.targets = targets.collect();
+        self.update_shares(now);
+    }
+
+    /// Replaces the live VMs of each failure domain, this one included.
+    pub fn set_members(&mut self, mut members: BTreeMap<DomainName, Vec<VmId>>, now: Uptime) {
+        for vms in members.values_mut() {
+            vms.sort();
+        }
+        if members != self.members {
+            self.members = members;
+            self.update_shares(now);
+        }
+    }
+
+    /// Records what a response of `target` says about its limit.
+    pub fn record_response(
+        &mut self,
+        target: &TargetId,
+        rate: Option<f64>,
+        now: Uptime,
+    ) -> Option<LimitEvent> {
+        let rate = rate.filter(|rate| rate.is_finite() && *rate >= 0.0);
+        if rate.is_none() && !self.limits.contains_key(target) {
+            return None;
+        }
+        let observed_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        self.record(target, rate, (self.vm_key, observed_ms), now, now)
+    }
+
+    fn record(
+        &mut self,
+        target: &TargetId,
+        rate: Option<f64>,
+        (observer, observed_ms): (u64, u64),
+        observed_at: Uptime,
+        now: Uptime,
+    ) -> Option<LimitEvent> {
+        if !self.limits.contains_key(target) && self.limits.len() >= MAX_LIMITED {
+            return None;
+        }
+        let (share, max_tokens) = rate.map_or((0.0, 0.0), |rate| self.share_of(target, rate));
+        let limit = self
+            .limits
+            .entry(target.clone())
+            .or_insert_with(|| NamedLimit {
+                rate: None,
+                observer,
+                observed_ms,
+                observed_at,
+                news_at: now,
+                share: 0.0,
+                max_tokens: 0.0,
+                tokens: 0.0,
+                refilled_at: now,
+            });
+        limit.refill(now);
+        let is_news = is_changed(limit.rate, rate);
+        limit.rate = rate;
+        (limit.share, limit.max_tokens) = (share, max_tokens);
+        (limit.observer, limit.observed_ms) = (observer, observed_ms);
+        limit.observed_at = observed_at;
+        if !is_news {
+            return None;
+        }
+        limit.news_at = now;
+        Some(LimitEvent::Changed {
+            target: target.clone(),
+            rate,
+            share,
+        })
+    }
+
+    /// Part of `rate` that this VM may use at `target`, and the requests that it may have saved: the VMs of the target's failure domain that come first in its own
+    /// order divide it evenly. If none is live there, the VMs of all domains do.
+    fn share_of(&self, target: &TargetId, rate: f64) -> (f64, f64) {
+        let domain = self.targets.get(target).map(|target| &target.domain);
+        let near = domain.and_then(|domain| self.members.get(domain));
+        let near = near.filter(|vms| !vms.is_empty());
+        let mut vms: Vec<&VmId> = near.map_or_else(
+            || self.members.values().flatten().collect(),
+            |vms| vms.iter().collect(),
+        );
+        let key = key_of(target);
+        vms.sort_by_cached_key(|vm| Reverse((score(vm, key), (*vm).clone())));
+        vms.truncate(holder_count(rate));
+        if !vms.contains(&&self.vm) {
+            return (0.0, 0.0);
+        }
+        let holders = f64::from(u32::try_from(vms.len()).unwrap_or(u32::MAX));
+        let saved = rate * SAVED_TIME.as_secs_f64() + SAVED_REQUESTS;
+        (rate.max(MIN_RATE) / holders, (saved / holders).max(1.0))
+    }
+
+    fn update_shares(&mut self, now: Uptime) {
+        let shares: Vec<(TargetId, (f64, f64))> = self
+            .limits
+            .iter()
+            .filter_map(|(target, limit)| {
+                let rate = limit.rate?;
+                Some((target.clone(), self.share_of(target, rate)))
+            })
+            .collect();
+        for (target, (share, max_tokens)) in shares {
+            if let Some(limit) = self.limits.get_mut(&target) {
+                limit.refill(now);
+                (limit.share, limit.max_tokens) = (share, max_tokens);
+            }
+        }
+    }
+
+    /// Targets of `service` to which this VM may send no request of `class` now. Batch requests leave what is saved to
+    /// online ones.
+    #[must_use]
+    pub fn exhausted(
+        &self,
+        service: &ServiceName,
+        class: TrafficClass,
+        now: Uptime,
+    ) -> Vec<TargetId> {
+        self.limited(service, |limit| match class {
+            TrafficClass::Online => limit.is_exhausted(now),
+            TrafficClass::Batch => limit.rate.is_some() && !limit.is_full(now),
+        })
+    }
+
+    /// Targets of `service` that this VM uses only where no target without a limit can serve: what it does not use of
+    /// their limits is saved.
+    #[must_use]
+    pub fn spared(&self, service: &ServiceName, now: Uptime) -> Vec<TargetId> {
+        self.limited(service, |limit| limit.rate.is_some() && !limit.is_full(now))
+    }
+
+    fn limited(
+        &self,
+        service: &ServiceName,
+        matches: impl Fn(&NamedLimit) -> bool,
+    ) -> Vec<TargetId> {
+        let limits = self.limits.iter();
+        let limited = limits.filter(|(target, limit)| {
+            let known = self.targets.get(*target);
+            known.is_some_and(|target| target.service == *service) && matches(limit)
+        });
+        limited.map(|(target, _)| target.clone()).collect()
+    }
+
+    /// Time until this VM may send a request to any target of `service`; `None` if it never may. Zero if one is free.
+    #[must_use]
+    pub fn next_free(&self, service: &ServiceName, now: Uptime) -> Option<Duration> {
+        let targets = self.targets.values();
+        let targets = targets.filter(|target| target.service == *service);
+        targets
+            .filter_map(|target| match self.limits.get(&target.id) {
+                Some(limit) => limit.next_free(now),
+                None => Some(Duration::ZERO),
+            })
+            .min()
+    }
+
+    /// Takes the permission to send one request to `target`. Returns false if there is none.
+    pub fn take(&mut self, target: &TargetId, now: Uptime) -> bool {
+        let Some(limit) = self.limits.get_mut(target) else {
+            return true;
+        };
+        if limit.is_exhausted(now) {
+            return false;
+        }
+        limit.refill(now);
+        limit.tokens = (limit.tokens - 1.0).max(0.0);
+        true
+    }
+
+    /// Records a report of another VM.
+    pub fn record_report(&mut self, report: &LimitReport, now: Uptime) -> Vec<LimitEvent> {
+        let mut events = Vec::new();
+        for entry in &report.entries {
+            let observed_at = now.saturating_sub(Duration::from_millis(entry.age_ms));
+            let is_newer = self.limits.get(&entry.target).is_none_or(|known| {
+                if known.observer == entry.observer {
+                    entry.observed_ms > known.observed_ms
+                } else {
+                    observed_at > known.observed_at + REPORT_DELAY
+                }
+            });
+            let is_live = now.saturating_sub(observed_at) < LIMIT_RETENTION;
+            if entry.observer == self.vm_key || !is_newer || !is_live {
+                continue;
+            }
+            let observation = (entry.observer, entry.observed_ms);
+            events.extend(self.record(&entry.target, entry.rate, observation, observed_at, now));
+        }
+        events
+    }
+
+    /// Ends the limits that no response has named for long.
+    pub fn tick(&mut self, now: Uptime) {
+        self.limits
+            .retain(|_, limit| now.saturating_sub(limit.observed_at) < LIMIT_RETENTION);
+    }
+
+    /// Whether there are news that a report of this scope should repeat.
+    #[must_use]
+    pub fn has_news(&self, scope: ReportScope, now: Uptime) -> bool {
+        let mut limits = self.limits.values();
+        limits
+            .any(|limit| now.saturating_sub(limit.news_at) < NEWS_TIME && self.covers(scope, limit))
+    }
+
+    fn covers(&self, scope: ReportScope, limit: &NamedLimit) -> bool {
+        scope == ReportScope::All || limit.observer == self.vm_key
+    }
+
+    /// The report to other VMs: all known limits, and recent ends.
+    #[must_use]
+    pub fn report(&self, scope: ReportScope, now: Uptime) -> LimitReport {
+        let mut covered: Vec<(&TargetId, &NamedLimit)> = self
+            .limits
+            .iter()
+            .filter(|(_, limit)| self.covers(scope, limit))
+            .collect();
+        covered.sort_by_key(|(_, limit)| Reverse(limit.news_at));
+        let entries = covered.into_iter().take(MAX_REPORTED);
+        LimitReport {
+            entries: entries
+                .map(|(target, limit)| LimitEntry {
+                    target: target.clone(),
+                    rate: limit.rate,
+                    observer: limit.observer,
+                    observed_ms: limit.observed_ms,
+                    age_ms: u64::try_from(now.saturating_sub(limit.observed_at).as_millis())
+                        .unwrap_or(u64::MAX),
+                })
+                .collect(),
+        }
+    }
+
+    /// Number of targets with a limit.
+    #[must_use]
+    pub fn limited_count(&self) -> usize {
+        let limits = self.limits.values();
+        limits.filter(|limit| limit.rate.is_some()).count()
+    }
+
+    /// Limits of targets with this VM's share, in requests a second.
+    #[must_use]
+    pub fn dump(&self, now: Uptime) -> serde_json::Value {
+        let limits = self.limits.iter().map(|(target, limit)| {
+            serde_json::json!({
+                "target": target, "limit": limit.rate, "share": limit.share,
+                "age_ms": now.saturating_sub(limit.observed_at).as_millis(),
+            })
+        });
+        limits.collect()
+    }
+}
+
+impl NamedLimit {
+    fn tokens_at(&self, now: Uptime) -> f64 {
+        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
+        (self.tokens + self.share * elapsed).min(self.max_tokens)
+    }
+
+    fn refill(&mut self, now: Uptime) {
+        self.tokens = self.tokens_at(now);
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    fn is_exhausted(&self, now: Uptime) -> bool {
+        self.rate.is_some() && self.tokens_at(now) < 1.0 - TOKEN_ERROR
+    }
+
+    /// Whether no more can be saved, so that a request uses what would be lost otherwise.
+    fn is_full(&self, now: Uptime) -> bool {
+        self.max_tokens > 0.0 && self.tokens_at(now) >= self.max_tokens - TOKEN_ERROR
+    }
+
+    fn next_free(&self, now: Uptime) -> Option<Duration> {
+        if !self.is_exhausted(now) {
+            return Some(Duration::ZERO);
+        }
+        let missing = 1.0 - self.tokens_at(now);
+        (self.share > 0.0).then(|| Duration::from_secs_f64(missing / self.share))
+    }
+}
+
+/// Number of VMs that share a limit of `rate` requests a second.
+fn holder_count(rate: f64) -> usize {
+    let rate_of = |count: usize| u32::try_from(count).map_or(f64::MAX, f64::from) * RATE_PER_HOLDER;
+    let counts = (1..MAX_HOLDERS).take_while(|count| rate_of(*count) < rate);
+    counts.count() + 1
+}
+
+fn is_changed(former: Option<f64>, rate: Option<f64>) -> bool {
+    match (former, rate) {
+        (Some(former), Some(rate)) => (rate - former).abs() > former * NEWS_CHANGE,
+        (former, rate) => former.is_some() != rate.is_some(),
+    }
+}
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -9,9 +9,7 @@
 mod evidence;
 mod ledger;
 mod message;
-mod service;
 
 pub use dispatcher::{PartQuarantine, QuarantineDispatcher};
 pub use ledger::{CallParts, PartLedger, QuarantineEvent};
-pub use message::{LossEntry, PartReport, QuarantineEntry, ReportScope, SoundEntry};
-pub use service::{QuarantineParts, QuarantineService};
+pub use message::{LossEntry, PartReport, QuarantineEntry, SoundEntry};
--- a/crates/dispatch/src/quarantine/dispatcher.rs
+++ b/crates/dispatch/src/quarantine/dispatcher.rs
@@ -1,13 +1,18 @@
 //! A dispatcher that rejects requests with quarantined prompt parts, in front of any other policy.
 
 use super::ledger::{CallParts, PartLedger, QuarantineEvent};
-use super::message::{PartReport, ReportScope};
-use crate::dispatcher::{CallOutcome, Dispatcher, TargetTicket, TicketRequest, TrafficClass};
+use super::message::PartReport;
+use crate::dispatcher::{
+    CallObserver, CallOutcome, Dispatcher, TargetTicket, TicketRequest, TrafficClass,
+};
+use crate::notice::{NoticeSource, ReportScope};
+use bytes::Bytes;
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 use plantainmill_core::{Clock, PartId, Problem, ResultCode, ServiceName, VmId};
+use plantainmill_mesh::{decode_body, encode_body};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Quarantine of prompt parts at one VM. Clones share the same state.
@@ -56,12 +61,6 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Ends quarantines that have lasted long enough, and logs that. Has to be called every few seconds at least.
-    pub fn tick(&self) {
-        let events = self.lock().tick(self.clock.uptime());
-        log_events(&events);
-    }
-
     /// Records the report of another VM.
     pub fn record_report(&self, report: &PartReport) {
         let events = self.lock().record_report(report, self.clock.uptime());
@@ -74,12 +73,6 @@
         self.lock().report(scope, self.clock.uptime())
     }
 
-    /// Whether there are news that a report of this scope should repeat.
-    #[must_use]
-    pub fn has_news(&self, scope: ReportScope) -> bool {
-        self.lock().has_news(scope, self.clock.uptime())
-    }
-
     /// Parts with losses and parts in quarantine, for the diagnostic dump.
     #[must_use]
     pub fn dump(&self) -> serde_json::Value {
@@ -100,7 +93,7 @@
     }
 
     /// Wraps a ticket so that the beginning and the end of its call are recorded.
-    fn observe(&self, ticket: TargetTicket, request: RequestParts) -> TargetTicket {
+    fn observe(&self, mut ticket: TargetTicket, request: RequestParts) -> TargetTicket {
         let now = self.clock.uptime();
         self.lock().record_send(&request.parts, now);
         let call = CallParts {
@@ -111,7 +104,11 @@
         };
         let (target, address) = (ticket.target.clone(), ticket.address);
         let preempted = ticket.preempted.clone();
-        let (starting, started_call) = (self.clone(), call.clone());
+        let observer = StartObserver {
+            quarantine: self.clone(),
+            call: call.clone(),
+        };
+        let observers = ticket.take_observers();
         let finishing = self.clone();
         let on_finish = Box::new(move |outcome| {
             finishing.finish(&call, outcome);
@@ -122,8 +119,11 @@
             };
             ticket.finish(outcome);
         });
-        TargetTicket::new(target, address, preempted, on_finish)
-            .with_start(Box::new(move || starting.start(&started_call)))
+        let wrapped = TargetTicket::new(target, address, preempted, on_finish);
+        let wrapped = observers
+            .into_iter()
+            .fold(wrapped, TargetTicket::with_observer);
+        wrapped.with_observer(Arc::new(observer))
     }
 
     fn start(&self, call: &CallParts) {
@@ -148,6 +148,41 @@
     }
 }
 
+impl NoticeSource for PartQuarantine {
+    fn tick(&self) {
+        let events = self.lock().tick(self.clock.uptime());
+        log_events(&events);
+    }
+
+    fn has_news(&self, scope: ReportScope) -> bool {
+        self.lock().has_news(scope, self.clock.uptime())
+    }
+
+    fn notice(&self, scope: ReportScope) -> Option<Bytes> {
+        let report = self.report(scope);
+        (!report.is_empty()).then(|| encode_body(&report))
+    }
+
+    fn record_notice(&self, content: &[u8]) -> bool {
+        let report = decode_body::<PartReport>(content);
+        report
+            .inspect(|report| self.record_report(report))
+            .is_some()
+    }
+}
+
+/// Records the beginning of an answer.
+struct StartObserver {
+    quarantine: PartQuarantine,
+    call: CallParts,
+}
+
+impl CallObserver for StartObserver {
+    fn call_started(&self) {
+        self.quarantine.start(&self.call);
+    }
+}
+
 /// What of a request the quarantine needs after the inner policy has taken it.
 struct RequestParts {
     parts: Vec<PartId>,
--- a/crates/dispatch/src/quarantine/ledger.rs
+++ b/crates/dispatch/src/quarantine/ledger.rs
@@ -1,7 +1,8 @@
 //! State machine of the quarantine: what this VM knows about prompt parts, and which requests it rejects.
 
 use super::evidence::{LOSS_RETENTION, LossRecord, PartEvidence, REPORT_DELAY};
-use super::message::{LossEntry, PartReport, QuarantineEntry, ReportScope, SoundEntry};
+use super::message::{LossEntry, PartReport, QuarantineEntry, SoundEntry};
+use crate::notice::ReportScope;
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{PartId, ServiceName, TargetId, Uptime, VmId};
 use std::collections::HashMap;
--- a/crates/dispatch/src/quarantine/message.rs
+++ b/crates/dispatch/src/quarantine/message.rs
@@ -78,12 +78,3 @@
         self.losses.is_empty() && self.sound.is_empty() && self.quarantined.is_empty()
     }
 }
-
-/// Which knowledge a report covers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ReportScope {
-    /// What this VM has observed and decided itself.
-    Own,
-    /// Also what it has heard from others, for VMs that those do not reach.
-    All,
-}
--- a/crates/dispatch/src/shared/choice.rs
+++ b/crates/dispatch/src/shared/choice.rs
@@ -54,6 +54,8 @@
     OwnBatch,
     /// A peer would preempt one of its batch calls.
     PeerBatch,
+    /// It has a free slot, and names a limit of which this VM saves its part.
+    Spared,
     /// All slots have online requests; the request would wait at the target.
     Queued,
     /// It has a free slot, but failed recently.
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -415,6 +415,11 @@
         let candidates = self.candidates(request, |target, peers| {
             let has_turn = released == Some(&target.entry.id) || self.has_turn(target, now);
             let state = online_state(target, peers, is_dominant, now)?;
+            let is_spared = request.spared.contains(&target.entry.id);
+            let state = match state {
+                SlotState::Free if is_spared => SlotState::Spared,
+                other => other,
+            };
             (has_turn || state == SlotState::OwnBatch).then_some(state)
         });
         let order = CandidateOrder {
@@ -428,7 +433,7 @@
         match best.state {
             SlotState::OwnBatch => self.preempt_at(&best.target, 1, now, effects),
             SlotState::PeerBatch => effects.push(LedgerEffect::SendReport),
-            SlotState::Free | SlotState::Queued | SlotState::Suspect => {}
+            SlotState::Free | SlotState::Queued | SlotState::Spared | SlotState::Suspect => {}
         }
         self.grant(waiting, &best.target, now, effects);
         true
@@ -449,7 +454,9 @@
     ) -> Vec<Candidate> {
         let serving = || {
             let targets = self.targets.iter();
-            targets.filter(|(_, target)| target.entry.service == request.service)
+            targets.filter(|(id, target)| {
+                target.entry.service == request.service && !request.barred.contains(id)
+            })
         };
         // If there is no other target, one that already failed the request is better than none.
         let has_other = serving().any(|(id, _)| !request.excluded.contains(id));
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -13,5 +13,6 @@
 mod service;
 mod shared_ledger;
 mod support;
+mod target_limits;
 mod tickets;
 mod window;
--- a/crates/dispatch/tests/all/part_quarantine.rs
+++ b/crates/dispatch/tests/all/part_quarantine.rs
@@ -1,9 +1,8 @@
 //! Quarantine of prompt parts over many VMs whose reports are late or lost, in virtual time.
 
 use plantainmill_core::{PartId, TargetId, Uptime};
-use plantainmill_dispatch::quarantine::{
-    CallParts, PartLedger, PartReport, QuarantineEvent, ReportScope,
-};
+use plantainmill_dispatch::notice::ReportScope;
+use plantainmill_dispatch::quarantine::{CallParts, PartLedger, PartReport, QuarantineEvent};
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
 use rstest::rstest;
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -49,6 +49,8 @@
         class,
         prefix_hash: None,
         parts: Vec::new(),
+        barred: Vec::new(),
+        spared: Vec::new(),
         deadline: at(60_000),
         wait_limit: None,
         excluded: Vec::new(),
--- a/crates/dispatch/tests/all/support.rs
+++ b/crates/dispatch/tests/all/support.rs
@@ -60,6 +60,8 @@
         class,
         prefix_hash: None,
         parts: Vec::new(),
+        barred: Vec::new(),
+        spared: Vec::new(),
         deadline: now + Duration::from_mins(1),
         excluded: Vec::new(),
         body_bytes: 1_000,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,7 +14,7 @@
 mod peer_directory;
 mod peer_discovery;
 mod peer_exchange;
-mod peer_parts;
+mod peer_notices;
 mod peer_reports;
 mod proxied_rows;
 mod report_relay;
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -3,6 +3,7 @@
 use crate::compact_batch::CompactBatch;
 use plantainmill_admission::UsageEntry;
 use plantainmill_core::{DomainName, Incarnation, RegionName, VmId};
+use plantainmill_dispatch::limits::LimitReport;
 use plantainmill_dispatch::quarantine::PartReport;
 use plantainmill_dispatch::shared::PeerLoad;
 use plantainmill_jobs::{HeadUpdate, JobOwner};
@@ -111,6 +112,8 @@
     Batch(ReportBatch),
     /// Losses under prompt parts, and parts in quarantine. Older releases ignore it.
     Parts(PartReport),
+    /// Limits that targets name. Older releases ignore it.
+    Limits(LimitReport),
     /// Job heads that the sender has read from the store.
     Jobs(Vec<HeadUpdate>),
     /// Queries the age of the peer's document and targets.
--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -260,6 +260,17 @@
         remote.map_or_else(Vec::new, |remote| remote.members.clone())
     }
 
+    /// Returns the live VMs of the other domains, as last reported.
+    #[must_use]
+    pub fn remote_vms(&self, now: Uptime) -> BTreeMap<DomainName, Vec<VmId>> {
+        let live = self.remote.iter().filter(|(_, remote)| remote.is_live(now));
+        live.map(|(domain, remote)| {
+            let vms = remote.members.iter().map(|member| member.vm.clone());
+            (domain.clone(), vms.collect())
+        })
+        .collect()
+    }
+
     /// Merges the stored rows of the own domain's VMs. Returns the positions of the rows whose VMs have not reported
     /// within the retention period, so that the caller can delete them.
     #[must_use]
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -66,7 +66,7 @@
         actix_rt::spawn(Rc::clone(&exchange).report_to_domain());
         actix_rt::spawn(Rc::clone(&exchange).report_to_other_domains());
         actix_rt::spawn(Rc::clone(&exchange).relay_reports());
-        actix_rt::spawn(Rc::clone(&exchange).report_parts());
+        actix_rt::spawn(Rc::clone(&exchange).send_notices());
         actix_rt::spawn(Rc::clone(&exchange).discover());
         actix_rt::spawn(Rc::clone(&exchange).query_ages());
         actix_rt::spawn(Rc::clone(&exchange).announce_changes());
@@ -145,6 +145,7 @@
             PeerMessage::Domain(report) => self.handle_domain_report(report).await,
             PeerMessage::Batch(batch) => self.handle_batch(batch).await,
             PeerMessage::Parts(report) => self.state.quarantine.record_report(&report),
+            PeerMessage::Limits(report) => self.state.limits.record_report(&report),
             PeerMessage::Jobs(updates) => self.state.jobs.apply_updates(updates),
             PeerMessage::Leaving { vm, incarnation } => {
                 if self.directory.borrow_mut().remove_peer(&vm, incarnation) {
--- a/crates/edge/src/peer_reports.rs
+++ b/crates/edge/src/peer_reports.rs
@@ -172,6 +172,7 @@
     /// Updates the VM's reader role and the job service's view of the fleet.
     fn update_fleet(&self) {
         let now = self.now();
+        self.update_limit_members();
         let directory = self.directory.borrow();
         let is_reader = directory.is_reader(now);
         if self.state.is_reader.replace(is_reader) != is_reader {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -7,7 +7,8 @@
 use crate::settings::{BoundSettings, EdgeSettings};
 use plantainmill_admission::SharedLimiter;
 use plantainmill_core::{Clock, InFlightCounter, Incarnation, Uptime};
-use plantainmill_dispatch::{PartQuarantine, SharedDispatcher};
+use plantainmill_dispatch::limits::LimitedTarget;
+use plantainmill_dispatch::{PartQuarantine, SharedDispatcher, TargetLimits};
 use plantainmill_jobs::JobService;
 use plantainmill_proxy::relay::RelayCaller;
 use plantainmill_routing::{DocumentView, TargetEntry, TargetRegistry};
@@ -34,6 +35,8 @@
     pub dispatcher: SharedDispatcher,
     /// Prompt parts under which targets are lost; it stands in front of the dispatcher.
     pub quarantine: PartQuarantine,
+    /// Limits that targets name; they stand between the quarantine and the dispatcher.
+    pub limits: TargetLimits,
     pub relay_caller: RelayCaller,
     pub jobs: JobService,
     pub codec: Rc<dyn RequestCodec>,
@@ -88,6 +91,12 @@
         let before = targets.fingerprint();
         change(&mut targets, now);
         self.dispatcher.set_targets(targets.usable(now));
+        let limited = targets.usable(now).map(|entry| LimitedTarget {
+            id: entry.id.clone(),
+            service: entry.service.clone(),
+            domain: entry.domain.clone(),
+        });
+        self.limits.set_targets(limited);
         if targets.fingerprint() != before {
             self.update_notify.notify_one();
         }
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -16,7 +16,9 @@
 use plantainmill_admission::SharedLimiter;
 use plantainmill_core::{Clock, InFlightCounter, Incarnation, SystemClock, incarnation_at};
 use plantainmill_dispatch::shared::SharedParts;
-use plantainmill_dispatch::{PartQuarantine, QuarantineDispatcher, SharedDispatcher};
+use plantainmill_dispatch::{
+    LimitDispatcher, PartQuarantine, QuarantineDispatcher, SharedDispatcher, TargetLimits,
+};
 use plantainmill_jobs::{JobOwner, JobParts, JobService, JobSettings, JobStore};
 use plantainmill_provider::PartitionStore;
 use plantainmill_proxy::relay::{RelayCaller, RelayLimits};
@@ -191,7 +193,14 @@
         &metrics.meter(),
         METRIC_PREFIX,
     );
-    let policy = QuarantineDispatcher::new(Arc::new(dispatcher.clone()), quarantine.clone());
+    let limits = TargetLimits::new(
+        &settings.vm.id,
+        Arc::clone(&clock),
+        &metrics.meter(),
+        METRIC_PREFIX,
+    );
+    let policy = LimitDispatcher::new(Arc::new(dispatcher.clone()), limits.clone());
+    let policy = QuarantineDispatcher::new(Arc::new(policy), quarantine.clone());
     let relay_caller = RelayCaller::new(
         Arc::new(policy),
         Arc::clone(&clock),
@@ -221,6 +230,7 @@
         view,
         dispatcher,
         quarantine,
+        limits,
         relay_caller,
         jobs,
         codec,
--- a/crates/mesh/src/message.rs
+++ b/crates/mesh/src/message.rs
@@ -17,6 +17,8 @@
     Config,
     /// Dispatch: tickets of the per-target queues.
     Dispatch,
+    /// Limits that targets name.
+    Limits,
     /// Membership: probes and digests.
     Membership,
     /// Quarantine: prompt parts under which targets were lost.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod events;
 mod listeners;
 mod services;
+mod target_limits;
 
 pub use listeners::NodeAddresses;
 pub use node::{Node, StopReport};
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -3,6 +3,7 @@
 use crate::dump::NodeDump;
 use crate::events::EventCounts;
 use crate::listeners::Listeners;
+use crate::target_limits::FleetLimits;
 use actix::{Actor as _, Addr};
 use plantainmill_admin::{AdminState, NodeMetrics};
 use plantainmill_admission::{
@@ -12,16 +13,18 @@
 use plantainmill_config::{ConfigOptions, ConfigService, ConfigView, ReadyState};
 use plantainmill_core::{Clock, Incarnation, SystemClock, incarnation_at};
 use plantainmill_dispatch::node::NodeIdentity;
-use plantainmill_dispatch::quarantine::{QuarantineParts, QuarantineService};
+use plantainmill_dispatch::notice::{NoticeParts, NoticeService, NoticeSource};
 use plantainmill_dispatch::{
-    DispatchHandle, DispatchParts, DispatchService, Dispatcher, PartQuarantine,
-    QuarantineDispatcher,
+    DispatchHandle, DispatchParts, DispatchService, Dispatcher, LimitDispatcher, PartQuarantine,
+    QuarantineDispatcher, TargetLimits,
 };
 use plantainmill_gateway::{DrainState, GatewayParts};
 use plantainmill_membership::{
     LeaveFleet, MemberTiming, MemberView, MembershipOptions, MembershipService,
 };
-use plantainmill_mesh::{FleetSecret, IDLE_LIMIT, MeshOptions, MeshPeer, MeshService, StopMesh};
+use plantainmill_mesh::{
+    Channel, FleetSecret, IDLE_LIMIT, MeshOptions, MeshPeer, MeshService, StopMesh,
+};
 use plantainmill_placement::{PlacementOptions, PlacementService, StopPlacement};
 use plantainmill_provider::http::{ClientSettings, HttpEngine, HttpObjects, HttpPlatform};
 use plantainmill_provider::{ObjectStore, TableStore};
@@ -35,7 +38,7 @@
 
 /// Interval at which the configuration service is polled until it is ready.
 const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Prefix of the names of the metrics of the quarantine.
+/// Prefix of the names of the metrics of quarantine and limits.
 const METRIC_PREFIX: &str = "dispatch_";
 const MINUTE: Duration = Duration::from_mins(1);
 
@@ -81,7 +84,7 @@
         actix_rt::spawn(events.poll_reports(mesh.clone(), membership.clone(), config.clone()));
         let rates = RateService::launch(common.rate_parts(&mesh));
         let dispatch = common.start_dispatch(&mesh);
-        let dispatch = common.start_quarantine(&mesh, &dispatch);
+        let dispatch = common.guard_dispatch(&mesh, &dispatch);
         let batch = BatchService::launch(common.batch_parts(&mesh, &dispatch));
         let placement = PlacementService::new(common.placement_options()).start();
         let keys = KeyAuthenticator::new(common.view.clone(), Arc::clone(&common.clock));
@@ -292,27 +295,45 @@
         }
     }
 
-    /// Starts the quarantine of prompt parts in front of the dispatcher.
-    fn start_quarantine(
+    /// Puts the limits of targets and the quarantine of prompt parts in front of the dispatcher, and starts their exchange
+    /// with other VMs.
+    fn guard_dispatch(
         &self,
         mesh: &Addr<MeshService>,
         dispatch: &DispatchHandle,
     ) -> Arc<dyn Dispatcher> {
-        let vm = &self.settings.vm.id;
-        let clock = Arc::clone(&self.clock);
-        let quarantine = PartQuarantine::new(vm, clock, &self.metrics.meter(), METRIC_PREFIX);
-        let service = QuarantineService::new(QuarantineParts {
-            quarantine: quarantine.clone(),
+        let vm = &self.settings.vm;
+        let (clock, meter) = (Arc::clone(&self.clock), self.metrics.meter());
+        let limits = TargetLimits::new(&vm.id, Arc::clone(&clock), &meter, METRIC_PREFIX);
+        let quarantine = PartQuarantine::new(&vm.id, clock, &meter, METRIC_PREFIX);
+        let fleet_limits = FleetLimits {
+            limits: limits.clone(),
+            config: self.view.clone(),
+            members: self.members.clone(),
+            vm: vm.id.clone(),
+            domain: vm.domain.clone(),
+        };
+        self.start_notices(mesh, Channel::Limits, Box::new(fleet_limits));
+        self.start_notices(mesh, Channel::Quarantine, Box::new(quarantine.clone()));
+        let limited = LimitDispatcher::new(Arc::new(dispatch.clone()), limits);
+        Arc::new(QuarantineDispatcher::new(Arc::new(limited), quarantine))
+    }
+
+    fn start_notices(
+        &self,
+        mesh: &Addr<MeshService>,
+        channel: Channel,
+        source: Box<dyn NoticeSource>,
+    ) {
+        let service = NoticeService::new(NoticeParts {
+            source,
+            channel,
             members: self.members.clone(),
             mesh: mesh.clone().recipient(),
             channels: mesh.clone().recipient(),
             timer: self.timer.clone().recipient(),
         });
         service.start();
-        Arc::new(QuarantineDispatcher::new(
-            Arc::new(dispatch.clone()),
-            quarantine,
-        ))
     }
 
     fn start_dispatch(&self, mesh: &Addr<MeshService>) -> DispatchHandle {
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -231,6 +231,8 @@
         class,
         prefix_hash,
         parts: Vec::new(),
+        barred: Vec::new(),
+        spared: Vec::new(),
         deadline,
         wait_limit: (class == TrafficClass::Online).then_some(Duration::from_millis(75)),
         excluded: Vec::new(),
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -124,6 +124,8 @@
             class: self.request.class,
             prefix_hash: self.request.prefix_hash,
             parts: self.request.parts.clone(),
+            barred: Vec::new(),
+            spared: Vec::new(),
             deadline: self.request.deadline,
             excluded: attempts.iter().map(|entry| entry.target.clone()).collect(),
             body_bytes: self.request.body.len(),
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Sends one request and reads the head of its response.
 
 use crate::context::{AttemptFailure, CallContext, ExecutionMark};
-use crate::headers::{DEADLINE_HEADER, REQUEST_ID_HEADER, header_text};
+use crate::headers::{DEADLINE_HEADER, LIMIT_HEADER, REQUEST_ID_HEADER, header_text};
 use crate::transport::client;
 use actix_web::error::ParseError;
 use awc::ClientRequest;
@@ -14,7 +14,7 @@
 use plantainmill_core::response::EXECUTED_HEADER;
 use plantainmill_core::secret::new_id;
 use plantainmill_core::{Executed, ResultCode};
-use plantainmill_dispatch::CallOutcome;
+use plantainmill_dispatch::{CallOutcome, TargetTicket};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -52,14 +52,14 @@
     }
 }
 
-/// Sends the request to `address` and reads the head of the response.
+/// Sends the request to the target of `ticket` and reads the head of the response.
 pub(crate) async fn send_request(
     context: &CallContext,
-    address: SocketAddr,
+    ticket: &TargetTicket,
     mark: &ExecutionMark,
 ) -> Result<ResponseHead, AttemptFailure> {
     let request_id = new_id("");
-    let request = build_request(context, address, &request_id)?;
+    let request = build_request(context, ticket.address, &request_id)?;
     let sent_at = Instant::now();
     mark.set(Executed::Unknown);
     let sent = request.send_body(context.request.body.clone()).await;
@@ -71,6 +71,8 @@
         first_byte: sent_at.elapsed(),
     };
     check_echo(&head, &request_id)?;
+    let limit = header_text(&head.headers, LIMIT_HEADER);
+    ticket.record_limit(limit.and_then(|limit| limit.trim().parse().ok()));
     check_refusal(&head, mark)?;
     mark.set(Executed::Yes);
     check_length(&head, context)?;
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -10,6 +10,8 @@
 pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Remaining time for the response, in milliseconds.
 pub(crate) const DEADLINE_HEADER: &str = "plantainmill-deadline-ms";
+/// Response header with the requests a second that the target takes from all VMs together.
+pub(crate) const LIMIT_HEADER: &str = "plantainmill-target-limit";
 
 /// Hop-by-hop headers and headers that the client sets itself.
 const CONNECTION_HEADERS: &[&str] = &[
--- a/crates/proxy/src/http_caller.rs
+++ b/crates/proxy/src/http_caller.rs
@@ -309,7 +309,7 @@
         let until = context
             .deadline
             .min(started + context.limits.first_event_timeout);
-        let sent = timeout_at(until, send_request(context, ticket.address, &mark));
+        let sent = timeout_at(until, send_request(context, &ticket, &mark));
         let head = tokio::select! {
             biased;
             () = wait_until_set(&mut preempted) => Err(preempt_failure()),
@@ -394,7 +394,7 @@
     ticket: &TargetTicket,
 ) -> Result<BufferedResponse, AttemptFailure> {
     let mark = context.begin_attempt(&ticket.target);
-    let head = send_request(context, ticket.address, &mark).await?;
+    let head = send_request(context, ticket, &mark).await?;
     read_response(context, &ticket.target, head).await
 }
 
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -21,6 +21,8 @@
     pub expected_instance: HeaderName,
     /// Present on a response if the request was not executed.
     pub not_executed: HeaderName,
+    /// Requests a second that the target takes from all VMs together; absent if it names no limit.
+    pub target_limit: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event: HeaderName,
 }
@@ -108,6 +110,8 @@
             class: self.class,
             prefix_hash: self.prefix_hash,
             parts: self.parts.clone(),
+            barred: Vec::new(),
+            spared: Vec::new(),
             deadline: self.deadline,
             wait_limit: Some(self.wait_limit),
             excluded: excluded.to_vec(),
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -141,6 +141,9 @@
     let status = response.status().as_u16();
     let headers = response.headers().clone();
     let echo = headers.get(&names.request_id);
+    let limit = headers.get(&names.target_limit);
+    let limit = limit.and_then(|limit| limit.to_str().ok()?.trim().parse().ok());
+    ticket.record_limit(limit);
     if headers.contains_key(&names.not_executed) || status == MISDIRECTED_REQUEST {
         let outcome = if status == MISDIRECTED_REQUEST {
             CallOutcome::Failed
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -230,7 +230,7 @@
         attempt: impl AsyncFn(&CallProgress, &TargetTicket) -> Result<T, SendFailure>,
     ) -> Result<(T, TargetTicket), Problem> {
         loop {
-            let mut ticket = self.acquire(progress).await?;
+            let ticket = self.acquire(progress).await?;
             progress.sends += 1;
             let failure = match attempt(progress, &ticket).await {
                 Ok(opened) => {
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -77,6 +77,7 @@
         organisation: HeaderName::from_static("organisation"),
         expected_instance: HeaderName::from_static("expected"),
         not_executed: HeaderName::from_static(NAMES.not_executed),
+        target_limit: HeaderName::from_static(NAMES.limit),
         last_event: HeaderName::from_static("last-event-id"),
     }
 }
