Split the ledgers of the quarantine and of the shared policy

The reports of the quarantine move to quarantine/exchange.rs, the batch requests of the shared policy to shared/batch.rs. No change of behaviour; tests of dispatch pass on the result.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -7,6 +7,7 @@
 
 mod dispatcher;
 mod evidence;
+mod exchange;
 mod ledger;
 mod message;
 
--- a/crates/dispatch/src/quarantine/ledger.rs
+++ b/crates/dispatch/src/quarantine/ledger.rs
@@ -1,8 +1,6 @@
 //! State machine of the quarantine: what this VM knows about prompt parts, and which requests it rejects.
 
 use super::evidence::{LOSS_RETENTION, LossRecord, PartEvidence, REPORT_DELAY};
-use super::message::{LossEntry, PartReport, QuarantineEntry, SoundEntry};
-use crate::notice::ReportScope;
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{PartId, ServiceName, TargetId, Uptime, VmId};
 use std::collections::HashMap;
@@ -16,7 +14,7 @@
 /// Duration of the first quarantine of a part; each further one lasts twice as long as the one before.
 const FIRST_QUARANTINE: Duration = Duration::from_mins(2);
 /// Longest quarantine of a part.
-const MAX_QUARANTINE: Duration = Duration::from_mins(32);
+pub(super) const MAX_QUARANTINE: Duration = Duration::from_mins(32);
 /// The ends of a quarantine at the VMs are spread over this fraction of its duration, so that the first VM whose call
 /// loses a target warns the others before they try.
 const SPREAD_DIVISOR: u32 = 4;
@@ -32,10 +30,6 @@
 const MAX_QUARANTINED: usize = 32;
 /// Largest number of parts that are known to be sound.
 const MAX_SOUND: usize = 64;
-/// Time for which news are repeated in reports, since single datagrams are lost.
-const NEWS_TIME: Duration = Duration::from_secs(1);
-/// Largest number of losses in one report; the latest ones are reported.
-const MAX_REPORTED_LOSSES: usize = 48;
 
 /// A call and the parts of its prompt.
 #[derive(Clone, Debug)]
@@ -77,39 +71,39 @@
 }
 
 #[derive(Clone, Debug)]
-struct PartState {
-    level: u32,
+pub(super) struct PartState {
+    pub level: u32,
     /// End for the whole fleet; this VM adds its own delay.
-    until: Uptime,
+    pub until: Uptime,
     /// End at this VM.
-    own_until: Uptime,
+    pub own_until: Uptime,
     /// When the last lost call was sent.
-    last_sent: Uptime,
+    pub last_sent: Uptime,
     /// When this VM learned of the quarantine.
-    recorded_at: Uptime,
-    is_adopted: bool,
+    pub recorded_at: Uptime,
+    pub is_adopted: bool,
     /// The end has been reported as an event.
-    has_expired: bool,
+    pub has_expired: bool,
     /// Start of the one call with the part that is under way on probation.
-    trial_since: Option<Uptime>,
+    pub trial_since: Option<Uptime>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct SoundRecord {
-    sent_at: Uptime,
-    recorded_at: Uptime,
-    is_own: bool,
+pub(super) struct SoundRecord {
+    pub sent_at: Uptime,
+    pub recorded_at: Uptime,
+    pub is_own: bool,
     /// Others suspect the part, so they have to be told.
-    is_news: bool,
+    pub is_news: bool,
 }
 
 /// What one VM knows about prompt parts.
 #[derive(Debug)]
 pub struct PartLedger {
-    vm_key: u64,
-    suspects: HashMap<PartId, PartEvidence>,
-    quarantined: HashMap<PartId, PartState>,
-    sound: HashMap<PartId, SoundRecord>,
+    pub(super) vm_key: u64,
+    pub(super) suspects: HashMap<PartId, PartEvidence>,
+    pub(super) quarantined: HashMap<PartId, PartState>,
+    pub(super) sound: HashMap<PartId, SoundRecord>,
 }
 
 impl PartLedger {
@@ -239,7 +233,7 @@
         is_explained
     }
 
-    fn add_loss(&mut self, part: PartId, service: u64, loss: LossRecord, now: Uptime) {
+    pub(super) fn add_loss(&mut self, part: PartId, service: u64, loss: LossRecord, now: Uptime) {
         if !self.suspects.contains_key(&part) && self.suspects.len() >= MAX_SUSPECTS {
             // Parts of single requests have one loss each.
             let weakest = self.suspects.iter().min_by_key(|(part, evidence)| {
@@ -258,7 +252,7 @@
     }
 
     /// Quarantines the parts with enough evidence, and removes the losses that they explain from other parts.
-    fn decide(&mut self, now: Uptime, events: &mut Vec<QuarantineEvent>) {
+    pub(super) fn decide(&mut self, now: Uptime, events: &mut Vec<QuarantineEvent>) {
         let convicted = self.suspects.iter().filter(|(_, evidence)| {
             evidence.others_started >= OTHERS_TO_QUARANTINE
                 && evidence.sequence_length() >= LOSSES_TO_QUARANTINE
@@ -297,7 +291,7 @@
     }
 
     #[expect(clippy::too_many_arguments, reason = "the fields of one state")]
-    fn insert_state(
+    pub(super) fn insert_state(
         &mut self,
         part: PartId,
         level: u32,
@@ -345,7 +339,7 @@
     }
 
     /// Removes the losses that a call which was sent at `sent_at` refutes. Returns whether other VMs know of them.
-    fn clear_suspicion(&mut self, part: PartId, sent_at: Uptime) -> bool {
+    pub(super) fn clear_suspicion(&mut self, part: PartId, sent_at: Uptime) -> bool {
         let Some(evidence) = self.suspects.get_mut(&part) else {
             return false;
         };
@@ -358,7 +352,7 @@
 
     /// Ends the quarantine of a part of which a call that was sent at `sent_at` has begun an answer, unless a later call
     /// was lost. `margin` is the uncertainty of that time. Returns whether there was one.
-    fn lift(&mut self, part: PartId, sent_at: Uptime, margin: Duration) -> bool {
+    pub(super) fn lift(&mut self, part: PartId, sent_at: Uptime, margin: Duration) -> bool {
         let is_refuted = self
             .quarantined
             .get(&part)
@@ -369,7 +363,7 @@
         is_refuted
     }
 
-    fn record_sound(&mut self, part: PartId, record: SoundRecord) {
+    pub(super) fn record_sound(&mut self, part: PartId, record: SoundRecord) {
         if !self.sound.contains_key(&part) && self.sound.len() >= MAX_SOUND {
             let oldest = self
                 .sound
@@ -395,80 +389,6 @@
         }
     }
 
-    /// Records a report of another VM.
-    pub fn record_report(&mut self, report: &PartReport, now: Uptime) -> Vec<QuarantineEvent> {
-        let mut events = Vec::new();
-        let time_of = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
-        for entry in &report.sound {
-            let sent_at = time_of(entry.sent_age_ms);
-            let record = SoundRecord {
-                sent_at,
-                recorded_at: now,
-                is_own: false,
-                is_news: true,
-            };
-            let is_new = self
-                .sound
-                .get(&entry.part)
-                .is_none_or(|known| sent_at > known.sent_at + REPORT_DELAY);
-            if is_new {
-                self.record_sound(entry.part, record);
-            }
-            self.clear_suspicion(entry.part, sent_at);
-            if self.lift(entry.part, sent_at, Duration::ZERO) {
-                events.push(QuarantineEvent::Lifted { part: entry.part });
-            }
-        }
-        for entry in &report.losses {
-            if entry.reporter == self.vm_key || self.quarantined.contains_key(&entry.part) {
-                continue;
-            }
-            let loss = LossRecord {
-                target: entry.target,
-                reporter: entry.reporter,
-                sent_at: time_of(entry.sent_age_ms),
-                lost_at: time_of(entry.lost_age_ms),
-                recorded_at: now,
-                is_known: true,
-            };
-            if !self.is_refuted(entry.part, loss.sent_at) {
-                self.add_loss(entry.part, entry.service, loss, now);
-            }
-        }
-        for entry in &report.quarantined {
-            self.adopt(*entry, now, &mut events);
-        }
-        self.decide(now, &mut events);
-        events
-    }
-
-    /// Whether a call with the part that was sent later than `sent_at`, at another VM, began an answer.
-    fn is_refuted(&self, part: PartId, sent_at: Uptime) -> bool {
-        let sound = self.sound.get(&part);
-        sound.is_some_and(|sound| sent_at <= sound.sent_at + REPORT_DELAY)
-    }
-
-    fn adopt(&mut self, entry: QuarantineEntry, now: Uptime, events: &mut Vec<QuarantineEvent>) {
-        let last_sent = now.saturating_sub(Duration::from_millis(entry.sent_age_ms));
-        let remaining = Duration::from_millis(entry.remaining_ms).min(MAX_QUARANTINE);
-        let is_known = self
-            .quarantined
-            .get(&entry.part)
-            .is_some_and(|known| known.level >= entry.level);
-        if is_known || remaining.is_zero() || self.is_refuted(entry.part, last_sent) {
-            return;
-        }
-        self.insert_state(
-            entry.part,
-            entry.level,
-            now + remaining,
-            last_sent,
-            true,
-            now,
-            events,
-        );
-    }
-
     /// Ends what has lasted long enough.
     pub fn tick(&mut self, now: Uptime) -> Vec<QuarantineEvent> {
         for evidence in self.suspects.values_mut() {
@@ -490,82 +410,6 @@
         events
     }
 
-    /// Whether there are news that a report of this scope should repeat.
-    #[must_use]
-    pub fn has_news(&self, scope: ReportScope, now: Uptime) -> bool {
-        let is_fresh = |recorded_at: Uptime| now.saturating_sub(recorded_at) < NEWS_TIME;
-        let mut losses = self.suspects.values().flat_map(PartEvidence::losses);
-        losses.any(|loss| is_fresh(loss.recorded_at) && self.covers(scope, loss.reporter))
-            || self.sound.values().any(|record| {
-                record.is_news
-                    && is_fresh(record.recorded_at)
-                    && (record.is_own || scope == ReportScope::All)
-            })
-            || self.quarantined.values().any(|state| {
-                is_fresh(state.recorded_at) && (!state.is_adopted || scope == ReportScope::All)
-            })
-    }
-
-    fn covers(&self, scope: ReportScope, reporter: u64) -> bool {
-        scope == ReportScope::All || reporter == self.vm_key
-    }
-
-    /// The report to other VMs: news, and all parts in quarantine.
-    pub fn report(&mut self, scope: ReportScope, now: Uptime) -> PartReport {
-        let age_ms = |time: Uptime| u64::try_from(now.saturating_sub(time).as_millis());
-        let age_ms = |time: Uptime| age_ms(time).unwrap_or(u64::MAX);
-        let is_fresh = |recorded_at: Uptime| now.saturating_sub(recorded_at) < NEWS_TIME;
-        let vm_key = self.vm_key;
-        let mut losses: Vec<(Uptime, LossEntry)> = Vec::new();
-        for (part, evidence) in &mut self.suspects {
-            let service = evidence.service;
-            let reported = evidence.losses_mut().filter(|loss| {
-                is_fresh(loss.recorded_at) && (scope == ReportScope::All || loss.reporter == vm_key)
-            });
-            for loss in reported {
-                loss.is_known = true;
-                let entry = LossEntry {
-                    part: *part,
-                    service,
-                    target: loss.target,
-                    reporter: loss.reporter,
-                    sent_age_ms: age_ms(loss.sent_at),
-                    lost_age_ms: age_ms(loss.lost_at),
-                };
-                losses.push((loss.recorded_at, entry));
-            }
-        }
-        losses.sort_by_key(|(recorded_at, entry)| (std::cmp::Reverse(*recorded_at), entry.part));
-        losses.truncate(MAX_REPORTED_LOSSES);
-        let sound = self.sound.iter().filter(|(_, record)| {
-            record.is_news
-                && is_fresh(record.recorded_at)
-                && (record.is_own || scope == ReportScope::All)
-        });
-        let quarantined = self
-            .quarantined
-            .iter()
-            .filter(|(_, state)| now < state.until);
-        PartReport {
-            losses: losses.into_iter().map(|(_, entry)| entry).collect(),
-            sound: sound
-                .map(|(part, record)| SoundEntry {
-                    part: *part,
-                    sent_age_ms: age_ms(record.sent_at),
-                })
-                .collect(),
-            quarantined: quarantined
-                .map(|(part, state)| QuarantineEntry {
-                    part: *part,
-                    level: state.level,
-                    remaining_ms: u64::try_from(state.until.saturating_sub(now).as_millis())
-                        .unwrap_or(u64::MAX),
-                    sent_age_ms: age_ms(state.last_sent),
-                })
-                .collect(),
-        }
-    }
-
     /// Number of parts whose requests are rejected at `now`.
     #[must_use]
     pub fn quarantined_count(&self, now: Uptime) -> usize {
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -5,6 +5,7 @@
 //! by rules that every VM evaluates alike, so no agreement protocol is needed.
 
 mod backoff;
+mod batch;
 mod choice;
 mod dispatcher;
 mod ledger;
--- /dev/null
+++ b/crates/dispatch/src/shared/batch.rs
@@ -0,0 +1,73 @@
+//! Batch requests of the shared policy: which of them start in idle slots.
+
+use super::choice::{CandidateOrder, SlotState};
+use super::ledger::{LedgerEffect, LoadLedger, WaitingRequest};
+use crate::rendezvous::{key_of, score};
+use plantainmill_core::Uptime;
+
+/// Slots of each target that batch calls leave free, so that online requests rarely wait for a preemption.
+const BATCH_RESERVE: u32 = 1;
+
+impl LoadLedger {
+    pub(super) fn serve_batch(&mut self, now: Uptime, effects: &mut Vec<LedgerEffect>) {
+        let is_paused = now < self.batch_paused_until;
+        if self.batch.is_empty() || !self.online.is_empty() || is_paused {
+            return;
+        }
+        // Requests past their deadline go after those that can still meet theirs.
+        self.batch
+            .sort_by_key(|waiting| (waiting.request.deadline <= now, waiting.request.deadline));
+        let mut budget = self.batch_budget();
+        for next in std::mem::take(&mut self.batch) {
+            if budget == 0 || !self.grant_batch(&next, now, effects) {
+                self.batch.push(next);
+            } else {
+                budget -= 1;
+            }
+        }
+    }
+
+    /// Number of batch requests that this VM may start now: the free slots divided by the VMs with waiting batch
+    /// requests.
+    fn batch_budget(&self) -> usize {
+        let free: u32 = self
+            .targets
+            .iter()
+            .map(|(id, target)| {
+                let used = target.own.total() + self.peers.at(id).total();
+                (target.entry.slots.saturating_sub(BATCH_RESERVE)).saturating_sub(used)
+            })
+            .sum();
+        let sharers = 1 + self.peers.batch_waiting_vms();
+        usize::try_from(free.div_ceil(sharers)).unwrap_or(0)
+    }
+
+    fn grant_batch(
+        &mut self,
+        waiting: &WaitingRequest,
+        now: Uptime,
+        effects: &mut Vec<LedgerEffect>,
+    ) -> bool {
+        let service = &waiting.request.service;
+        let has_healthy = self
+            .targets
+            .values()
+            .any(|target| target.entry.service == *service && !target.backoff.is_backing_off(now));
+        let candidates = self.candidates(&waiting.request, |target, peers| {
+            let total = target.own.total() + peers.total();
+            let fits = total + BATCH_RESERVE < target.entry.slots;
+            let is_usable = !has_healthy || !target.backoff.is_backing_off(now);
+            (fits && is_usable).then_some(SlotState::Free)
+        });
+        let order = CandidateOrder {
+            prefix_hash: waiting.request.prefix_hash,
+            vm_key: self.has_late_reports.then(|| key_of(&self.vm)),
+            salt: score(&self.vm, waiting.number),
+        };
+        let Some(best) = order.best(candidates) else {
+            return false;
+        };
+        self.grant(waiting, &best.target, now, effects);
+        true
+    }
+}
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -22,8 +22,6 @@
 const DOMINANT_RESERVE_DIVISOR: u32 = 4;
 /// Fewest calls with which an organisation counts as dominant. Fewer may be the majority by chance.
 const MIN_DOMINANT_CALLS: u32 = 6;
-/// Slots of each target that batch calls leave free, so that online requests rarely wait for a preemption.
-const BATCH_RESERVE: u32 = 1;
 /// Time after a preemption in which this VM starts no batch calls. Load reports do not show yet who else will need the
 /// slots that look free, and a call that is preempted again before its first token has only occupied one.
 const PREEMPTION_PAUSE: Duration = Duration::from_millis(500);
@@ -70,10 +68,10 @@
 }
 
 #[derive(Debug)]
-struct LedgerTarget {
-    entry: TargetEntry,
-    own: SlotUse,
-    backoff: TargetBackoff,
+pub(super) struct LedgerTarget {
+    pub entry: TargetEntry,
+    pub own: SlotUse,
+    pub backoff: TargetBackoff,
 }
 
 #[derive(Debug)]
@@ -86,28 +84,28 @@
 }
 
 #[derive(Debug)]
-struct WaitingRequest {
-    number: RequestId,
-    request: TicketRequest,
-    since: Uptime,
+pub(super) struct WaitingRequest {
+    pub number: RequestId,
+    pub request: TicketRequest,
+    pub since: Uptime,
 }
 
 /// State machine of the shared policy: the load of all targets as this VM knows it, and its waiting requests.
 #[derive(Debug)]
 pub struct LoadLedger {
-    vm: VmId,
+    pub(super) vm: VmId,
     locality: LocalityMap,
-    targets: BTreeMap<TargetId, LedgerTarget>,
-    peers: PeerLoads,
+    pub(super) targets: BTreeMap<TargetId, LedgerTarget>,
+    pub(super) peers: PeerLoads,
     calls: HashMap<RequestId, RunningCall>,
     /// Online calls of this VM by organisation.
     running_online: HashMap<Option<OrganisationId>, u32>,
-    online: Vec<WaitingRequest>,
-    batch: Vec<WaitingRequest>,
+    pub(super) online: Vec<WaitingRequest>,
+    pub(super) batch: Vec<WaitingRequest>,
     /// Load reports arrive through relays, later than direct ones.
-    has_late_reports: bool,
+    pub(super) has_late_reports: bool,
     /// Time until which no batch calls are started, because some were preempted.
-    batch_paused_until: Uptime,
+    pub(super) batch_paused_until: Uptime,
     next_number: RequestId,
 }
 
@@ -447,7 +445,7 @@
         score(&self.vm, key_of(&target.entry.id) ^ turn).is_multiple_of(sharers)
     }
 
-    fn candidates(
+    pub(super) fn candidates(
         &self,
         request: &TicketRequest,
         state_of: impl Fn(&LedgerTarget, SlotUse) -> Option<SlotState>,
@@ -475,7 +473,7 @@
             .collect()
     }
 
-    fn grant(
+    pub(super) fn grant(
         &mut self,
         waiting: &WaitingRequest,
         id: &TargetId,
@@ -553,68 +551,6 @@
             self.preempt_at(&id, share, now, effects);
         }
     }
-
-    fn serve_batch(&mut self, now: Uptime, effects: &mut Vec<LedgerEffect>) {
-        let is_paused = now < self.batch_paused_until;
-        if self.batch.is_empty() || !self.online.is_empty() || is_paused {
-            return;
-        }
-        // Requests past their deadline go after those that can still meet theirs.
-        self.batch
-            .sort_by_key(|waiting| (waiting.request.deadline <= now, waiting.request.deadline));
-        let mut budget = self.batch_budget();
-        for next in std::mem::take(&mut self.batch) {
-            if budget == 0 || !self.grant_batch(&next, now, effects) {
-                self.batch.push(next);
-            } else {
-                budget -= 1;
-            }
-        }
-    }
-
-    /// Number of batch requests that this VM may start now: the free slots divided by the VMs with waiting batch
-    /// requests.
-    fn batch_budget(&self) -> usize {
-        let free: u32 = self
-            .targets
-            .iter()
-            .map(|(id, target)| {
-                let used = target.own.total() + self.peers.at(id).total();
-                (target.entry.slots.saturating_sub(BATCH_RESERVE)).saturating_sub(used)
-            })
-            .sum();
-        let sharers = 1 + self.peers.batch_waiting_vms();
-        usize::try_from(free.div_ceil(sharers)).unwrap_or(0)
-    }
-
-    fn grant_batch(
-        &mut self,
-        waiting: &WaitingRequest,
-        now: Uptime,
-        effects: &mut Vec<LedgerEffect>,
-    ) -> bool {
-        let service = &waiting.request.service;
-        let has_healthy = self
-            .targets
-            .values()
-            .any(|target| target.entry.service == *service && !target.backoff.is_backing_off(now));
-        let candidates = self.candidates(&waiting.request, |target, peers| {
-            let total = target.own.total() + peers.total();
-            let fits = total + BATCH_RESERVE < target.entry.slots;
-            let is_usable = !has_healthy || !target.backoff.is_backing_off(now);
-            (fits && is_usable).then_some(SlotState::Free)
-        });
-        let order = CandidateOrder {
-            prefix_hash: waiting.request.prefix_hash,
-            vm_key: self.has_late_reports.then(|| key_of(&self.vm)),
-            salt: score(&self.vm, waiting.number),
-        };
-        let Some(best) = order.best(candidates) else {
-            return false;
-        };
-        self.grant(waiting, &best.target, now, effects);
-        true
-    }
 }
 
 /// How a target can serve an online request; none if it cannot.
