Do not poll a response after its end

A stream that was continued after its last event ended without any. The relay then polled its body once more, and the HTTP client panics on that, which took the caller's connection with it. The body is fused now.

resumed_at_end panicked before and passes now.

--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -176,7 +176,8 @@
     Ok(TargetResponse {
         status,
         headers,
-        payload: payload.boxed_local(),
+        // The client panics when it is polled after the end.
+        payload: payload.fuse().boxed_local(),
         is_framed,
         sent_at,
     })
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -198,6 +198,18 @@
     assert_eq!(fleet.sends(), 1);
 }
 
+/// Guards against a panic when a stream continues after its last event, so that it ends without any.
+#[actix_rt::test]
+async fn resumed_at_end() {
+    let fleet = Fleet::start(1).await;
+    let resumed = RelayCall {
+        last_event: Some(EVENTS),
+        ..call(true)
+    };
+    let complete = read_response(&fleet, resumed).await;
+    assert_eq!(complete.expect("a response"), (Vec::new(), None));
+}
+
 /// Guards against losing responses without a length, and against a connection reset that looks like a complete
 /// response: for streams, for buffered responses, and on reused connections.
 #[rstest]
