Treat a stream without a length and without events as broken off

A target that crashes before the first event ends a stream that has neither a length nor chunks just like a complete one. Callers got 200 with an empty body, items were listed as succeeded with an empty text, and the quarantine took the parts of such a call for sound.

Such a stream now counts as a lost connection, unless it continues after an event that the caller has. unframed_crash and target_faults::unframed failed before and pass now.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -35,6 +35,8 @@
     Unframed,
     /// The same, with a connection that is reset after this event.
     UnframedReset(u64),
+    /// The same, with a connection that ends after this event, as that of a complete response does.
+    UnframedEnd(u64),
     /// Sends bytes of a head that never ends, until the caller closes.
     EndlessHead,
     /// Fails with status 500 and a body that never ends, until the caller closes.
@@ -269,7 +271,10 @@
         last: u64,
         act: TargetAct,
     ) -> io::Result<bool> {
-        let is_framed = !matches!(act, TargetAct::Unframed | TargetAct::UnframedReset(_));
+        let is_framed = !matches!(
+            act,
+            TargetAct::Unframed | TargetAct::UnframedEnd(_) | TargetAct::UnframedReset(_)
+        );
         let framing = if is_framed {
             "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
         } else {
@@ -294,6 +299,7 @@
                     stream.read_to_end(&mut rest).await?;
                     return Ok(false);
                 }
+                TargetAct::UnframedEnd(after) if number > after => return Ok(false),
                 TargetAct::UnframedReset(after) if number > after => {
                     stream.set_zero_linger()?;
                     return Ok(false);
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -322,6 +322,11 @@
                     };
                     return Err(SendFailure { outcome, ..failure });
                 }
+                None if !response.is_framed && !self.has_events => {
+                    let failure = failed("the stream ended before its first event".to_owned());
+                    let outcome = CallOutcome::ConnectionLost;
+                    return Err(SendFailure { outcome, ..failure });
+                }
                 None if splitter.is_at_boundary() => return Ok(()),
                 None => return Err(failed("the stream ended within an event".to_owned())),
             }
--- a/crates/jobs/tests/all/job_faults.rs
+++ b/crates/jobs/tests/all/job_faults.rs
@@ -30,6 +30,7 @@
 #[case(vec![TargetAct::CutAfter(2), TargetAct::CutAfter(4), TargetAct::Skip(1)])]
 #[case(vec![TargetAct::Refuse, TargetAct::LoseAnswer, TargetAct::CrossAnswer])]
 #[case(vec![TargetAct::Fail(500), TargetAct::Fail(500)])]
+#[case::unframed(vec![TargetAct::UnframedEnd(0), TargetAct::UnframedEnd(0)])]
 #[actix_rt::test]
 async fn target_faults(#[case] acts: Vec<TargetAct>) {
     let cluster = TestCluster::start().await;
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -331,11 +331,15 @@
                         reason,
                     ));
                 }
-                None if splitter.is_at_boundary() => {
+                // Without a length, a crash ends a stream like a complete response. Only one that continues after the last
+                // event has no events.
+                None if splitter.is_at_boundary()
+                    && (response.is_framed || last_event.is_some()) =>
+                {
                     return Ok((response, splitter, Bytes::new(), last_event));
                 }
                 None => {
-                    let reason = "the stream ended within its first event";
+                    let reason = "the stream ended before the end of its first event";
                     return Err(SendFailure::new(
                         Executed::Unknown,
                         CallOutcome::ConnectionLost,
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -198,6 +198,16 @@
     assert_eq!(fleet.sends(), 1);
 }
 
+/// Guards against a stream without a length whose target crashed before its first event, and that passes for a complete
+/// one without events.
+#[actix_rt::test]
+async fn unframed_crash() {
+    let fleet = Fleet::start(2).await;
+    fleet.plan_first(TargetAct::UnframedEnd(0));
+    let ended = read_response(&fleet, call(true)).await;
+    assert!(ended.is_err(), "{ended:?}");
+}
+
 /// Guards against a panic when a stream continues after its last event, so that it ends without any.
 #[actix_rt::test]
 async fn resumed_at_end() {
