--- a/crates/dispatch/tests/all/target_limits.rs
+++ b/crates/dispatch/tests/all/target_limits.rs
@@ -350,3 +350,34 @@
     assert!(ledger.limited_count() <= 1_024);
     assert!(ledger.report(ReportScope::All, now).entries.len() <= 256);
 }
+
+/// Guards against items that use up what online requests will need, and against a limit that items cannot use at all.
+#[test]
+fn saved_requests() {
+    let mut fleet = Fleet::new(SMALL, 7);
+    fleet.limits[0] = Some(4.0);
+    fleet.run(Duration::from_secs(5), 100.0);
+    fleet.run(Duration::from_secs(5), 0.0);
+    let (service, now) = ("llm".into(), fleet.now);
+    let holders: Vec<&mut LimitLedger> = fleet
+        .ledgers
+        .iter_mut()
+        .filter(|ledger| {
+            ledger
+                .exhausted(&service, TrafficClass::Batch, now)
+                .is_empty()
+        })
+        .collect();
+    assert_eq!(holders.len(), 2);
+    for ledger in holders {
+        assert!(ledger.take(&target_id(0), now));
+        assert_eq!(
+            ledger.exhausted(&service, TrafficClass::Batch, now),
+            [target_id(0)]
+        );
+        assert_eq!(
+            ledger.exhausted(&service, TrafficClass::Online, now),
+            [] as [TargetId; 0]
+        );
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/quarantined_calls.rs
@@ -0,0 +1,69 @@
+//! Calls of the own interface whose prompt parts crash targets.
+
+mod support;
+
+use plantainmill_config::ServiceKind;
+use plantainmill_core::{Executed, ResultCode, SystemClock};
+use plantainmill_dispatch::{PartQuarantine, QuarantineDispatcher};
+use plantainmill_fakes::{EngineFault, FaultKind};
+use plantainmill_proxy::{HttpCaller, request_parts};
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use support::{
+    CallEnd, CallMode, TestFleet, TestResult, config_view, service_spec, short_limits, test_meter,
+};
+
+/// Time in which a lost target cannot have started again.
+const RESTART_TIME: Duration = Duration::from_millis(1_100);
+
+/// A fleet whose calls pass the quarantine.
+fn guarded_fleet() -> Result<TestFleet, Box<dyn std::error::Error>> {
+    let mut fleet = TestFleet::start(service_spec(ServiceKind::Model, true), 6)?;
+    let clock = Arc::new(SystemClock);
+    let quarantine = PartQuarantine::new(&"vm".into(), clock.clone(), &test_meter(), "test_");
+    let policy = QuarantineDispatcher::new(fleet.dispatcher.clone(), quarantine);
+    fleet.caller = HttpCaller::with_limits(
+        config_view(&fleet.service),
+        Arc::new(policy),
+        Arc::new(fleet.platform.clone()),
+        clock,
+        &test_meter(),
+        short_limits(),
+    );
+    Ok(fleet)
+}
+
+async fn call(fleet: &TestFleet, case: &str, mode: CallMode) -> CallEnd {
+    let mut request = fleet.request(case, mode);
+    request.parts = request_parts(&request.path, &request.body);
+    fleet.run(request, mode).await
+}
+
+/// Guards against a call that is repeated by its caller and crashes targets each time, and against sound calls that are
+/// rejected with it.
+#[rstest]
+#[actix_rt::test]
+async fn quarantined_call(
+    #[values(CallMode::Buffered, CallMode::Streaming)] mode: CallMode,
+) -> TestResult {
+    let fleet = guarded_fleet()?;
+    fleet.fault_all(EngineFault::always(FaultKind::CutBefore));
+    let first = call(&fleet, "crashing", mode).await;
+    assert_eq!(first.executed(), Some(Executed::Unknown));
+    fleet.fault_all(EngineFault::default());
+    assert_eq!(call(&fleet, "sound", mode).await.code(), None);
+    tokio::time::sleep(RESTART_TIME).await;
+    fleet.fault_all(EngineFault::always(FaultKind::CutBefore));
+    let second = call(&fleet, "crashing", mode).await;
+    assert_eq!(second.executed(), Some(Executed::Unknown));
+    fleet.fault_all(EngineFault::default());
+    let sends = fleet.dispatcher.requests().len();
+    let third = call(&fleet, "crashing", mode).await;
+    assert_eq!(third.code(), Some(ResultCode::PartQuarantined));
+    assert_eq!(third.executed(), Some(Executed::No));
+    assert_eq!(fleet.dispatcher.requests().len(), sends);
+    assert_eq!(call(&fleet, "sound", mode).await.code(), None);
+    fleet.stop().await;
+    Ok(())
+}
