Identify a request by its content in failed sends

They now carry a fingerprint: the hash of class, path, organisation and body. A connection that ends after the first event has an outcome of its own, StreamLost, in the log and in target_tries; the dispatch policies treat it as Failed, as before. No decision uses either yet.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -23,6 +23,8 @@
 pub type ItemId = CompactString;
 /// Identifies a part of a prompt by the hash of its content, or of the id that stands for the content.
 pub type PartId = u64;
+/// Identifies a request by the hash of its content, so that a request that comes again is recognised at each VM.
+pub type RequestHash = u64;
 /// Distinguishes the starts of a VM at one address; a later start has a higher value.
 ///
 /// It is the wall-clock time of the start in microseconds since the Unix epoch.
--- a/crates/dispatch/benches/decisions.rs
+++ b/crates/dispatch/benches/decisions.rs
@@ -64,6 +64,7 @@
         class,
         prefix_hash,
         parts: Vec::new(),
+        fingerprint: None,
         barred: Vec::new(),
         spared: Vec::new(),
         deadline: NOW + Duration::from_mins(1),
--- a/crates/dispatch/examples/dispatch_comparison/simulation.rs
+++ b/crates/dispatch/examples/dispatch_comparison/simulation.rs
@@ -191,6 +191,7 @@
             class,
             prefix_hash: None,
             parts: Vec::new(),
+            fingerprint: None,
             barred: Vec::new(),
             spared: Vec::new(),
             deadline: self.now + Duration::from_secs(wait),
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,7 +1,9 @@
 //! The interface between the callers of targets (gateway and batch) and the dispatch policy.
 
 use futures_util::future::LocalBoxFuture;
-use plantainmill_core::{OrganisationId, PartId, Problem, ServiceName, TargetId, Uptime};
+use plantainmill_core::{
+    OrganisationId, PartId, Problem, RequestHash, ServiceName, TargetId, Uptime,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,6 +35,8 @@
     pub prefix_hash: Option<u64>,
     /// Parts of the prompt. Requests with a quarantined one are rejected.
     pub parts: Vec<PartId>,
+    /// Hash of the whole request, by which one that comes again is recognised.
+    pub fingerprint: Option<RequestHash>,
     /// Uptime after which a ticket is useless. Among waiting batch requests, the earliest deadline goes first.
     pub deadline: Uptime,
     /// Longest wait for a free slot; absent for the default of the policy.
@@ -65,6 +69,8 @@
     /// The target took the request and its connection ended before the first event, or before the end of a buffered
     /// response: what a target that crashes looks like.
     ConnectionLost,
+    /// The connection ended after the first event of a stream and before its end.
+    StreamLost,
     /// The target rejected the request because it is overloaded or leaving.
     Rejected,
     /// The caller disconnected, or the request was preempted.
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -72,7 +72,7 @@
     pub fn record(&mut self, outcome: CallOutcome, may_eject: bool, now: Uptime) -> bool {
         match outcome {
             CallOutcome::Completed { .. } => self.record_success(),
-            CallOutcome::ConnectionLost | CallOutcome::Failed => {
+            CallOutcome::ConnectionLost | CallOutcome::StreamLost | CallOutcome::Failed => {
                 return self.record_failure(may_eject, now);
             }
             // Rejected and abandoned calls say nothing about the target's health.
--- a/crates/dispatch/src/local.rs
+++ b/crates/dispatch/src/local.rs
@@ -167,7 +167,10 @@
             CallOutcome::Completed { first_byte } => {
                 entry.window.on_first_byte(first_byte, entry.in_flight, now);
             }
-            CallOutcome::ConnectionLost | CallOutcome::Failed | CallOutcome::Rejected => {
+            CallOutcome::ConnectionLost
+            | CallOutcome::StreamLost
+            | CallOutcome::Failed
+            | CallOutcome::Rejected => {
                 entry.window.on_rejected(now);
             }
             CallOutcome::Abandoned => {}
--- a/crates/dispatch/src/quarantine/dispatcher.rs
+++ b/crates/dispatch/src/quarantine/dispatcher.rs
@@ -11,7 +11,7 @@
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
-use plantainmill_core::{Clock, PartId, Problem, ResultCode, ServiceName, VmId};
+use plantainmill_core::{Clock, PartId, Problem, RequestHash, ResultCode, ServiceName, VmId};
 use plantainmill_mesh::{decode_body, encode_body};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -98,6 +98,7 @@
         self.lock().record_send(&request.parts, now);
         let call = CallParts {
             parts: request.parts,
+            fingerprint: request.fingerprint,
             service: request.service,
             target: ticket.target.clone(),
             sent_at: now,
@@ -114,7 +115,7 @@
             finishing.finish(&call, outcome);
             // Targets and peers of other policies know no lost connections.
             let outcome = match outcome {
-                CallOutcome::ConnectionLost => CallOutcome::Failed,
+                CallOutcome::ConnectionLost | CallOutcome::StreamLost => CallOutcome::Failed,
                 other => other,
             };
             ticket.finish(outcome);
@@ -140,7 +141,10 @@
                 self.losses.add(1, &[]);
                 ledger.record_loss(call, now)
             }
-            CallOutcome::Failed | CallOutcome::Rejected | CallOutcome::Abandoned => Vec::new(),
+            CallOutcome::StreamLost
+            | CallOutcome::Failed
+            | CallOutcome::Rejected
+            | CallOutcome::Abandoned => Vec::new(),
         };
         ledger.record_end(call);
         drop(ledger);
@@ -186,6 +190,7 @@
 /// What of a request the quarantine needs after the inner policy has taken it.
 struct RequestParts {
     parts: Vec<PartId>,
+    fingerprint: Option<RequestHash>,
     service: ServiceName,
 }
 
@@ -231,6 +236,7 @@
     async fn acquire_checked(&self, request: TicketRequest) -> Result<TargetTicket, Problem> {
         let parts = RequestParts {
             parts: request.parts.clone(),
+            fingerprint: request.fingerprint,
             service: request.service.clone(),
         };
         let class = request.class;
--- a/crates/dispatch/src/quarantine/ledger.rs
+++ b/crates/dispatch/src/quarantine/ledger.rs
@@ -2,7 +2,7 @@
 
 use super::evidence::{LOSS_RETENTION, LossRecord, PartEvidence, REPORT_DELAY};
 use crate::rendezvous::{key_of, score};
-use plantainmill_core::{PartId, ServiceName, TargetId, Uptime, VmId};
+use plantainmill_core::{PartId, RequestHash, ServiceName, TargetId, Uptime, VmId};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -36,6 +36,8 @@
 pub struct CallParts {
     /// Parts of the prompt.
     pub parts: Vec<PartId>,
+    /// Hash of the whole request.
+    pub fingerprint: Option<RequestHash>,
     /// Service that the call is for.
     pub service: ServiceName,
     /// Target that the call was sent to.
--- a/crates/dispatch/src/shared/backoff.rs
+++ b/crates/dispatch/src/shared/backoff.rs
@@ -26,7 +26,7 @@
                 self.failures = 0;
                 self.backoff_until = Uptime::ZERO;
             }
-            CallOutcome::ConnectionLost | CallOutcome::Failed => {
+            CallOutcome::ConnectionLost | CallOutcome::StreamLost | CallOutcome::Failed => {
                 let backoff = INITIAL_BACKOFF * 2_u32.pow(self.failures.min(8));
                 self.failures += 1;
                 self.backoff_until = now + backoff.min(MAX_BACKOFF);
--- a/crates/dispatch/src/ticket_queue.rs
+++ b/crates/dispatch/src/ticket_queue.rs
@@ -426,7 +426,10 @@
                 self.window.on_first_byte(first_byte, used, now);
             }
             CallOutcome::Rejected => self.window.on_rejected(now),
-            CallOutcome::ConnectionLost | CallOutcome::Failed | CallOutcome::Abandoned => {}
+            CallOutcome::ConnectionLost
+            | CallOutcome::StreamLost
+            | CallOutcome::Failed
+            | CallOutcome::Abandoned => {}
         }
     }
 
--- a/crates/dispatch/tests/all/part_quarantine.rs
+++ b/crates/dispatch/tests/all/part_quarantine.rs
@@ -16,6 +16,8 @@
 const SHARED: PartId = 1;
 /// Parts that few sound requests share.
 const RARE_PARTS: u64 = 40;
+/// Difference between the hash of a request and its last part.
+const FINGERPRINT_OFFSET: u64 = 1 << 48;
 /// Time from the start of a call to its first event, or to the crash.
 const FIRST_EVENT: Duration = Duration::from_millis(60);
 /// Time until a crashed target is back, under a new id.
@@ -140,7 +142,9 @@
         }
     }
 
+    /// Sends a request whose last part, which no other request has, also identifies it as a whole.
     fn send(&mut self, vm: usize, parts: Vec<PartId>, attempts: u32) -> bool {
+        let fingerprint = parts.last().map(|part| part + FINGERPRINT_OFFSET);
         if self.ledgers[vm].check(&parts, self.now).is_err() {
             return false;
         }
@@ -157,6 +161,7 @@
         self.ledgers[vm].record_send(&parts, self.now);
         let call = CallParts {
             parts,
+            fingerprint,
             service: "llm".into(),
             target: self.targets[target].id.clone(),
             sent_at: self.now,
@@ -434,6 +439,7 @@
         .expect("a VM on probation");
     let call = CallParts {
         parts: vec![CRASHING],
+        fingerprint: None,
         service: "llm".into(),
         target: "t1".into(),
         sent_at: now,
@@ -457,6 +463,7 @@
         now += Duration::from_millis(1);
         let call = CallParts {
             parts: (0..4).map(|part| number * 4 + part).collect(),
+            fingerprint: Some(number),
             service: "llm".into(),
             target: format!("t{number}").into(),
             sent_at: now,
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -49,6 +49,7 @@
         class,
         prefix_hash: None,
         parts: Vec::new(),
+        fingerprint: None,
         barred: Vec::new(),
         spared: Vec::new(),
         deadline: at(60_000),
--- a/crates/dispatch/tests/all/support.rs
+++ b/crates/dispatch/tests/all/support.rs
@@ -60,6 +60,7 @@
         class,
         prefix_hash: None,
         parts: Vec::new(),
+        fingerprint: None,
         barred: Vec::new(),
         spared: Vec::new(),
         deadline: now + Duration::from_mins(1),
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -222,6 +222,7 @@
                 tracing::info!(
                     event = "item_interrupted",
                     item = %self.item.id,
+                    fingerprint = format!("{:016x}", call.fingerprint()),
                     parts = %PartList(&self.item.parts),
                     target = %ticket.target,
                     outcome = ?failure.outcome,
@@ -316,7 +317,7 @@
                 Some(Err(error)) => {
                     let failure = failed(format!("the stream was cut: {error}"));
                     let outcome = if has_started {
-                        CallOutcome::Failed
+                        CallOutcome::StreamLost
                     } else {
                         CallOutcome::ConnectionLost
                     };
@@ -328,7 +329,11 @@
                     return Err(SendFailure { outcome, ..failure });
                 }
                 None if splitter.is_at_boundary() => return Ok(()),
-                None => return Err(failed("the stream ended within an event".to_owned())),
+                None => {
+                    let failure = failed("the stream ended within an event".to_owned());
+                    let outcome = CallOutcome::StreamLost;
+                    return Err(SendFailure { outcome, ..failure });
+                }
             }
         }
     }
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -231,6 +231,7 @@
         class,
         prefix_hash,
         parts: Vec::new(),
+        fingerprint: None,
         barred: Vec::new(),
         spared: Vec::new(),
         deadline,
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -3,6 +3,7 @@
 use crate::caller::{BufferedResponse, TargetRequest};
 use crate::headers::{HeaderList, request_headers};
 use crate::limits::CallLimits;
+use crate::parts::request_hash;
 use plantainmill_config::{FleetConfig, ServiceKind, ServiceSpec};
 use plantainmill_core::{Executed, Problem, ResultCode, TargetId, Uptime};
 use plantainmill_dispatch::{CallOutcome, TicketRequest};
@@ -124,6 +125,12 @@
             class: self.request.class,
             prefix_hash: self.request.prefix_hash,
             parts: self.request.parts.clone(),
+            fingerprint: Some(request_hash(
+                self.request.class,
+                &self.request.path,
+                self.request.organisation.as_deref(),
+                &self.request.body,
+            )),
             barred: Vec::new(),
             spared: Vec::new(),
             deadline: self.request.deadline,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,5 +25,5 @@
 pub use events::{EventReader, error_event};
 pub use http_caller::HttpCaller;
 pub use limits::CallLimits;
-pub use parts::request_parts;
+pub use parts::{request_hash, request_parts};
 pub use transport::strict_client;
--- a/crates/proxy/src/meters.rs
+++ b/crates/proxy/src/meters.rs
@@ -36,6 +36,7 @@
         let name = match outcome {
             CallOutcome::Completed { .. } => "completed",
             CallOutcome::ConnectionLost => "connection_lost",
+            CallOutcome::StreamLost => "stream_lost",
             CallOutcome::Failed => "failed",
             CallOutcome::Rejected => "rejected",
             CallOutcome::Abandoned => "abandoned",
--- a/crates/proxy/src/parts.rs
+++ b/crates/proxy/src/parts.rs
@@ -1,6 +1,7 @@
 //! Parts of the prompts of requests to the own interface.
 
-use plantainmill_core::PartId;
+use plantainmill_core::{PartId, RequestHash};
+use plantainmill_dispatch::TrafficClass;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -17,6 +18,25 @@
     prompt: Option<&'a RawValue>,
 }
 
+/// Hash of a request that is the same each time that the caller sends it. Items have hashes of their own.
+#[must_use]
+pub fn request_hash(
+    class: TrafficClass,
+    path: &str,
+    organisation: Option<&str>,
+    body: &[u8],
+) -> RequestHash {
+    let class = match class {
+        TrafficClass::Online => "online",
+        TrafficClass::Batch => "batch",
+    };
+    let owner = organisation.unwrap_or_default();
+    let fields = [class.as_bytes(), path.as_bytes(), owner.as_bytes(), body];
+    fields
+        .into_iter()
+        .fold(0, |seed, field| xxh3_64_with_seed(field, seed))
+}
+
 /// Parts of a request with `body` to `path`: its messages, its prompt, or else the body as a whole.
 #[must_use]
 pub fn request_parts(path: &str, body: &[u8]) -> Vec<PartId> {
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -1,10 +1,11 @@
 //! A routed request and the names of the headers that accompany it.
 
+use crate::parts::request_hash;
 use awc::http::Method;
 use awc::http::header::{HeaderMap, HeaderName};
 use bytes::Bytes;
 use compact_str::CompactString;
-use plantainmill_core::{OrganisationId, PartId, ServiceName, TargetId, Uptime};
+use plantainmill_core::{OrganisationId, PartId, RequestHash, ServiceName, TargetId, Uptime};
 use plantainmill_dispatch::{TicketRequest, TrafficClass};
 use std::time::Duration;
 
@@ -100,6 +101,13 @@
 }
 
 impl RelayCall {
+    /// Hash of the request, which is the same each time that it is sent.
+    #[must_use]
+    pub fn fingerprint(&self) -> RequestHash {
+        let organisation = self.organisation.as_deref();
+        request_hash(self.class, &self.path, organisation, &self.body)
+    }
+
     /// Ticket request for a slot at a target that is not in `excluded`.
     #[must_use]
     pub fn ticket_request(&self, excluded: &[TargetId]) -> TicketRequest {
@@ -110,6 +118,7 @@
             class: self.class,
             prefix_hash: self.prefix_hash,
             parts: self.parts.clone(),
+            fingerprint: Some(self.fingerprint()),
             barred: Vec::new(),
             spared: Vec::new(),
             deadline: self.deadline,
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -447,6 +447,7 @@
     tracing::info!(
         event = "send_failed",
         request = %call.id,
+        fingerprint = format!("{:016x}", call.fingerprint()),
         parts = %PartList(&call.parts),
         %target,
         executed = failure.executed.as_str(),
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -130,6 +130,10 @@
         let failed = |reason: String| {
             PartRead::Failed(SendFailure::new(Executed::Yes, CallOutcome::Failed, reason))
         };
+        let lost = |reason: String| {
+            let outcome = CallOutcome::StreamLost;
+            PartRead::Failed(SendFailure::new(Executed::Yes, outcome, reason))
+        };
         match timeout_at(until, started.response.payload.next()).await {
             Ok(Some(Ok(part))) => {
                 let events = match started.splitter.push(&part) {
@@ -144,9 +148,9 @@
                     Err(reason) => failed(reason),
                 }
             }
-            Ok(Some(Err(error))) => failed(format!("the stream was cut: {error}")),
+            Ok(Some(Err(error))) => lost(format!("the stream was cut: {error}")),
             Ok(None) if started.splitter.is_at_boundary() => PartRead::End,
-            Ok(None) => failed("the stream ended within an event".to_owned()),
+            Ok(None) => lost("the stream ended within an event".to_owned()),
             Err(_) if is_deadline => PartRead::Failed(SendFailure::deadline()),
             Err(_) => failed("the stream stood still".to_owned()),
         }
--- a/crates/proxy/src/response_stream.rs
+++ b/crates/proxy/src/response_stream.rs
@@ -134,7 +134,7 @@
                 let outcome = if self.first_byte.is_none() {
                     CallOutcome::ConnectionLost
                 } else {
-                    CallOutcome::Failed
+                    CallOutcome::StreamLost
                 };
                 AttemptFailure::new(ResultCode::AnswerInvalid, reason).with_outcome(outcome)
             }),
