Reproduce a request that crashes targets each time that it comes again

Two VMs, nine targets, one request repeated 40 times between sound ones of the same session. On this code it is sent 36 times later than four seconds after its third crash (three are allowed), because each sound request with the same parts refutes the suspicion; as often if each answer begins before the crash; and 20 times after all VMs were lost.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -93,6 +93,8 @@
     running: Cell<usize>,
     /// A request with this text in a header crashes the target.
     crash_marker: RefCell<Option<String>>,
+    /// Events that such a request gets before the crash.
+    events_before_crash: Cell<u64>,
     /// Notifies all connections of a crash.
     crash: Notify,
     /// Requests a second that responses name as the limit of this target.
@@ -117,6 +119,7 @@
                 seen: RefCell::default(),
                 running: Cell::new(0),
                 crash_marker: RefCell::default(),
+                events_before_crash: Cell::new(0),
                 crash: Notify::new(),
                 limit: Cell::new(None),
             }),
@@ -153,6 +156,11 @@
         *self.state.crash_marker.borrow_mut() = Some(marker.to_owned());
     }
 
+    /// Sets the number of events that a request gets before it crashes the target.
+    pub fn set_events_before_crash(&self, events: u64) {
+        self.state.events_before_crash.set(events);
+    }
+
     /// Sets the limit, in requests a second, that all responses name.
     pub fn set_limit(&self, limit: Option<f64>) {
         self.state.limit.set(limit);
@@ -209,6 +217,11 @@
                 let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
                 let head = self.head(200, &id, "", framing);
                 stream.write_all(head.as_bytes()).await?;
+                for number in last + 1..=last + self.events_before_crash.get() {
+                    let event = format!("id: {number}\ndata: piece {number}\n\n");
+                    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                    stream.write_all(chunk.as_bytes()).await?;
+                }
                 self.crash.notify_waiters();
                 return Ok(());
             }
