Quarantine requests that crash targets, not only parts of their prompts

Cause: the quarantine knew parts of prompts only. A request is a content, and content that comes again is known by nothing but its parts. If sound requests share them, each of these refutes the suspicion; if the last part is its own, a middle one is quarantined with it. An answer that had begun proved the request sound, although a crash can follow; and what VMs knew was lost with them.

Change: a call also counts under the hash of its path, organisation and body. Three losses one after the other quarantine the request, before or after the first event; only a complete response proves it sound. A part needs losses of two requests. Decisions are stored and read at the start; a VM that was out of touch repeats its own. Items are owed: they wait 1 s, 2 s and so on, and no longer count as a part. Evidence that is full keeps the losses of its longest sequence. The test file of the fleet in virtual time is shared; its calls now run on after their first event. quarantined_call expects 3014, since the repeated call is now known as a request; quarantined_part checks 3012 with calls that share only a part.

--- a/crates/batch/src/outcome.rs
+++ b/crates/batch/src/outcome.rs
@@ -52,6 +52,7 @@
         | ResultCode::RateExceeded
         | ResultCode::KeyUnchecked
         | ResultCode::PartQuarantined
+        | ResultCode::RequestQuarantined
         | ResultCode::StoreUnavailable
         | ResultCode::StoreUnknown
             if may_repeat =>
--- a/crates/dispatch/src/quarantine/dispatcher.rs
+++ b/crates/dispatch/src/quarantine/dispatcher.rs
@@ -1,7 +1,8 @@
-//! A dispatcher that rejects requests with quarantined prompt parts, in front of any other policy.
+//! A dispatcher that rejects quarantined requests and those with quarantined prompt parts, in front of any other policy.
 
-use super::ledger::{CallParts, PartLedger, QuarantineEvent};
-use super::message::PartReport;
+use super::ledger::PartLedger;
+use super::message::{PartReport, QuarantineEntry, QuarantineKind};
+use super::state::{CallParts, QuarantineChanges, QuarantineEvent};
 use crate::dispatcher::{
     CallObserver, CallOutcome, Dispatcher, TargetTicket, TicketRequest, TrafficClass,
 };
@@ -15,12 +16,13 @@
 use plantainmill_mesh::{decode_body, encode_body};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// Quarantine of prompt parts at one VM. Clones share the same state.
+/// Quarantine of prompt parts and requests at one VM. Clones share the same state.
 #[derive(Clone)]
 pub struct PartQuarantine {
     ledger: Arc<Mutex<PartLedger>>,
     clock: Arc<dyn Clock>,
     losses: Counter<u64>,
+    stream_losses: Counter<u64>,
     rejections: Counter<u64>,
 }
 
@@ -39,24 +41,55 @@
                 "lost_calls",
                 "Calls whose connection was lost before the first event",
             ),
+            stream_losses: counter(
+                "lost_streams",
+                "Calls whose connection was lost after the first event",
+            ),
             rejections: counter(
                 "quarantine_rejections",
-                "Requests rejected for a quarantined prompt part",
+                "Requests rejected as quarantined, or for a quarantined prompt part",
             ),
         };
-        let observed = quarantine.clone();
-        let gauge = meter.u64_observable_gauge(format!("{prefix}quarantined_parts"));
-        gauge
-            .with_description("Prompt parts in quarantine")
-            .with_callback(move |observer| {
-                let now = observed.clock.uptime();
-                let count = observed.lock().quarantined_count(now);
-                observer.observe(u64::try_from(count).unwrap_or(u64::MAX), &[]);
-            })
-            .build();
+        let gauges = [
+            ("quarantined_parts", "Prompt parts in quarantine", true),
+            (
+                "quarantined_requests",
+                "Requests and items in quarantine",
+                false,
+            ),
+        ];
+        for (name, description, counts_parts) in gauges {
+            let observed = quarantine.clone();
+            meter
+                .u64_observable_gauge(format!("{prefix}{name}"))
+                .with_description(description)
+                .with_callback(move |observer| {
+                    let now = observed.clock.uptime();
+                    let count = observed.lock().quarantined_count(counts_parts, now);
+                    observer.observe(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+                })
+                .build();
+        }
         quarantine
     }
 
+    /// Takes the decisions of this VM that are not stored yet.
+    #[must_use]
+    pub fn take_changes(&self) -> QuarantineChanges {
+        self.lock().take_changes(self.clock.uptime())
+    }
+
+    /// Gives back decisions that could not be stored.
+    pub fn restore_changes(&self, changes: &QuarantineChanges) {
+        self.lock().restore_changes(changes);
+    }
+
+    /// Takes up a quarantine that was stored before this VM started.
+    pub fn restore(&self, entry: QuarantineEntry) {
+        let events = self.lock().restore(entry, self.clock.uptime());
+        log_events(&events);
+    }
+
     fn lock(&self) -> MutexGuard<'_, PartLedger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -79,29 +112,39 @@
         self.lock().dump(self.clock.uptime())
     }
 
-    fn check(&self, parts: &[PartId], class: TrafficClass) -> Result<(), Problem> {
-        let checked = self.lock().check(parts, self.clock.uptime());
-        checked.map_err(|(part, retry_after)| {
-            let class = match class {
+    fn check(&self, request: &RequestParts) -> Result<(), Problem> {
+        let now = self.clock.uptime();
+        let ledger = self.lock();
+        let checked = ledger.check(&request.parts, request.fingerprint, now);
+        checked.map_err(|rejection| {
+            let class = match request.class {
                 TrafficClass::Online => "online",
                 TrafficClass::Batch => "batch",
             };
+            let (kind, code) = match rejection.kind {
+                QuarantineKind::Part => ("prompt part", ResultCode::PartQuarantined),
+                QuarantineKind::Request | QuarantineKind::Item => {
+                    ("request", ResultCode::RequestQuarantined)
+                }
+            };
             self.rejections.add(1, &[KeyValue::new("class", class)]);
-            let reason = format!("targets were lost under prompt part {part:016x}");
-            Problem::new(ResultCode::PartQuarantined, reason).with_retry_after(retry_after)
+            let reason = format!("targets were lost under {kind} {:016x}", rejection.part);
+            Problem::new(code, reason).with_retry_after(rejection.retry_after)
         })
     }
 
     /// Wraps a ticket so that the beginning and the end of its call are recorded.
     fn observe(&self, mut ticket: TargetTicket, request: RequestParts) -> TargetTicket {
         let now = self.clock.uptime();
-        self.lock().record_send(&request.parts, now);
+        self.lock()
+            .record_send(&request.parts, request.fingerprint, now);
         let call = CallParts {
             parts: request.parts,
             fingerprint: request.fingerprint,
             service: request.service,
             target: ticket.target.clone(),
             sent_at: now,
+            class: request.class,
         };
         let (target, address) = (ticket.target.clone(), ticket.address);
         let preempted = ticket.preempted.clone();
@@ -136,15 +179,16 @@
         let now = self.clock.uptime();
         let mut ledger = self.lock();
         let events = match outcome {
-            CallOutcome::Completed { .. } => ledger.record_start(call, now),
+            CallOutcome::Completed { .. } => ledger.record_completion(call, now),
             CallOutcome::ConnectionLost => {
                 self.losses.add(1, &[]);
                 ledger.record_loss(call, now)
             }
-            CallOutcome::StreamLost
-            | CallOutcome::Failed
-            | CallOutcome::Rejected
-            | CallOutcome::Abandoned => Vec::new(),
+            CallOutcome::StreamLost => {
+                self.stream_losses.add(1, &[]);
+                ledger.record_stream_loss(call, now)
+            }
+            CallOutcome::Failed | CallOutcome::Rejected | CallOutcome::Abandoned => Vec::new(),
         };
         ledger.record_end(call);
         drop(ledger);
@@ -192,6 +236,7 @@
     parts: Vec<PartId>,
     fingerprint: Option<RequestHash>,
     service: ServiceName,
+    class: TrafficClass,
 }
 
 fn log_events(events: &[QuarantineEvent]) {
@@ -199,6 +244,7 @@
         match event {
             QuarantineEvent::Started {
                 part,
+                kind: QuarantineKind::Part,
                 level,
                 duration,
                 is_adopted,
@@ -210,6 +256,21 @@
                 adopted = is_adopted,
                 "targets were lost one after the other under a prompt part; requests with it are rejected"
             ),
+            QuarantineEvent::Started {
+                part,
+                kind,
+                level,
+                duration,
+                is_adopted,
+            } => tracing::warn!(
+                event = "request_quarantined",
+                fingerprint = format!("{part:016x}"),
+                ?kind,
+                level,
+                duration_s = duration.as_secs(),
+                adopted = is_adopted,
+                "targets were lost one after the other under a request; it is rejected when it comes again"
+            ),
             QuarantineEvent::Lifted { part } => {
                 tracing::info!(event = "quarantine_lifted", part = format!("{part:016x}"));
             }
@@ -238,12 +299,12 @@
             parts: request.parts.clone(),
             fingerprint: request.fingerprint,
             service: request.service.clone(),
+            class: request.class,
         };
-        let class = request.class;
-        self.quarantine.check(&parts.parts, class)?;
+        self.quarantine.check(&parts)?;
         let ticket = self.inner.acquire(request).await?;
-        // The part may have been quarantined while the request waited.
-        self.quarantine.check(&parts.parts, class)?;
+        // The part or the request may have been quarantined while it waited.
+        self.quarantine.check(&parts)?;
         Ok(self.quarantine.observe(ticket, parts))
     }
 }
--- a/crates/dispatch/src/quarantine/exchange.rs
+++ b/crates/dispatch/src/quarantine/exchange.rs
@@ -1,8 +1,9 @@
 //! Reports of the quarantine: what a VM tells others, and what it takes from their reports.
 
 use super::evidence::{LossRecord, PartEvidence, REPORT_DELAY};
-use super::ledger::{MAX_QUARANTINE, PartLedger, QuarantineEvent, SoundRecord};
+use super::ledger::{MAX_QUARANTINE, PartLedger};
 use super::message::{LossEntry, PartReport, QuarantineEntry, SoundEntry};
+use super::state::{PartState, QuarantineEvent, SoundRecord};
 use crate::notice::ReportScope;
 use plantainmill_core::{PartId, Uptime};
 use std::cmp::Reverse;
@@ -10,7 +11,9 @@
 
 /// Time for which news are repeated in reports, since single datagrams are lost.
 const NEWS_TIME: Duration = Duration::from_secs(1);
-/// Largest number of losses in one report; the latest ones are reported.
+/// Interval at which a VM repeats its own decisions, for VMs that were out of touch with it.
+const REPEAT_TIME: Duration = Duration::from_secs(1);
+/// Largest number of losses in one report: those of the most suspected parts and requests, the latest first.
 const MAX_REPORTED_LOSSES: usize = 48;
 
 impl PartLedger {
@@ -45,13 +48,14 @@
             let loss = LossRecord {
                 target: entry.target,
                 reporter: entry.reporter,
+                request: entry.request,
                 sent_at: time_of(entry.sent_age_ms),
                 lost_at: time_of(entry.lost_age_ms),
                 recorded_at: now,
                 is_known: true,
             };
             if !self.is_refuted(entry.part, loss.sent_at) {
-                self.add_loss(entry.part, entry.service, loss, now);
+                self.add_loss((entry.part, entry.kind), entry.service, loss, now);
             }
         }
         for entry in &report.quarantined {
@@ -77,15 +81,11 @@
         if is_known || remaining.is_zero() || self.is_refuted(entry.part, last_sent) {
             return;
         }
-        self.insert_state(
-            entry.part,
-            entry.level,
-            now + remaining,
-            last_sent,
-            true,
-            now,
-            events,
-        );
+        let state = PartState {
+            is_adopted: true,
+            ..PartState::new(entry.kind, entry.level, now + remaining, last_sent, now)
+        };
+        self.insert_state(entry.part, state, now, events);
     }
 
     /// Whether there are news that a report of this scope should repeat.
@@ -100,7 +100,10 @@
                     && (record.is_own || scope == ReportScope::All)
             })
             || self.quarantined.values().any(|state| {
-                is_fresh(state.recorded_at) && (!state.is_adopted || scope == ReportScope::All)
+                let is_due = now.saturating_sub(state.reported_at) >= REPEAT_TIME;
+                let is_unheard = is_due && !state.is_adopted && now < state.until;
+                let is_covered = !state.is_adopted || scope == ReportScope::All;
+                is_unheard || (is_fresh(state.recorded_at) && is_covered)
             })
     }
 
@@ -114,9 +117,10 @@
         let age_ms = |time: Uptime| age_ms(time).unwrap_or(u64::MAX);
         let is_fresh = |recorded_at: Uptime| now.saturating_sub(recorded_at) < NEWS_TIME;
         let vm_key = self.vm_key;
-        let mut losses: Vec<(Uptime, LossEntry)> = Vec::new();
+        let mut losses: Vec<(Reverse<usize>, Reverse<Uptime>, LossEntry)> = Vec::new();
         for (part, evidence) in &mut self.suspects {
-            let service = evidence.service;
+            let (kind, service) = (evidence.kind, evidence.service);
+            let weight = evidence.losses().len();
             let reported = evidence.losses_mut().filter(|loss| {
                 is_fresh(loss.recorded_at) && (scope == ReportScope::All || loss.reporter == vm_key)
             });
@@ -124,16 +128,21 @@
                 loss.is_known = true;
                 let entry = LossEntry {
                     part: *part,
+                    kind,
+                    request: loss.request,
                     service,
                     target: loss.target,
                     reporter: loss.reporter,
                     sent_age_ms: age_ms(loss.sent_at),
                     lost_age_ms: age_ms(loss.lost_at),
                 };
-                losses.push((loss.recorded_at, entry));
+                losses.push((Reverse(weight), Reverse(loss.recorded_at), entry));
             }
         }
-        losses.sort_by_key(|(recorded_at, entry)| (Reverse(*recorded_at), entry.part));
+        for state in self.quarantined.values_mut() {
+            state.reported_at = now;
+        }
+        losses.sort_by_key(|(weight, recorded_at, entry)| (*weight, *recorded_at, entry.part));
         losses.truncate(MAX_REPORTED_LOSSES);
         let sound = self.sound.iter().filter(|(_, record)| {
             record.is_news
@@ -145,7 +154,7 @@
             .iter()
             .filter(|(_, state)| now < state.until);
         PartReport {
-            losses: losses.into_iter().map(|(_, entry)| entry).collect(),
+            losses: losses.into_iter().map(|(_, _, entry)| entry).collect(),
             sound: sound
                 .map(|(part, record)| SoundEntry {
                     part: *part,
@@ -153,13 +162,7 @@
                 })
                 .collect(),
             quarantined: quarantined
-                .map(|(part, state)| QuarantineEntry {
-                    part: *part,
-                    level: state.level,
-                    remaining_ms: u64::try_from(state.until.saturating_sub(now).as_millis())
-                        .unwrap_or(u64::MAX),
-                    sent_age_ms: age_ms(state.last_sent),
-                })
+                .map(|(part, state)| state.entry(*part, now))
                 .collect(),
         }
     }
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -9,6 +9,8 @@
 mod part_quarantine;
 mod placement;
 mod preemption;
+mod quarantine_fleet;
+mod request_quarantine;
 mod retries;
 mod service;
 mod shared_ledger;
--- a/crates/edge/src/proxied_rows.rs
+++ b/crates/edge/src/proxied_rows.rs
@@ -9,6 +9,7 @@
 use compact_str::CompactString;
 use futures_util::FutureExt as _;
 use plantainmill_core::{Clock, Uptime};
+use plantainmill_dispatch::quarantine::QUARANTINE_TABLE;
 use plantainmill_provider::rows::TableName;
 use plantainmill_provider::{
     ChangeOutcome, FeedRead, PartitionRow, PartitionStore, PlatformFuture, RowChange, RowVersion,
@@ -76,7 +77,7 @@
 }
 
 /// Tables that may be accessed through a peer.
-const TABLES: [TableName; 3] = ["jobs", "job_items", "vms"];
+const TABLES: [TableName; 4] = ["jobs", "job_items", "vms", QUARANTINE_TABLE];
 
 fn find_table(name: &str) -> Option<TableName> {
     TABLES.into_iter().find(|table| *table == name)
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -15,6 +15,7 @@
 use anyhow::Context as _;
 use plantainmill_admission::SharedLimiter;
 use plantainmill_core::{Clock, InFlightCounter, Incarnation, SystemClock, incarnation_at};
+use plantainmill_dispatch::quarantine::{PartitionQuarantines, keep_quarantines};
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_dispatch::{
     LimitDispatcher, PartQuarantine, QuarantineDispatcher, SharedDispatcher, TargetLimits,
@@ -105,6 +106,11 @@
         }
         actix_rt::spawn(poll_document(Rc::clone(&state), platform.document));
         actix_rt::spawn(poll_targets(Rc::clone(&state), platform.targets));
+        actix_rt::spawn(keep_quarantines(
+            state.quarantine.clone(),
+            PartitionQuarantines(Rc::clone(&state.rows) as Rc<dyn PartitionStore>),
+            Arc::clone(&state.clock),
+        ));
         let peers = PeerExchange::start(Rc::clone(&state), socket, own_row);
         Ok(EdgeVm {
             state,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -6,9 +6,8 @@
 use compact_str::CompactString;
 use futures_util::StreamExt as _;
 use plantainmill_core::{
-    Clock, Executed, OrganisationId, PartId, PartList, ResultCode, TargetId, Uptime, wait_until_set,
+    Clock, Executed, OrganisationId, PartList, ResultCode, TargetId, Uptime, wait_until_set,
 };
-use plantainmill_dispatch::rendezvous::key_of;
 use plantainmill_dispatch::{CallOutcome, TargetTicket, TrafficClass};
 use plantainmill_proxy::relay::{
     EventSplitter, RelayCall, RelayCaller, SendFailure, TargetResponse, check_order, send_once,
@@ -30,7 +29,7 @@
 const MAX_OUTPUT_BYTES: usize = 4 << 20;
 /// Delay before the next attempt when there is no fleet document or no target.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Longest delay before the next attempt of an item with a quarantined prompt part. The quarantine may be lifted early.
+/// Longest delay before the next attempt of an item that is quarantined, or has a quarantined prompt part. The quarantine may be lifted early.
 const MAX_QUARANTINE_WAIT: Duration = Duration::from_secs(2);
 /// Delay before the next attempt after a target failed.
 const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -161,7 +160,7 @@
             headers,
             body: self.item.body.clone(),
             prefix_hash: None,
-            parts: self.parts(),
+            parts: self.item.parts.clone(),
             deadline: self.job.due_at,
             wait_limit: Duration::MAX,
             max_executions: u32::MAX,
@@ -173,12 +172,6 @@
         })
     }
 
-    /// Parts of the prompt, and the item itself: one that crashes targets comes back unchanged.
-    fn parts(&self) -> Vec<PartId> {
-        let own = key_of(&self.item.id);
-        self.item.parts.iter().copied().chain([own]).collect()
-    }
-
     /// Acquires a ticket. Without one, returns the delay before the next attempt.
     async fn acquire(&mut self, call: &RelayCall) -> Result<TargetTicket, Duration> {
         let request = call.ticket_request(&self.excluded);
@@ -188,7 +181,11 @@
             Ok(ticket) => Ok(ticket),
             Err(problem) => {
                 tracing::info!(event = "item_waits", item = %self.item.id, reason = %problem);
-                if problem.code != ResultCode::PartQuarantined {
+                let is_quarantined = matches!(
+                    problem.code,
+                    ResultCode::PartQuarantined | ResultCode::RequestQuarantined
+                );
+                if !is_quarantined {
                     return Err(UNAVAILABLE_RETRY_DELAY);
                 }
                 let delay = problem.retry_after.unwrap_or(MAX_QUARANTINE_WAIT);
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -14,6 +14,7 @@
 use plantainmill_core::{Clock, Incarnation, SystemClock, incarnation_at};
 use plantainmill_dispatch::node::NodeIdentity;
 use plantainmill_dispatch::notice::{NoticeParts, NoticeService, NoticeSource};
+use plantainmill_dispatch::quarantine::{TableQuarantines, keep_quarantines};
 use plantainmill_dispatch::{
     DispatchHandle, DispatchParts, DispatchService, Dispatcher, LimitDispatcher, PartQuarantine,
     QuarantineDispatcher, TargetLimits,
@@ -305,7 +306,9 @@
         let vm = &self.settings.vm;
         let (clock, meter) = (Arc::clone(&self.clock), self.metrics.meter());
         let limits = TargetLimits::new(&vm.id, Arc::clone(&clock), &meter, METRIC_PREFIX);
-        let quarantine = PartQuarantine::new(&vm.id, clock, &meter, METRIC_PREFIX);
+        let quarantine = PartQuarantine::new(&vm.id, Arc::clone(&clock), &meter, METRIC_PREFIX);
+        let table = TableQuarantines(self.table());
+        actix_rt::spawn(keep_quarantines(quarantine.clone(), table, clock));
         let fleet_limits = FleetLimits {
             limits: limits.clone(),
             config: self.view.clone(),
--- a/crates/proxy/tests/quarantined_calls.rs
+++ b/crates/proxy/tests/quarantined_calls.rs
@@ -17,6 +17,9 @@
 /// Time in which a lost target cannot have started again.
 const RESTART_TIME: Duration = Duration::from_millis(1_100);
 
+/// Part of all calls of [`call_with_part`].
+const COMMON_PART: u64 = 42;
+
 /// A fleet whose calls pass the quarantine.
 fn guarded_fleet() -> Result<TestFleet, Box<dyn std::error::Error>> {
     let mut fleet = TestFleet::start(service_spec(ServiceKind::Model, true), 6)?;
@@ -34,6 +37,15 @@
     Ok(fleet)
 }
 
+/// Calls that have one part in common, and else nothing.
+async fn call_with_part(fleet: &TestFleet, case: &str, mode: CallMode) -> CallEnd {
+    let mut request = fleet.request(case, mode);
+    request.path = format!("{}?case={case}", request.path);
+    request.parts = request_parts(&request.path, &request.body);
+    request.parts.push(COMMON_PART);
+    fleet.run(request, mode).await
+}
+
 async fn call(fleet: &TestFleet, case: &str, mode: CallMode) -> CallEnd {
     let mut request = fleet.request(case, mode);
     request.parts = request_parts(&request.path, &request.body);
@@ -60,6 +72,32 @@
     fleet.fault_all(EngineFault::default());
     let sends = fleet.dispatcher.requests().len();
     let third = call(&fleet, "crashing", mode).await;
+    assert_eq!(third.code(), Some(ResultCode::RequestQuarantined));
+    assert_eq!(third.executed(), Some(Executed::No));
+    assert_eq!(fleet.dispatcher.requests().len(), sends);
+    assert_eq!(call(&fleet, "sound", mode).await.code(), None);
+    fleet.stop().await;
+    Ok(())
+}
+
+/// Guards against calls that have only one part in common and crash targets one after the other, and against sound calls
+/// that are rejected with them.
+#[rstest]
+#[actix_rt::test]
+async fn quarantined_part(
+    #[values(CallMode::Buffered, CallMode::Streaming)] mode: CallMode,
+) -> TestResult {
+    let fleet = guarded_fleet()?;
+    for case in ["first", "second"] {
+        fleet.fault_all(EngineFault::always(FaultKind::CutBefore));
+        let crashed = call_with_part(&fleet, case, mode).await;
+        assert_eq!(crashed.executed(), Some(Executed::Unknown));
+        fleet.fault_all(EngineFault::default());
+        assert_eq!(call(&fleet, "sound", mode).await.code(), None);
+        tokio::time::sleep(RESTART_TIME).await;
+    }
+    let sends = fleet.dispatcher.requests().len();
+    let third = call_with_part(&fleet, "third", mode).await;
     assert_eq!(third.code(), Some(ResultCode::PartQuarantined));
     assert_eq!(third.executed(), Some(Executed::No));
     assert_eq!(fleet.dispatcher.requests().len(), sends);
