Log software versions and take-ups of relayed streams

Tickets now carry the version of their target, and the lines carry version and resumed_after. No decision uses either yet.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -13,6 +13,8 @@
 pub type ServiceName = CompactString;
 /// Identifies one target: a replica of a service.
 pub type TargetId = CompactString;
+/// Names a software version of the targets of a service. Versions have no order.
+pub type VersionName = CompactString;
 /// Identifies an organisation: the owner of keys, with a rate limit of its own.
 pub type OrganisationId = CompactString;
 /// Identifies a caller's API key. Unlike the key's secret it is public.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,7 +17,7 @@
 pub use flight::{InFlightCounter, InFlightGuard};
 pub use id::{
     DomainName, Incarnation, ItemId, JobId, KeyId, OrganisationId, PartId, PartList, RegionName,
-    RequestHash, ServiceName, TargetId, VmId,
+    RequestHash, ServiceName, TargetId, VersionName, VmId,
 };
 pub use problem::{Executed, Problem};
 pub use signal::wait_until_set;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use plantainmill_core::{
-    OrganisationId, PartId, Problem, RequestHash, ServiceName, TargetId, Uptime,
+    OrganisationId, PartId, Problem, RequestHash, ServiceName, TargetId, Uptime, VersionName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -92,6 +92,8 @@
     pub target: TargetId,
     /// Address at which the target accepts requests.
     pub address: SocketAddr,
+    /// Software version of the target, if the policy knows it.
+    pub version: Option<VersionName>,
     /// Becomes true when the request is preempted; never for online requests.
     pub preempted: PreemptSignal,
     observers: Vec<Arc<dyn CallObserver>>,
@@ -110,12 +112,20 @@
         TargetTicket {
             target,
             address,
+            version: None,
             preempted,
             observers: Vec::new(),
             on_finish: Some(on_finish),
         }
     }
 
+    /// Sets the software version of the target.
+    #[must_use]
+    pub fn with_version(mut self, version: Option<VersionName>) -> TargetTicket {
+        self.version = version;
+        self
+    }
+
     /// Adds an observer of the call.
     #[must_use]
     pub fn with_observer(mut self, observer: Arc<dyn CallObserver>) -> TargetTicket {
--- a/crates/dispatch/src/quarantine/dispatcher.rs
+++ b/crates/dispatch/src/quarantine/dispatcher.rs
@@ -147,6 +147,7 @@
             class: request.class,
         };
         let (target, address) = (ticket.target.clone(), ticket.address);
+        let version = ticket.version.take();
         let preempted = ticket.preempted.clone();
         let observer = StartObserver {
             quarantine: self.clone(),
@@ -164,6 +165,7 @@
             ticket.finish(outcome);
         });
         let wrapped = TargetTicket::new(target, address, preempted, on_finish);
+        let wrapped = wrapped.with_version(version);
         let wrapped = observers
             .into_iter()
             .fold(wrapped, TargetTicket::with_observer);
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -5,7 +5,9 @@
 use crate::dispatcher::{CallOutcome, Dispatcher, TargetTicket, TicketRequest};
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
-use plantainmill_core::{Clock, DomainName, Problem, RegionName, ResultCode, TargetId, VmId};
+use plantainmill_core::{
+    Clock, DomainName, Problem, RegionName, ResultCode, TargetId, VersionName, VmId,
+};
 use plantainmill_routing::TargetEntry;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -31,6 +33,7 @@
     Granted {
         target: TargetId,
         address: SocketAddr,
+        version: VersionName,
         preempted: watch::Receiver<bool>,
     },
     Refused {
@@ -158,6 +161,7 @@
                     number,
                     target,
                     address,
+                    version,
                 } => {
                     self.load_change.notify_one();
                     let (signal, preempted) = watch::channel(false);
@@ -165,6 +169,7 @@
                     let decision = SlotDecision::Granted {
                         target,
                         address,
+                        version,
                         preempted,
                     };
                     send_decision(state, number, decision);
@@ -251,12 +256,14 @@
             Ok(SlotDecision::Granted {
                 target,
                 address,
+                version,
                 preempted,
             }) => {
                 guard.armed = false;
                 let inner = Arc::clone(&self.inner);
                 let on_finish = Box::new(move |outcome| inner.release(number, outcome));
-                Ok(TargetTicket::new(target, address, preempted, on_finish))
+                let ticket = TargetTicket::new(target, address, preempted, on_finish);
+                Ok(ticket.with_version(Some(version)))
             }
             Ok(SlotDecision::Refused {
                 retry_after,
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -6,7 +6,7 @@
 use crate::dispatcher::{CallOutcome, TicketRequest, TrafficClass};
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{
-    DomainName, OrganisationId, RegionName, ServiceName, TargetId, Uptime, VmId,
+    DomainName, OrganisationId, RegionName, ServiceName, TargetId, Uptime, VersionName, VmId,
 };
 use plantainmill_routing::TargetEntry;
 use std::collections::{BTreeMap, HashMap};
@@ -48,6 +48,8 @@
         target: TargetId,
         /// Address at which the target accepts requests.
         address: SocketAddr,
+        /// Software version of the target.
+        version: VersionName,
     },
     /// The request is refused.
     Refuse {
@@ -489,6 +491,7 @@
             number: waiting.number,
             target: id.clone(),
             address: target.entry.address,
+            version: target.entry.version.clone(),
         });
         let call = RunningCall {
             target: id.clone(),
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -222,6 +222,7 @@
                     fingerprint = format!("{:016x}", call.fingerprint()),
                     parts = %PartList(&self.item.parts),
                     target = %ticket.target,
+                    version = ticket.version.as_deref(),
                     outcome = ?failure.outcome,
                     last_event = self.last_event,
                     reason = %failure.reason,
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -118,6 +118,7 @@
                     number: *last_number,
                     target: targets[choice].id.clone(),
                     address: targets[choice].address,
+                    version: targets[choice].version.clone(),
                 };
                 (*last_number, vec![grant])
             }
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -239,9 +239,9 @@
                 }
                 Err(failure) => failure,
             };
-            let target = ticket.target.clone();
+            let (target, version) = (ticket.target.clone(), ticket.version.clone());
             ticket.finish(failure.outcome);
-            log_failure(&progress.call, &target, &failure);
+            log_failure(&progress.call, (&target, version.as_deref()), &failure);
             if !progress.record_failure(&target, &failure, &self.shared.limits) {
                 return Err(progress.problem(&failure));
             }
@@ -443,13 +443,19 @@
     joined.freeze()
 }
 
-pub(super) fn log_failure(call: &RelayCall, target: &TargetId, failure: &SendFailure) {
+pub(super) fn log_failure(
+    call: &RelayCall,
+    (target, version): (&TargetId, Option<&str>),
+    failure: &SendFailure,
+) {
     tracing::info!(
         event = "send_failed",
         request = %call.id,
         fingerprint = format!("{:016x}", call.fingerprint()),
         parts = %PartList(&call.parts),
         %target,
+        version,
+        resumed_after = call.last_event,
         executed = failure.executed.as_str(),
         outcome = ?failure.outcome,
         reason = %failure.reason,
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -159,14 +159,17 @@
     /// Continues at another target and returns its first events, which are empty if the stream ends there.
     async fn fail_over(&mut self, failure: SendFailure) -> Result<Option<Bytes>, Problem> {
         let last_event = self.current.as_ref().and_then(|started| started.last_event);
-        let target = self
-            .current
-            .as_ref()
-            .map(|started| started.ticket.target.clone());
+        let (target, version) = match &self.current {
+            Some(started) => {
+                let ticket = &started.ticket;
+                (Some(ticket.target.clone()), ticket.version.clone())
+            }
+            None => (None, None),
+        };
         let may_fail_over = self.may_fail_over() && !failure.is_deadline;
         self.finish(Some(failure.outcome));
         if let Some(target) = target {
-            log_failure(self.call(), &target, &failure);
+            log_failure(self.call(), (&target, version.as_deref()), &failure);
             self.progress.excluded.push(target);
         }
         if !may_fail_over {
@@ -207,6 +210,8 @@
         organisation = progress.call.organisation.as_deref(),
         service = %progress.call.service,
         target = %started.ticket.target,
+        version = started.ticket.version.as_deref(),
+        resumed_after = progress.call.last_event,
         status = started.response.status,
         sends = progress.sends,
         first_ms,
