--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -89,6 +89,7 @@
     events: u64,
     pause: Cell<Duration>,
     acts: RefCell<VecDeque<TargetAct>>,
+    default_act: Cell<TargetAct>,
     seen: RefCell<Vec<SeenRequest>>,
     running: Cell<usize>,
     /// A request with this text in a header crashes the target.
@@ -116,6 +117,7 @@
                 events,
                 pause: Cell::new(Duration::ZERO),
                 acts: RefCell::default(),
+                default_act: Cell::default(),
                 seen: RefCell::default(),
                 running: Cell::new(0),
                 crash_marker: RefCell::default(),
@@ -145,6 +147,11 @@
         self.state.acts.borrow_mut().extend(acts);
     }
 
+    /// Sets what happens to requests that are not planned.
+    pub fn set_default_act(&self, act: TargetAct) {
+        self.state.default_act.set(act);
+    }
+
     /// Sets the time between events.
     pub fn set_pause(&self, pause: Duration) {
         self.state.pause.set(pause);
@@ -207,7 +214,8 @@
                 .unwrap_or_default();
             let last = request.headers.get("last-event-id");
             let last = last.and_then(|last| last.parse().ok()).unwrap_or(0);
-            let act = self.acts.borrow_mut().pop_front().unwrap_or_default();
+            let planned = self.acts.borrow_mut().pop_front();
+            let act = planned.unwrap_or_else(|| self.default_act.get());
             let crashes = self.has_crash_marker(&request);
             self.seen.borrow_mut().push(SeenRequest {
                 ran: act != TargetAct::Refuse,
--- a/crates/soak/src/target_fleet.rs
+++ b/crates/soak/src/target_fleet.rs
@@ -35,6 +35,7 @@
             address: self.proxy.address,
             slots: SLOTS_PER_TARGET,
             draining,
+            version: "v1",
         }
     }
 }
