Continue streams only at the software version that began them

Cause: versions decided nothing. A stream went on at any target of its service, inside one answer and when its caller took it up, and the attempt that a take-up names was not read. What VMs might remember of a stream would also be lost when all of them are killed.

Change: a stream keeps the version of its first event; dispatch limits it to targets of that version, and refuses at once if there are none. For each service the VMs agree on a base version in the store. Streams at other versions are recorded before their first event is passed on, so one without a record began at the base version, whatever VMs were lost. The base version changes only when no stream that began at it can be under way. Take-ups are looked up: 3015 if their version has left, 3016 if it cannot be determined. While records fail, streams begin at the base version, if it serves. An item whose version has left begins anew. A silent target is waited for if no other one has the version.

--- a/crates/dispatch/benches/decisions.rs
+++ b/crates/dispatch/benches/decisions.rs
@@ -65,6 +65,7 @@
         prefix_hash,
         parts: Vec::new(),
         fingerprint: None,
+        version: None,
         barred: Vec::new(),
         spared: Vec::new(),
         deadline: NOW + Duration::from_mins(1),
--- a/crates/dispatch/examples/dispatch_comparison/simulation.rs
+++ b/crates/dispatch/examples/dispatch_comparison/simulation.rs
@@ -192,6 +192,7 @@
             prefix_hash: None,
             parts: Vec::new(),
             fingerprint: None,
+            version: None,
             barred: Vec::new(),
             spared: Vec::new(),
             deadline: self.now + Duration::from_secs(wait),
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -47,6 +47,8 @@
     pub barred: Vec<TargetId>,
     /// Targets that get the request only if it would have to wait at all others.
     pub spared: Vec<TargetId>,
+    /// Software version that the target must have, because the stream began at it; any if absent.
+    pub version: Option<VersionName>,
     /// Size of the request body in bytes, for the budget of the link between regions.
     pub body_bytes: usize,
     /// The request is a retry and counts against the retry budget.
@@ -174,6 +176,15 @@
 pub trait Dispatcher: Send + Sync {
     /// Waits for a ticket. A refused request was never sent, so the problem always has `executed: no`.
     fn acquire(&self, request: TicketRequest) -> LocalBoxFuture<'_, Result<TargetTicket, Problem>>;
+    /// Whether a target of the service other than `current` has `version`, as far as the policy knows.
+    fn has_other_target(
+        &self,
+        _service: &ServiceName,
+        _version: Option<&VersionName>,
+        _current: &TargetId,
+    ) -> bool {
+        true
+    }
     /// Internal state of the policy, for the diagnostic dump.
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value>;
 }
--- a/crates/dispatch/src/quarantine/dispatcher.rs
+++ b/crates/dispatch/src/quarantine/dispatcher.rs
@@ -12,7 +12,9 @@
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
-use plantainmill_core::{Clock, PartId, Problem, RequestHash, ResultCode, ServiceName, VmId};
+use plantainmill_core::{
+    Clock, PartId, Problem, RequestHash, ResultCode, ServiceName, TargetId, VersionName, VmId,
+};
 use plantainmill_mesh::{decode_body, encode_body};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -316,6 +318,15 @@
         self.acquire_checked(request).boxed_local()
     }
 
+    fn has_other_target(
+        &self,
+        service: &ServiceName,
+        version: Option<&VersionName>,
+        current: &TargetId,
+    ) -> bool {
+        self.inner.has_other_target(service, version, current)
+    }
+
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value> {
         async {
             let mut dump = self.inner.dump().await;
--- a/crates/dispatch/src/shared/batch.rs
+++ b/crates/dispatch/src/shared/batch.rs
@@ -1,9 +1,10 @@
 //! Batch requests of the shared policy: which of them start in idle slots.
 
 use super::choice::{CandidateOrder, SlotState};
-use super::ledger::{LedgerEffect, LoadLedger, WaitingRequest};
+use super::ledger::{LedgerEffect, LoadLedger, RequestId, WaitingRequest};
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::Uptime;
+use std::time::Duration;
 
 /// Slots of each target that batch calls leave free, so that online requests rarely wait for a preemption.
 const BATCH_RESERVE: u32 = 1;
@@ -11,6 +12,7 @@
 impl LoadLedger {
     pub(super) fn serve_batch(&mut self, now: Uptime, effects: &mut Vec<LedgerEffect>) {
         let is_paused = now < self.batch_paused_until;
+        self.refuse_gone_versions(effects);
         if self.batch.is_empty() || !self.online.is_empty() || is_paused {
             return;
         }
@@ -27,6 +29,21 @@
         }
     }
 
+    /// Refuses requests whose stream began at a version that no target has any more. They have to begin anew.
+    fn refuse_gone_versions(&mut self, effects: &mut Vec<LedgerEffect>) {
+        let is_gone = |waiting: &WaitingRequest| {
+            waiting.request.version.is_some() && !self.has_target(&waiting.request)
+        };
+        let gone = self.batch.iter().filter(|waiting| is_gone(waiting));
+        let gone: Vec<RequestId> = gone.map(|waiting| waiting.number).collect();
+        self.batch.retain(|waiting| !gone.contains(&waiting.number));
+        effects.extend(gone.into_iter().map(|number| LedgerEffect::Refuse {
+            number,
+            retry_after: Duration::ZERO,
+            no_target: true,
+        }));
+    }
+
     /// Number of batch requests that this VM may start now: the free slots divided by the VMs with waiting batch
     /// requests.
     fn batch_budget(&self) -> usize {
@@ -48,11 +65,10 @@
         now: Uptime,
         effects: &mut Vec<LedgerEffect>,
     ) -> bool {
-        let service = &waiting.request.service;
         let has_healthy = self
             .targets
             .values()
-            .any(|target| target.entry.service == *service && !target.backoff.is_backing_off(now));
+            .any(|target| target.serves(&waiting.request) && !target.backoff.is_backing_off(now));
         let candidates = self.candidates(&waiting.request, |target, peers| {
             let total = target.own.total() + peers.total();
             let fits = total + BATCH_RESERVE < target.entry.slots;
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -6,7 +6,7 @@
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
 use plantainmill_core::{
-    Clock, DomainName, Problem, RegionName, ResultCode, TargetId, VersionName, VmId,
+    Clock, DomainName, Problem, RegionName, ResultCode, ServiceName, TargetId, VersionName, VmId,
 };
 use plantainmill_routing::TargetEntry;
 use std::collections::HashMap;
@@ -237,6 +237,7 @@
     async fn wait_slot(&self, request: TicketRequest) -> Result<TargetTicket, Problem> {
         let now = self.inner.clock.uptime();
         let (sender, receiver) = oneshot::channel();
+        let version = request.version.clone();
         let number = {
             let mut state = self.inner.lock();
             let (number, effects) = state.ledger.request(request, now);
@@ -270,10 +271,16 @@
                 no_target,
             }) => {
                 guard.armed = false;
-                let problem = if no_target {
-                    Problem::new(ResultCode::NoTarget, "no target of the service is known")
-                } else {
-                    Problem::new(ResultCode::QueueFull, "all targets are busy")
+                let problem = match version {
+                    Some(version) if no_target => {
+                        let reason = format!("no target of version {version} is known");
+                        Problem::new(ResultCode::VersionGone, reason)
+                    }
+                    None if no_target => {
+                        let reason = "no target of the service is known";
+                        Problem::new(ResultCode::NoTarget, reason)
+                    }
+                    _ => Problem::new(ResultCode::QueueFull, "all targets are busy"),
                 };
                 Err(problem.with_retry_after(retry_after))
             }
@@ -290,6 +297,16 @@
         self.wait_slot(request).boxed_local()
     }
 
+    fn has_other_target(
+        &self,
+        service: &ServiceName,
+        version: Option<&VersionName>,
+        current: &TargetId,
+    ) -> bool {
+        let state = self.inner.lock();
+        state.ledger.has_other_target(service, version, current)
+    }
+
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value> {
         let state = self.inner.lock();
         let (online, batch) = state.ledger.waiting();
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -76,6 +76,18 @@
     pub backoff: TargetBackoff,
 }
 
+impl LedgerTarget {
+    /// Whether the target has the service and version that the request needs.
+    pub fn serves(&self, request: &TicketRequest) -> bool {
+        self.has_version(&request.service, request.version.as_ref())
+    }
+
+    fn has_version(&self, service: &ServiceName, version: Option<&VersionName>) -> bool {
+        self.entry.service == *service
+            && version.is_none_or(|version| self.entry.version == *version)
+    }
+}
+
 #[derive(Debug)]
 struct RunningCall {
     target: TargetId,
@@ -189,7 +201,7 @@
         let mut effects = Vec::new();
         match waiting.request.class {
             TrafficClass::Online => {
-                if !self.has_target(&waiting.request.service) {
+                if !self.has_target(&waiting.request) {
                     effects.push(LedgerEffect::Refuse {
                         number,
                         retry_after: MIN_RETRY_AFTER,
@@ -207,9 +219,21 @@
         (number, effects)
     }
 
-    fn has_target(&self, service: &ServiceName) -> bool {
+    pub(super) fn has_target(&self, request: &TicketRequest) -> bool {
         let mut targets = self.targets.values();
-        targets.any(|target| target.entry.service == *service)
+        targets.any(|target| target.serves(request))
+    }
+
+    /// Whether a target of the service other than `current` has the version.
+    #[must_use]
+    pub fn has_other_target(
+        &self,
+        service: &ServiceName,
+        version: Option<&VersionName>,
+        current: &TargetId,
+    ) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|(id, target)| id != current && target.has_version(service, version))
     }
 
     /// Withdraws a waiting request.
@@ -384,11 +408,12 @@
             }
             let limit = next.request.wait_limit.unwrap_or(DEFAULT_ONLINE_WAIT);
             let waited = now.saturating_sub(next.since);
-            if waited >= limit || now >= next.request.deadline {
+            let is_hopeless = next.request.version.is_some() && !self.has_target(&next.request);
+            if is_hopeless || waited >= limit || now >= next.request.deadline {
                 effects.push(LedgerEffect::Refuse {
                     number: next.number,
                     retry_after: self.retry_after(next.number),
-                    no_target: !self.has_target(&next.request.service),
+                    no_target: !self.has_target(&next.request),
                 });
                 continue;
             }
@@ -454,9 +479,7 @@
     ) -> Vec<Candidate> {
         let serving = || {
             let targets = self.targets.iter();
-            targets.filter(|(id, target)| {
-                target.entry.service == request.service && !request.barred.contains(id)
-            })
+            targets.filter(|(id, target)| target.serves(request) && !request.barred.contains(id))
         };
         // If there is no other target, one that already failed the request is better than none.
         let has_other = serving().any(|(id, _)| !request.excluded.contains(id));
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -50,6 +50,7 @@
         prefix_hash: None,
         parts: Vec::new(),
         fingerprint: None,
+        version: None,
         barred: Vec::new(),
         spared: Vec::new(),
         deadline: at(60_000),
@@ -475,3 +476,80 @@
         .collect();
     assert!(first_targets.len() > 20, "{first_targets:?}");
 }
+
+/// A ledger with one target of version v1 and one of v2.
+fn mixed_ledger() -> LoadLedger {
+    let mut ledger = ledger("vm", &[]);
+    let newer = TargetEntry {
+        version: "v2".into(),
+        ..entry("newer", "a")
+    };
+    ledger.set_targets([entry("former", "b"), newer].iter());
+    ledger
+}
+
+fn of_version(class: TrafficClass, version: &str) -> TicketRequest {
+    TicketRequest {
+        version: Some(version.into()),
+        ..request(class)
+    }
+}
+
+/// Guards against a stream that goes on at a target of another software version, because it is nearer, or because all of
+/// its own are full or have failed it.
+#[rstest]
+fn one_version(#[values(TrafficClass::Online, TrafficClass::Batch)] class: TrafficClass) {
+    let mut ledger = mixed_ledger();
+    let mut targets = Vec::new();
+    for number in 0..12 {
+        let continued = TicketRequest {
+            excluded: vec!["former".into()],
+            ..of_version(class, "v1")
+        };
+        let (_, effects) = ledger.request(continued, at(number));
+        targets.extend(granted(&effects));
+        targets.extend(granted(&ledger.tick(at(number))));
+    }
+    assert!(targets.len() >= 3, "{targets:?}");
+    assert!(
+        targets.iter().all(|target| target == "former"),
+        "{targets:?}"
+    );
+    assert!(!ledger.has_other_target(&"llm".into(), Some(&"v1".into()), &"former".into()));
+    assert!(ledger.has_other_target(&"llm".into(), None, &"former".into()));
+}
+
+/// Guards against a stream that waits until its deadline for a version that has left, before or after it began to wait.
+#[rstest]
+fn version_gone(
+    #[values(TrafficClass::Online, TrafficClass::Batch)] class: TrafficClass,
+    #[values(true, false)] waits_first: bool,
+) {
+    let mut ledger = mixed_ledger();
+    let remaining = |ledger: &mut LoadLedger| ledger.set_targets([entry("former", "b")].iter());
+    let mut effects = Vec::new();
+    if waits_first {
+        let load = peer_load("newer", SLOTS + 2, 0);
+        ledger.record_report(&vm("peer"), load, at(0));
+        effects.extend(ledger.request(of_version(class, "v2"), at(0)).1);
+        assert_eq!(effects, []);
+        remaining(&mut ledger);
+    } else {
+        remaining(&mut ledger);
+        effects.extend(ledger.request(of_version(class, "v2"), at(0)).1);
+    }
+    effects.extend(ledger.tick(at(5)));
+    let refused = |effect: &LedgerEffect| {
+        matches!(
+            effect,
+            LedgerEffect::Refuse {
+                no_target: true,
+                ..
+            }
+        )
+    };
+    assert!(
+        effects.len() == 1 && effects.iter().all(refused),
+        "{effects:?}"
+    );
+}
--- a/crates/dispatch/tests/all/support.rs
+++ b/crates/dispatch/tests/all/support.rs
@@ -61,6 +61,7 @@
         prefix_hash: None,
         parts: Vec::new(),
         fingerprint: None,
+        version: None,
         barred: Vec::new(),
         spared: Vec::new(),
         deadline: now + Duration::from_mins(1),
--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -86,6 +86,7 @@
             self.state
                 .targets_confirmed_at
                 .set(confirmed_at.max(Some(at)));
+            self.state.streams.confirm_targets();
         }
     }
 
--- a/crates/edge/src/codec.rs
+++ b/crates/edge/src/codec.rs
@@ -20,6 +20,8 @@
     pub parts: Vec<PartId>,
     /// Number of the last event that the caller received from an interrupted stream.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of that stream.
+    pub resumes: Option<CompactString>,
 }
 
 /// Decodes callers' requests and encodes what they receive.
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -76,6 +76,7 @@
         "document_age_ms": state.document_age().map(|age| age.as_millis()),
         "dispatch": state.dispatcher.dump().await,
         "quarantine": state.quarantine.dump(),
+        "versions": state.streams.dump(),
         "limits": state.limits.dump(),
         "usage": state.limiter.dump().await,
         "jobs_running": state.jobs.running(),
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -6,6 +6,7 @@
     hop_by_hop_headers, log_problem, missing_document, problem_response, relay_response,
 };
 use crate::state::EdgeState;
+use crate::stream_records::StreamRecords;
 use actix_web::http::header::{AUTHORIZATION, EXPECT, HOST, HeaderMap};
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
@@ -158,12 +159,18 @@
         let problem = Problem::new(ResultCode::RateExceeded, reason);
         return Err(problem.with_retry_after(retry_after));
     }
-    let call = relay_call(state, buffered, &document, route, organisation)?;
-    state
-        .relay_caller
-        .open(call)
-        .await
+    let mut call = relay_call(state, buffered, &document, route, organisation)?;
+    if call.is_stream && call.may_repeat && call.last_event.is_some_and(|last_event| last_event > 0)
+    {
+        let first = buffered.head.resumes.as_deref();
+        let (service, version) = state.streams.resolve(&call.service, first).await?;
+        call.service = service;
+        call.version = Some(version);
+    }
+    let opened = state.relay_caller.open(call).await;
+    opened
         .map(RequestOutcome::Relayed)
+        .map_err(StreamRecords::with_retry_delay)
 }
 
 /// Turns the rejection of an unknown route or key into a retryable one if the document may be out of date.
@@ -207,7 +214,9 @@
         Problem::new(ResultCode::BadHeader, "the request has no id")
             .with_field(state.codec.names().request_id.as_str())
     })?;
-    let service = route.pick_service(&id).cloned().ok_or_else(|| {
+    // A stream that is taken up stays with the service that began it.
+    let begun_by = buffered.head.resumes.as_ref().unwrap_or(&id);
+    let service = route.pick_service(begun_by).cloned().ok_or_else(|| {
         Problem::new(ResultCode::NoTarget, "the route has no service")
             .with_retry_after(UNCHECKED_RETRY_DELAY)
     })?;
@@ -236,6 +245,7 @@
         first_event_objective: route.objective,
         event_gap: route.event_gap,
         last_event: buffered.head.last_event,
+        version: None,
         id,
     })
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod settings;
 mod state;
 mod store_poll;
+mod stream_records;
 mod vm;
 
 pub use codec::{RequestCodec, RequestHead};
--- a/crates/edge/src/peer_notices.rs
+++ b/crates/edge/src/peer_notices.rs
@@ -73,6 +73,9 @@
         let own = directory.members(now).into_iter().map(|member| member.vm);
         let mut members: BTreeMap<DomainName, Vec<VmId>> = directory.remote_vms(now);
         members.insert(self.own_row.domain.clone(), own.collect());
+        let is_alone = members.values().map(Vec::len).sum::<usize>() <= 1;
+        let knows_others = directory.local_rows().next().is_some();
+        self.state.streams.set_isolated(is_alone && knows_others);
         self.state.limits.set_members(members);
     }
 }
--- a/crates/edge/src/proxied_rows.rs
+++ b/crates/edge/src/proxied_rows.rs
@@ -5,6 +5,7 @@
 
 use crate::control::ROWS_PATH;
 use crate::peer_client::PeerClient;
+use crate::stream_records::{BASE_TABLE, STREAM_TABLE};
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::FutureExt as _;
@@ -77,7 +78,14 @@
 }
 
 /// Tables that may be accessed through a peer.
-const TABLES: [TableName; 4] = ["jobs", "job_items", "vms", QUARANTINE_TABLE];
+const TABLES: [TableName; 6] = [
+    "jobs",
+    "job_items",
+    "vms",
+    QUARANTINE_TABLE,
+    STREAM_TABLE,
+    BASE_TABLE,
+];
 
 fn find_table(name: &str) -> Option<TableName> {
     TABLES.into_iter().find(|table| *table == name)
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -5,6 +5,7 @@
 use crate::peer_client::PeerClient;
 use crate::proxied_rows::ProxiedRows;
 use crate::settings::{BoundSettings, EdgeSettings};
+use crate::stream_records::StreamRecords;
 use plantainmill_admission::SharedLimiter;
 use plantainmill_core::{Clock, InFlightCounter, Incarnation, Uptime};
 use plantainmill_dispatch::limits::LimitedTarget;
@@ -37,6 +38,8 @@
     pub quarantine: PartQuarantine,
     /// Limits that targets name; they stand between the quarantine and the dispatcher.
     pub limits: TargetLimits,
+    /// Versions at which streams began, by which those that are taken up go on.
+    pub streams: StreamRecords,
     pub relay_caller: RelayCaller,
     pub jobs: JobService,
     pub codec: Rc<dyn RequestCodec>,
@@ -97,6 +100,9 @@
             domain: entry.domain.clone(),
         });
         self.limits.set_targets(limited);
+        let entries = targets.entries();
+        let versions = entries.iter().map(|entry| (&entry.service, &entry.version));
+        self.streams.set_targets(versions);
         if targets.fingerprint() != before {
             self.update_notify.notify_one();
         }
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -12,6 +12,7 @@
 use crate::settings::EdgeSettings;
 use crate::state::EdgeState;
 use crate::store_poll::{poll_document, poll_targets};
+use crate::stream_records::StreamRecords;
 use anyhow::Context as _;
 use plantainmill_admission::SharedLimiter;
 use plantainmill_core::{Clock, InFlightCounter, Incarnation, SystemClock, incarnation_at};
@@ -106,6 +107,7 @@
         }
         actix_rt::spawn(poll_document(Rc::clone(&state), platform.document));
         actix_rt::spawn(poll_targets(Rc::clone(&state), platform.targets));
+        actix_rt::spawn(state.streams.clone().maintain());
         actix_rt::spawn(keep_quarantines(
             state.quarantine.clone(),
             PartitionQuarantines(Rc::clone(&state.rows) as Rc<dyn PartitionStore>),
@@ -207,12 +209,19 @@
     );
     let policy = LimitDispatcher::new(Arc::new(dispatcher.clone()), limits.clone());
     let policy = QuarantineDispatcher::new(Arc::new(policy), quarantine.clone());
+    let streams = StreamRecords::new(
+        Rc::clone(&rows) as Rc<dyn PartitionStore>,
+        view.clone(),
+        Arc::clone(&clock),
+        &metrics.meter(),
+    );
     let relay_caller = RelayCaller::new(
         Arc::new(policy),
         Arc::clone(&clock),
         codec.names().clone(),
         RelayLimits::default(),
     );
+    let relay_caller = relay_caller.with_recorder(Rc::new(streams.clone()));
     let jobs = JobService::start(JobParts {
         local_owner: JobOwner {
             vm: settings.vm.id.clone(),
@@ -237,6 +246,7 @@
         dispatcher,
         quarantine,
         limits,
+        streams,
         relay_caller,
         jobs,
         codec,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -6,7 +6,8 @@
 use compact_str::CompactString;
 use futures_util::StreamExt as _;
 use plantainmill_core::{
-    Clock, Executed, OrganisationId, PartList, ResultCode, TargetId, Uptime, wait_until_set,
+    Clock, Executed, OrganisationId, PartList, ResultCode, TargetId, Uptime, VersionName,
+    wait_until_set,
 };
 use plantainmill_dispatch::{CallOutcome, TargetTicket, TrafficClass};
 use plantainmill_proxy::relay::{
@@ -59,6 +60,8 @@
     output: Vec<u8>,
     has_events: bool,
     last_event: Option<u64>,
+    /// Software version at which the stream began.
+    version: Option<VersionName>,
     failures: u32,
     excluded: Vec<TargetId>,
 }
@@ -86,6 +89,7 @@
         output: Vec::new(),
         has_events: false,
         last_event: None,
+        version: None,
         failures: 0,
         excluded: Vec::new(),
     };
@@ -169,6 +173,7 @@
             first_event_objective: route.objective,
             event_gap: route.event_gap,
             last_event: self.last_event,
+            version: self.version.clone(),
         })
     }
 
@@ -181,6 +186,10 @@
             Ok(ticket) => Ok(ticket),
             Err(problem) => {
                 tracing::info!(event = "item_waits", item = %self.item.id, reason = %problem);
+                if problem.code == ResultCode::VersionGone {
+                    self.begin_anew();
+                    return Err(Duration::ZERO);
+                }
                 let is_quarantined = matches!(
                     problem.code,
                     ResultCode::PartQuarantined | ResultCode::RequestQuarantined
@@ -196,6 +205,14 @@
         }
     }
 
+    /// Discards the output, because the stream cannot go on at the version at which it began.
+    fn begin_anew(&mut self) {
+        self.output.clear();
+        self.has_events = false;
+        self.last_event = None;
+        self.version = None;
+    }
+
     async fn send(&mut self, call: &RelayCall, mut ticket: TargetTicket) -> SendOutcome {
         let mut preempted = ticket.preempted.clone();
         let exchange = self.exchange(call, &mut ticket);
@@ -297,6 +314,7 @@
                         progress_at = Instant::now();
                         has_started = true;
                         ticket.record_start();
+                        self.version.clone_from(&ticket.version);
                     }
                     check_order(&events, &mut self.last_event).map_err(failed)?;
                     for event in events {
--- a/crates/jobs/tests/all/job_faults.rs
+++ b/crates/jobs/tests/all/job_faults.rs
@@ -322,3 +322,32 @@
     relay_updates().await;
     assert_eq!(other.jobs.running(), 0);
 }
+
+/// Guards against an item whose output is joined from two software versions, and against one that is not done because its
+/// version has left. At the version that began it, it goes on where it was; at another one, it begins anew.
+#[rstest]
+#[case::kept("v1", Some("2"))]
+#[case::gone("v2", None)]
+#[actix_rt::test]
+async fn gone_version(#[case] version: &str, #[case] last_event: Option<&str>) {
+    let cluster = TestCluster::start().await;
+    cluster.target.plan([TargetAct::CutAfter(2)]);
+    cluster.target.set_pause(Duration::from_millis(100));
+    let vm = cluster.vm("vm-a", 1);
+    vm.jobs
+        .submit(&ward(), &route(), &job(), &submission(1))
+        .await
+        .expect("accepted");
+    while cluster.target.running() == 0 {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+    // The first two events come within 0.2 s, and then the connection is cut.
+    actix_rt::time::sleep(Duration::from_millis(150)).await;
+    let entry = cluster.entry("t2", version);
+    vm.dispatcher.set_targets(std::iter::once(&entry));
+    check_results(&vm.read_results(&job(), 1).await, 1);
+    let seen = cluster.target.seen();
+    let resumed = seen.iter().map(|seen| seen.headers.get("last-event-id"));
+    let resumed: Vec<Option<&str>> = resumed.map(|last| last.map(String::as_str)).collect();
+    assert_eq!(resumed, [None, last_event]);
+}
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -118,6 +118,20 @@
         }
     }
 
+    /// Registry entry of the shared target, as an instance with the given id and version.
+    pub fn entry(&self, id: &str, version: &str) -> TargetEntry {
+        TargetEntry {
+            id: id.into(),
+            service: "llm".into(),
+            address: self.target.address,
+            domain: "a".into(),
+            slots: 8,
+            draining: false,
+            born: 0,
+            version: version.into(),
+        }
+    }
+
     /// Starts a VM with a fleet document and the shared target.
     pub fn vm(&self, name: &str, incarnation: u64) -> TestVm {
         let clock = Arc::new(SystemClock);
@@ -128,17 +142,7 @@
             regions: HashMap::from([("a".into(), "north".into())]),
             clock: clock.clone(),
         });
-        let entry = TargetEntry {
-            id: "t1".into(),
-            service: "llm".into(),
-            address: self.target.address,
-            domain: "a".into(),
-            slots: 8,
-            draining: false,
-            born: 0,
-            version: "v1".into(),
-        };
-        dispatcher.set_targets(std::iter::once(&entry));
+        dispatcher.set_targets(std::iter::once(&self.entry("t1", "v1")));
         let ticker = dispatcher.clone();
         actix_rt::spawn(async move {
             loop {
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -233,6 +233,7 @@
         prefix_hash,
         parts: Vec::new(),
         fingerprint: None,
+        version: None,
         barred: Vec::new(),
         spared: Vec::new(),
         deadline,
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -124,6 +124,7 @@
             priority: 0,
             class: self.request.class,
             prefix_hash: self.request.prefix_hash,
+            version: None,
             parts: self.request.parts.clone(),
             fingerprint: Some(request_hash(
                 self.request.class,
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -4,9 +4,11 @@
 mod events;
 mod exchange;
 mod open;
+mod recorder;
 mod stream;
 
 pub use call::{HeaderNames, RelayCall, RelayLimits};
 pub use events::{EventSplitter, StreamEvent, check_order};
 pub use exchange::{SendFailure, TargetResponse, send_once};
 pub use open::{RelayCaller, RelayResponse};
+pub use recorder::StreamRecorder;
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -5,7 +5,9 @@
 use awc::http::header::{HeaderMap, HeaderName};
 use bytes::Bytes;
 use compact_str::CompactString;
-use plantainmill_core::{OrganisationId, PartId, RequestHash, ServiceName, TargetId, Uptime};
+use plantainmill_core::{
+    OrganisationId, PartId, RequestHash, ServiceName, TargetId, Uptime, VersionName,
+};
 use plantainmill_dispatch::{TicketRequest, TrafficClass};
 use std::time::Duration;
 
@@ -98,6 +100,8 @@
     pub event_gap: Duration,
     /// Last event that the caller already has; the stream continues after it.
     pub last_event: Option<u64>,
+    /// Software version at which the stream began, and to which its targets are limited; absent before its first event.
+    pub version: Option<VersionName>,
 }
 
 impl RelayCall {
@@ -108,6 +112,11 @@
         request_hash(self.class, &self.path, organisation, &self.body)
     }
 
+    /// Whether this begins a stream that its caller may take up later.
+    pub(super) fn is_resumable_start(&self) -> bool {
+        self.is_stream && self.may_repeat && self.last_event.unwrap_or(0) == 0
+    }
+
     /// Ticket request for a slot at a target that is not in `excluded`.
     #[must_use]
     pub fn ticket_request(&self, excluded: &[TargetId]) -> TicketRequest {
@@ -119,6 +128,7 @@
             prefix_hash: self.prefix_hash,
             parts: self.parts.clone(),
             fingerprint: Some(self.fingerprint()),
+            version: self.version.clone(),
             barred: Vec::new(),
             spared: Vec::new(),
             deadline: self.deadline,
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -3,6 +3,7 @@
 use super::call::{HeaderNames, RelayCall, RelayLimits};
 use super::events::{EventSplitter, check_order};
 use super::exchange::{SendFailure, TargetResponse, send_once};
+use super::recorder::StreamRecorder;
 use super::stream::RelayStream;
 use awc::http::header::HeaderMap;
 use bytes::{Bytes, BytesMut};
@@ -40,6 +41,7 @@
     pub clock: Arc<dyn Clock>,
     pub names: HeaderNames,
     pub limits: RelayLimits,
+    pub recorder: Option<Rc<dyn StreamRecorder>>,
     /// Bytes of all responses that are being buffered.
     pub buffered_bytes: Cell<usize>,
 }
@@ -175,6 +177,23 @@
                 clock,
                 names,
                 limits,
+                recorder: None,
+                buffered_bytes: Cell::new(0),
+            }),
+        }
+    }
+
+    /// Has the versions of streams remembered by `recorder`.
+    #[must_use]
+    pub fn with_recorder(self, recorder: Rc<dyn StreamRecorder>) -> RelayCaller {
+        let shared = &self.shared;
+        RelayCaller {
+            shared: Rc::new(RelayShared {
+                dispatcher: Arc::clone(&shared.dispatcher),
+                clock: Arc::clone(&shared.clock),
+                names: shared.names.clone(),
+                limits: shared.limits,
+                recorder: Some(recorder),
                 buffered_bytes: Cell::new(0),
             }),
         }
@@ -201,12 +220,38 @@
         let mut progress = CallProgress::new(call);
         if progress.call.is_stream {
             let last_event = progress.call.last_event;
-            let started = self.start_stream(&mut progress, last_event).await?;
+            let started = if progress.call.is_resumable_start() {
+                self.start_recorded(&mut progress).await?
+            } else {
+                self.start_stream(&mut progress, last_event).await?
+            };
             return Ok(RelayStream::response(self.clone(), progress, started));
         }
         self.open_buffered(&mut progress).await
     }
 
+    /// Opens a stream that its caller may take up later, and has its version remembered before the first event is passed on.
+    async fn start_recorded(
+        &self,
+        progress: &mut CallProgress,
+    ) -> Result<StartedResponse, Problem> {
+        let Some(recorder) = &self.shared.recorder else {
+            return self.start_stream(progress, None).await;
+        };
+        let service = progress.call.service.clone();
+        progress.call.version = recorder.preferred_version(&service);
+        let started = self.start_stream(progress, None).await?;
+        let has_events = started.last_event.is_some();
+        if let (true, Some(version)) = (has_events, &started.ticket.version) {
+            let id = progress.call.id.clone();
+            if let Err(problem) = recorder.record_start(&id, &service, version).await {
+                started.ticket.finish(CallOutcome::Abandoned);
+                return Err(problem.with_executed(Executed::Yes));
+            }
+        }
+        Ok(started)
+    }
+
     pub(super) fn time_left(&self, deadline: Uptime) -> Duration {
         deadline.saturating_sub(self.shared.clock.uptime())
     }
@@ -259,6 +304,9 @@
         };
         let (opened, ticket) = self.try_targets(progress, attempt).await?;
         let (response, splitter, first, last_event) = opened;
+        if last_event.is_some() {
+            progress.call.version.clone_from(&ticket.version);
+        }
         progress.executions += 1;
         progress.executed = Executed::Yes;
         let first_byte = response.sent_at.elapsed();
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -96,6 +96,9 @@
         if let Some(started) = self.current.take() {
             if failure.is_none() {
                 log_completed(&self.progress, &started);
+                if let Some(recorder) = &self.caller.shared.recorder {
+                    recorder.record_end(&self.progress.call.id);
+                }
             }
             let first_byte = started.first_byte;
             drop(started.response);
@@ -108,6 +111,22 @@
         self.call().may_repeat && self.progress.executions < self.call().max_executions
     }
 
+    /// Whether the stream may go on at another target than the current one.
+    fn has_other_target(&self) -> bool {
+        let call = self.call();
+        let dispatcher = self.caller.dispatcher();
+        self.current.as_ref().is_none_or(|started| {
+            let current = &started.ticket.target;
+            dispatcher.has_other_target(&call.service, call.version.as_ref(), current)
+        })
+    }
+
+    fn restart_silence(&mut self) {
+        if let Some(started) = &mut self.current {
+            started.progress_at = Instant::now();
+        }
+    }
+
     /// Time by which the next part must arrive, and whether that is the deadline.
     fn wait_until(&self) -> (Instant, bool) {
         let deadline = Instant::now() + self.caller.time_left(self.call().deadline);
@@ -152,6 +171,11 @@
             Ok(None) if started.splitter.is_at_boundary() => PartRead::End,
             Ok(None) => lost("the stream ended within an event".to_owned()),
             Err(_) if is_deadline => PartRead::Failed(SendFailure::deadline()),
+            Err(_) if !self.has_other_target() => {
+                // Waiting is better than an end without a target at which the stream may go on.
+                self.restart_silence();
+                PartRead::Events(Vec::new())
+            }
             Err(_) => failed("the stream stood still".to_owned()),
         }
     }
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -116,6 +116,7 @@
         first_event_objective: Duration::from_millis(50),
         event_gap: Duration::from_millis(50),
         last_event: None,
+        version: None,
     }
 }
 
@@ -457,3 +458,32 @@
     }
     panic!("a target still works on an abandoned request");
 }
+
+/// Guards against a stream that ends because its target fell silent for a while, although no other target has the version at
+/// which it began.
+#[actix_rt::test]
+async fn only_target_of_version() {
+    let fleet = Fleet::start(2).await;
+    let entries: Vec<TargetEntry> = fleet.targets.iter().enumerate().map(entry).collect();
+    let versions = entries.into_iter().map(|entry| TargetEntry {
+        version: entry.id.clone(),
+        ..entry
+    });
+    fleet
+        .dispatcher
+        .set_targets(versions.collect::<Vec<_>>().iter());
+    // Longer than the silence after which a stream goes on elsewhere.
+    let pause = Duration::from_millis(250);
+    fleet
+        .targets
+        .iter()
+        .for_each(|target| target.set_pause(pause));
+    let patient = RelayCall {
+        first_event_objective: Duration::from_secs(1),
+        ..call(true)
+    };
+    let response = read_response(&fleet, patient).await;
+    let (ids, problem) = response.expect("a response");
+    assert_eq!((ids, problem), (all_events(), None));
+    assert_eq!(fleet.sends(), 1);
+}
--- a/crates/routing/src/document.rs
+++ b/crates/routing/src/document.rs
@@ -158,6 +158,14 @@
 }
 
 impl FleetDocument {
+    /// Longest time that a resumable stream may take on any route.
+    #[must_use]
+    pub fn longest_stream(&self) -> Option<Duration> {
+        let routes = self.routes.values().flatten();
+        let streams = routes.filter(|route| route.kind == RouteKind::Streaming && route.resumable);
+        streams.map(|route| route.time_limit).max()
+    }
+
     /// Creates a document and indexes its routes by host and its organisations by key.
     #[must_use]
     pub fn new(
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod document;
 pub mod registry;
 pub mod source;
+pub mod versions;
 pub mod view;
 
 pub use document::{
@@ -13,4 +14,5 @@
 };
 pub use registry::{TargetEntry, TargetRegistry};
 pub use source::{DocumentRead, DocumentRevision, DocumentSource, TargetSource};
+pub use versions::VersionLedger;
 pub use view::DocumentView;
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod document_view;
 mod route_choice;
+mod stream_versions;
 mod target_registry;
