Check that quarantines of the own interface outlast its VMs

A VM that starts with only the table rejects a call that was quarantined before, without a send. With the reading of the table left out the call reaches targets again.

--- a/crates/proxy/tests/quarantined_calls.rs
+++ b/crates/proxy/tests/quarantined_calls.rs
@@ -4,6 +4,7 @@
 
 use plantainmill_config::ServiceKind;
 use plantainmill_core::{Executed, ResultCode, SystemClock};
+use plantainmill_dispatch::quarantine::{TableQuarantines, keep_quarantines};
 use plantainmill_dispatch::{PartQuarantine, QuarantineDispatcher};
 use plantainmill_fakes::{EngineFault, FaultKind};
 use plantainmill_proxy::{HttpCaller, request_parts};
@@ -23,8 +24,16 @@
 /// A fleet whose calls pass the quarantine.
 fn guarded_fleet() -> Result<TestFleet, Box<dyn std::error::Error>> {
     let mut fleet = TestFleet::start(service_spec(ServiceKind::Model, true), 6)?;
+    start_vm(&mut fleet, "vm");
+    Ok(fleet)
+}
+
+/// Sends the further calls through a VM that has just started, and knows only what the table holds.
+fn start_vm(fleet: &mut TestFleet, name: &str) {
     let clock = Arc::new(SystemClock);
-    let quarantine = PartQuarantine::new(&"vm".into(), clock.clone(), &test_meter(), "test_");
+    let quarantine = PartQuarantine::new(&name.into(), clock.clone(), &test_meter(), "test_");
+    let table = TableQuarantines(Arc::new(fleet.platform.clone()));
+    actix_rt::spawn(keep_quarantines(quarantine.clone(), table, clock.clone()));
     let policy = QuarantineDispatcher::new(fleet.dispatcher.clone(), quarantine);
     fleet.caller = HttpCaller::with_limits(
         config_view(&fleet.service),
@@ -34,7 +43,6 @@
         &test_meter(),
         short_limits(),
     );
-    Ok(fleet)
 }
 
 /// Calls that have one part in common, and else nothing.
@@ -105,3 +113,32 @@
     fleet.stop().await;
     Ok(())
 }
+
+/// Guards against a call of the own interface that crashes targets anew at a VM that has just started, because all VMs that
+/// knew it are gone.
+#[actix_rt::test]
+async fn stored_quarantine() -> TestResult {
+    let mode = CallMode::Buffered;
+    let mut fleet = guarded_fleet()?;
+    for _ in 0..2 {
+        fleet.fault_all(EngineFault::always(FaultKind::CutBefore));
+        call(&fleet, "crashing", mode).await;
+        fleet.fault_all(EngineFault::default());
+        assert_eq!(call(&fleet, "sound", mode).await.code(), None);
+        tokio::time::sleep(RESTART_TIME).await;
+    }
+    assert_eq!(
+        call(&fleet, "crashing", mode).await.code(),
+        Some(ResultCode::RequestQuarantined)
+    );
+    start_vm(&mut fleet, "vm-new");
+    // The table is read as soon as the VM has started.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let sends = fleet.dispatcher.requests().len();
+    let repeated = call(&fleet, "crashing", mode).await;
+    assert_eq!(repeated.code(), Some(ResultCode::RequestQuarantined));
+    assert_eq!(fleet.dispatcher.requests().len(), sends);
+    assert_eq!(call(&fleet, "sound", mode).await.code(), None);
+    fleet.stop().await;
+    Ok(())
+}
