Log which stream a rejected request takes up

The log did not tell take-ups from other rejected requests; request_ended names the attempt that began the stream.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -91,7 +91,8 @@
         Ok(RequestOutcome::Local(response)) => response,
         Err(problem) => {
             state.metrics.count_request(problem.code.number());
-            log_problem(buffered.id(), buffered.request.path(), &problem);
+            let resumes = buffered.head.resumes.as_deref();
+            log_problem(buffered.id(), buffered.request.path(), resumes, &problem);
             problem_response(&state, buffered.id(), &problem)
         }
     }
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -91,13 +91,14 @@
     builder.body(problem.to_json())
 }
 
-/// Logs the outcome of a request that ended without a target's response.
-pub(crate) fn log_problem(request_id: &str, path: &str, problem: &Problem) {
+/// Logs the outcome of a request that ended without a target's response. `resumes` is the attempt whose stream it takes up.
+pub(crate) fn log_problem(request_id: &str, path: &str, resumes: Option<&str>, problem: &Problem) {
     let retry_ms = problem.retry_after.map(|delay| delay.as_millis());
     tracing::info!(
         event = "request_ended",
         request = request_id,
         path,
+        resumes,
         result = problem.code.number(),
         code = problem.code.name(),
         executed = problem.executed.as_str(),
