Let streams that have begun wait for a slot, ahead of new ones

Cause: a stream that has begun can go on only at the targets of its version, but waited for a slot no longer than a new one, 75 ms, and behind those that had fewer calls running; inside an answer its target was lost for good by the same wait.

Change: such a request waits up to 0.9 s, less than the silence after which callers abandon a stream, and goes before new ones of its priority.

--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -362,8 +362,8 @@
         Some((known.entry.slots, slots))
     }
 
-    /// Sorts the waiting online requests by priority, then by the running calls of their organisation on this VM,
-    /// fewest first, then by age. An organisation that sends many times its share thus delays itself rather than
+    /// Sorts the waiting online requests by priority, then those first that continue a stream, then by the running calls of
+    /// their organisation on this VM, fewest first, then by age. An organisation that sends many times its share thus delays itself rather than
     /// others.
     fn order_online(&mut self) {
         let running_online = &self.running_online;
@@ -373,7 +373,8 @@
                 .get(&request.organisation)
                 .copied()
                 .unwrap_or(0);
-            (request.priority, own, waiting.since)
+            let begins = request.version.is_none();
+            (request.priority, begins, own, waiting.since)
         });
     }
 
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -553,3 +553,35 @@
         "{effects:?}"
     );
 }
+
+/// Guards against a stream that has begun and loses its place to new ones: only the targets of its version can continue it.
+#[test]
+fn continued_first() {
+    let mut ledger = ledger("vm", &[("only", "a")]);
+    let mut running = Vec::new();
+    while let (number, effects) = ledger.request(request(TrafficClass::Online), at(0))
+        && !granted(&effects).is_empty()
+    {
+        running.push(number);
+    }
+    let (_, effects) = ledger.request(of_version(TrafficClass::Online, "v1"), at(1));
+    assert_eq!(effects, []);
+    let continued = ledger
+        .request(of_version(TrafficClass::Online, "v1"), at(2))
+        .0;
+    let outcome = CallOutcome::Completed { first_byte: at(1) };
+    let freed = running.iter().take(3);
+    let effects: Vec<LedgerEffect> = freed
+        .flat_map(|number| ledger.release(*number, outcome, at(3)))
+        .collect();
+    let first = effects.iter().take(3).filter_map(|effect| match effect {
+        LedgerEffect::Grant { number, .. } => Some(*number),
+        _ => None,
+    });
+    let first: Vec<u64> = first.collect();
+    assert_eq!(
+        first,
+        [continued - 1, continued, continued - 2],
+        "the stream, its peer, the new one"
+    );
+}
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -11,6 +11,10 @@
 use plantainmill_dispatch::{TicketRequest, TrafficClass};
 use std::time::Duration;
 
+/// Longest wait of a stream that has begun for a slot at another target. Callers abandon a stream after two seconds without
+/// an event.
+const CONTINUATION_WAIT: Duration = Duration::from_millis(900);
+
 /// Names of the headers that are exchanged between VMs and targets.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -117,6 +121,16 @@
         self.is_stream && self.may_repeat && self.last_event.unwrap_or(0) == 0
     }
 
+    /// Longest wait for a slot. A stream that has begun is limited to the targets of its version, which other VMs have to wait
+    /// for as well, and its caller waits longer for it than for a first event.
+    fn slot_wait(&self) -> Duration {
+        if self.version.is_some() {
+            self.wait_limit.max(CONTINUATION_WAIT)
+        } else {
+            self.wait_limit
+        }
+    }
+
     /// Ticket request for a slot at a target that is not in `excluded`.
     #[must_use]
     pub fn ticket_request(&self, excluded: &[TargetId]) -> TicketRequest {
@@ -132,7 +146,7 @@
             barred: Vec::new(),
             spared: Vec::new(),
             deadline: self.deadline,
-            wait_limit: Some(self.wait_limit),
+            wait_limit: Some(self.slot_wait()),
             excluded: excluded.to_vec(),
             body_bytes: self.body.len(),
             is_retry: !excluded.is_empty(),
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -65,6 +65,10 @@
         }
     }
 
+    fn entries(&self) -> impl Iterator<Item = TargetEntry> {
+        self.targets.iter().enumerate().map(entry)
+    }
+
     fn sends(&self) -> usize {
         self.targets.iter().map(|target| target.seen().len()).sum()
     }
@@ -464,8 +468,7 @@
 #[actix_rt::test]
 async fn only_target_of_version() {
     let fleet = Fleet::start(2).await;
-    let entries: Vec<TargetEntry> = fleet.targets.iter().enumerate().map(entry).collect();
-    let versions = entries.into_iter().map(|entry| TargetEntry {
+    let versions = fleet.entries().map(|entry| TargetEntry {
         version: entry.id.clone(),
         ..entry
     });
@@ -487,3 +490,35 @@
     assert_eq!((ids, problem), (all_events(), None));
     assert_eq!(fleet.sends(), 1);
 }
+
+/// Guards against a stream that is cut for good because no target of its version has a free slot at the moment.
+#[actix_rt::test]
+async fn waits_for_slot() {
+    let fleet = Fleet::start(2).await;
+    let busy = fleet
+        .entries()
+        .map(|entry| TargetEntry { slots: 0, ..entry });
+    fleet
+        .dispatcher
+        .set_targets(busy.collect::<Vec<_>>().iter());
+    let ticker = fleet.dispatcher.clone();
+    let entries: Vec<TargetEntry> = fleet.entries().collect();
+    actix_rt::spawn(async move {
+        for round in 0..100 {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+            if round == 40 {
+                ticker.set_targets(entries.iter());
+            }
+            ticker.tick();
+        }
+    });
+    let taken_up = RelayCall {
+        version: Some("v1".into()),
+        last_event: Some(2),
+        wait_limit: Duration::from_millis(50),
+        ..call(true)
+    };
+    let response = read_response(&fleet, taken_up).await;
+    let (ids, problem) = response.expect("a response");
+    assert_eq!((ids, problem), ((3..=EVENTS).collect(), None));
+}
