--- a/crates/soak/src/caller_load.rs
+++ b/crates/soak/src/caller_load.rs
@@ -5,6 +5,7 @@
 };
 use crate::soak_fleet::SoakFleet;
 use awc::http::Method;
+use futures_util::StreamExt as _;
 use plantainmill_core::response::EXECUTED_HEADER;
 use plantainmill_stand_in::{CallerClient, CallerRequest, JobPage, Operator};
 use rand::rngs::SmallRng;
@@ -24,6 +25,10 @@
 const RESULTS_INTERVAL: Duration = Duration::from_millis(500);
 /// Attempts to submit a job before its caller gives up.
 const SUBMIT_ATTEMPTS: usize = 12;
+/// Times that a caller takes up a stream that was cut.
+const TAKE_UPS: usize = 2;
+/// Delay before a stream is taken up.
+const TAKE_UP_DELAY: Duration = Duration::from_millis(150);
 /// Delay between attempts to submit a job.
 const SUBMIT_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Time after acceptance from which every VM must know a job.
@@ -115,19 +120,52 @@
         }
     }
 
-    /// Sends one request, records its outcome, and returns whether it was served with status 200.
+    /// Sends one request, and takes its stream up when it is cut. Returns whether it was served with status 200.
     pub async fn send_request(
         &self,
         client: &CallerClient,
         vm: usize,
         profile: CallerProfile,
     ) -> bool {
-        let id = self.next_id("a");
+        let first = self.next_id("a");
+        let mut received = String::new();
+        for attempt in 0..=TAKE_UPS {
+            let resumption = (attempt > 0).then_some(Resumption {
+                first: &first,
+                received: &received,
+            });
+            let vm = (vm + attempt) % self.fleet.vms.len();
+            let (is_served, events) = self
+                .send_attempt(client, vm, profile, &first, resumption)
+                .await;
+            received.push_str(&events);
+            if is_served || received.is_empty() {
+                return is_served;
+            }
+            sleep(TAKE_UP_DELAY).await;
+        }
+        false
+    }
+
+    /// Sends one attempt of a request and records its outcome. Returns whether it was served with status 200, and the whole
+    /// events of a stream that was cut.
+    async fn send_attempt(
+        &self,
+        client: &CallerClient,
+        vm: usize,
+        profile: CallerProfile,
+        first: &str,
+        resumption: Option<Resumption<'_>>,
+    ) -> (bool, String) {
+        let id = match resumption {
+            Some(_) => self.next_id("a"),
+            None => first.to_owned(),
+        };
         let path = match profile.kind {
             RequestKind::Stream => Operator::STREAM_PATH,
             RequestKind::NonIdempotent => Operator::ONCE_PATH,
         };
-        let path = format!("{path}{id}");
+        let path = format!("{path}{first}");
         let key = self.key(profile.organisation, profile.uses_previous_key);
         let request = CallerRequest {
             id: &id,
@@ -135,10 +173,15 @@
             key: &key,
         };
         let sent_at = Instant::now();
-        let outcome = self
-            .send(client, vm, Method::POST, &request, String::new())
+        let mut outcome = self
+            .send_resuming(client, vm, &request, resumption.as_ref())
             .await;
-        let is_served = matches!(outcome, RequestOutcome::Completed { status: 200, .. });
+        let is_served = matches!(outcome.0, RequestOutcome::Completed { status: 200, .. });
+        if let (Some(resumption), RequestOutcome::Completed { body, .. }) =
+            (&resumption, &mut outcome.0)
+        {
+            body.insert_str(0, resumption.received);
+        }
         self.records.borrow_mut().requests.push(RequestRecord {
             id,
             kind: profile.kind,
@@ -146,9 +189,57 @@
             vm,
             sent_at,
             ended_at: Instant::now(),
-            outcome,
+            resumes: resumption.map(|resumption| resumption.first.to_owned()),
+            outcome: outcome.0,
         });
-        is_served
+        let events = match profile.kind {
+            RequestKind::Stream => outcome.1,
+            RequestKind::NonIdempotent => String::new(),
+        };
+        (is_served, events)
+    }
+
+    /// Sends an online request. Returns the outcome, and the whole events of a response that was cut.
+    async fn send_resuming(
+        &self,
+        client: &CallerClient,
+        vm: usize,
+        request: &CallerRequest<'_>,
+        resumption: Option<&Resumption<'_>>,
+    ) -> (RequestOutcome, String) {
+        let address = self.fleet.vms[vm].callers.address;
+        let received = RefCell::new(Vec::new());
+        let sent = async {
+            let mut request = client.request(Method::POST, address, request);
+            if let Some(resumption) = resumption {
+                request = request
+                    .insert_header(("resumes", resumption.first))
+                    .insert_header(("last-event-id", resumption.last_event().to_string()));
+            }
+            let response = request.send_body(String::new()).await;
+            let mut response = response.map_err(|error| error.to_string())?;
+            let executed = response.headers().get(EXECUTED_HEADER);
+            let reports_not_executed =
+                executed.is_some_and(|executed| executed.as_bytes() == b"no");
+            while let Some(part) = response.next().await {
+                let part = part.map_err(|error| error.to_string())?;
+                received.borrow_mut().extend_from_slice(&part);
+            }
+            Ok(RequestOutcome::Completed {
+                status: response.status().as_u16(),
+                reports_not_executed,
+                body: String::from_utf8_lossy(&received.borrow()).into_owned(),
+            })
+        };
+        let outcome = timeout(CALLER_TIMEOUT, sent).await;
+        let outcome = outcome
+            .unwrap_or_else(|_| Err("the caller gave up".to_owned()))
+            .unwrap_or_else(RequestOutcome::Failed);
+        let events = match &outcome {
+            RequestOutcome::Failed(_) => whole_events(&received.borrow()),
+            RequestOutcome::Completed { .. } => String::new(),
+        };
+        (outcome, events)
     }
 
     async fn send(
@@ -294,6 +385,27 @@
     }
 }
 
+/// A stream that a caller takes up.
+struct Resumption<'a> {
+    /// Id of the attempt that brought the first event.
+    first: &'a str,
+    /// Whole events received so far.
+    received: &'a str,
+}
+
+impl Resumption<'_> {
+    fn last_event(&self) -> usize {
+        self.received.matches("id: ").count()
+    }
+}
+
+/// The events of a response that arrived as a whole.
+fn whole_events(received: &[u8]) -> String {
+    let text = String::from_utf8_lossy(received);
+    let end = text.rfind("\n\n").map_or(0, |end| end + 2);
+    text[..end].to_owned()
+}
+
 /// Records a page of results and compares it with earlier reads. Returns the position after its last result.
 fn record_page(
     job: &str,
--- a/crates/soak/src/guarantee_checks.rs
+++ b/crates/soak/src/guarantee_checks.rs
@@ -5,7 +5,7 @@
 use crate::soak_fleet::KEY_WITHDRAWAL_TIME;
 use crate::target_fleet::EVENTS_PER_STREAM;
 use plantainmill_stand_in::JobResult;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -46,6 +46,7 @@
     });
     let mut violations: Vec<String> = requests.flatten().collect();
     violations.extend(records.violations.iter().cloned());
+    violations.extend(check_versions(records));
     violations.extend(check_rate(records));
     violations.extend(check_jobs(records));
     if profile == SoakProfile::Planned {
@@ -106,6 +107,52 @@
     })
 }
 
+/// A stream goes on only at the software version that began it, in one response or when it is taken up.
+fn check_versions(records: &RunRecords) -> Vec<String> {
+    let resumed_by = records
+        .requests
+        .iter()
+        .map(|request| (request.id.as_str(), request.resumes.as_deref()));
+    let resumed_by: HashMap<&str, Option<&str>> = resumed_by.collect();
+    let mut streams: HashMap<&str, StreamVersions<'_>> = HashMap::new();
+    for execution in records
+        .executions
+        .iter()
+        .filter(|execution| execution.executed)
+    {
+        // Items are listed elsewhere.
+        let Some(resumes) = resumed_by.get(execution.id.as_str()) else {
+            continue;
+        };
+        let versions = streams.entry(resumes.unwrap_or(&execution.id)).or_default();
+        let version = execution.version.as_str();
+        if execution.resumed_after == 0 {
+            versions.begun.insert(version);
+        } else {
+            versions.continued.insert(version);
+        }
+    }
+    let joined = streams.into_iter().filter(|(_, versions)| {
+        versions.continued.len() > 1 || !versions.continued.is_subset(&versions.begun)
+    });
+    let joined = joined.map(|(id, versions)| {
+        format!(
+            "{id}: joined from versions, begun at {:?}, continued at {:?}",
+            versions.begun, versions.continued
+        )
+    });
+    joined.collect()
+}
+
+/// Software versions at which one stream ran.
+#[derive(Default)]
+struct StreamVersions<'a> {
+    /// From the first event on; several if targets failed before their first event.
+    begun: BTreeSet<&'a str>,
+    /// After an event that the caller has.
+    continued: BTreeSet<&'a str>,
+}
+
 /// A withdrawn key is no longer accepted.
 fn check_key(
     request: &RequestRecord,
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -46,7 +46,9 @@
     pub sent_at: Instant,
     /// Time at which the caller knew its outcome.
     pub ended_at: Instant,
-    /// Response or error.
+    /// Id of the request whose stream this one takes up; `None` if it begins one.
+    pub resumes: Option<String>,
+    /// Response or error. The body of a request that takes a stream up begins with the events that its caller had before.
     pub outcome: RequestOutcome,
 }
 
@@ -59,6 +61,10 @@
     pub organisation: String,
     /// Id of the target.
     pub target: String,
+    /// Software version of the target.
+    pub version: String,
+    /// Event after which the target continues a stream; zero if it begins one.
+    pub resumed_after: u64,
     /// Time at which the target was polled and had received it.
     pub seen_at: Instant,
     /// Whether the target executed it, rather than refusing it.
--- a/crates/soak/src/target_fleet.rs
+++ b/crates/soak/src/target_fleet.rs
@@ -19,11 +19,16 @@
 const DRAIN_TIME: Duration = Duration::from_secs(5);
 /// Time from a crash to the expiry of the entry of the target: three report intervals.
 const ENTRY_EXPIRY_TIME: Duration = Duration::from_millis(3_600);
+/// Targets that start with one software version before the next version is released.
+const TARGETS_PER_VERSION: u64 = 6;
+/// Software versions of the targets, used by turns.
+const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
 /// Interval between polls of a target for the requests that reached it.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 struct RunningTarget {
     id: String,
+    version: &'static str,
     target: StreamTarget,
     proxy: LinkProxy,
     is_stopping: Cell<bool>,
@@ -35,7 +40,7 @@
             address: self.proxy.address,
             slots: SLOTS_PER_TARGET,
             draining,
-            version: "v1",
+            version: self.version,
         }
     }
 }
@@ -80,8 +85,10 @@
         let target = StreamTarget::start(TARGET_NAMES, EVENTS_PER_STREAM).await?;
         target.set_pause(EVENT_INTERVAL);
         let proxy = LinkProxy::start(target.address).await?;
+        let release = usize::try_from(number / TARGETS_PER_VERSION).unwrap_or(0);
         let running = Rc::new(RunningTarget {
             id: format!("i-{number}"),
+            version: VERSIONS[release % VERSIONS.len()],
             target,
             proxy,
             is_stopping: Cell::new(false),
@@ -156,18 +163,24 @@
     loop {
         let seen = target.target.take_seen().into_iter();
         let seen_at = Instant::now();
-        let executions = seen.map(|request| execution_record(&target.id, &request, seen_at));
+        let executions = seen.map(|request| execution_record(&target, &request, seen_at));
         records.borrow_mut().executions.extend(executions);
         sleep(POLL_INTERVAL).await;
     }
 }
 
-fn execution_record(target: &str, request: &SeenRequest, seen_at: Instant) -> ExecutionRecord {
+fn execution_record(
+    target: &RunningTarget,
+    request: &SeenRequest,
+    seen_at: Instant,
+) -> ExecutionRecord {
     let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
     ExecutionRecord {
         id: header(TARGET_NAMES.request_id),
         organisation: header(plantainmill_stand_in::ORGANISATION_HEADER),
-        target: target.to_owned(),
+        target: target.id.clone(),
+        version: target.version.to_owned(),
+        resumed_after: header("last-event-id").parse().unwrap_or(0),
         seen_at,
         executed: request.ran,
     }
--- a/crates/soak/tests/guarantee_violations.rs
+++ b/crates/soak/tests/guarantee_violations.rs
@@ -29,6 +29,7 @@
         vm: 0,
         sent_at: start,
         ended_at: start + Duration::from_millis(300),
+        resumes: None,
         outcome,
     }
 }
@@ -38,6 +39,8 @@
         id: "a1".to_owned(),
         organisation: "small".to_owned(),
         target: target.to_owned(),
+        version: "v1".to_owned(),
+        resumed_after: 0,
         seen_at,
         executed: true,
     }
@@ -75,6 +78,26 @@
     records.requests[0].kind = RequestKind::NonIdempotent;
     records.executions.push(execution_at("i-2", start));
 }, "executed at i-1 and i-2")]
+#[case::joined_inside(|records: &mut RunRecords, start: Instant| {
+    records.executions.push(ExecutionRecord {
+        version: "v2".to_owned(),
+        resumed_after: 3,
+        ..execution_at("i-2", start)
+    });
+}, "joined from versions")]
+#[case::joined_by_take_up(|records: &mut RunRecords, start: Instant| {
+    records.requests.push(RequestRecord {
+        id: "a2".to_owned(),
+        resumes: Some("a1".to_owned()),
+        ..request(start, completed(200, COMPLETE_STREAM))
+    });
+    records.executions.push(ExecutionRecord {
+        id: "a2".to_owned(),
+        version: "v2".to_owned(),
+        resumed_after: 3,
+        ..execution_at("i-2", start)
+    });
+}, "joined from versions")]
 #[case::truncated_stream(|records: &mut RunRecords, start: Instant| {
     records.requests = vec![request(start, completed(200, "id: 1\ndata: piece 1\n\n"))];
 }, "ended cleanly")]
