Let streams that go on use the rate of VMs that are gone

Cause: a VM holds the shares of unreachable VMs back for 20 s, so one survivor of eleven serves a eleventh of the rate, although the streams that are taken up were admitted by the VMs that are gone. Change: a request that continues a resumable stream may use one second of the rate of unreachable VMs in advance, divided among the reachable ones. New requests are held to their shares as before, and while all VMs are reachable nothing changes.

--- a/crates/admission/src/shared/ledger.rs
+++ b/crates/admission/src/shared/ledger.rs
@@ -22,6 +22,8 @@
 const MIN_SHARE_FRACTION: f64 = 0.5;
 /// A VM may accumulate this much time's worth of its own share.
 const MAX_SAVED_TIME: Duration = Duration::from_millis(500);
+/// Streams that go on may use this much time's worth of the rate of unreachable VMs in advance, over all VMs together.
+const CONTINUATION_CREDIT: Duration = Duration::from_secs(1);
 /// An organisation without requests for this long is left out of reports.
 const REPORT_IDLE_LIMIT: Duration = Duration::from_secs(10);
 /// Unchanged organisations that each report of changes repeats in turn, so that a lost report is made good.
@@ -162,11 +164,38 @@
         organisation: &OrganisationId,
         limit: RateLimit,
         now: Uptime,
+    ) -> RateVerdict {
+        self.check(organisation, limit, false, now)
+    }
+
+    /// Checks one request that continues a stream, and records it. It may use some of the rate of VMs that are not reachable:
+    /// one of them admitted the stream, and has most likely been lost with it.
+    pub fn admit_continuation(
+        &mut self,
+        organisation: &OrganisationId,
+        limit: RateLimit,
+        now: Uptime,
+    ) -> RateVerdict {
+        self.check(organisation, limit, true, now)
+    }
+
+    fn check(
+        &mut self,
+        organisation: &OrganisationId,
+        limit: RateLimit,
+        continues: bool,
+        now: Uptime,
     ) -> RateVerdict {
         if limit.rate <= 0.0 {
             return RateVerdict::Admitted;
         }
         let (reachable, share) = self.shares(organisation, now);
+        let credit = if continues {
+            let unreachable_rate = limit.rate * (1.0 - reachable);
+            unreachable_rate * CONTINUATION_CREDIT.as_secs_f64() / self.reachable_vms(now)
+        } else {
+            0.0
+        };
         let usage = self.usage(organisation, limit, now);
         let elapsed = now.saturating_sub(usage.refilled_at).as_secs_f64();
         usage.rate = limit.rate * reachable;
@@ -177,8 +206,8 @@
         usage.own_level = (usage.own_level + own_rate * elapsed).min(saved);
         usage.record_demand(now);
         let is_low = usage.level < usage.burst * LOW_LEVEL_FRACTION;
-        let has_own = usage.own_level >= 1.0;
-        if usage.level < 1.0 || is_low && !has_own {
+        let has_own = usage.own_level + credit >= 1.0;
+        if usage.level + credit < 1.0 || is_low && !has_own {
             return RateVerdict::Refused {
                 retry_after: RETRY_AFTER,
             };
@@ -194,6 +223,15 @@
         RateVerdict::Admitted
     }
 
+    /// Number of VMs that are reachable, with this one.
+    fn reachable_vms(&self, now: Uptime) -> f64 {
+        let reachable = self
+            .peers
+            .values()
+            .filter(|peer| now.saturating_sub(peer.last_report) < PEER_TIMEOUT);
+        ratio(reachable.map(|peer| peer.vms).sum::<usize>() + 1, 1)
+    }
+
     /// Fraction of the fleet that is reachable, and this VM's share of the rate that remains for that fraction.
     fn shares(&self, organisation: &OrganisationId, now: Uptime) -> (f64, f64) {
         let unreachable = |peer: &PeerUsage| now.saturating_sub(peer.last_report) >= PEER_TIMEOUT;
--- a/crates/admission/src/shared/limiter.rs
+++ b/crates/admission/src/shared/limiter.rs
@@ -79,20 +79,36 @@
     }
 }
 
+impl SharedLimiter {
+    /// Rate limit of an organisation; `None` if it has none.
+    fn limit(&self, organisation: &OrganisationId) -> Option<RateLimit> {
+        let document = self.view.load()?;
+        let rule = document.organisations.get(organisation)?;
+        Some(RateLimit {
+            rate: f64::from(rule.rate_per_s),
+            burst: f64::from(rule.burst),
+        })
+    }
+
+    /// Checks one request of `organisation` that continues a stream.
+    #[must_use]
+    pub fn admit_continuation(&self, organisation: &OrganisationId) -> RateVerdict {
+        let now = self.clock.uptime();
+        let limit = self.limit(organisation);
+        limit.map_or(RateVerdict::Admitted, |limit| {
+            self.lock().admit_continuation(organisation, limit, now)
+        })
+    }
+}
+
 impl RateLimiter for SharedLimiter {
     fn admit(&self, organisation: &OrganisationId) -> LocalBoxFuture<'_, RateVerdict> {
-        let document = self.view.load();
-        let rule = document
-            .as_ref()
-            .and_then(|document| document.organisations.get(organisation));
-        let verdict = rule.map_or(RateVerdict::Admitted, |rule| {
-            let limit = RateLimit {
-                rate: f64::from(rule.rate_per_s),
-                burst: f64::from(rule.burst),
-            };
-            let now = self.clock.uptime();
-            self.lock().admit(organisation, limit, now)
-        });
+        let now = self.clock.uptime();
+        let verdict = self
+            .limit(organisation)
+            .map_or(RateVerdict::Admitted, |limit| {
+                self.lock().admit(organisation, limit, now)
+            });
         async move { verdict }.boxed_local()
     }
 
--- a/crates/admission/tests/all/shared_usage.rs
+++ b/crates/admission/tests/all/shared_usage.rs
@@ -43,6 +43,16 @@
         }
     }
 
+    /// Sends a request that continues a stream. Returns whether it was admitted.
+    fn continue_stream(&mut self, vm: usize, now: Duration) -> bool {
+        let verdict = self.ledgers[vm].admit_continuation(&organisation(), LIMIT, now);
+        let is_admitted = verdict == RateVerdict::Admitted;
+        if is_admitted {
+            self.admitted.push(now);
+        }
+        is_admitted
+    }
+
     fn exchange(&mut self, now: Duration) {
         let reports: Vec<_> = self
             .ledgers
@@ -317,3 +327,45 @@
         .collect();
     assert_eq!(listed.len(), ORGANISATIONS);
 }
+
+/// Guards against streams that are cut for good because the VMs that admitted them are gone, and the others are held to their
+/// shares of the rate, and against an organisation that exceeds its limit by taking streams up on both sides of a partition.
+#[rstest]
+#[case::lost_vms(1, false)]
+#[case::partition(6, true)]
+fn continued_streams(#[case] survivors: usize, #[case] others_send: bool) {
+    let mut fleet = Fleet::new(12);
+    fleet.run_load(0, 6_000, 140, |number| {
+        usize::try_from(number % 12).unwrap_or(0)
+    });
+    for vm in survivors..12 {
+        fleet.isolated[vm] = true;
+    }
+    let mut others: Vec<UsageLedger> = fleet.ledgers.drain(survivors..).collect();
+    fleet.isolated.truncate(survivors);
+    let mut continued = 0;
+    for millis in (6_000..12_000).step_by(50) {
+        let now = Duration::from_millis(millis);
+        if millis % 200 == 0 {
+            fleet.exchange(now);
+        }
+        let vm = usize::try_from(millis / 50).unwrap_or(0) % survivors;
+        fleet.send_request(vm, now);
+        if millis >= 8_000 {
+            continued += usize::from(fleet.continue_stream(vm, now));
+        }
+        if others_send {
+            let other = vm % others.len();
+            let admitted = [
+                others[other].admit(&organisation(), LIMIT, now),
+                others[other].admit_continuation(&organisation(), LIMIT, now),
+            ];
+            let admitted = admitted
+                .iter()
+                .filter(|verdict| **verdict == RateVerdict::Admitted);
+            fleet.admitted.extend(admitted.map(|_| now));
+        }
+    }
+    assert!(continued >= 20, "{continued} streams went on");
+    assert!(fleet.max_window() <= bound(), "{}", fleet.max_window());
+}
--- a/crates/edge/src/codec.rs
+++ b/crates/edge/src/codec.rs
@@ -24,6 +24,14 @@
     pub resumes: Option<CompactString>,
 }
 
+impl RequestHead {
+    /// Whether the request continues a stream of which the caller has events.
+    #[must_use]
+    pub fn continues_stream(&self) -> bool {
+        self.last_event.is_some_and(|last_event| last_event > 0)
+    }
+}
+
 /// Decodes callers' requests and encodes what they receive.
 pub trait RequestCodec {
     /// Names of the headers exchanged with callers and targets.
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -153,16 +153,20 @@
         let response = jobs::submit(state, organisation, route, buffered).await;
         return response.map(RequestOutcome::Local);
     }
-    if let Some(organisation) = &organisation
-        && let RateVerdict::Refused { retry_after } = state.limiter.admit(organisation).await
-    {
+    let is_resumable = route.kind == RouteKind::Streaming && route.resumable;
+    let continues_stream = is_resumable && buffered.head.continues_stream();
+    let verdict = match &organisation {
+        Some(organisation) if continues_stream => state.limiter.admit_continuation(organisation),
+        Some(organisation) => state.limiter.admit(organisation).await,
+        None => RateVerdict::Admitted,
+    };
+    if let (Some(organisation), RateVerdict::Refused { retry_after }) = (&organisation, verdict) {
         let reason = format!("the rate of {organisation} is used up");
         let problem = Problem::new(ResultCode::RateExceeded, reason);
         return Err(problem.with_retry_after(retry_after));
     }
     let mut call = relay_call(state, buffered, &document, route, organisation)?;
-    if call.is_stream && call.may_repeat && call.last_event.is_some_and(|last_event| last_event > 0)
-    {
+    if continues_stream {
         let first = buffered.head.resumes.as_deref();
         let (service, version) = state.streams.resolve(&call.service, first).await?;
         call.service = service;
