--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -10,6 +10,7 @@
 mod dispatcher;
 mod ledger;
 mod peers;
+mod target;
 
 pub use dispatcher::{SharedDispatcher, SharedParts};
 pub use ledger::{LedgerEffect, LoadLedger};
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -3,6 +3,7 @@
 use super::backoff::TargetBackoff;
 use super::choice::{Candidate, CandidateOrder, LocalityMap, SlotState};
 use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse, busiest_of};
+use super::target::{LedgerTarget, online_state};
 use crate::dispatcher::{CallOutcome, TicketRequest, TrafficClass};
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{
@@ -16,10 +17,6 @@
 /// Identifies a request within this VM.
 pub type RequestId = u64;
 
-/// Online requests that may wait at a target beyond its slots, so that a free slot is filled without a round trip.
-const MAX_QUEUED_ONLINE: u32 = 2;
-/// An organisation with most of the online calls leaves one in this many slots of each target to the others.
-const DOMINANT_RESERVE_DIVISOR: u32 = 4;
 /// Fewest calls with which an organisation counts as dominant. Fewer may be the majority by chance.
 const MIN_DOMINANT_CALLS: u32 = 6;
 /// Time after a preemption in which this VM starts no batch calls. Load reports do not show yet who else will need the
@@ -69,25 +66,6 @@
     SendReport,
 }
 
-#[derive(Debug)]
-pub(super) struct LedgerTarget {
-    pub entry: TargetEntry,
-    pub own: SlotUse,
-    pub backoff: TargetBackoff,
-}
-
-impl LedgerTarget {
-    /// Whether the target has the service and version that the request needs.
-    pub fn serves(&self, request: &TicketRequest) -> bool {
-        self.has_version(&request.service, request.version.as_ref())
-    }
-
-    fn has_version(&self, service: &ServiceName, version: Option<&VersionName>) -> bool {
-        self.entry.service == *service
-            && version.is_none_or(|version| self.entry.version == *version)
-    }
-}
-
 #[derive(Debug)]
 struct RunningCall {
     target: TargetId,
@@ -579,29 +557,3 @@
         }
     }
 }
-
-/// How a target can serve an online request; none if it cannot.
-fn online_state(
-    target: &LedgerTarget,
-    peers: SlotUse,
-    is_dominant: bool,
-    now: Uptime,
-) -> Option<SlotState> {
-    let online = target.own.online + peers.online;
-    let total = target.own.total() + peers.total();
-    let slots = target.entry.slots;
-    if is_dominant && online + slots / DOMINANT_RESERVE_DIVISOR >= slots {
-        return None;
-    }
-    if target.backoff.is_backing_off(now) {
-        return (total < slots).then_some(SlotState::Suspect);
-    }
-    if total < slots {
-        return Some(SlotState::Free);
-    }
-    match (online < slots, target.own.batch > 0) {
-        (true, true) => Some(SlotState::OwnBatch),
-        (true, false) => Some(SlotState::PeerBatch),
-        (false, _) => (total < slots + MAX_QUEUED_ONLINE).then_some(SlotState::Queued),
-    }
-}
