Key the records of streams by a hash of the request id

Callers choose request ids, and the store takes keys of 200 bytes at most: one longer id would have failed the change that it shared with the records of other streams. A record whose write fails is also tried again while its stream waits, instead of failing it at once.

--- a/crates/edge/src/stream_records.rs
+++ b/crates/edge/src/stream_records.rs
@@ -79,11 +79,11 @@
 }
 
 struct PendingRecord {
-    id: CompactString,
+    key: CompactString,
     content: Bytes,
     queued_at: Uptime,
-    /// Notified of the first attempt. A record that has failed is still written later, for streams that have begun without.
-    written: Option<oneshot::Sender<bool>>,
+    /// Notified once the record is stored. It is still stored later if the stream has begun without it.
+    written: oneshot::Sender<()>,
 }
 
 #[derive(Default)]
@@ -270,11 +270,11 @@
             };
             let change = RowChange::of(partition_name(partition));
             let change = pending.iter().fold(change, |change, record| {
-                change.put(STREAM_TABLE, &record.id, record.content.clone())
+                change.put(STREAM_TABLE, &record.key, record.content.clone())
             });
             let change = ended
                 .iter()
-                .fold(change, |change, id| change.remove(STREAM_TABLE, id));
+                .fold(change, |change, key| change.remove(STREAM_TABLE, key));
             let written = self.rows.change(change).await;
             if let Err(error) = &written {
                 tracing::info!(event = "stream_records_not_written", count = pending.len(), %error);
@@ -286,14 +286,12 @@
                 self.clock.uptime() + FAILURE_PERIOD
             };
             self.failing_until.set(failing_until);
-            let pending = pending.into_iter().map(|mut record| {
-                if let Some(waiting) = record.written.take() {
-                    // A caller that has stopped waiting has taken its stream for unrecorded.
-                    let _ = waiting.send(is_written);
-                }
-                record
-            });
-            let failed: Vec<PendingRecord> = pending.filter(|_| !is_written).collect();
+            let (written, failed): (Vec<PendingRecord>, Vec<PendingRecord>) =
+                pending.into_iter().partition(|_| is_written);
+            for record in written {
+                // A caller that has stopped waiting has taken its stream for unrecorded.
+                let _ = record.written.send(());
+            }
             if !failed.is_empty() {
                 self.requeue(index, failed);
                 sleep(WRITE_RETRY_INTERVAL).await;
@@ -348,10 +346,11 @@
 
     async fn read_record(&self, id: &str) -> Result<Option<StreamRow>, StoreError> {
         let partition = partition_name(partition_of(id));
-        let until = format_compact!("{id}\0");
-        let read = self.rows.read(STREAM_TABLE, &partition, id, &until);
+        let key = row_key(id);
+        let until = format_compact!("{key}\0");
+        let read = self.rows.read(STREAM_TABLE, &partition, &key, &until);
         let rows = read.await?.rows;
-        let row = rows.iter().find(|row| row.key == id);
+        let row = rows.iter().find(|row| row.key == key);
         let decoded = row.map(|row| {
             let malformed = || StoreError::Malformed(format!("the record of stream {id}"));
             decode_row(&row.value).ok_or_else(malformed)
@@ -470,10 +469,10 @@
             // A full queue drops the sender, which counts as a failure.
             if pending.len() < MAX_PENDING {
                 pending.push(PendingRecord {
-                    id: id.into(),
+                    key: row_key(id),
                     content: Bytes::from(encode_cbor(&row)),
                     queued_at: now,
-                    written: Some(written),
+                    written,
                 });
             }
         }
@@ -481,7 +480,7 @@
         if now < inner.failing_until.get() {
             return self.accept_unrecorded(service, version);
         }
-        let is_written = matches!(timeout(RECORD_TIMEOUT, outcome).await, Ok(Ok(true)));
+        let is_written = matches!(timeout(RECORD_TIMEOUT, outcome).await, Ok(Ok(())));
         let result = if is_written { "written" } else { "failed" };
         inner.records.add(1, &[KeyValue::new("result", result)]);
         if is_written {
@@ -531,7 +530,7 @@
             let mut queues = self.inner.queues.borrow_mut();
             let ended = &mut queues[queue_index(partition)].ended;
             if ended.len() < MAX_ENDED {
-                ended.push(id.into());
+                ended.push(row_key(id));
             }
         }
     }
@@ -552,6 +551,11 @@
     key_of(id) % PARTITION_COUNT
 }
 
+/// Key of the record of a stream. Callers choose the ids, which the store would not always take as keys.
+fn row_key(id: &str) -> CompactString {
+    format_compact!("{:016x}", key_of(id))
+}
+
 fn partition_name(partition: u64) -> CompactString {
     format_compact!("{partition:02}")
 }
