--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod service;
 mod store;
 mod stored;
+mod sweep;
 
 pub use catalog::{FleetSnapshot, JobCatalog, KnownJob};
 pub use codec::{JobCall, JobCodec, ResultPage, Submission};
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -34,10 +34,6 @@
 const TAKEOVER_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after the start before jobs of other VMs are reassigned, so that live VMs have reported by then.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(1_500);
-/// Interval between checks for jobs whose retention period has passed.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
-/// Additional time after the retention period before a job is removed, to allow for clock skew between VMs.
-const SWEEP_MARGIN: Duration = Duration::from_secs(30);
 
 /// A head that was read from the store, with the version of its row. Readers of a domain send these to its other VMs.
 pub type HeadUpdate = (JobId, JobHead, RowVersion);
@@ -81,7 +77,7 @@
     run_context: Rc<RunContext>,
     /// Stop signals of the jobs that run on this VM.
     running: RefCell<HashMap<JobId, watch::Sender<bool>>>,
-    fleet: RefCell<FleetSnapshot>,
+    pub fleet: RefCell<FleetSnapshot>,
     /// Heads read within [`UPDATE_RETENTION`], oldest first, with the times of their reads.
     recent: RefCell<VecDeque<(Uptime, HeadUpdate)>>,
     stopping: Cell<bool>,
@@ -576,34 +572,6 @@
             known.head.ended || known.head.owner.as_ref() != Some(&self.parts.local_owner)
         })
     }
-
-    /// Periodically removes closed jobs whose retention period has passed.
-    async fn sweep(self: Rc<Self>) {
-        loop {
-            sleep(SWEEP_INTERVAL).await;
-            let wall = self.parts.clock.wall().duration_since(UNIX_EPOCH);
-            let wall = wall.unwrap_or_default();
-            let retention = self.parts.settings.result_retention + SWEEP_MARGIN;
-            let expired: Vec<JobId> = {
-                let catalog = self.jobs.borrow();
-                let fleet = self.fleet.borrow();
-                let expired = catalog.iter().filter(|(_, known)| {
-                    let accepted = Duration::from_millis(known.head.accepted_ms);
-                    !known.head.is_open() && wall.saturating_sub(accepted) > retention
-                });
-                expired
-                    .filter(|(job, _)| fleet.is_responsible(job, &self.parts.local_owner))
-                    .map(|(job, _)| job.clone())
-                    .collect()
-            };
-            for job in expired {
-                match self.parts.store.remove(&job).await {
-                    Ok(()) => tracing::info!(event = "job_removed", %job),
-                    Err(error) => tracing::info!(event = "job_not_removed", %job, %error),
-                }
-            }
-        }
-    }
 }
 
 fn log_result(job: &JobId, result: &ListedResult) {
