--- a/crates/dispatch/src/quarantine/evidence.rs
+++ b/crates/dispatch/src/quarantine/evidence.rs
@@ -39,8 +39,8 @@
     pub kind: QuarantineKind,
     /// Hash of the service whose targets were lost.
     pub service: u64,
-    /// Calls of the service without the part, or other requests, that began an answer since the first loss. They show that the service
-    /// works otherwise.
+    /// Calls of the service without the part, or of other requests, that began an answer since the first loss. They show
+    /// that the service works otherwise.
     pub others_started: u32,
     losses: Vec<LossRecord>,
 }
@@ -104,11 +104,9 @@
 
     /// Number of different requests that were lost. One whose reporter did not tell the request counts by itself.
     pub fn request_count(&self) -> usize {
-        let (unknown, known): (Vec<RequestHash>, HashSet<RequestHash>) = (
-            self.requests().filter(|request| *request == 0).collect(),
-            self.requests().filter(|request| *request != 0).collect(),
-        );
-        unknown.len() + known.len()
+        let unknown = self.requests().filter(|request| *request == 0).count();
+        let known: HashSet<RequestHash> = self.requests().filter(|request| *request != 0).collect();
+        unknown + known.len()
     }
 
     fn requests(&self) -> impl Iterator<Item = RequestHash> {
--- a/crates/edge/src/stream_records.rs
+++ b/crates/edge/src/stream_records.rs
@@ -190,7 +190,7 @@
         })
     }
 
-    /// Delay after which a take-up that ended with `problem` may be repeated.
+    /// Adds the delay after which a take-up may be repeated whose version has no target.
     pub fn with_retry_delay(problem: Problem) -> Problem {
         if problem.code == ResultCode::VersionGone {
             return problem.with_retry_after(GONE_RETRY_AFTER);
