Log whether a failed send had a connection

Callers of VMs without paths got 504, and operators could not tell from send_failed whether a target had been reached at all.

Records the progress of each connect, and logs it with failed sends of requests and items. No decision uses the field yet.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -11,7 +11,8 @@
 };
 use plantainmill_dispatch::{CallOutcome, TargetTicket, TrafficClass};
 use plantainmill_proxy::relay::{
-    EventSplitter, RelayCall, RelayCaller, SendFailure, TargetResponse, check_order, send_once,
+    ConnectPhase, EventSplitter, RelayCall, RelayCaller, SendFailure, TargetResponse, check_order,
+    send_once,
 };
 use plantainmill_routing::{DocumentView, RouteRule};
 use std::rc::Rc;
@@ -218,12 +219,11 @@
         let exchange = self.exchange(call, &mut ticket);
         let result = tokio::select! {
             biased;
-            () = wait_until_set(&mut preempted) => Err(SendFailure {
-                executed: Executed::Unknown,
-                outcome: CallOutcome::Abandoned,
-                is_deadline: false,
-                reason: "preempted by an online request".to_owned(),
-            }),
+            () = wait_until_set(&mut preempted) => Err(SendFailure::new(
+                Executed::Unknown,
+                CallOutcome::Abandoned,
+                "preempted by an online request",
+            )),
             result = exchange => result,
         };
         ticket.preempted = preempted;
@@ -242,6 +242,7 @@
                     version = ticket.version.as_deref(),
                     outcome = ?failure.outcome,
                     last_event = self.last_event,
+                    connected = failure.was_connected,
                     reason = %failure.reason,
                 );
                 let is_preempted = failure.outcome == CallOutcome::Abandoned;
@@ -265,9 +266,10 @@
         let now = self.context.clock.uptime();
         let remaining = self.job.expires_at.saturating_sub(now);
         let names = self.context.caller.header_names();
-        let send = send_once(call, names, ticket, self.last_event, remaining);
+        let phase = ConnectPhase::default();
+        let send = send_once(call, names, ticket, self.last_event, remaining, &phase);
         let opened = timeout(IDLE_TIMEOUT, send).await;
-        let mut response = opened.map_err(|_| idle_timeout())??;
+        let mut response = opened.map_err(|_| idle_timeout().in_phase(&phase))??;
         let first_byte = response.sent_at.elapsed();
         if response.status == UNPROCESSABLE_STATUS {
             return Ok((SendOutcome::Unprocessable, first_byte));
@@ -296,12 +298,7 @@
         response: &mut TargetResponse,
         ticket: &mut TargetTicket,
     ) -> Result<(), SendFailure> {
-        let failed = |reason: String| SendFailure {
-            executed: Executed::Yes,
-            outcome: CallOutcome::Failed,
-            is_deadline: false,
-            reason,
-        };
+        let failed = |reason: String| SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
         let mut splitter = EventSplitter::default();
         let mut progress_at = Instant::now();
         let mut has_started = false;
@@ -356,10 +353,9 @@
 }
 
 fn idle_timeout() -> SendFailure {
-    SendFailure {
-        executed: Executed::Unknown,
-        outcome: CallOutcome::Failed,
-        is_deadline: false,
-        reason: "the target fell silent".to_owned(),
-    }
+    SendFailure::new(
+        Executed::Unknown,
+        CallOutcome::Failed,
+        "the target fell silent",
+    )
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod relay;
 
 mod body;
+mod connect_phase;
 mod context;
 mod exchange;
 mod head_filter;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -7,6 +7,7 @@
 mod recorder;
 mod stream;
 
+pub use crate::connect_phase::ConnectPhase;
 pub use call::{HeaderNames, RelayCall, RelayLimits};
 pub use events::{EventSplitter, StreamEvent, check_order};
 pub use exchange::{SendFailure, TargetResponse, send_once};
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one target and reads the head of its response.
 
 use super::call::{HeaderNames, RelayCall};
+use crate::connect_phase::ConnectPhase;
 use crate::transport::client;
 use actix_web::error::ParseError;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
@@ -29,24 +30,33 @@
     pub outcome: CallOutcome,
     /// Whether the send failed because the deadline passed.
     pub is_deadline: bool,
+    /// Whether the connection to the target was open, so that the request may have reached it.
+    pub was_connected: bool,
     /// Reason for the log.
     pub reason: String,
 }
 
 impl SendFailure {
-    pub(super) fn new(
-        executed: Executed,
-        outcome: CallOutcome,
-        reason: impl Into<String>,
-    ) -> SendFailure {
+    /// A failure on an open connection.
+    pub fn new(executed: Executed, outcome: CallOutcome, reason: impl Into<String>) -> SendFailure {
         SendFailure {
             executed,
             outcome,
             is_deadline: false,
+            was_connected: true,
             reason: reason.into(),
         }
     }
 
+    /// Records how far the send had got.
+    #[must_use]
+    pub fn in_phase(self, phase: &ConnectPhase) -> SendFailure {
+        SendFailure {
+            was_connected: !phase.is_connecting(),
+            ..self
+        }
+    }
+
     /// The deadline passed while waiting for the response.
     pub(super) fn deadline() -> SendFailure {
         SendFailure {
@@ -92,7 +102,7 @@
     }
 }
 
-/// Sends `call` to the target of `ticket`, to continue after `last_event`.
+/// Sends `call` to the target of `ticket`, to continue after `last_event`. Records in `phase` how far it has got.
 ///
 /// # Errors
 ///
@@ -103,6 +113,7 @@
     ticket: &TargetTicket,
     last_event: Option<u64>,
     time_left: Duration,
+    phase: &ConnectPhase,
 ) -> Result<TargetResponse, SendFailure> {
     let url = format!("http://{}{}", ticket.address, call.path);
     let uri = Uri::try_from(url).map_err(|error| {
@@ -132,11 +143,11 @@
         request = request.insert_header((names.last_event.clone(), last_event.to_string()));
     }
     let sent_at = Instant::now();
-    let sent = timeout_at(sent_at + time_left, request.send_body(call.body.clone())).await;
-    let response = match sent {
+    let send = phase.observe(request.send_body(call.body.clone()));
+    let response = match timeout_at(sent_at + time_left, send).await {
         Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(send_failure(&error)),
-        Err(_) => return Err(SendFailure::deadline()),
+        Ok(Err(error)) => return Err(send_failure(&error).in_phase(phase)),
+        Err(_) => return Err(SendFailure::deadline().in_phase(phase)),
     };
     let status = response.status().as_u16();
     let headers = response.headers().clone();
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -5,6 +5,7 @@
 use super::exchange::{SendFailure, TargetResponse, send_once};
 use super::recorder::StreamRecorder;
 use super::stream::RelayStream;
+use crate::connect_phase::ConnectPhase;
 use awc::http::header::HeaderMap;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -337,6 +338,7 @@
         } else {
             until
         };
+        let phase = ConnectPhase::default();
         let silence_failure = || {
             let mut failure = SendFailure::deadline();
             if silence_deadline < until {
@@ -346,10 +348,10 @@
                     "no first event came",
                 );
             }
-            failure
+            failure.in_phase(&phase)
         };
         let left = self.time_left(call.deadline);
-        let send = send_once(call, &self.shared.names, ticket, last_event, left);
+        let send = send_once(call, &self.shared.names, ticket, last_event, left, &phase);
         let mut response = timeout_at(silence_deadline, send)
             .await
             .map_err(|_| silence_failure())??;
@@ -468,8 +470,9 @@
         let call = &progress.call;
         let left = self.time_left(call.deadline);
         let until = Instant::now() + left;
-        let mut response =
-            send_once(call, &self.shared.names, ticket, call.last_event, left).await?;
+        let (names, phase) = (&self.shared.names, ConnectPhase::default());
+        let send = send_once(call, names, ticket, call.last_event, left, &phase);
+        let mut response = send.await?;
         let body = self.read_full_body(&mut response, until).await?;
         progress.check_status(response.status)?;
         Ok((response, body))
@@ -506,6 +509,7 @@
         resumed_after = call.last_event,
         executed = failure.executed.as_str(),
         outcome = ?failure.outcome,
+        connected = failure.was_connected,
         reason = %failure.reason,
     );
 }
--- a/crates/proxy/src/transport.rs
+++ b/crates/proxy/src/transport.rs
@@ -1,5 +1,6 @@
 //! Per-thread HTTP client whose connections report truncation as an error.
 
+use crate::connect_phase::ConnectPhase;
 use crate::head_filter::HeadFilter;
 use crate::limits::CONNECT_TIMEOUT;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
@@ -119,9 +120,8 @@
 
 async fn connect(info: ConnectInfo<Uri>) -> Result<Connection<Uri, StrictStream>, ConnectError> {
     let address = info.addrs().next().ok_or(ConnectError::NoRecords)?;
-    let inner = TcpStream::connect(address)
-        .await
-        .map_err(ConnectError::Io)?;
+    let inner = ConnectPhase::record_connect(TcpStream::connect(address)).await;
+    let inner = inner.map_err(ConnectError::Io)?;
     inner.set_nodelay(true).map_err(ConnectError::Io)?;
     let stream = StrictStream {
         inner,
