Reproduce VMs that lose their paths to all targets

Callers of such a VM get 502, 503 or 504 while the other VMs reach the targets; items wait for the end of the cut; requests that were never sent are answered 504, after which callers may not repeat them.

Connections to targets are opened by a TargetDialer, which the tests replace to refuse connects or leave them pending for one VM. The relay has a pool of its own for that.

--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -23,6 +23,7 @@
 };
 use plantainmill_jobs::{JobOwner, JobParts, JobService, JobSettings, JobStore};
 use plantainmill_provider::PartitionStore;
+use plantainmill_proxy::TargetDialer;
 use plantainmill_proxy::relay::{RelayCaller, RelayLimits};
 use plantainmill_routing::{DocumentSource, DocumentView, TargetSource};
 use std::cell::{Cell, RefCell};
@@ -54,6 +55,8 @@
     pub rows: Rc<dyn PartitionStore>,
     /// Codec of callers' requests, including job submissions and results.
     pub codec: Rc<dyn RequestCodec>,
+    /// Opens connections to targets.
+    pub dialer: Rc<dyn TargetDialer>,
 }
 
 /// A running VM. Its listeners and tasks run on the thread that started it.
@@ -221,7 +224,9 @@
         codec.names().clone(),
         RelayLimits::default(),
     );
-    let relay_caller = relay_caller.with_recorder(Rc::new(streams.clone()));
+    let relay_caller = relay_caller
+        .with_dialer(Rc::clone(&platform.dialer))
+        .with_recorder(Rc::new(streams.clone()));
     let jobs = JobService::start(JobParts {
         local_owner: JobOwner {
             vm: settings.vm.id.clone(),
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -12,7 +12,6 @@
 use plantainmill_dispatch::{CallOutcome, TargetTicket, TrafficClass};
 use plantainmill_proxy::relay::{
     ConnectPhase, EventSplitter, RelayCall, RelayCaller, SendFailure, TargetResponse, check_order,
-    send_once,
 };
 use plantainmill_routing::{DocumentView, RouteRule};
 use std::rc::Rc;
@@ -265,9 +264,9 @@
     ) -> Result<(SendOutcome, Duration), SendFailure> {
         let now = self.context.clock.uptime();
         let remaining = self.job.expires_at.saturating_sub(now);
-        let names = self.context.caller.header_names();
+        let caller = self.context.caller.clone();
         let phase = ConnectPhase::default();
-        let send = send_once(call, names, ticket, self.last_event, remaining, &phase);
+        let send = caller.send(call, ticket, self.last_event, remaining, &phase);
         let opened = timeout(IDLE_TIMEOUT, send).await;
         let mut response = opened.map_err(|_| idle_timeout().in_phase(&phase))??;
         let first_byte = response.sent_at.elapsed();
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -27,4 +27,4 @@
 pub use http_caller::HttpCaller;
 pub use limits::CallLimits;
 pub use parts::{request_hash, request_parts};
-pub use transport::strict_client;
+pub use transport::{TargetDialer, TcpDialer, strict_client};
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -10,6 +10,6 @@
 pub use crate::connect_phase::ConnectPhase;
 pub use call::{HeaderNames, RelayCall, RelayLimits};
 pub use events::{EventSplitter, StreamEvent, check_order};
-pub use exchange::{SendFailure, TargetResponse, send_once};
+pub use exchange::{SendFailure, TargetResponse};
 pub use open::{RelayCaller, RelayResponse};
 pub use recorder::StreamRecorder;
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -1,8 +1,8 @@
 //! Sends a request to one target and reads the head of its response.
 
-use super::call::{HeaderNames, RelayCall};
+use super::call::RelayCall;
+use super::open::RelayCaller;
 use crate::connect_phase::ConnectPhase;
-use crate::transport::client;
 use actix_web::error::ParseError;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::Uri;
@@ -102,96 +102,102 @@
     }
 }
 
-/// Sends `call` to the target of `ticket`, to continue after `last_event`. Records in `phase` how far it has got.
-///
-/// # Errors
-///
-/// The failure states whether that target may have executed the request.
-pub async fn send_once(
-    call: &RelayCall,
-    names: &HeaderNames,
-    ticket: &TargetTicket,
-    last_event: Option<u64>,
-    time_left: Duration,
-    phase: &ConnectPhase,
-) -> Result<TargetResponse, SendFailure> {
-    let url = format!("http://{}{}", ticket.address, call.path);
-    let uri = Uri::try_from(url).map_err(|error| {
-        SendFailure::new(
-            Executed::No,
-            CallOutcome::Abandoned,
-            format!("path: {error}"),
-        )
-    })?;
-    let mut request = client()
-        .request(call.method.clone(), uri)
-        .address(ticket.address)
-        .no_decompress();
-    let headers = request.headers_mut();
-    for (name, value) in &call.headers {
-        headers.append(name.clone(), value.clone());
-    }
-    let left = time_left.saturating_sub(DEADLINE_MARGIN).as_millis().max(1);
-    request = request
-        .insert_header((names.request_id.clone(), call.id.as_str()))
-        .insert_header((names.expected_instance.clone(), ticket.target.as_str()))
-        .insert_header((names.deadline.clone(), left.to_string()));
-    if let Some(organisation) = &call.organisation {
-        request = request.insert_header((names.organisation.clone(), organisation.as_str()));
-    }
-    if let Some(last_event) = last_event {
-        request = request.insert_header((names.last_event.clone(), last_event.to_string()));
-    }
-    let sent_at = Instant::now();
-    let send = phase.observe(request.send_body(call.body.clone()));
-    let response = match timeout_at(sent_at + time_left, send).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => return Err(send_failure(&error).in_phase(phase)),
-        Err(_) => return Err(SendFailure::deadline().in_phase(phase)),
-    };
-    let status = response.status().as_u16();
-    let headers = response.headers().clone();
-    let echo = headers.get(&names.request_id);
-    let limit = headers.get(&names.target_limit);
-    let limit = limit.and_then(|limit| limit.to_str().ok()?.trim().parse().ok());
-    ticket.record_limit(limit);
-    if headers.contains_key(&names.not_executed) || status == MISDIRECTED_REQUEST {
-        let outcome = if status == MISDIRECTED_REQUEST {
-            CallOutcome::Failed
-        } else {
-            CallOutcome::Rejected
+impl RelayCaller {
+    /// Sends `call` to the target of `ticket`, to continue after `last_event`. Records in `phase` how far it has got.
+    ///
+    /// # Errors
+    ///
+    /// The failure states whether that target may have executed the request.
+    pub async fn send(
+        &self,
+        call: &RelayCall,
+        ticket: &TargetTicket,
+        last_event: Option<u64>,
+        time_left: Duration,
+        phase: &ConnectPhase,
+    ) -> Result<TargetResponse, SendFailure> {
+        let url = format!("http://{}{}", ticket.address, call.path);
+        let uri = Uri::try_from(url).map_err(|error| {
+            SendFailure::new(
+                Executed::No,
+                CallOutcome::Abandoned,
+                format!("path: {error}"),
+            )
+        })?;
+        let names = self.header_names();
+        let mut request = self
+            .shared
+            .client
+            .request(call.method.clone(), uri)
+            .address(ticket.address)
+            .no_decompress();
+        let headers = request.headers_mut();
+        for (name, value) in &call.headers {
+            headers.append(name.clone(), value.clone());
+        }
+        let left = time_left.saturating_sub(DEADLINE_MARGIN).as_millis().max(1);
+        request = request
+            .insert_header((names.request_id.clone(), call.id.as_str()))
+            .insert_header((names.expected_instance.clone(), ticket.target.as_str()))
+            .insert_header((names.deadline.clone(), left.to_string()));
+        if let Some(organisation) = &call.organisation {
+            request = request.insert_header((names.organisation.clone(), organisation.as_str()));
+        }
+        if let Some(last_event) = last_event {
+            request = request.insert_header((names.last_event.clone(), last_event.to_string()));
+        }
+        let sent_at = Instant::now();
+        let send = phase.observe(request.send_body(call.body.clone()));
+        let response = match timeout_at(sent_at + time_left, send).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => return Err(send_failure(&error).in_phase(phase)),
+            Err(_) => return Err(SendFailure::deadline().in_phase(phase)),
         };
-        // A refusal of another request says nothing about this one.
-        if echo.is_none_or(|echo| echo.as_bytes() == call.id.as_bytes()) {
-            // Reading the short body to its end keeps the connection reusable.
-            let body = response.boxed_local();
-            actix_rt::spawn(body.for_each(|_| std::future::ready(())));
-            let reason = format!("the target refused with status {status}");
-            return Err(SendFailure::new(Executed::No, outcome, reason));
+        let status = response.status().as_u16();
+        let headers = response.headers().clone();
+        let echo = headers.get(&names.request_id);
+        let limit = headers.get(&names.target_limit);
+        let limit = limit.and_then(|limit| limit.to_str().ok()?.trim().parse().ok());
+        ticket.record_limit(limit);
+        if headers.contains_key(&names.not_executed) || status == MISDIRECTED_REQUEST {
+            let outcome = if status == MISDIRECTED_REQUEST {
+                CallOutcome::Failed
+            } else {
+                CallOutcome::Rejected
+            };
+            // A refusal of another request says nothing about this one.
+            if echo.is_none_or(|echo| echo.as_bytes() == call.id.as_bytes()) {
+                // Reading the short body to its end keeps the connection reusable.
+                let body = response.boxed_local();
+                actix_rt::spawn(body.for_each(|_| std::future::ready(())));
+                let reason = format!("the target refused with status {status}");
+                return Err(SendFailure::new(Executed::No, outcome, reason));
+            }
         }
+        if echo.is_none_or(|echo| echo.as_bytes() != call.id.as_bytes()) {
+            let reason = "the answer belongs to another request";
+            return Err(SendFailure::new(
+                Executed::Unknown,
+                CallOutcome::Failed,
+                reason,
+            ));
+        }
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        let payload = response.take_while(move |part| {
+            // A body without a length ends with its connection.
+            let is_end = !is_framed && matches!(part, Err(error) if is_clean_end(error));
+            std::future::ready(!is_end)
+        });
+        Ok(TargetResponse {
+            status,
+            headers,
+            // The client panics when it is polled after the end.
+            payload: payload.fuse().boxed_local(),
+            is_framed,
+            sent_at,
+        })
     }
-    if echo.is_none_or(|echo| echo.as_bytes() != call.id.as_bytes()) {
-        let reason = "the answer belongs to another request";
-        return Err(SendFailure::new(
-            Executed::Unknown,
-            CallOutcome::Failed,
-            reason,
-        ));
-    }
-    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-    let payload = response.take_while(move |part| {
-        // A body without a length ends with its connection.
-        let is_end = !is_framed && matches!(part, Err(error) if is_clean_end(error));
-        std::future::ready(!is_end)
-    });
-    Ok(TargetResponse {
-        status,
-        headers,
-        // The client panics when it is polled after the end.
-        payload: payload.fuse().boxed_local(),
-        is_framed,
-        sent_at,
-    })
 }
 
 fn is_clean_end(error: &PayloadError) -> bool {
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -2,10 +2,11 @@
 
 use super::call::{HeaderNames, RelayCall, RelayLimits};
 use super::events::{EventSplitter, check_order};
-use super::exchange::{SendFailure, TargetResponse, send_once};
+use super::exchange::{SendFailure, TargetResponse};
 use super::recorder::StreamRecorder;
 use super::stream::RelayStream;
 use crate::connect_phase::ConnectPhase;
+use crate::transport::{TargetDialer, client_with_dialer, strict_client};
 use awc::http::header::HeaderMap;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -38,6 +39,7 @@
 }
 
 pub(super) struct RelayShared {
+    pub client: awc::Client,
     pub dispatcher: Arc<dyn Dispatcher>,
     pub clock: Arc<dyn Clock>,
     pub names: HeaderNames,
@@ -174,6 +176,7 @@
     ) -> RelayCaller {
         RelayCaller {
             shared: Rc::new(RelayShared {
+                client: strict_client(),
                 dispatcher,
                 clock,
                 names,
@@ -187,16 +190,29 @@
     /// Has the versions of streams remembered by `recorder`.
     #[must_use]
     pub fn with_recorder(self, recorder: Rc<dyn StreamRecorder>) -> RelayCaller {
+        self.rebuild(|shared| shared.recorder = Some(recorder))
+    }
+
+    /// Has connections to targets opened by `dialer`.
+    #[must_use]
+    pub fn with_dialer(self, dialer: Rc<dyn TargetDialer>) -> RelayCaller {
+        self.rebuild(|shared| shared.client = client_with_dialer(dialer))
+    }
+
+    fn rebuild(self, change: impl FnOnce(&mut RelayShared)) -> RelayCaller {
         let shared = &self.shared;
+        let mut rebuilt = RelayShared {
+            client: shared.client.clone(),
+            dispatcher: Arc::clone(&shared.dispatcher),
+            clock: Arc::clone(&shared.clock),
+            names: shared.names.clone(),
+            limits: shared.limits,
+            recorder: shared.recorder.clone(),
+            buffered_bytes: Cell::new(0),
+        };
+        change(&mut rebuilt);
         RelayCaller {
-            shared: Rc::new(RelayShared {
-                dispatcher: Arc::clone(&shared.dispatcher),
-                clock: Arc::clone(&shared.clock),
-                names: shared.names.clone(),
-                limits: shared.limits,
-                recorder: Some(recorder),
-                buffered_bytes: Cell::new(0),
-            }),
+            shared: Rc::new(rebuilt),
         }
     }
 
@@ -351,7 +367,7 @@
             failure.in_phase(&phase)
         };
         let left = self.time_left(call.deadline);
-        let send = send_once(call, &self.shared.names, ticket, last_event, left, &phase);
+        let send = self.send(call, ticket, last_event, left, &phase);
         let mut response = timeout_at(silence_deadline, send)
             .await
             .map_err(|_| silence_failure())??;
@@ -470,8 +486,8 @@
         let call = &progress.call;
         let left = self.time_left(call.deadline);
         let until = Instant::now() + left;
-        let (names, phase) = (&self.shared.names, ConnectPhase::default());
-        let send = send_once(call, names, ticket, call.last_event, left, &phase);
+        let phase = ConnectPhase::default();
+        let send = self.send(call, ticket, call.last_event, left, &phase);
         let mut response = send.await?;
         let body = self.read_full_body(&mut response, until).await?;
         progress.check_status(response.status)?;
--- a/crates/proxy/src/transport.rs
+++ b/crates/proxy/src/transport.rs
@@ -7,8 +7,12 @@
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::http::Uri;
+use futures_util::FutureExt as _;
+use futures_util::future::LocalBoxFuture;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -19,6 +23,27 @@
 /// Size of one read while a head is awaited. Heads are a few hundred bytes.
 const READ_CHUNK_BYTES: usize = 4 << 10;
 
+/// Opens connections to targets.
+pub trait TargetDialer {
+    /// Opens a connection to the target at `address`.
+    fn dial(&self, address: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>>;
+}
+
+/// Opens connections over TCP.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TcpDialer;
+
+impl TargetDialer for TcpDialer {
+    fn dial(&self, address: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>> {
+        async move {
+            let stream = TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            Ok(stream)
+        }
+        .boxed_local()
+    }
+}
+
 /// A connection that reports its end as an error.
 ///
 /// `awc` treats the end of a connection as the end of the body, even for a chunked body without a last chunk. Therefore
@@ -103,7 +128,13 @@
 /// Creates a client that fails a response with an error when its connection ends.
 #[must_use]
 pub fn strict_client() -> awc::Client {
-    let connect = fn_service(connect);
+    client_with_dialer(Rc::new(TcpDialer))
+}
+
+/// Creates a client as [`strict_client`] does, with connections from `dialer` in a pool of its own.
+#[must_use]
+pub(crate) fn client_with_dialer(dialer: Rc<dyn TargetDialer>) -> awc::Client {
+    let connect = fn_service(move |info| connect(info, Rc::clone(&dialer)));
     let connector = awc::Connector::new()
         .connector(connect)
         .timeout(CONNECT_TIMEOUT)
@@ -118,13 +149,14 @@
         .finish()
 }
 
-async fn connect(info: ConnectInfo<Uri>) -> Result<Connection<Uri, StrictStream>, ConnectError> {
+async fn connect(
+    info: ConnectInfo<Uri>,
+    dialer: Rc<dyn TargetDialer>,
+) -> Result<Connection<Uri, StrictStream>, ConnectError> {
     let address = info.addrs().next().ok_or(ConnectError::NoRecords)?;
-    let inner = ConnectPhase::record_connect(TcpStream::connect(address)).await;
-    let inner = inner.map_err(ConnectError::Io)?;
-    inner.set_nodelay(true).map_err(ConnectError::Io)?;
+    let inner = ConnectPhase::record_connect(dialer.dial(address)).await;
     let stream = StrictStream {
-        inner,
+        inner: inner.map_err(ConnectError::Io)?,
         head: HeadFilter::default(),
     };
     Ok(Connection::new(info.request().clone(), stream))
