Forward requests through VMs that have paths to the targets

Callers of VMs that had lost their paths to all targets were served 28 of 159 first tries, while the others had 447 of 447.

Cause: a VM had no other way to a target than its own connection, took the loss of its paths for the loss of each target, and kept slots and callers waiting for connects. The class: one VM's view of the network taken for the state of others.

Change: crates/paths keeps, from connects alone, which paths are lost, whether all are, and which VMs forward; each belief ends. A send whose path is lost goes to another VM, on its control listener, with the target's id; that VM sends it on a connection of its own and returns the response as it comes. Isolated VMs refer to VMs of other failure domains that they know. Paths are probed on demand. If no VM has paths, requests are rejected at once (3017) and the VM is not ready. Connections to targets end when nothing is acknowledged for 2.5 s. Requests, streams, items and their repeats all pass through RelayCaller::send.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -1,10 +1,12 @@
 //! Control listener: document, targets and store access for other VMs; state and metrics for operators.
 
+use crate::forwarding;
 use crate::state::EdgeState;
 use actix_web::{HttpRequest, HttpResponse, web};
 use plantainmill_admission::RateLimiter as _;
 use plantainmill_core::encode_cbor;
 use plantainmill_dispatch::Dispatcher as _;
+use plantainmill_proxy::relay::FORWARD_HEADER;
 use serde::Serialize;
 use std::rc::Rc;
 
@@ -27,6 +29,10 @@
     body: web::Bytes,
     state: web::Data<Rc<EdgeState>>,
 ) -> HttpResponse {
+    let target = request.headers().get(FORWARD_HEADER);
+    if let Some(target) = target.and_then(|target| target.to_str().ok()) {
+        return forwarding::forward(&state, &request, target.into(), body).await;
+    }
     match request.path() {
         ROWS_PATH => match ciborium::from_reader(body.as_ref()) {
             Ok(call) => cbor_response(&state.rows.serve_peer(call).await),
@@ -78,6 +84,11 @@
         "quarantine": state.quarantine.dump(),
         "versions": state.streams.dump(),
         "limits": state.limits.dump(),
+        "paths": {
+            "is_isolated": state.paths.is_isolated(),
+            "is_unreachable": state.paths.is_unreachable(),
+            "lost": state.paths.lost_count(),
+        },
         "usage": state.limiter.dump().await,
         "jobs_running": state.jobs.running(),
     })
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 mod codec;
 mod compact_batch;
 mod control;
+mod forwarding;
 mod ingress;
 mod jobs;
 mod listen;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -20,6 +20,7 @@
     job_calls: Counter<u64>,
     store_failures: Counter<u64>,
     datagrams: Counter<u64>,
+    forwarded: Counter<u64>,
 }
 
 impl EdgeMetrics {
@@ -41,6 +42,10 @@
             job_calls: meter.u64_counter("plantainmill_job_calls").build(),
             store_failures: meter.u64_counter("plantainmill_store_failures").build(),
             datagrams: meter.u64_counter("plantainmill_peer_datagrams").build(),
+            forwarded: meter
+                .u64_counter("plantainmill_requests_forwarded")
+                .with_description("Requests of other VMs, by result")
+                .build(),
             registry,
             provider,
         })
@@ -83,6 +88,11 @@
             .add(1, &[KeyValue::new("direction", direction)]);
     }
 
+    /// Counts a request of another VM that this one was asked to forward, by its result.
+    pub fn count_forwarded(&self, result: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Returns all metrics as Prometheus text.
     pub fn text(&self) -> String {
         let mut content = Vec::new();
--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -8,6 +8,7 @@
 use plantainmill_core::{DomainName, Incarnation, Uptime, VmId};
 use plantainmill_dispatch::rendezvous::{key_of, score};
 use plantainmill_jobs::{FleetSnapshot, JobOwner};
+use plantainmill_paths::{Forwarder, ForwarderPlace};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -29,6 +30,9 @@
 /// it, and it ends before the silent readers are replaced.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Largest number of VMs of one other domain that are asked to forward requests, or referred to.
+const MAX_REMOTE_FORWARDERS: usize = 8;
+
 /// Time after its start in which a VM does not report on its domain: it has not heard all members yet, and the other
 /// domains would take the jobs of those that its report leaves out.
 const AGGREGATION_DELAY: Duration = Duration::from_secs(1);
@@ -342,6 +346,39 @@
         is_settled && self.is_aggregator(now)
     }
 
+    /// Returns the live VMs that may forward requests of this one: those of the own domain, and the known ones of others.
+    #[must_use]
+    pub fn forwarders(&self, now: Uptime) -> Vec<Forwarder> {
+        let readers: Vec<&VmId> = self.readers(now).into_iter().map(|row| &row.vm).collect();
+        let local = self
+            .local
+            .values()
+            .filter(|known| known.reported_within(now, LIVENESS_TIMEOUT));
+        let local = local.map(|known| &known.row);
+        let remote = self.remote.values().flat_map(|remote| {
+            let is_live = |row: &&VmRow| remote.members.iter().any(|member| member.vm == row.vm);
+            remote
+                .rows
+                .iter()
+                .filter(is_live)
+                .take(MAX_REMOTE_FORWARDERS)
+        });
+        let place_of = |row: &VmRow| {
+            if readers.contains(&&row.vm) {
+                ForwarderPlace::Reader
+            } else {
+                ForwarderPlace::Local
+            }
+        };
+        let local = local.map(|row| (row, place_of(row)));
+        let remote = remote.map(|row| (row, ForwarderPlace::Remote));
+        let forwarders = local.chain(remote).map(|(row, place)| Forwarder {
+            address: row.control,
+            place,
+        });
+        forwarders.collect()
+    }
+
     /// Returns the datagram addresses of the own domain's other VMs, including those that have not reported yet.
     #[must_use]
     pub fn local_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/edge/src/peer_notices.rs
+++ b/crates/edge/src/peer_notices.rs
@@ -67,6 +67,12 @@
         receivers
     }
 
+    /// Updates the VMs that may forward requests.
+    pub(crate) fn update_forwarders(&self) {
+        let forwarders = self.directory.borrow().forwarders(self.now());
+        self.state.paths.set_forwarders(forwarders.into_iter());
+    }
+
     /// Updates the live VMs of each failure domain, which divide the limits of its targets.
     pub(crate) fn update_limit_members(&self) {
         let (directory, now) = (self.directory.borrow(), self.now());
--- a/crates/edge/src/peer_reports.rs
+++ b/crates/edge/src/peer_reports.rs
@@ -173,6 +173,7 @@
     fn update_fleet(&self) {
         let now = self.now();
         self.update_limit_members();
+        self.update_forwarders();
         let directory = self.directory.borrow();
         let is_reader = directory.is_reader(now);
         if self.state.is_reader.replace(is_reader) != is_reader {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -11,6 +11,7 @@
 use plantainmill_dispatch::limits::LimitedTarget;
 use plantainmill_dispatch::{PartQuarantine, SharedDispatcher, TargetLimits};
 use plantainmill_jobs::JobService;
+use plantainmill_paths::TargetPaths;
 use plantainmill_proxy::relay::RelayCaller;
 use plantainmill_routing::{DocumentView, TargetEntry, TargetRegistry};
 use std::cell::{Cell, RefCell};
@@ -38,6 +39,8 @@
     pub quarantine: PartQuarantine,
     /// Limits that targets name; they stand between the quarantine and the dispatcher.
     pub limits: TargetLimits,
+    /// Paths to the targets, and the VMs that forward requests while they are lost.
+    pub paths: TargetPaths,
     /// Versions at which streams began, by which those that are taken up go on.
     pub streams: StreamRecords,
     pub relay_caller: RelayCaller,
@@ -101,6 +104,9 @@
         });
         self.limits.set_targets(limited);
         let entries = targets.entries();
+        let addresses = entries.iter();
+        self.paths
+            .set_targets(addresses.map(|entry| (entry.id.clone(), entry.address)));
         let versions = entries.iter().map(|entry| (&entry.service, &entry.version));
         self.streams.set_targets(versions);
         if targets.fingerprint() != before {
@@ -129,6 +135,7 @@
                 document_version = self.view.version(),
                 document_age_ms = self.document_age().map(|age| age.as_millis()),
                 targets_age_ms = self.targets_age().map(|age| age.as_millis()),
+                unreachable = self.paths.is_unreachable(),
                 leaving = self.is_stopping.get(),
             );
         }
@@ -138,6 +145,7 @@
     pub fn is_ready(&self) -> bool {
         let limit = self.bounds.get().key_validity.mul_f64(READY_AGE_FRACTION);
         let is_fresh = self.document_age().is_some_and(|age| age < limit);
-        is_fresh && self.targets_confirmed_at.get().is_some() && !self.is_stopping.get()
+        let has_targets = self.targets_confirmed_at.get().is_some() && !self.paths.is_unreachable();
+        is_fresh && has_targets && !self.is_stopping.get()
     }
 }
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -22,6 +22,7 @@
     LimitDispatcher, PartQuarantine, QuarantineDispatcher, SharedDispatcher, TargetLimits,
 };
 use plantainmill_jobs::{JobOwner, JobParts, JobService, JobSettings, JobStore};
+use plantainmill_paths::TargetPaths;
 use plantainmill_provider::PartitionStore;
 use plantainmill_proxy::TargetDialer;
 use plantainmill_proxy::relay::{RelayCaller, RelayLimits};
@@ -210,6 +211,12 @@
         &metrics.meter(),
         METRIC_PREFIX,
     );
+    let paths = TargetPaths::new(
+        &settings.vm.id,
+        Arc::clone(&clock),
+        &metrics.meter(),
+        METRIC_PREFIX,
+    );
     let policy = LimitDispatcher::new(Arc::new(dispatcher.clone()), limits.clone());
     let policy = QuarantineDispatcher::new(Arc::new(policy), quarantine.clone());
     let streams = StreamRecords::new(
@@ -225,7 +232,7 @@
         RelayLimits::default(),
     );
     let relay_caller = relay_caller
-        .with_dialer(Rc::clone(&platform.dialer))
+        .with_paths(paths.clone(), Rc::clone(&platform.dialer))
         .with_recorder(Rc::new(streams.clone()));
     let jobs = JobService::start(JobParts {
         local_owner: JobOwner {
@@ -251,6 +258,7 @@
         dispatcher,
         quarantine,
         limits,
+        paths,
         streams,
         relay_caller,
         jobs,
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -11,7 +11,8 @@
 };
 use plantainmill_dispatch::{CallOutcome, TargetTicket, TrafficClass};
 use plantainmill_proxy::relay::{
-    ConnectPhase, EventSplitter, RelayCall, RelayCaller, SendFailure, TargetResponse, check_order,
+    EventSplitter, RelayCall, RelayCaller, SendFailure, SendTrace, TargetResponse,
+    broken_body_outcome, check_order,
 };
 use plantainmill_routing::{DocumentView, RouteRule};
 use std::rc::Rc;
@@ -244,6 +245,7 @@
                     connected = failure.was_connected,
                     reason = %failure.reason,
                 );
+                self.context.caller.check_path(&ticket.target, &failure);
                 let is_preempted = failure.outcome == CallOutcome::Abandoned;
                 if !is_preempted {
                     self.excluded.push(ticket.target.clone());
@@ -265,10 +267,10 @@
         let now = self.context.clock.uptime();
         let remaining = self.job.expires_at.saturating_sub(now);
         let caller = self.context.caller.clone();
-        let phase = ConnectPhase::default();
-        let send = caller.send(call, ticket, self.last_event, remaining, &phase);
+        let trace = SendTrace::default();
+        let send = caller.send(call, ticket, self.last_event, remaining, &trace);
         let opened = timeout(IDLE_TIMEOUT, send).await;
-        let mut response = opened.map_err(|_| idle_timeout().in_phase(&phase))??;
+        let mut response = opened.map_err(|_| idle_timeout().at(&trace))??;
         let first_byte = response.sent_at.elapsed();
         if response.status == UNPROCESSABLE_STATUS {
             return Ok((SendOutcome::Unprocessable, first_byte));
@@ -288,7 +290,8 @@
             };
             return Ok((outcome, first_byte));
         }
-        self.read_events(&mut response, ticket).await?;
+        let read = self.read_events(&mut response, ticket).await;
+        read.map_err(|failure| failure.at(&trace))?;
         Ok((SendOutcome::Succeeded, first_byte))
     }
 
@@ -328,11 +331,12 @@
                 }
                 Some(Err(error)) => {
                     let failure = failed(format!("the stream was cut: {error}"));
-                    let outcome = if has_started {
+                    let lost = if has_started {
                         CallOutcome::StreamLost
                     } else {
                         CallOutcome::ConnectionLost
                     };
+                    let outcome = broken_body_outcome(&error, lost);
                     return Err(SendFailure { outcome, ..failure });
                 }
                 None if !response.is_framed && !self.has_events => {
@@ -352,9 +356,5 @@
 }
 
 fn idle_timeout() -> SendFailure {
-    SendFailure::new(
-        Executed::Unknown,
-        CallOutcome::Failed,
-        "the target fell silent",
-    )
+    SendFailure::silent(Executed::Unknown, "the target fell silent")
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod relay;
 
 mod body;
-mod connect_phase;
 mod context;
 mod exchange;
 mod head_filter;
@@ -20,6 +19,7 @@
 mod parts;
 mod records;
 mod response_stream;
+mod send_trace;
 mod transport;
 
 pub use caller::{BufferedResponse, StreamingResponse, TargetCaller, TargetRequest};
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -5,6 +5,10 @@
 /// Time-out for opening a connection to a target.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time-out for opening a connection to a target that another VM may reach instead, and for probing a path: many round trips
+/// between regions.
+pub const PATH_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Limits of the calls that one [`HttpCaller`](crate::HttpCaller) makes.
 #[derive(Clone, Copy, Debug)]
 pub struct CallLimits {
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -3,13 +3,16 @@
 mod call;
 mod events;
 mod exchange;
+mod forward;
 mod open;
 mod recorder;
+mod send;
 mod stream;
 
-pub use crate::connect_phase::ConnectPhase;
+pub use crate::send_trace::SendTrace;
 pub use call::{HeaderNames, RelayCall, RelayLimits};
 pub use events::{EventSplitter, StreamEvent, check_order};
-pub use exchange::{SendFailure, TargetResponse};
+pub use exchange::{SendFailure, TargetResponse, broken_body_outcome};
+pub use forward::{FORWARD_HEADER, ForwardAnswer, ForwardRequest, ForwardVerdict};
 pub use open::{RelayCaller, RelayResponse};
 pub use recorder::StreamRecorder;
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -2,17 +2,19 @@
 
 use super::call::RelayCall;
 use super::open::RelayCaller;
-use crate::connect_phase::ConnectPhase;
+use crate::send_trace::SendTrace;
 use actix_web::error::ParseError;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::Uri;
 use awc::http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use awc::{Client, ClientRequest, ClientResponse};
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 use futures_util::stream::LocalBoxStream;
 use plantainmill_core::Executed;
 use plantainmill_dispatch::{CallOutcome, TargetTicket};
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -32,6 +34,10 @@
     pub is_deadline: bool,
     /// Whether the connection to the target was open, so that the request may have reached it.
     pub was_connected: bool,
+    /// Whether the connection was open and nothing came on it for too long.
+    pub is_silent: bool,
+    /// VM that was asked to forward the request; `None` for a direct send.
+    pub forwarder: Option<SocketAddr>,
     /// Reason for the log.
     pub reason: String,
 }
@@ -44,19 +50,52 @@
             outcome,
             is_deadline: false,
             was_connected: true,
+            is_silent: false,
+            forwarder: None,
             reason: reason.into(),
         }
     }
 
-    /// Records how far the send had got.
+    /// No connection was opened, because this VM reaches the target neither directly nor through another one.
+    pub(super) fn unreachable(reason: impl Into<String>) -> SendFailure {
+        SendFailure {
+            was_connected: false,
+            ..SendFailure::new(Executed::No, CallOutcome::Failed, reason)
+        }
+    }
+
+    /// Records how far the send had got, and which way it took.
     #[must_use]
-    pub fn in_phase(self, phase: &ConnectPhase) -> SendFailure {
+    pub fn at(self, trace: &SendTrace) -> SendFailure {
         SendFailure {
-            was_connected: !phase.is_connecting(),
+            was_connected: !trace.is_connecting(),
+            forwarder: trace.forwarder(),
             ..self
         }
     }
 
+    /// Nothing came for too long.
+    pub fn silent(executed: Executed, reason: impl Into<String>) -> SendFailure {
+        SendFailure {
+            is_silent: true,
+            ..SendFailure::new(executed, CallOutcome::Failed, reason)
+        }
+    }
+
+    /// Whether no connection was opened, so that the request may go another way while there is time.
+    pub(super) fn is_unsent(&self) -> bool {
+        !self.was_connected && !self.is_deadline
+    }
+
+    /// Whether a lost path may be the reason.
+    pub(super) fn suggests_lost_path(&self) -> bool {
+        let is_lost = matches!(
+            self.outcome,
+            CallOutcome::ConnectionLost | CallOutcome::StreamLost
+        );
+        self.was_connected && (is_lost || self.is_silent || self.is_deadline)
+    }
+
     /// The deadline passed while waiting for the response.
     pub(super) fn deadline() -> SendFailure {
         SendFailure {
@@ -81,6 +120,8 @@
     pub payload: LocalBoxStream<'static, Result<Bytes, PayloadError>>,
     /// Whether the end of the body is marked, by a length or by chunks, and not only by the end of the connection.
     pub is_framed: bool,
+    /// VM that forwarded the request; `None` if it was sent directly.
+    pub forwarder: Option<SocketAddr>,
     /// When the request was sent.
     pub sent_at: Instant,
 }
@@ -102,21 +143,49 @@
     }
 }
 
+/// One send of a call: to a target, to continue after an event.
+#[derive(Clone, Copy)]
+pub(super) struct CallSend<'a> {
+    pub call: &'a RelayCall,
+    pub ticket: &'a TargetTicket,
+    /// Last event that the caller already has.
+    pub last_event: Option<u64>,
+    pub until: Instant,
+    pub trace: &'a SendTrace,
+}
+
+impl CallSend<'_> {
+    fn time_left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+}
+
 impl RelayCaller {
-    /// Sends `call` to the target of `ticket`, to continue after `last_event`. Records in `phase` how far it has got.
-    ///
-    /// # Errors
-    ///
-    /// The failure states whether that target may have executed the request.
-    pub async fn send(
+    /// Sends the request on a connection to the target.
+    pub(super) async fn send_direct(
         &self,
-        call: &RelayCall,
-        ticket: &TargetTicket,
-        last_event: Option<u64>,
-        time_left: Duration,
-        phase: &ConnectPhase,
+        send: CallSend<'_>,
     ) -> Result<TargetResponse, SendFailure> {
-        let url = format!("http://{}{}", ticket.address, call.path);
+        send.trace.start(None);
+        let client = &self.shared.client;
+        let request = self.build_request(client, send, send.ticket.address)?;
+        let sent_at = Instant::now();
+        let response = send_request(request, send).await?;
+        let headers = response.headers();
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        self.check_response(send, response, is_framed, sent_at)
+    }
+
+    /// Builds the request for the target of the ticket, to be sent to `address`.
+    pub(super) fn build_request(
+        &self,
+        client: &Client,
+        send: CallSend<'_>,
+        address: SocketAddr,
+    ) -> Result<ClientRequest, SendFailure> {
+        let CallSend { call, ticket, .. } = send;
+        let url = format!("http://{address}{}", call.path);
         let uri = Uri::try_from(url).map_err(|error| {
             SendFailure::new(
                 Executed::No,
@@ -125,17 +194,16 @@
             )
         })?;
         let names = self.header_names();
-        let mut request = self
-            .shared
-            .client
+        let mut request = client
             .request(call.method.clone(), uri)
-            .address(ticket.address)
+            .address(address)
             .no_decompress();
         let headers = request.headers_mut();
         for (name, value) in &call.headers {
             headers.append(name.clone(), value.clone());
         }
-        let left = time_left.saturating_sub(DEADLINE_MARGIN).as_millis().max(1);
+        let left = send.time_left().saturating_sub(DEADLINE_MARGIN);
+        let left = left.as_millis().max(1);
         request = request
             .insert_header((names.request_id.clone(), call.id.as_str()))
             .insert_header((names.expected_instance.clone(), ticket.target.as_str()))
@@ -143,16 +211,23 @@
         if let Some(organisation) = &call.organisation {
             request = request.insert_header((names.organisation.clone(), organisation.as_str()));
         }
-        if let Some(last_event) = last_event {
+        if let Some(last_event) = send.last_event {
             request = request.insert_header((names.last_event.clone(), last_event.to_string()));
         }
-        let sent_at = Instant::now();
-        let send = phase.observe(request.send_body(call.body.clone()));
-        let response = match timeout_at(sent_at + time_left, send).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => return Err(send_failure(&error).in_phase(phase)),
-            Err(_) => return Err(SendFailure::deadline().in_phase(phase)),
-        };
+        Ok(request)
+    }
+
+    /// Checks that a response belongs to the request, and that the target executed it. `is_framed` states whether the target
+    /// marks the end of the body.
+    pub(super) fn check_response(
+        &self,
+        send: CallSend<'_>,
+        response: SentResponse,
+        is_framed: bool,
+        sent_at: Instant,
+    ) -> Result<TargetResponse, SendFailure> {
+        let CallSend { call, ticket, .. } = send;
+        let names = self.header_names();
         let status = response.status().as_u16();
         let headers = response.headers().clone();
         let echo = headers.get(&names.request_id);
@@ -182,24 +257,68 @@
                 reason,
             ));
         }
-        let is_framed =
-            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        let payload = response.take_while(move |part| {
-            // A body without a length ends with its connection.
-            let is_end = !is_framed && matches!(part, Err(error) if is_clean_end(error));
-            std::future::ready(!is_end)
-        });
         Ok(TargetResponse {
             status,
             headers,
-            // The client panics when it is polled after the end.
-            payload: payload.fuse().boxed_local(),
+            payload: read_payload(response),
             is_framed,
+            forwarder: send.trace.forwarder(),
             sent_at,
         })
     }
 }
 
+/// Body of a response as it arrives.
+pub(super) type ResponsePayload = LocalBoxStream<'static, Result<Bytes, PayloadError>>;
+/// Response of a request that was sent.
+pub(super) type SentResponse = ClientResponse;
+
+/// Sends a request and waits for the head of its response.
+pub(super) async fn send_request(
+    request: ClientRequest,
+    send: CallSend<'_>,
+) -> Result<SentResponse, SendFailure> {
+    let exchange = request.send_body(send.call.body.clone());
+    match timeout_at(send.until, send.trace.observe(exchange)).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) => Err(send_failure(&error).at(send.trace)),
+        Err(_) => Err(SendFailure::deadline().at(send.trace)),
+    }
+}
+
+/// The body of a response. One that has no length on its connection ends with it.
+pub(super) fn read_payload(response: SentResponse) -> ResponsePayload {
+    let headers = response.headers();
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let payload = response.take_while(move |part| {
+        let is_end = !is_framed && matches!(part, Err(error) if is_clean_end(error));
+        std::future::ready(!is_end)
+    });
+    // The client panics when it is polled after the end.
+    payload.fuse().boxed_local()
+}
+
+/// Whether a connection failed because the network stopped delivering, which says nothing about the target.
+fn is_path_failure(cause: &io::Error) -> bool {
+    matches!(
+        cause.kind(),
+        ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
+    )
+}
+
+/// Outcome of a call whose body broke off: `lost` if the target closed the connection.
+#[must_use]
+pub fn broken_body_outcome(error: &PayloadError, lost: CallOutcome) -> CallOutcome {
+    match error {
+        PayloadError::Io(cause) | PayloadError::Incomplete(Some(cause))
+            if is_path_failure(cause) =>
+        {
+            CallOutcome::Failed
+        }
+        _ => lost,
+    }
+}
+
 fn is_clean_end(error: &PayloadError) -> bool {
     let (PayloadError::Io(cause) | PayloadError::Incomplete(Some(cause))) = error else {
         return false;
@@ -208,7 +327,7 @@
 }
 
 /// Classifies a send that got no response. Only a failed connect or an invalid request proves no execution.
-fn send_failure(error: &SendRequestError) -> SendFailure {
+pub(super) fn send_failure(error: &SendRequestError) -> SendFailure {
     let executed = match error {
         SendRequestError::Connect(ConnectError::Disconnected) => Executed::Unknown,
         SendRequestError::Connect(_) | SendRequestError::Url(_) | SendRequestError::Http(_) => {
@@ -216,16 +335,20 @@
         }
         _ => Executed::Unknown,
     };
-    let is_lost = matches!(
-        error,
-        SendRequestError::Connect(ConnectError::Disconnected)
-            | SendRequestError::Response(ParseError::Io(_))
-            | SendRequestError::Send(_)
-    );
+    let is_lost = match error {
+        SendRequestError::Response(ParseError::Io(cause)) | SendRequestError::Send(cause) => {
+            !is_path_failure(cause)
+        }
+        SendRequestError::Connect(ConnectError::Disconnected) => true,
+        _ => false,
+    };
     let outcome = if is_lost {
         CallOutcome::ConnectionLost
     } else {
         CallOutcome::Failed
     };
-    SendFailure::new(executed, outcome, format!("no answer: {error}"))
+    SendFailure {
+        is_silent: executed == Executed::Unknown && outcome == CallOutcome::Failed,
+        ..SendFailure::new(executed, outcome, format!("no answer: {error}"))
+    }
 }
--- /dev/null
+++ b/crates/proxy/src/relay/forward.rs
@@ -0,0 +1,269 @@
+//! Requests that go through another VM because this one has lost its path to the target, and those that this VM forwards.
+//!
+//! The request goes to the other VM as it would to the target, with one more header that names the target. The response has
+//! a header that says whether it is the target's.
+
+use super::exchange::{
+    CallSend, ResponsePayload, SendFailure, TargetResponse, read_payload, send_failure,
+    send_request,
+};
+use super::open::RelayCaller;
+use crate::send_trace::SendTrace;
+use awc::error::PayloadError;
+use awc::http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use awc::http::{Method, Uri};
+use bytes::Bytes;
+use futures_util::{StreamExt as _, stream};
+use plantainmill_core::{Executed, TargetId};
+use plantainmill_dispatch::CallOutcome;
+use plantainmill_paths::{ForwardResult, TargetPaths};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// On a request, the target that it is for; on a response, where it comes from: a [`ForwardVerdict`].
+pub const FORWARD_HEADER: &str = "plantainmill-forward";
+/// Addresses of VMs in other failure domains, on the response of a VM that does not forward the request.
+const REFERRAL_HEADER: &str = "plantainmill-forward-peers";
+/// Largest number of VMs that are asked to forward one request.
+const MAX_FORWARDERS: usize = 5;
+/// Time that a target may take for the head of its response, or between two parts of it. It only ends what the VM that asked
+/// has lost sight of.
+const FORWARD_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Where the response to a forwarded request comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ForwardVerdict {
+    /// From the target, which marks the end of the body.
+    Framed,
+    /// From the target, whose body ends with the connection.
+    Unframed,
+    /// From the VM, which has lost its paths to the targets. Nothing was sent.
+    Isolated,
+    /// From the VM, which does not reach or know the target, or stops. Nothing was sent.
+    Declined,
+    /// From the VM, since the connection to the target ended without a response.
+    Lost,
+    /// From the VM, since the target's response was malformed or late.
+    Failed,
+}
+
+impl ForwardVerdict {
+    const ALL: [ForwardVerdict; 6] = [
+        ForwardVerdict::Framed,
+        ForwardVerdict::Unframed,
+        ForwardVerdict::Isolated,
+        ForwardVerdict::Declined,
+        ForwardVerdict::Lost,
+        ForwardVerdict::Failed,
+    ];
+
+    /// Value of the header.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            ForwardVerdict::Framed => "framed",
+            ForwardVerdict::Unframed => "unframed",
+            ForwardVerdict::Isolated => "isolated",
+            ForwardVerdict::Declined => "declined",
+            ForwardVerdict::Lost => "lost",
+            ForwardVerdict::Failed => "failed",
+        }
+    }
+
+    fn of(headers: &HeaderMap) -> Option<ForwardVerdict> {
+        let value = headers.get(FORWARD_HEADER)?.to_str().ok()?;
+        ForwardVerdict::ALL
+            .into_iter()
+            .find(|verdict| verdict.name() == value)
+    }
+}
+
+/// A request of another VM that this one forwards.
+pub struct ForwardRequest {
+    /// Target that it is for.
+    pub target: TargetId,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers for the target.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What a VM returns to the one that asked it to forward a request.
+pub struct ForwardAnswer {
+    /// HTTP status of the target.
+    pub status: u16,
+    /// Headers of the target.
+    pub headers: HeaderMap,
+    /// Whether the target marks the end of the body.
+    pub verdict: ForwardVerdict,
+    /// Body. An error means that it is incomplete.
+    pub body: ResponsePayload,
+}
+
+impl RelayCaller {
+    /// Sends a request through other VMs, one after the other until one has sent it. Fails like the direct send before if none
+    /// reaches the target.
+    pub(super) async fn send_forwarded(
+        &self,
+        paths: &TargetPaths,
+        send: CallSend<'_>,
+        direct: Option<SendFailure>,
+    ) -> Result<TargetResponse, SendFailure> {
+        let mut asked: Vec<SocketAddr> = Vec::new();
+        let mut is_vain = true;
+        while asked.len() < MAX_FORWARDERS {
+            let mut candidates = paths.forwarders().into_iter();
+            let Some(forwarder) = candidates.find(|address| !asked.contains(address)) else {
+                break;
+            };
+            asked.push(forwarder);
+            let result = match self.send_through(paths, forwarder, send).await {
+                Ok(Ok(response)) => {
+                    paths.record_forward(forwarder, ForwardResult::Forwarded);
+                    return Ok(response);
+                }
+                Ok(Err(result)) => result,
+                Err(failure) if failure.is_unsent() => ForwardResult::Failed,
+                Err(failure) => return Err(failure),
+            };
+            is_vain &= result != ForwardResult::Declined;
+            paths.record_forward(forwarder, result);
+        }
+        if is_vain {
+            paths.record_vain();
+        }
+        Err(direct.unwrap_or_else(|| {
+            let reason = format!("none of {} VMs reaches the target", asked.len());
+            SendFailure::unreachable(reason)
+        }))
+    }
+
+    /// Sends a request through `forwarder`. Returns why it was not sent, or the failure of a send that was made.
+    async fn send_through(
+        &self,
+        paths: &TargetPaths,
+        forwarder: SocketAddr,
+        send: CallSend<'_>,
+    ) -> Result<Result<TargetResponse, ForwardResult>, SendFailure> {
+        send.trace.start(Some(forwarder));
+        let client = &self.shared.peer_client;
+        let request = self.build_request(client, send, forwarder)?;
+        let request = request.insert_header((FORWARD_HEADER, send.ticket.target.as_str()));
+        let sent_at = Instant::now();
+        let response = send_request(request, send).await?;
+        let headers = response.headers();
+        let fail = |outcome, reason: &str| {
+            let failure = SendFailure::new(Executed::Unknown, outcome, reason);
+            Err(failure.at(send.trace))
+        };
+        let is_framed = match ForwardVerdict::of(headers) {
+            Some(ForwardVerdict::Framed) => true,
+            Some(ForwardVerdict::Unframed) => false,
+            Some(ForwardVerdict::Isolated) => {
+                paths.add_referrals(&read_referrals(headers));
+                return Ok(Err(ForwardResult::Isolated));
+            }
+            // A VM of an older release answers that it knows no such path.
+            Some(ForwardVerdict::Declined) | None => return Ok(Err(ForwardResult::Declined)),
+            Some(ForwardVerdict::Lost) => {
+                return fail(CallOutcome::ConnectionLost, "no answer at the other VM");
+            }
+            Some(ForwardVerdict::Failed) => {
+                return fail(CallOutcome::Failed, "no valid answer at the other VM");
+            }
+        };
+        let mut response = self.check_response(send, response, is_framed, sent_at)?;
+        response.headers.remove(FORWARD_HEADER);
+        Ok(Ok(response))
+    }
+
+    /// Sends a request of another VM to its target, on a connection of this one.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether and how the send failed.
+    pub async fn forward(&self, request: ForwardRequest) -> Result<ForwardAnswer, ForwardVerdict> {
+        let probes = self.shared.paths.as_ref();
+        let paths = probes.map(|probes| &probes.paths);
+        let paths = paths.ok_or(ForwardVerdict::Declined)?;
+        if paths.is_isolated() {
+            return Err(ForwardVerdict::Isolated);
+        }
+        let target = &request.target;
+        let address = paths.address_of(target).ok_or(ForwardVerdict::Declined)?;
+        let uri = Uri::try_from(format!("http://{address}{}", request.path))
+            .map_err(|_| ForwardVerdict::Declined)?;
+        let mut forwarded = self.shared.client.request(request.method, uri);
+        *forwarded.headers_mut() = request.headers;
+        let trace = SendTrace::default();
+        let forwarded = forwarded.address(address).no_decompress();
+        let exchange = trace.observe(forwarded.send_body(request.body));
+        let sent = timeout(FORWARD_IDLE_TIMEOUT, exchange).await;
+        if trace.has_connected() {
+            paths.record_connect(target, true);
+        }
+        let response = match sent {
+            Ok(Ok(response)) => response,
+            Ok(Err(error)) => {
+                let failure = send_failure(&error).at(&trace);
+                if !failure.was_connected {
+                    paths.record_connect(target, false);
+                    return Err(ForwardVerdict::Declined);
+                }
+                return Err(match failure.outcome {
+                    CallOutcome::ConnectionLost => ForwardVerdict::Lost,
+                    _ => ForwardVerdict::Failed,
+                });
+            }
+            Err(_) => return Err(ForwardVerdict::Failed),
+        };
+        let headers = response.headers();
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        Ok(ForwardAnswer {
+            status: response.status().as_u16(),
+            headers: headers.clone(),
+            verdict: if is_framed {
+                ForwardVerdict::Framed
+            } else {
+                ForwardVerdict::Unframed
+            },
+            body: limit_pauses(read_payload(response)),
+        })
+    }
+
+    /// VMs of other failure domains to which this one refers a VM whose request it does not forward, as a header.
+    #[must_use]
+    pub fn forward_referrals(&self) -> Option<(&'static str, String)> {
+        let probes = self.shared.paths.as_ref()?;
+        let addresses = probes.paths.referrals();
+        let addresses: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+        (!addresses.is_empty()).then(|| (REFERRAL_HEADER, addresses.join(",")))
+    }
+}
+
+/// Ends a body of which no part comes for too long.
+fn limit_pauses(body: ResponsePayload) -> ResponsePayload {
+    let parts = stream::unfold(Some(body), |body| async move {
+        let mut body = body?;
+        match timeout(FORWARD_IDLE_TIMEOUT, body.next()).await {
+            Ok(part) => part.map(|part| (part, Some(body))),
+            Err(_) => Some((Err(PayloadError::Incomplete(None)), None)),
+        }
+    });
+    parts.boxed_local()
+}
+
+fn read_referrals(headers: &HeaderMap) -> Vec<SocketAddr> {
+    let value = headers.get(REFERRAL_HEADER);
+    let value = value.and_then(|value| value.to_str().ok());
+    let addresses = value.unwrap_or_default().split(',');
+    addresses
+        .filter_map(|address| address.parse().ok())
+        .collect()
+}
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -2,17 +2,20 @@
 
 use super::call::{HeaderNames, RelayCall, RelayLimits};
 use super::events::{EventSplitter, check_order};
-use super::exchange::{SendFailure, TargetResponse};
+use super::exchange::{SendFailure, TargetResponse, broken_body_outcome};
 use super::recorder::StreamRecorder;
+use super::send::PathProbes;
 use super::stream::RelayStream;
-use crate::connect_phase::ConnectPhase;
-use crate::transport::{TargetDialer, client_with_dialer, strict_client};
+use crate::limits::PATH_CONNECT_TIMEOUT;
+use crate::send_trace::SendTrace;
+use crate::transport::{TargetDialer, TcpDialer, client_with_dialer, strict_client};
 use awc::http::header::HeaderMap;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use futures_util::stream::LocalBoxStream;
 use plantainmill_core::{Clock, Executed, PartList, Problem, ResultCode, TargetId, Uptime};
 use plantainmill_dispatch::{CallOutcome, Dispatcher, TargetTicket};
+use plantainmill_paths::TargetPaths;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -39,12 +42,16 @@
 }
 
 pub(super) struct RelayShared {
+    /// Client for targets.
     pub client: awc::Client,
+    /// Client for VMs that forward requests.
+    pub peer_client: awc::Client,
     pub dispatcher: Arc<dyn Dispatcher>,
     pub clock: Arc<dyn Clock>,
     pub names: HeaderNames,
     pub limits: RelayLimits,
     pub recorder: Option<Rc<dyn StreamRecorder>>,
+    pub paths: Option<Rc<PathProbes>>,
     /// Bytes of all responses that are being buffered.
     pub buffered_bytes: Cell<usize>,
 }
@@ -177,11 +184,13 @@
         RelayCaller {
             shared: Rc::new(RelayShared {
                 client: strict_client(),
+                peer_client: client_with_dialer(Rc::new(TcpDialer), PATH_CONNECT_TIMEOUT),
                 dispatcher,
                 clock,
                 names,
                 limits,
                 recorder: None,
+                paths: None,
                 buffered_bytes: Cell::new(0),
             }),
         }
@@ -193,21 +202,26 @@
         self.rebuild(|shared| shared.recorder = Some(recorder))
     }
 
-    /// Has connections to targets opened by `dialer`.
+    /// Has connections to targets opened by `dialer`, and requests forwarded by other VMs where this one has lost its paths.
     #[must_use]
-    pub fn with_dialer(self, dialer: Rc<dyn TargetDialer>) -> RelayCaller {
-        self.rebuild(|shared| shared.client = client_with_dialer(dialer))
+    pub fn with_paths(self, paths: TargetPaths, dialer: Rc<dyn TargetDialer>) -> RelayCaller {
+        self.rebuild(|shared| {
+            shared.client = client_with_dialer(Rc::clone(&dialer), PATH_CONNECT_TIMEOUT);
+            shared.paths = Some(Rc::new(PathProbes::new(paths, dialer)));
+        })
     }
 
     fn rebuild(self, change: impl FnOnce(&mut RelayShared)) -> RelayCaller {
         let shared = &self.shared;
         let mut rebuilt = RelayShared {
             client: shared.client.clone(),
+            peer_client: shared.peer_client.clone(),
             dispatcher: Arc::clone(&shared.dispatcher),
             clock: Arc::clone(&shared.clock),
             names: shared.names.clone(),
             limits: shared.limits,
             recorder: shared.recorder.clone(),
+            paths: shared.paths.clone(),
             buffered_bytes: Cell::new(0),
         };
         change(&mut rebuilt);
@@ -274,6 +288,8 @@
     }
 
     async fn acquire(&self, progress: &CallProgress) -> Result<TargetTicket, Problem> {
+        self.check_reachable()
+            .map_err(|problem| progress.no_slot_problem(problem))?;
         let request = progress.call.ticket_request(&progress.excluded);
         let until = Instant::now() + self.time_left(progress.call.deadline);
         let acquired = timeout_at(until, self.shared.dispatcher.acquire(request)).await;
@@ -303,6 +319,7 @@
             };
             let (target, version) = (ticket.target.clone(), ticket.version.clone());
             ticket.finish(failure.outcome);
+            self.check_path(&target, &failure);
             log_failure(&progress.call, (&target, version.as_deref()), &failure);
             if !progress.record_failure(&target, &failure, &self.shared.limits) {
                 return Err(progress.problem(&failure));
@@ -354,20 +371,16 @@
         } else {
             until
         };
-        let phase = ConnectPhase::default();
+        let trace = SendTrace::default();
         let silence_failure = || {
             let mut failure = SendFailure::deadline();
             if silence_deadline < until {
-                failure = SendFailure::new(
-                    Executed::Unknown,
-                    CallOutcome::Failed,
-                    "no first event came",
-                );
+                failure = SendFailure::silent(Executed::Unknown, "no first event came");
             }
-            failure.in_phase(&phase)
+            failure.at(&trace)
         };
         let left = self.time_left(call.deadline);
-        let send = self.send(call, ticket, last_event, left, &phase);
+        let send = self.send(call, ticket, last_event, left, &trace);
         let mut response = timeout_at(silence_deadline, send)
             .await
             .map_err(|_| silence_failure())??;
@@ -390,12 +403,9 @@
                     }
                 }
                 Some(Err(error)) => {
+                    let outcome = broken_body_outcome(&error, CallOutcome::ConnectionLost);
                     let reason = format!("the stream was cut before its first event: {error}");
-                    return Err(SendFailure::new(
-                        Executed::Unknown,
-                        CallOutcome::ConnectionLost,
-                        reason,
-                    ));
+                    return Err(SendFailure::new(Executed::Unknown, outcome, reason).at(&trace));
                 }
                 // Without a length, a crash ends a stream like a complete response. Only one that continues after the last
                 // event has no events.
@@ -443,12 +453,9 @@
                     lease.extend(part.len());
                 }
                 Some(Err(error)) => {
+                    let outcome = broken_body_outcome(&error, CallOutcome::ConnectionLost);
                     let reason = format!("the answer was cut: {error}");
-                    return Err(SendFailure::new(
-                        Executed::Unknown,
-                        CallOutcome::ConnectionLost,
-                        reason,
-                    ));
+                    return Err(SendFailure::new(Executed::Unknown, outcome, reason));
                 }
                 None => return Ok(body.freeze()),
             }
@@ -486,8 +493,8 @@
         let call = &progress.call;
         let left = self.time_left(call.deadline);
         let until = Instant::now() + left;
-        let phase = ConnectPhase::default();
-        let send = self.send(call, ticket, call.last_event, left, &phase);
+        let trace = SendTrace::default();
+        let send = self.send(call, ticket, call.last_event, left, &trace);
         let mut response = send.await?;
         let body = self.read_full_body(&mut response, until).await?;
         progress.check_status(response.status)?;
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -2,7 +2,7 @@
 
 use super::call::RelayCall;
 use super::events::{StreamEvent, check_order};
-use super::exchange::SendFailure;
+use super::exchange::{SendFailure, broken_body_outcome};
 use super::open::{
     CallProgress, RelayCaller, RelayResponse, StartedResponse, join_events, log_failure,
 };
@@ -167,7 +167,11 @@
                     Err(reason) => failed(reason),
                 }
             }
-            Ok(Some(Err(error))) => lost(format!("the stream was cut: {error}")),
+            Ok(Some(Err(error))) => {
+                let outcome = broken_body_outcome(&error, CallOutcome::StreamLost);
+                let reason = format!("the stream was cut: {error}");
+                PartRead::Failed(SendFailure::new(Executed::Yes, outcome, reason))
+            }
             Ok(None) if started.splitter.is_at_boundary() => PartRead::End,
             Ok(None) => lost("the stream ended within an event".to_owned()),
             Err(_) if is_deadline => PartRead::Failed(SendFailure::deadline()),
@@ -176,12 +180,15 @@
                 self.restart_silence();
                 PartRead::Events(Vec::new())
             }
-            Err(_) => failed("the stream stood still".to_owned()),
+            Err(_) => {
+                let reason = "the stream stood still";
+                PartRead::Failed(SendFailure::silent(Executed::Yes, reason))
+            }
         }
     }
 
     /// Continues at another target and returns its first events, which are empty if the stream ends there.
-    async fn fail_over(&mut self, failure: SendFailure) -> Result<Option<Bytes>, Problem> {
+    async fn fail_over(&mut self, mut failure: SendFailure) -> Result<Option<Bytes>, Problem> {
         let last_event = self.current.as_ref().and_then(|started| started.last_event);
         let (target, version) = match &self.current {
             Some(started) => {
@@ -190,9 +197,12 @@
             }
             None => (None, None),
         };
+        let current = self.current.as_ref();
+        failure.forwarder = current.and_then(|started| started.response.forwarder);
         let may_fail_over = self.may_fail_over() && !failure.is_deadline;
         self.finish(Some(failure.outcome));
         if let Some(target) = target {
+            self.caller.check_path(&target, &failure);
             log_failure(self.call(), (&target, version.as_deref()), &failure);
             self.progress.excluded.push(target);
         }
--- /dev/null
+++ b/crates/proxy/src/send_trace.rs
@@ -0,0 +1,70 @@
+//! How far a send has got, and which way it takes.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+tokio::task_local! {
+    static CURRENT_SEND: SendTrace;
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum ConnectPhase {
+    /// The connection was open before.
+    #[default]
+    Kept,
+    Connecting,
+    Connected,
+}
+
+/// Progress of one send. Clones share the same progress, so that it is known after the send was given up.
+#[derive(Clone, Debug, Default)]
+pub struct SendTrace {
+    phase: Rc<Cell<ConnectPhase>>,
+    forwarder: Rc<Cell<Option<SocketAddr>>>,
+}
+
+impl SendTrace {
+    /// Whether the connection is still being opened, so that nothing has been sent on it.
+    #[must_use]
+    pub fn is_connecting(&self) -> bool {
+        self.phase.get() == ConnectPhase::Connecting
+    }
+
+    /// Whether a connection was opened for the send.
+    pub(crate) fn has_connected(&self) -> bool {
+        self.phase.get() == ConnectPhase::Connected
+    }
+
+    /// The VM that was asked to forward the request; `None` for a direct send.
+    pub(crate) fn forwarder(&self) -> Option<SocketAddr> {
+        self.forwarder.get()
+    }
+
+    /// Starts a send to the target itself, or to the VM that is to forward it.
+    pub(crate) fn start(&self, forwarder: Option<SocketAddr>) {
+        self.phase.set(ConnectPhase::Kept);
+        self.forwarder.set(forwarder);
+    }
+
+    /// Runs a send whose connects are recorded here.
+    pub(crate) async fn observe<T>(&self, send: impl Future<Output = T>) -> T {
+        CURRENT_SEND.scope(self.clone(), send).await
+    }
+
+    /// Runs a connect of the current send.
+    pub(crate) async fn record_connect<T, E>(
+        connect: impl Future<Output = Result<T, E>>,
+    ) -> Result<T, E> {
+        let set = |phase| {
+            // Connects outside of an observed send are not recorded.
+            let _ = CURRENT_SEND.try_with(|trace| trace.phase.set(phase));
+        };
+        set(ConnectPhase::Connecting);
+        let connected = connect.await;
+        if connected.is_ok() {
+            set(ConnectPhase::Connected);
+        }
+        connected
+    }
+}
--- a/crates/proxy/src/transport.rs
+++ b/crates/proxy/src/transport.rs
@@ -1,14 +1,15 @@
 //! Per-thread HTTP client whose connections report truncation as an error.
 
-use crate::connect_phase::ConnectPhase;
 use crate::head_filter::HeadFilter;
 use crate::limits::CONNECT_TIMEOUT;
+use crate::send_trace::SendTrace;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::http::Uri;
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
+use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -20,6 +21,14 @@
 /// Time that an idle connection to a target is kept, below the 75 s after which servers usually close it.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Delay before the first keep-alive probe of a connection without traffic, and between probes.
+const KEEPALIVE_DELAY: Duration = Duration::from_secs(1);
+/// Number of keep-alive probes without an answer that end a connection.
+const KEEPALIVE_PROBES: u32 = 2;
+/// Time without an acknowledgement of sent data that ends a connection. Paths that are lost for less go on.
+#[cfg(target_os = "linux")]
+const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// Size of one read while a head is awaited. Heads are a few hundred bytes.
 const READ_CHUNK_BYTES: usize = 4 << 10;
 
@@ -33,11 +42,27 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TcpDialer;
 
+/// Ends a connection whose other side acknowledges nothing, also while neither side sends. A target that is silent is not
+/// affected, because its system acknowledges.
+fn limit_silence(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_DELAY)
+        .with_interval(KEEPALIVE_DELAY)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    // With a user timeout, the number of unanswered probes no longer matters.
+    #[cfg(target_os = "linux")]
+    socket.set_tcp_user_timeout(Some(ACKNOWLEDGEMENT_TIMEOUT))?;
+    Ok(())
+}
+
 impl TargetDialer for TcpDialer {
     fn dial(&self, address: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>> {
         async move {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
+            limit_silence(&stream)?;
             Ok(stream)
         }
         .boxed_local()
@@ -128,16 +153,19 @@
 /// Creates a client that fails a response with an error when its connection ends.
 #[must_use]
 pub fn strict_client() -> awc::Client {
-    client_with_dialer(Rc::new(TcpDialer))
+    client_with_dialer(Rc::new(TcpDialer), CONNECT_TIMEOUT)
 }
 
 /// Creates a client as [`strict_client`] does, with connections from `dialer` in a pool of its own.
 #[must_use]
-pub(crate) fn client_with_dialer(dialer: Rc<dyn TargetDialer>) -> awc::Client {
+pub(crate) fn client_with_dialer(
+    dialer: Rc<dyn TargetDialer>,
+    connect_timeout: Duration,
+) -> awc::Client {
     let connect = fn_service(move |info| connect(info, Rc::clone(&dialer)));
     let connector = awc::Connector::new()
         .connector(connect)
-        .timeout(CONNECT_TIMEOUT)
+        .timeout(connect_timeout)
         .conn_keep_alive(KEEP_ALIVE_TIMEOUT)
         // The dispatcher limits the requests in flight.
         .limit(0);
@@ -154,7 +182,7 @@
     dialer: Rc<dyn TargetDialer>,
 ) -> Result<Connection<Uri, StrictStream>, ConnectError> {
     let address = info.addrs().next().ok_or(ConnectError::NoRecords)?;
-    let inner = ConnectPhase::record_connect(dialer.dial(address)).await;
+    let inner = SendTrace::record_connect(dialer.dial(address)).await;
     let stream = StrictStream {
         inner: inner.map_err(ConnectError::Io)?,
         head: HeadFilter::default(),
