Report requests that were never sent as not executed

Cause: silence and passed deadlines counted as sent from the moment at which a target was chosen. The progress of the connect, which the log already shows, now decides. proxy::pending_connect failed before in all three cases.

--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -64,10 +64,16 @@
         }
     }
 
-    /// Records how far the send had got, and which way it took.
+    /// Records how far the send had got, and which way it took. Without a connection, nothing was executed.
     #[must_use]
     pub fn at(self, trace: &SendTrace) -> SendFailure {
+        let executed = if trace.is_connecting() {
+            Executed::No
+        } else {
+            self.executed
+        };
         SendFailure {
+            executed,
             was_connected: !trace.is_connecting(),
             forwarder: trace.forwarder(),
             ..self
--- /dev/null
+++ b/crates/proxy/tests/pending_connect.rs
@@ -0,0 +1,104 @@
+//! Requests whose connection is still being opened when their time is up.
+
+use actix_rt::net::TcpStream;
+use awc::http::Method;
+use awc::http::header::{HeaderMap, HeaderName};
+use futures_util::FutureExt as _;
+use futures_util::future::LocalBoxFuture;
+use opentelemetry::metrics::MeterProvider as _;
+use plantainmill_core::{Clock as _, Executed, SystemClock};
+use plantainmill_dispatch::shared::SharedParts;
+use plantainmill_dispatch::{SharedDispatcher, TrafficClass};
+use plantainmill_paths::TargetPaths;
+use plantainmill_proxy::TargetDialer;
+use plantainmill_proxy::relay::{HeaderNames, RelayCall, RelayCaller, RelayLimits};
+use plantainmill_routing::TargetEntry;
+use rstest::rstest;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Never opens a connection.
+struct SilentDialer;
+
+impl TargetDialer for SilentDialer {
+    fn dial(&self, _: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>> {
+        std::future::pending().boxed_local()
+    }
+}
+
+fn caller() -> RelayCaller {
+    let dispatcher = SharedDispatcher::new(SharedParts {
+        vm: "vm".into(),
+        domain: "a".into(),
+        region: "north".into(),
+        regions: HashMap::from([("a".into(), "north".into())]),
+        clock: Arc::new(SystemClock),
+    });
+    let entry = TargetEntry {
+        id: "i-1".into(),
+        service: "wool".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        domain: "a".into(),
+        slots: 8,
+        draining: false,
+        born: 0,
+        version: "v1".into(),
+    };
+    dispatcher.set_targets([entry].iter());
+    let name = HeaderName::from_static;
+    let names = HeaderNames {
+        request_id: name("request-id"),
+        deadline: name("deadline-ms"),
+        organisation: name("organisation"),
+        expected_instance: name("expected"),
+        not_executed: name("not-executed"),
+        target_limit: name("server-limit"),
+        last_event: name("last-event-id"),
+    };
+    let meter = opentelemetry::metrics::noop::NoopMeterProvider::new().meter("test");
+    let paths = TargetPaths::new(&"vm".into(), Arc::new(SystemClock), &meter, "");
+    let limits = RelayLimits {
+        min_first_event_timeout: Duration::from_millis(50),
+        ..RelayLimits::default()
+    };
+    RelayCaller::new(Arc::new(dispatcher), Arc::new(SystemClock), names, limits)
+        .with_paths(paths, Rc::new(SilentDialer))
+}
+
+/// Guards against answers that leave open whether a request ran that was never sent: its caller may not repeat it then.
+#[rstest]
+#[case::stream_once(true, false)]
+#[case::stream_repeated(true, true)]
+#[case::buffered(false, false)]
+#[actix_rt::test]
+async fn pending_connect(#[case] is_stream: bool, #[case] may_repeat: bool) {
+    let call = RelayCall {
+        id: "c1".into(),
+        service: "wool".into(),
+        organisation: None,
+        priority: 0,
+        class: TrafficClass::Online,
+        method: Method::POST,
+        path: "/ask".to_owned(),
+        headers: HeaderMap::new(),
+        body: "question".into(),
+        prefix_hash: None,
+        parts: Vec::new(),
+        deadline: SystemClock.uptime() + Duration::from_millis(120),
+        wait_limit: Duration::from_millis(50),
+        max_executions: 2,
+        may_repeat,
+        is_stream,
+        first_event_objective: Duration::from_millis(20),
+        event_gap: Duration::from_millis(100),
+        last_event: None,
+        version: None,
+    };
+    let problem = caller().open(call).await.err().expect("no response");
+    assert_eq!(problem.executed, Executed::No, "{}", problem.reason);
+    assert_eq!(problem.code.http_status(), 503, "{}", problem.reason);
+}
