--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -4,6 +4,7 @@
 use crate::headers::{HeaderList, request_headers};
 use crate::limits::CallLimits;
 use crate::parts::request_hash;
+use crate::send_trace::SendTrace;
 use plantainmill_config::{FleetConfig, ServiceKind, ServiceSpec};
 use plantainmill_core::{Executed, Problem, ResultCode, TargetId, Uptime};
 use plantainmill_dispatch::{CallOutcome, TicketRequest};
@@ -16,6 +17,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ExecutionMark {
     executed: Rc<Cell<Executed>>,
+    /// Progress of the attempt.
+    pub trace: SendTrace,
 }
 
 impl ExecutionMark {
@@ -23,6 +26,15 @@
     pub fn set(&self, executed: Executed) {
         self.executed.set(executed);
     }
+
+    /// Whether the target executed the request, which it cannot before there is a connection.
+    fn get(&self) -> Executed {
+        if self.trace.is_connecting() {
+            Executed::No
+        } else {
+            self.executed.get()
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -145,6 +157,7 @@
     pub fn begin_attempt(&self, target: &TargetId) -> ExecutionMark {
         let mark = ExecutionMark {
             executed: Rc::new(Cell::new(Executed::No)),
+            trace: SendTrace::default(),
         };
         self.attempts.borrow_mut().push(AttemptEntry {
             target: target.clone(),
@@ -156,7 +169,7 @@
     /// Combined execution state of all attempts: if any attempt may have been executed, so may the call.
     pub fn executed(&self) -> Executed {
         let attempts = self.attempts.borrow();
-        let marks = attempts.iter().map(|entry| entry.mark.executed.get());
+        let marks = attempts.iter().map(|entry| entry.mark.get());
         marks.fold(Executed::No, combine_executed)
     }
 
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -62,7 +62,8 @@
     let request = build_request(context, ticket.address, &request_id)?;
     let sent_at = Instant::now();
     mark.set(Executed::Unknown);
-    let sent = request.send_body(context.request.body.clone()).await;
+    let exchange = request.send_body(context.request.body.clone());
+    let sent = mark.trace.observe(exchange).await;
     let response = sent.map_err(|error| send_failure(&error, mark))?;
     let mut head = ResponseHead {
         status: response.status().as_u16(),
--- a/crates/proxy/tests/pending_connect.rs
+++ b/crates/proxy/tests/pending_connect.rs
@@ -1,11 +1,17 @@
 //! Requests whose connection is still being opened when their time is up.
 
+mod support;
+
+use crate::support::{
+    CallMode, OrderedDispatcher, TestFleet, TestResult, service_spec, short_limits,
+};
 use actix_rt::net::TcpStream;
 use awc::http::Method;
 use awc::http::header::{HeaderMap, HeaderName};
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::metrics::MeterProvider as _;
+use plantainmill_config::ServiceKind;
 use plantainmill_core::{Clock as _, Executed, SystemClock};
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_dispatch::{SharedDispatcher, TrafficClass};
@@ -14,9 +20,10 @@
 use plantainmill_proxy::relay::{HeaderNames, RelayCall, RelayCaller, RelayLimits};
 use plantainmill_routing::TargetEntry;
 use rstest::rstest;
+use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream as BlockingStream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -102,3 +109,44 @@
     assert_eq!(problem.executed, Executed::No, "{}", problem.reason);
     assert_eq!(problem.code.http_status(), 503, "{}", problem.reason);
 }
+
+/// A listener whose backlog is full, so that connects to it stay pending, with the connections that fill it.
+fn full_listener() -> io::Result<(Socket, Vec<BlockingStream>)> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+    socket.listen(0)?;
+    let address = socket.local_addr()?.as_socket().expect("an IP address");
+    let mut filling = Vec::new();
+    while let Ok(stream) = BlockingStream::connect_timeout(&address, Duration::from_millis(100)) {
+        filling.push(stream);
+    }
+    Ok((socket, filling))
+}
+
+/// Guards against the same on the own interface.
+#[rstest]
+#[case(CallMode::Buffered)]
+#[case(CallMode::Streaming)]
+#[actix_rt::test]
+async fn own_interface(#[case] mode: CallMode) -> TestResult {
+    let (listener, _filling) = full_listener()?;
+    let address = listener.local_addr()?.as_socket().expect("an IP address");
+    let dispatcher = Arc::new(OrderedDispatcher {
+        targets: vec![("target-0".into(), address)],
+        ..OrderedDispatcher::default()
+    });
+    let service = service_spec(ServiceKind::Plain, false);
+    let fleet = TestFleet::over(
+        service,
+        Vec::new(),
+        dispatcher,
+        short_limits(),
+        Arc::new(SystemClock),
+    );
+    let mut request = fleet.request("pending", mode);
+    request.deadline = SystemClock.uptime() + Duration::from_millis(200);
+    let problem = fleet.run(request, mode).await.problem;
+    let problem = problem.expect("no response");
+    assert_eq!(problem.executed, Executed::No, "{}", problem.reason);
+    Ok(())
+}
