Reproduce requests to targets that said that they leave

Requests, repeats and items go on to a target after its answers have said that it leaves, as long as its entry does not change.

The relay reads the header and tells the observers of the call; a debug line names the target. No decision uses it yet.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -85,6 +85,8 @@
     fn call_started(&self) {}
     /// A response of the target names the requests a second that it takes from all VMs together, or names no limit.
     fn limit_named(&self, _rate: Option<f64>) {}
+    /// A response of the target says that it leaves.
+    fn leaving_stated(&self) {}
 }
 
 /// Permission to send one request to one target. Dropping it without [`TargetTicket::finish`] reports the call as
@@ -154,6 +156,13 @@
             .for_each(|observer| observer.limit_named(rate));
     }
 
+    /// Reports that a response of the target says that it leaves.
+    pub fn record_leaving(&self) {
+        self.observers
+            .iter()
+            .for_each(|observer| observer.leaving_stated());
+    }
+
     /// Ends the ticket and reports the outcome of its call.
     pub fn finish(mut self, outcome: CallOutcome) {
         self.report(outcome);
--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -74,6 +74,8 @@
     pub not_executed: &'static str,
     /// Requests a second that the target takes from all VMs together.
     pub limit: &'static str,
+    /// Present on all answers of a target that leaves.
+    pub leaving: &'static str,
 }
 
 /// A running target. Clones share the same state.
@@ -100,6 +102,7 @@
     crash: Notify,
     /// Requests a second that responses name as the limit of this target.
     limit: Cell<Option<f64>>,
+    is_leaving: Cell<bool>,
 }
 
 impl StreamTarget {
@@ -124,6 +127,7 @@
                 events_before_crash: Cell::new(0),
                 crash: Notify::new(),
                 limit: Cell::new(None),
+                is_leaving: Cell::new(false),
             }),
         };
         let state = Rc::clone(&target.state);
@@ -173,6 +177,11 @@
         self.state.limit.set(limit);
     }
 
+    /// Sets whether all answers say that the target leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state.is_leaving.set(is_leaving);
+    }
+
     /// Requests seen so far.
     #[must_use]
     pub fn seen(&self) -> Vec<SeenRequest> {
@@ -281,7 +290,13 @@
         let limit = limit.map_or_else(String::new, |limit| {
             format!("{}: {limit}\r\n", self.names.limit)
         });
-        format!("HTTP/1.1 {status} Any\r\n{name}: {id}\r\nstamp: s1\r\n{limit}{extra}{framing}\r\n")
+        let leaving = if self.is_leaving.get() {
+            format!("{}: 1\r\n", self.names.leaving)
+        } else {
+            String::new()
+        };
+        let stated = format!("stamp: s1\r\n{limit}{leaving}");
+        format!("HTTP/1.1 {status} Any\r\n{name}: {id}\r\n{stated}{extra}{framing}\r\n")
     }
 
     /// Sends the events after `last`. Says whether the connection may be used again.
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -25,6 +25,7 @@
     request_id: "request-id",
     not_executed: "not-executed",
     limit: "server-limit",
+    leaving: "server-leaving",
 };
 
 pub fn owner(vm: &str, incarnation: u64) -> JobOwner {
@@ -157,6 +158,7 @@
             expected_instance: HeaderName::from_static("expected"),
             not_executed: HeaderName::from_static(NAMES.not_executed),
             target_limit: HeaderName::from_static(NAMES.limit),
+            target_leaving: HeaderName::from_static(NAMES.leaving),
             last_event: HeaderName::from_static("last-event-id"),
         };
         let view = DocumentView::default();
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -30,6 +30,8 @@
     pub not_executed: HeaderName,
     /// Requests a second that the target takes from all VMs together; absent if it names no limit.
     pub target_limit: HeaderName,
+    /// Present on all responses of a target that leaves.
+    pub target_leaving: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event: HeaderName,
 }
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -240,6 +240,11 @@
         let limit = headers.get(&names.target_limit);
         let limit = limit.and_then(|limit| limit.to_str().ok()?.trim().parse().ok());
         ticket.record_limit(limit);
+        // An instance that the request is not for does not speak for the target.
+        if headers.contains_key(&names.target_leaving) && status != MISDIRECTED_REQUEST {
+            tracing::debug!(event = "answer_of_leaving_target", target = %ticket.target);
+            ticket.record_leaving();
+        }
         if headers.contains_key(&names.not_executed) || status == MISDIRECTED_REQUEST {
             let outcome = if status == MISDIRECTED_REQUEST {
                 CallOutcome::Failed
--- a/crates/soak/src/target_fleet.rs
+++ b/crates/soak/src/target_fleet.rs
@@ -41,6 +41,7 @@
             slots: SLOTS_PER_TARGET,
             draining,
             version: self.version,
+            born: 0,
         }
     }
 }
