Send nothing new to targets whose responses say that they leave

Cause: the registry was the only source on targets that leave, and its copy is old while the store is away. The class: a fact that a target states itself, and that is taken from a third party only.

Change: a response with the header, also a refusal or one that was forwarded, marks the target, by the start for which the request was granted. The shared policy counts a marked target as one that it does not have, for requests, streams that go on, repeats and items; calls that run go on. VMs tell each other by notices, and a VM that forwards declines.

--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -8,10 +8,12 @@
 mod batch;
 mod choice;
 mod dispatcher;
+mod leaving;
 mod ledger;
 mod peers;
 mod target;
 
 pub use dispatcher::{SharedDispatcher, SharedParts};
+pub use leaving::{LeavingEntry, LeavingLedger, LeavingReport};
 pub use ledger::{LedgerEffect, LoadLedger};
 pub use peers::{LoadSource, PeerLoad, SlotUse};
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -1,13 +1,18 @@
 //! The shared policy behind the [`Dispatcher`] interface.
 
+use super::leaving::LeavingReport;
 use super::ledger::{LedgerEffect, LoadLedger, RequestId};
 use super::peers::{LoadSource, PeerLoad};
-use crate::dispatcher::{CallOutcome, Dispatcher, TargetTicket, TicketRequest};
+use crate::dispatcher::{CallObserver, CallOutcome, Dispatcher, TargetTicket, TicketRequest};
+use crate::notice::{NoticeSource, ReportScope};
+use bytes::Bytes;
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
+use opentelemetry::metrics::Meter;
 use plantainmill_core::{
     Clock, DomainName, Problem, RegionName, ResultCode, ServiceName, TargetId, VersionName, VmId,
 };
+use plantainmill_mesh::{decode_body, encode_body};
 use plantainmill_routing::TargetEntry;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -34,6 +39,7 @@
         target: TargetId,
         address: SocketAddr,
         version: VersionName,
+        born: u64,
         preempted: watch::Receiver<bool>,
     },
     Refused {
@@ -142,6 +148,60 @@
         self.inner.wait_start.notified().await;
     }
 
+    /// Records that a response of `target`, which started at `born`, says that it leaves. Nothing new is sent to it from now on.
+    pub fn record_leaving(&self, target: &TargetId, born: u64) {
+        let now = self.inner.clock.uptime();
+        let mut state = self.inner.lock();
+        if state.ledger.leaving.record_response(target, born, now) {
+            state.ledger.update_leaving();
+            tracing::info!(event = "target_leaving", %target, born, source = "response");
+        }
+    }
+
+    /// Records what another VM has heard of targets that leave.
+    pub fn record_leaving_report(&self, report: &LeavingReport) {
+        let now = self.inner.clock.uptime();
+        let mut state = self.inner.lock();
+        let news = state.ledger.leaving.record_report(report, now);
+        if !news.is_empty() {
+            state.ledger.update_leaving();
+        }
+        for target in news {
+            tracing::info!(event = "target_leaving", %target, source = "peer");
+        }
+    }
+
+    /// What this VM has heard of targets that leave.
+    #[must_use]
+    pub fn leaving_report(&self, scope: ReportScope) -> LeavingReport {
+        let now = self.inner.clock.uptime();
+        self.inner.lock().ledger.leaving.report(scope, now)
+    }
+
+    /// Start of a target that may get new requests, in milliseconds since the Unix epoch; `None` if the target leaves or is not
+    /// listed.
+    #[must_use]
+    pub fn usable_since(&self, target: &TargetId) -> Option<u64> {
+        let state = self.inner.lock();
+        let known = state.ledger.targets.get(target);
+        known
+            .filter(|target| !target.is_leaving)
+            .map(|target| target.entry.born)
+    }
+
+    /// Registers the instruments, with names that begin with `prefix`.
+    pub fn register_metrics(&self, meter: &Meter, prefix: &str) {
+        let observed = self.clone();
+        meter
+            .u64_observable_gauge(format!("{prefix}leaving_targets"))
+            .with_description("Targets whose responses say that they leave")
+            .with_callback(move |observer| {
+                let count = observed.inner.lock().ledger.leaving.count();
+                observer.observe(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+            })
+            .build();
+    }
+
     /// Whether any request waits for a slot.
     #[must_use]
     pub fn has_waiting(&self) -> bool {
@@ -162,6 +222,7 @@
                     target,
                     address,
                     version,
+                    born,
                 } => {
                     self.load_change.notify_one();
                     let (signal, preempted) = watch::channel(false);
@@ -170,6 +231,7 @@
                         target,
                         address,
                         version,
+                        born,
                         preempted,
                     };
                     send_decision(state, number, decision);
@@ -258,13 +320,20 @@
                 target,
                 address,
                 version,
+                born,
                 preempted,
             }) => {
                 guard.armed = false;
                 let inner = Arc::clone(&self.inner);
                 let on_finish = Box::new(move |outcome| inner.release(number, outcome));
+                let observer = LeavingObserver {
+                    dispatcher: self.clone(),
+                    target: target.clone(),
+                    born,
+                };
                 let ticket = TargetTicket::new(target, address, preempted, on_finish);
-                Ok(ticket.with_version(Some(version)))
+                let ticket = ticket.with_version(Some(version));
+                Ok(ticket.with_observer(Arc::new(observer)))
             }
             Ok(SlotDecision::Refused {
                 retry_after,
@@ -292,6 +361,46 @@
     }
 }
 
+/// Passes on that a response of a target says that it leaves.
+struct LeavingObserver {
+    dispatcher: SharedDispatcher,
+    target: TargetId,
+    born: u64,
+}
+
+impl CallObserver for LeavingObserver {
+    fn leaving_stated(&self) {
+        self.dispatcher.record_leaving(&self.target, self.born);
+    }
+}
+
+impl NoticeSource for SharedDispatcher {
+    fn tick(&self) {
+        let now = self.inner.clock.uptime();
+        let mut state = self.inner.lock();
+        if state.ledger.leaving.tick(now) {
+            state.ledger.update_leaving();
+        }
+    }
+
+    fn has_news(&self, scope: ReportScope) -> bool {
+        let now = self.inner.clock.uptime();
+        self.inner.lock().ledger.leaving.has_news(scope, now)
+    }
+
+    fn notice(&self, scope: ReportScope) -> Option<Bytes> {
+        let report = self.leaving_report(scope);
+        (!report.entries.is_empty()).then(|| encode_body(&report))
+    }
+
+    fn record_notice(&self, content: &[u8]) -> bool {
+        let report = decode_body::<LeavingReport>(content);
+        report
+            .inspect(|report| self.record_leaving_report(report))
+            .is_some()
+    }
+}
+
 impl Dispatcher for SharedDispatcher {
     fn acquire(&self, request: TicketRequest) -> LocalBoxFuture<'_, Result<TargetTicket, Problem>> {
         self.wait_slot(request).boxed_local()
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -2,6 +2,7 @@
 
 use super::backoff::TargetBackoff;
 use super::choice::{Candidate, CandidateOrder, LocalityMap, SlotState};
+use super::leaving::LeavingLedger;
 use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse, busiest_of};
 use super::target::{LedgerTarget, online_state};
 use crate::dispatcher::{CallOutcome, TicketRequest, TrafficClass};
@@ -47,6 +48,8 @@
         address: SocketAddr,
         /// Software version of the target.
         version: VersionName,
+        /// Start of the target, in milliseconds since the Unix epoch; zero if unknown.
+        born: u64,
     },
     /// The request is refused.
     Refuse {
@@ -89,6 +92,7 @@
     locality: LocalityMap,
     pub(super) targets: BTreeMap<TargetId, LedgerTarget>,
     pub(super) peers: PeerLoads,
+    pub(super) leaving: LeavingLedger,
     calls: HashMap<RequestId, RunningCall>,
     /// Online calls of this VM by organisation.
     running_online: HashMap<Option<OrganisationId>, u32>,
@@ -119,6 +123,7 @@
             },
             targets: BTreeMap::new(),
             peers: PeerLoads::default(),
+            leaving: LeavingLedger::default(),
             calls: HashMap::new(),
             running_online: HashMap::new(),
             online: Vec::new(),
@@ -144,6 +149,7 @@
                     entry: entry.clone(),
                     own: SlotUse::default(),
                     backoff: TargetBackoff::default(),
+                    is_leaving: false,
                 },
                 |kept| LedgerTarget {
                     entry: entry.clone(),
@@ -152,6 +158,7 @@
             );
             self.targets.insert(entry.id.clone(), target);
         }
+        self.update_leaving();
         // A target that is listed again may still run calls that were sent before its entry was removed.
         for target in self.targets.values_mut() {
             target.own = SlotUse::default();
@@ -163,6 +170,13 @@
         }
     }
 
+    /// Applies to the targets what is known of those that leave. Their calls go on; nothing new is sent to them.
+    pub(super) fn update_leaving(&mut self) {
+        for (id, target) in &mut self.targets {
+            target.is_leaving = self.leaving.is_leaving(id, target.entry.born);
+        }
+    }
+
     /// Handles a new request. Effects refer to it by the returned id. Batch requests wait for the next tick.
     pub fn request(
         &mut self,
@@ -494,6 +508,7 @@
             target: id.clone(),
             address: target.entry.address,
             version: target.entry.version.clone(),
+            born: target.entry.born,
         });
         let call = RunningCall {
             target: id.clone(),
--- a/crates/dispatch/src/shared/target.rs
+++ b/crates/dispatch/src/shared/target.rs
@@ -17,6 +17,8 @@
     pub entry: TargetEntry,
     pub own: SlotUse,
     pub backoff: TargetBackoff,
+    /// Its responses say that it leaves.
+    pub is_leaving: bool,
 }
 
 impl LedgerTarget {
@@ -25,8 +27,10 @@
         self.has_version(&request.service, request.version.as_ref())
     }
 
+    /// Whether the target has the service and version, and takes new requests.
     pub fn has_version(&self, service: &ServiceName, version: Option<&VersionName>) -> bool {
-        self.entry.service == *service
+        !self.is_leaving
+            && self.entry.service == *service
             && version.is_none_or(|version| self.entry.version == *version)
     }
 }
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod harness;
 mod leaving;
+mod leaving_responses;
 mod local_policy;
 mod part_quarantine;
 mod placement;
--- a/crates/edge/src/forwarding.rs
+++ b/crates/edge/src/forwarding.rs
@@ -26,10 +26,22 @@
         headers: end_to_end_headers(request.headers()),
         body,
     };
-    let result = if state.is_stopping.get() {
-        Err(ForwardVerdict::Declined)
-    } else {
-        state.relay_caller.forward(forwarded).await
+    let target = forwarded.target.clone();
+    let result = match state.dispatcher.usable_since(&target) {
+        _ if state.is_stopping.get() => Err(ForwardVerdict::Declined),
+        None if state.paths.address_of(&target).is_some() => Err(ForwardVerdict::Leaving),
+        None => Err(ForwardVerdict::Declined),
+        Some(born) => {
+            let result = state.relay_caller.forward(forwarded).await;
+            let name = &state.codec.names().target_leaving;
+            if let Ok(answer) = &result
+                && answer.speaks_for_target()
+                && answer.headers.contains_key(name)
+            {
+                state.dispatcher.record_leaving(&target, born);
+            }
+            result
+        }
     };
     let verdict = match &result {
         Ok(answer) => answer.verdict,
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -5,7 +5,7 @@
 use plantainmill_core::{DomainName, Incarnation, RegionName, VmId};
 use plantainmill_dispatch::limits::LimitReport;
 use plantainmill_dispatch::quarantine::PartReport;
-use plantainmill_dispatch::shared::PeerLoad;
+use plantainmill_dispatch::shared::{LeavingReport, PeerLoad};
 use plantainmill_jobs::{HeadUpdate, JobOwner};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -114,6 +114,8 @@
     Parts(PartReport),
     /// Limits that targets name. Older releases ignore it.
     Limits(LimitReport),
+    /// Targets whose responses say that they leave. Older releases ignore it.
+    LeavingTargets(LeavingReport),
     /// Job heads that the sender has read from the store.
     Jobs(Vec<HeadUpdate>),
     /// Queries the age of the peer's document and targets.
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -146,6 +146,9 @@
             PeerMessage::Batch(batch) => self.handle_batch(batch).await,
             PeerMessage::Parts(report) => self.state.quarantine.record_report(&report),
             PeerMessage::Limits(report) => self.state.limits.record_report(&report),
+            PeerMessage::LeavingTargets(report) => {
+                self.state.dispatcher.record_leaving_report(&report);
+            }
             PeerMessage::Jobs(updates) => self.state.jobs.apply_updates(updates),
             PeerMessage::Leaving { vm, incarnation } => {
                 if self.directory.borrow_mut().remove_peer(&vm, incarnation) {
--- a/crates/edge/src/peer_notices.rs
+++ b/crates/edge/src/peer_notices.rs
@@ -1,4 +1,4 @@
-//! Notices about prompt parts and limits of targets: of this VM to its failure domain, and between domains.
+//! Notices about prompt parts, limits of targets and targets that leave: of this VM to its failure domain, and between domains.
 
 use crate::message::{PeerMessage, VmRow};
 use crate::peer_directory::ReportRoute;
@@ -38,11 +38,14 @@
             };
             let parts = is_due(&state.quarantine).then(|| state.quarantine.report(scope));
             let limits = is_due(&state.limits).then(|| state.limits.report(scope));
+            let leaving = is_due(&state.dispatcher).then(|| state.dispatcher.leaving_report(scope));
             let parts = parts.filter(|report| !report.is_empty());
             let limits = limits.filter(|report| !report.entries.is_empty());
+            let leaving = leaving.filter(|report| !report.entries.is_empty());
             let messages = [
                 parts.map(PeerMessage::Parts),
                 limits.map(PeerMessage::Limits),
+                leaving.map(PeerMessage::LeavingTargets),
             ];
             for message in messages.into_iter().flatten() {
                 let content = message.encode();
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -191,6 +191,8 @@
         regions: settings.regions.clone(),
         clock: Arc::clone(&clock),
     });
+    let metrics = EdgeMetrics::new()?;
+    dispatcher.register_metrics(&metrics.meter(), METRIC_PREFIX);
     let codec = Rc::clone(&platform.codec);
     let peer_client = Rc::new(PeerClient::new());
     let rows = Rc::new(ProxiedRows::new(
@@ -198,7 +200,6 @@
         Rc::clone(&peer_client),
         Arc::clone(&clock),
     ));
-    let metrics = EdgeMetrics::new()?;
     let quarantine = PartQuarantine::new(
         &settings.vm.id,
         Arc::clone(&clock),
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -115,6 +115,7 @@
                 *call_counts.entry(choice).or_default() += 1;
                 calls.insert(*last_number, choice);
                 let grant = LedgerEffect::Grant {
+                    born: 0,
                     number: *last_number,
                     target: targets[choice].id.clone(),
                     address: targets[choice].address,
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, timeout_at};
 
 /// Status of a target instance that is not the one that the request is addressed to.
-const MISDIRECTED_REQUEST: u16 = 421;
+pub(super) const MISDIRECTED_REQUEST: u16 = 421;
 /// The deadline sent to a target is earlier by this margin, so that the target stops before the relay gives up.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
 
@@ -242,7 +242,6 @@
         ticket.record_limit(limit);
         // An instance that the request is not for does not speak for the target.
         if headers.contains_key(&names.target_leaving) && status != MISDIRECTED_REQUEST {
-            tracing::debug!(event = "answer_of_leaving_target", target = %ticket.target);
             ticket.record_leaving();
         }
         if headers.contains_key(&names.not_executed) || status == MISDIRECTED_REQUEST {
--- a/crates/proxy/src/relay/forward.rs
+++ b/crates/proxy/src/relay/forward.rs
@@ -4,8 +4,8 @@
 //! a header that says whether it is the target's.
 
 use super::exchange::{
-    CallSend, ResponsePayload, SendFailure, TargetResponse, read_payload, send_failure,
-    send_request,
+    CallSend, MISDIRECTED_REQUEST, ResponsePayload, SendFailure, TargetResponse, read_payload,
+    send_failure, send_request,
 };
 use super::open::RelayCaller;
 use crate::send_trace::SendTrace;
@@ -42,6 +42,8 @@
     Isolated,
     /// From the VM, which does not reach or know the target, or stops. Nothing was sent.
     Declined,
+    /// From the VM, which knows that the target leaves. Nothing was sent.
+    Leaving,
     /// From the VM, since the connection to the target ended without a response.
     Lost,
     /// From the VM, since the target's response was malformed or late.
@@ -49,11 +51,12 @@
 }
 
 impl ForwardVerdict {
-    const ALL: [ForwardVerdict; 6] = [
+    const ALL: [ForwardVerdict; 7] = [
         ForwardVerdict::Framed,
         ForwardVerdict::Unframed,
         ForwardVerdict::Isolated,
         ForwardVerdict::Declined,
+        ForwardVerdict::Leaving,
         ForwardVerdict::Lost,
         ForwardVerdict::Failed,
     ];
@@ -66,6 +69,7 @@
             ForwardVerdict::Unframed => "unframed",
             ForwardVerdict::Isolated => "isolated",
             ForwardVerdict::Declined => "declined",
+            ForwardVerdict::Leaving => "leaving",
             ForwardVerdict::Lost => "lost",
             ForwardVerdict::Failed => "failed",
         }
@@ -105,6 +109,14 @@
     pub body: ResponsePayload,
 }
 
+impl ForwardAnswer {
+    /// Whether the target itself answered, and not another instance at its address.
+    #[must_use]
+    pub fn speaks_for_target(&self) -> bool {
+        self.status != MISDIRECTED_REQUEST
+    }
+}
+
 impl RelayCaller {
     /// Sends a request through other VMs, one after the other until one has sent it. Fails like the direct send before if none
     /// reaches the target.
@@ -170,6 +182,15 @@
             }
             // A VM of an older release answers that it knows no such path.
             Some(ForwardVerdict::Declined) | None => return Ok(Err(ForwardResult::Declined)),
+            Some(ForwardVerdict::Leaving) => {
+                send.ticket.record_leaving();
+                let reason = "the target leaves, by the other VM";
+                return Err(SendFailure::new(
+                    Executed::No,
+                    CallOutcome::Rejected,
+                    reason,
+                ));
+            }
             Some(ForwardVerdict::Lost) => {
                 return fail(CallOutcome::ConnectionLost, "no answer at the other VM");
             }
