Take no view from before a take-up for the versions that began its stream

Cause: when the record of a stream could not be read, the VM used the only version that it had seen, by a view of up to two seconds ago; and a VM that had stood still used the base version that it knew before. The class: what was seen before an event, taken as knowledge about it.

Change: the view has to be one that the registry had after the take-up came, for which it waits 0.8 s at most, counted from when the view was read and not from when it was handled. A base version counts only if it was just read, or if the view is recent. stream_versions::{missed_join, missed_base} failed on the former code.

--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -86,7 +86,7 @@
             self.state
                 .targets_confirmed_at
                 .set(confirmed_at.max(Some(at)));
-            self.state.streams.confirm_targets();
+            self.state.streams.confirm_targets(at);
         }
     }
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -108,7 +108,7 @@
         self.paths
             .set_targets(addresses.map(|entry| (entry.id.clone(), entry.address)));
         let versions = entries.iter().map(|entry| (&entry.service, &entry.version));
-        self.streams.set_targets(versions);
+        self.streams.set_targets(versions, read_at);
         if targets.fingerprint() != before {
             self.update_notify.notify_one();
         }
--- a/crates/edge/src/stream_records.rs
+++ b/crates/edge/src/stream_records.rs
@@ -48,6 +48,8 @@
 const FAILURE_PERIOD: Duration = Duration::from_secs(1);
 /// Longest time that a take-up waits for the record of its stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(800);
+/// Interval at which a take-up without a record checks for a recent view of the registry.
+const VIEW_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay before a take-up is repeated whose record could not be read.
 const LOOKUP_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Delay before a take-up is repeated whose version has no target. Targets that crashed are back after some seconds.
@@ -145,19 +147,18 @@
         }
     }
 
-    /// Replaces the listed targets, given by service and version.
+    /// Replaces the listed targets, given by service and version, with those that the registry had at `read_at`.
     pub fn set_targets<'a>(
         &self,
         targets: impl Iterator<Item = (&'a ServiceName, &'a VersionName)>,
+        read_at: Uptime,
     ) {
-        let now = self.inner.clock.uptime();
-        self.inner.ledger.borrow_mut().set_targets(targets, now);
+        self.inner.ledger.borrow_mut().set_targets(targets, read_at);
     }
 
-    /// Records that the listed targets are still the same.
-    pub fn confirm_targets(&self) {
-        let now = self.inner.clock.uptime();
-        self.inner.ledger.borrow_mut().confirm_targets(now);
+    /// Records that the registry still had the listed targets at `at`.
+    pub fn confirm_targets(&self, at: Uptime) {
+        self.inner.ledger.borrow_mut().confirm_targets(at);
     }
 
     /// States whether this VM hears none of the others.
@@ -316,6 +317,7 @@
         service: &ServiceName,
         first: Option<&str>,
     ) -> Result<(ServiceName, VersionName), &'static str> {
+        let arrived_at = self.clock.uptime();
         let found = match first {
             Some(first) => timeout(LOOKUP_TIMEOUT, self.read_record(first)).await,
             None => Ok(Ok(None)),
@@ -326,24 +328,34 @@
             Ok(Ok(None)) if is_named => {}
             _ => {
                 // Without the record, only a version that was alone for long enough is certain.
-                let now = self.clock.uptime();
-                let sole = self.ledger.borrow().sole_version(service, now);
+                let sole = self.sole_version(service, arrived_at).await;
                 let sole = sole.map(|version| (service.clone(), version));
                 return sole.ok_or("the record of the stream cannot be read");
             }
         }
-        if let Some(version) = self.ledger.borrow().base(service) {
+        let base = || self.ledger.borrow().base(service, self.clock.uptime());
+        if let Some(version) = base() {
             return Ok((service.clone(), version));
         }
         // Without this, a VM that has just started would not know the base version.
         let read = timeout(LOOKUP_TIMEOUT, self.read_bases()).await;
-        let base = self.ledger.borrow().base(service);
-        match (read, base) {
+        match (read, base()) {
             (Ok(Ok(())), Some(version)) => Ok((service.clone(), version)),
             _ => Err("the base version of the service is not known"),
         }
     }
 
+    /// The only version that streams of the service had at `at`. Waits for a view of the registry that is no older.
+    async fn sole_version(&self, service: &ServiceName, at: Uptime) -> Option<VersionName> {
+        while !self.ledger.borrow().is_confirmed_since(at) {
+            if self.clock.uptime() >= at + LOOKUP_TIMEOUT {
+                return None;
+            }
+            sleep(VIEW_POLL_INTERVAL).await;
+        }
+        self.ledger.borrow().sole_version(service, at)
+    }
+
     async fn read_record(&self, id: &str) -> Result<Option<StreamRow>, StoreError> {
         let partition = partition_name(partition_of(id));
         let key = row_key(id);
--- a/crates/routing/src/versions.rs
+++ b/crates/routing/src/versions.rs
@@ -91,12 +91,16 @@
         self.retention = retention;
     }
 
-    /// Replaces the listed targets, given by service and version, with those known at `now`.
+    /// Replaces the listed targets, given by service and version, with those that the registry had at `now`. Views that are older
+    /// than the last one are ignored.
     pub fn set_targets<'a>(
         &mut self,
         targets: impl Iterator<Item = (&'a ServiceName, &'a VersionName)>,
         now: Uptime,
     ) {
+        if self.updated_at.is_some_and(|updated_at| now < updated_at) {
+            return;
+        }
         let has_gap = self
             .updated_at
             .is_some_and(|updated_at| now.saturating_sub(updated_at) >= VIEW_VALIDITY);
@@ -136,7 +140,7 @@
         self.services.retain(|_, known| is_remembered(known));
     }
 
-    /// Records that the listed targets are still the same at `now`.
+    /// Records that the registry still had the listed targets at `now`.
     pub fn confirm_targets(&mut self, now: Uptime) {
         let listed: Vec<(ServiceName, VersionName)> = self
             .services
@@ -241,20 +245,34 @@
         (is_listed && known.listed.len() > 1).then(|| base.clone())
     }
 
-    /// The base version of the service, if it is known.
+    /// The base version of the service at `now`, if it is known: it was just read, or the versions that it was read for are still
+    /// listed. Otherwise it may have changed unseen.
+    #[must_use]
+    pub fn base(&self, service: &ServiceName, now: Uptime) -> Option<VersionName> {
+        let known = self.services.get(service)?;
+        let is_recent = |at: Uptime| now.saturating_sub(at) < VIEW_VALIDITY;
+        let was_read = known
+            .base
+            .as_ref()
+            .is_some_and(|base| is_recent(base.read_at));
+        let is_current = self.updated_at.is_some_and(is_recent);
+        let base = known.confirmed_base().cloned();
+        base.filter(|_| was_read || is_current)
+    }
+
+    /// Whether this VM has had a view of the registry since `at`.
     #[must_use]
-    pub fn base(&self, service: &ServiceName) -> Option<VersionName> {
-        self.services.get(service)?.confirmed_base().cloned()
+    pub fn is_confirmed_since(&self, at: Uptime) -> bool {
+        self.updated_at.is_some_and(|updated_at| updated_at >= at)
     }
 
-    /// The version of every stream of the service that can be under way, if there has been only one.
+    /// The version of every stream of the service that was under way at `at`, if there has been only one. A view from before
+    /// says nothing: a version may have joined since, and have begun the stream through another VM.
     #[must_use]
-    pub fn sole_version(&self, service: &ServiceName, now: Uptime) -> Option<VersionName> {
+    pub fn sole_version(&self, service: &ServiceName, at: Uptime) -> Option<VersionName> {
         let known = self.services.get(service)?;
-        let is_current = self
-            .updated_at
-            .is_some_and(|updated_at| now.saturating_sub(updated_at) < VIEW_VALIDITY);
-        let has_watched = now.saturating_sub(known.known_since) >= self.retention;
+        let is_current = self.is_confirmed_since(at);
+        let has_watched = at.saturating_sub(known.known_since) >= self.retention;
         let versions: BTreeSet<&VersionName> = known.last_listed.keys().collect();
         let sole = versions.first().filter(|_| versions.len() == 1);
         sole.filter(|_| is_current && has_watched)
--- a/crates/routing/tests/all/stream_versions.rs
+++ b/crates/routing/tests/all/stream_versions.rs
@@ -158,8 +158,8 @@
             return;
         };
         // The row version that the VM read last decides; reads and changes are atomic here.
-        let is_known =
-            ledger.base(&self.service) == self.base.as_ref().map(|(version, _)| version.clone());
+        let is_known = ledger.base(&self.service, self.now)
+            == self.base.as_ref().map(|(version, _)| version.clone());
         if is_known {
             let number = self.base.as_ref().map_or(0, |(_, number)| *number);
             self.base = Some((next, number + 1));
@@ -213,7 +213,7 @@
         let ledger = &self.vms[vm].ledger;
         let found = if reaches_store {
             let record = self.records.get(&stream.id).cloned();
-            record.or_else(|| ledger.base(&self.service))
+            record.or_else(|| ledger.base(&self.service, self.now))
         } else {
             ledger.sole_version(&self.service, self.now)
         };
@@ -367,3 +367,41 @@
     ledger.set_targets(std::iter::empty(), now + RETENTION);
     assert_eq!(ledger.services().count(), 0);
 }
+
+/// Views of a VM that has seen only version 1 for long, and last at `last_seen`.
+fn old_view(last_seen: Uptime) -> VersionLedger {
+    let mut ledger = VersionLedger::new(RETENTION);
+    let service = ServiceName::from("llm");
+    let mut now = Duration::from_secs(80);
+    while now <= last_seen {
+        let version = VersionName::from("v1");
+        ledger.set_targets([(&service, &version)].into_iter(), now);
+        now += STEP;
+    }
+    ledger.confirm_base(&service, Some("v1".into()), Duration::from_secs(81));
+    ledger
+}
+
+/// Guards against a VM that was out of step for a moment and goes on at the only version that it has seen, with a stream that began
+/// meanwhile, through another VM, at a version that had just joined.
+#[test]
+fn missed_join() {
+    let service = ServiceName::from("llm");
+    let ledger = old_view(Duration::from_secs(100));
+    // The stream is taken up 1.5 s later, and its record cannot be read.
+    let arrived_at = Duration::from_millis(101_500);
+    assert_eq!(ledger.sole_version(&service, arrived_at), None);
+    let last_seen = Duration::from_secs(100);
+    let sole = ledger.sole_version(&service, last_seen);
+    assert_eq!(sole, Some("v1".into()));
+}
+
+/// Guards against a VM that has stood still, and takes a stream without a record for one of the base version that it knew before.
+#[test]
+fn missed_base() {
+    let service = ServiceName::from("llm");
+    let ledger = old_view(Duration::from_secs(100));
+    let base = |at: u64| ledger.base(&service, Duration::from_secs(at));
+    assert_eq!(base(101), Some("v1".into()));
+    assert_eq!(base(130), None);
+}
