Repeat refused requests on fresh connections

Cause: a refusal was matched by the id of the request alone, which repeats share; and one without an id was taken for the present request. The class: an answer matched by something that more than one send has.

Change: a request or item that a target has refused goes to it again only on a connection of its own, also when another VM forwards it.

--- a/crates/edge/src/forwarding.rs
+++ b/crates/edge/src/forwarding.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 use plantainmill_core::TargetId;
-use plantainmill_proxy::relay::{FORWARD_HEADER, ForwardRequest, ForwardVerdict};
+use plantainmill_proxy::relay::{FORWARD_HEADER, ForwardRequest, ForwardVerdict, REPEAT_HEADER};
 
 /// Sends the request of another VM to `target` and passes on the response.
 pub(crate) async fn forward(
@@ -21,6 +21,7 @@
     let path = request.uri().path_and_query();
     let forwarded = ForwardRequest {
         target,
+        is_repeat: request.headers().contains_key(REPEAT_HEADER),
         method: request.method().clone(),
         path: path.map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
         headers: end_to_end_headers(request.headers()),
@@ -70,7 +71,7 @@
     }))
 }
 
-/// The headers without those of the connection, and without the one that names the target.
+/// The headers without those of the connection and of the forwarding.
 fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     let hop_by_hop = hop_by_hop_headers(headers);
     let is_kept =
--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -25,6 +25,10 @@
     Skip(u64),
     /// Says that it did not run the request.
     Refuse,
+    /// The same, without the id of the request.
+    RefuseWithoutId,
+    /// Writes the last refusal on the connection once more, if there was one, and then runs the request and answers.
+    RepeatRefusal,
     /// Ran the request and fails with this status.
     Fail(u16),
     /// Runs the request and closes the connection without an answer.
@@ -212,6 +216,7 @@
 impl TargetState {
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut buffer = Vec::new();
+        let mut last_refusal = String::new();
         loop {
             let Some(request) = read_request(&mut stream, &mut buffer).await? else {
                 return Ok(());
@@ -227,7 +232,7 @@
             let act = planned.unwrap_or_else(|| self.default_act.get());
             let crashes = self.has_crash_marker(&request);
             self.seen.borrow_mut().push(SeenRequest {
-                ran: act != TargetAct::Refuse,
+                ran: !matches!(act, TargetAct::Refuse | TargetAct::RefuseWithoutId),
                 ..request
             });
             if crashes {
@@ -247,6 +252,13 @@
                     let refused = format!("{}: 1\r\n", self.names.not_executed);
                     let head = self.head(503, &id, &refused, "content-length: 0\r\n");
                     stream.write_all(head.as_bytes()).await?;
+                    last_refusal = head;
+                }
+                TargetAct::RefuseWithoutId => {
+                    let refused = format!("{}: 1\r\n", self.names.not_executed);
+                    let head = format!("HTTP/1.1 503 Any\r\n{refused}content-length: 0\r\n\r\n");
+                    stream.write_all(head.as_bytes()).await?;
+                    last_refusal = head;
                 }
                 TargetAct::Fail(status) => {
                     let head = self.head(status, &id, "", "content-length: 0\r\n");
@@ -266,6 +278,9 @@
                     self.send_events(&mut stream, "another", last, act).await?;
                 }
                 _ => {
+                    if act == TargetAct::RepeatRefusal {
+                        stream.write_all(last_refusal.as_bytes()).await?;
+                    }
                     self.running.set(self.running.get() + 1);
                     let _running = RunGuard(&self.running);
                     if !self.send_events(&mut stream, &id, last, act).await? {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -11,10 +11,11 @@
 };
 use plantainmill_dispatch::{CallOutcome, TargetTicket, TrafficClass};
 use plantainmill_proxy::relay::{
-    EventSplitter, RelayCall, RelayCaller, SendFailure, SendTrace, TargetResponse,
+    CallSend, EventSplitter, RelayCall, RelayCaller, SendFailure, SendTrace, TargetResponse,
     broken_body_outcome, check_order,
 };
 use plantainmill_routing::{DocumentView, RouteRule};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -65,6 +66,8 @@
     version: Option<VersionName>,
     failures: u32,
     excluded: Vec<TargetId>,
+    /// Targets that have refused the item.
+    refused_by: HashSet<TargetId>,
 }
 
 /// Outcome of one attempt.
@@ -93,6 +96,7 @@
         version: None,
         failures: 0,
         excluded: Vec::new(),
+        refused_by: HashSet::new(),
     };
     let state = runner.run().await;
     let output = match state {
@@ -248,6 +252,9 @@
                 self.context.caller.check_path(&ticket.target, &failure);
                 let is_preempted = failure.outcome == CallOutcome::Abandoned;
                 if !is_preempted {
+                    if failure.executed == Executed::No && failure.was_connected {
+                        self.refused_by.insert(ticket.target.clone());
+                    }
                     self.excluded.push(ticket.target.clone());
                 }
                 ticket.finish(failure.outcome);
@@ -268,7 +275,14 @@
         let remaining = self.job.expires_at.saturating_sub(now);
         let caller = self.context.caller.clone();
         let trace = SendTrace::default();
-        let send = caller.send(call, ticket, self.last_event, remaining, &trace);
+        let send = caller.send(CallSend {
+            call,
+            ticket,
+            last_event: self.last_event,
+            until: Instant::now() + remaining,
+            is_repeat: self.refused_by.contains(&ticket.target),
+            trace: &trace,
+        });
         let opened = timeout(IDLE_TIMEOUT, send).await;
         let mut response = opened.map_err(|_| idle_timeout().at(&trace))??;
         let first_byte = response.sent_at.elapsed();
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -155,6 +155,12 @@
     if !is_not_executed || head.status < 400 {
         return Ok(());
     }
+    // A target may write an earlier refusal once more. One that names no request is that of this one only if nothing was sent
+    // on the connection before.
+    if !head.headers.contains_key(REQUEST_ID_HEADER) && !mark.trace.has_connected() {
+        let reason = "the refusal names no request";
+        return Err(AttemptFailure::new(ResultCode::AnswerInvalid, reason));
+    }
     mark.set(Executed::No);
     let reason = format!("the target refused with status {}", head.status);
     let failure = AttemptFailure::new(ResultCode::TargetRefused, reason);
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -151,12 +151,18 @@
 
 /// One send of a call: to a target, to continue after an event.
 #[derive(Clone, Copy)]
-pub(super) struct CallSend<'a> {
+pub struct CallSend<'a> {
+    /// The call.
     pub call: &'a RelayCall,
+    /// Permission for this send, with its target.
     pub ticket: &'a TargetTicket,
     /// Last event that the caller already has.
     pub last_event: Option<u64>,
+    /// When the send is given up.
     pub until: Instant,
+    /// The target has refused the request before.
+    pub is_repeat: bool,
+    /// Where the progress is recorded.
     pub trace: &'a SendTrace,
 }
 
@@ -173,8 +179,14 @@
         send: CallSend<'_>,
     ) -> Result<TargetResponse, SendFailure> {
         send.trace.start(None);
-        let client = &self.shared.client;
-        let request = self.build_request(client, send, send.ticket.address)?;
+        let shared = &self.shared;
+        let request = if send.is_repeat {
+            // On the connection of the first send, the target may write its refusal once more.
+            let request = self.build_request(&shared.fresh_client, send, send.ticket.address)?;
+            request.force_close()
+        } else {
+            self.build_request(&shared.client, send, send.ticket.address)?
+        };
         let sent_at = Instant::now();
         let response = send_request(request, send).await?;
         let headers = response.headers();
@@ -250,8 +262,13 @@
             } else {
                 CallOutcome::Rejected
             };
-            // A refusal of another request says nothing about this one.
-            if echo.is_none_or(|echo| echo.as_bytes() == call.id.as_bytes()) {
+            // A refusal of another request says nothing about this one. One that names none can only be of this one if nothing
+            // was sent on the connection before.
+            let is_own = echo.map_or_else(
+                || send.trace.forwarder().is_none() && send.trace.has_connected(),
+                |echo| echo.as_bytes() == call.id.as_bytes(),
+            );
+            if is_own {
                 // Reading the short body to its end keeps the connection reusable.
                 let body = response.boxed_local();
                 actix_rt::spawn(body.for_each(|_| std::future::ready(())));
--- a/crates/proxy/src/relay/forward.rs
+++ b/crates/proxy/src/relay/forward.rs
@@ -23,6 +23,8 @@
 
 /// On a request, the target that it is for; on a response, where it comes from: a [`ForwardVerdict`].
 pub const FORWARD_HEADER: &str = "plantainmill-forward";
+/// Present on a request that its target has refused before.
+pub const REPEAT_HEADER: &str = "plantainmill-forward-repeat";
 /// Addresses of VMs in other failure domains, on the response of a VM that does not forward the request.
 const REFERRAL_HEADER: &str = "plantainmill-forward-peers";
 /// Largest number of VMs that are asked to forward one request.
@@ -87,6 +89,8 @@
 pub struct ForwardRequest {
     /// Target that it is for.
     pub target: TargetId,
+    /// The target has refused it before.
+    pub is_repeat: bool,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -165,7 +169,10 @@
         send.trace.start(Some(forwarder));
         let client = &self.shared.peer_client;
         let request = self.build_request(client, send, forwarder)?;
-        let request = request.insert_header((FORWARD_HEADER, send.ticket.target.as_str()));
+        let mut request = request.insert_header((FORWARD_HEADER, send.ticket.target.as_str()));
+        if send.is_repeat {
+            request = request.insert_header((REPEAT_HEADER, "1"));
+        }
         let sent_at = Instant::now();
         let response = send_request(request, send).await?;
         let headers = response.headers();
@@ -219,7 +226,12 @@
         let address = paths.address_of(target).ok_or(ForwardVerdict::Declined)?;
         let uri = Uri::try_from(format!("http://{address}{}", request.path))
             .map_err(|_| ForwardVerdict::Declined)?;
-        let mut forwarded = self.shared.client.request(request.method, uri);
+        let mut forwarded = if request.is_repeat {
+            let client = &self.shared.fresh_client;
+            client.request(request.method, uri).force_close()
+        } else {
+            self.shared.client.request(request.method, uri)
+        };
         *forwarded.headers_mut() = request.headers;
         let trace = SendTrace::default();
         let forwarded = forwarded.address(address).no_decompress();
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -2,7 +2,7 @@
 
 use super::call::{HeaderNames, RelayCall, RelayLimits};
 use super::events::{EventSplitter, check_order};
-use super::exchange::{SendFailure, TargetResponse, broken_body_outcome};
+use super::exchange::{CallSend, SendFailure, TargetResponse, broken_body_outcome};
 use super::recorder::StreamRecorder;
 use super::send::PathProbes;
 use super::stream::RelayStream;
@@ -44,6 +44,8 @@
 pub(super) struct RelayShared {
     /// Client for targets.
     pub client: awc::Client,
+    /// Client for targets that opens a connection for each request.
+    pub fresh_client: awc::Client,
     /// Client for VMs that forward requests.
     pub peer_client: awc::Client,
     pub dispatcher: Arc<dyn Dispatcher>,
@@ -184,6 +186,7 @@
         RelayCaller {
             shared: Rc::new(RelayShared {
                 client: strict_client(),
+                fresh_client: strict_client(),
                 peer_client: client_with_dialer(Rc::new(TcpDialer), PATH_CONNECT_TIMEOUT),
                 dispatcher,
                 clock,
@@ -207,6 +210,7 @@
     pub fn with_paths(self, paths: TargetPaths, dialer: Rc<dyn TargetDialer>) -> RelayCaller {
         self.rebuild(|shared| {
             shared.client = client_with_dialer(Rc::clone(&dialer), PATH_CONNECT_TIMEOUT);
+            shared.fresh_client = client_with_dialer(Rc::clone(&dialer), PATH_CONNECT_TIMEOUT);
             shared.paths = Some(Rc::new(PathProbes::new(paths, dialer)));
         })
     }
@@ -215,6 +219,7 @@
         let shared = &self.shared;
         let mut rebuilt = RelayShared {
             client: shared.client.clone(),
+            fresh_client: shared.fresh_client.clone(),
             peer_client: shared.peer_client.clone(),
             dispatcher: Arc::clone(&shared.dispatcher),
             clock: Arc::clone(&shared.clock),
@@ -379,8 +384,14 @@
             }
             failure.at(&trace)
         };
-        let left = self.time_left(call.deadline);
-        let send = self.send(call, ticket, last_event, left, &trace);
+        let send = self.send(CallSend {
+            call,
+            ticket,
+            last_event,
+            until,
+            is_repeat: progress.excluded.contains(&ticket.target),
+            trace: &trace,
+        });
         let mut response = timeout_at(silence_deadline, send)
             .await
             .map_err(|_| silence_failure())??;
@@ -494,7 +505,14 @@
         let left = self.time_left(call.deadline);
         let until = Instant::now() + left;
         let trace = SendTrace::default();
-        let send = self.send(call, ticket, call.last_event, left, &trace);
+        let send = self.send(CallSend {
+            call,
+            ticket,
+            last_event: call.last_event,
+            until,
+            is_repeat: progress.excluded.contains(&ticket.target),
+            trace: &trace,
+        });
         let mut response = send.await?;
         let body = self.read_full_body(&mut response, until).await?;
         progress.check_status(response.status)?;
--- a/crates/proxy/src/relay/send.rs
+++ b/crates/proxy/src/relay/send.rs
@@ -1,20 +1,17 @@
 //! Chooses the path of a send, and finds out which paths are open.
 
-use super::call::RelayCall;
 use super::exchange::{CallSend, SendFailure, TargetResponse};
 use super::open::RelayCaller;
 use crate::limits::PATH_CONNECT_TIMEOUT;
-use crate::send_trace::SendTrace;
 use crate::transport::TargetDialer;
 use plantainmill_core::{Problem, ResultCode, TargetId};
-use plantainmill_dispatch::TargetTicket;
 use plantainmill_paths::{ForwardResult, SendRoute, TargetPaths};
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 /// Retry-After of a request that this VM cannot send. Another VM probably can.
 const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -60,30 +57,16 @@
 }
 
 impl RelayCaller {
-    /// Sends `call` to the target of `ticket`, to continue after `last_event`. Records in `trace` how far it has got.
+    /// Sends a call to the target of its ticket, on the path that is open.
     ///
     /// # Errors
     ///
     /// The failure states whether that target may have executed the request.
-    pub async fn send(
-        &self,
-        call: &RelayCall,
-        ticket: &TargetTicket,
-        last_event: Option<u64>,
-        time_left: Duration,
-        trace: &SendTrace,
-    ) -> Result<TargetResponse, SendFailure> {
-        let send = CallSend {
-            call,
-            ticket,
-            last_event,
-            until: Instant::now() + time_left,
-            trace,
-        };
+    pub async fn send(&self, send: CallSend<'_>) -> Result<TargetResponse, SendFailure> {
         let Some(probes) = &self.shared.paths else {
             return self.send_direct(send).await;
         };
-        let (paths, target) = (&probes.paths, &ticket.target);
+        let (paths, target, trace) = (&probes.paths, &send.ticket.target, send.trace);
         probes.probe_due(target);
         match paths.route(target) {
             SendRoute::Direct => {}
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -32,6 +32,10 @@
 
 impl Fleet {
     async fn start(count: usize) -> Fleet {
+        Fleet::with_sends(count, RelayLimits::default().max_sends).await
+    }
+
+    async fn with_sends(count: usize, max_sends: u32) -> Fleet {
         let mut targets = Vec::new();
         for _ in 0..count {
             targets.push(StreamTarget::start(NAMES, EVENTS).await.expect("a port"));
@@ -48,6 +52,7 @@
         let limits = RelayLimits {
             min_first_event_timeout: Duration::from_millis(150),
             min_event_gap: Duration::from_millis(150),
+            max_sends,
             ..RelayLimits::default()
         };
         let clock = Arc::new(SystemClock);
@@ -205,6 +210,44 @@
     assert_eq!(fleet.sends(), 1);
 }
 
+/// Guards against a target that writes an earlier refusal once more on a kept connection: a request that it runs is sent again, or its
+/// caller is told that it did not run. The earlier refusal is of the same request, of another one, or names none.
+#[rstest]
+#[case::same_request(TargetAct::Refuse, &["r1"], 4, true)]
+#[case::same_buffered(TargetAct::Refuse, &["r1"], 4, false)]
+#[case::other_request(TargetAct::Refuse, &["r2", "r1"], 1, true)]
+#[case::no_request(TargetAct::RefuseWithoutId, &["r2", "r1"], 1, true)]
+#[actix_rt::test]
+async fn repeated_refusal(
+    #[case] refusal: TargetAct,
+    #[case] ids: &[&str],
+    #[case] max_sends: u32,
+    #[case] is_stream: bool,
+) {
+    let fleet = Fleet::with_sends(1, max_sends).await;
+    let target = &fleet.targets[0];
+    target.plan([refusal, TargetAct::RepeatRefusal, TargetAct::Serve]);
+    let mut last = None;
+    for id in ids {
+        let call = RelayCall {
+            id: (*id).into(),
+            is_stream,
+            ..call(false)
+        };
+        last = Some(read_response(&fleet, call).await);
+        // The backoff from the target is over by then.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let seen = target.seen();
+    let runs = seen
+        .iter()
+        .filter(|request| request.ran && request.headers[NAMES.request_id] == "r1");
+    assert_eq!(runs.count(), 1);
+    if let Some(Err(problem)) = last {
+        assert_ne!(problem.executed, Executed::No, "{}", problem.reason);
+    }
+}
+
 /// Guards against a stream without a length whose target crashed before its first event, and that passes for a complete
 /// one without events.
 #[actix_rt::test]
