--- a/crates/soak/src/target_fleet.rs
+++ b/crates/soak/src/target_fleet.rs
@@ -120,13 +120,14 @@
         self.current(position).target.clone()
     }
 
-    /// Drains a target: marks its entry, lets it serve for `DRAIN_TIME`, then replaces it.
+    /// Drains a target: marks its entry and its answers, lets it serve for `DRAIN_TIME`, then replaces it.
     pub async fn drain(&self, position: usize) -> anyhow::Result<()> {
         let target = self.current(position);
         if target.is_stopping.replace(true) {
             return Ok(());
         }
         target.proxy.set_mode(LinkMode::Open);
+        target.target.set_leaving(true);
         self.operator.write_target(&target.id, &target.plan(true));
         let draining_at = Instant::now();
         let id = target.id.clone();
