--- a/crates/paths/src/forwarders.rs
+++ b/crates/paths/src/forwarders.rs
@@ -13,7 +13,7 @@
 /// Time for which a VM that does not accept connections is not asked again.
 const FAILED_PAUSE: Duration = Duration::from_secs(2);
 /// Time for which no VM is asked after all that were asked for one request were isolated or failed.
-const VAIN_PAUSE: Duration = Duration::from_millis(100);
+const EXHAUSTED_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which a VM is preferred because it has forwarded a request.
 const PREFERENCE_TIME: Duration = Duration::from_secs(5);
 /// Time for which a VM is asked last because a request that it took got no answer. Its target may be the cause.
@@ -145,9 +145,9 @@
         }
     }
 
-    /// Records that no VM that was asked for one request has paths.
-    pub fn record_vain(&mut self, now: Uptime) {
-        self.paused_until = now + VAIN_PAUSE;
+    /// Records that none of the VMs that were asked for one request has paths.
+    pub fn record_exhausted(&mut self, now: Uptime) {
+        self.paused_until = now + EXHAUSTED_PAUSE;
     }
 
     /// Whether any VM may be asked.
--- a/crates/paths/src/handle.rs
+++ b/crates/paths/src/handle.rs
@@ -145,9 +145,9 @@
         self.lock().record_forward(address, result, self.now());
     }
 
-    /// Records that no VM that was asked for one request has paths of its own.
-    pub fn record_vain(&self) {
-        self.lock().record_vain(self.now());
+    /// Records that none of the VMs that were asked for one request has paths of its own.
+    pub fn record_exhausted(&self) {
+        self.lock().record_exhausted(self.now());
     }
 
     /// Number of targets to which the path is lost.
--- a/crates/paths/src/table.rs
+++ b/crates/paths/src/table.rs
@@ -25,7 +25,7 @@
     /// Through another VM.
     Forwarded,
     /// Not at all: the VM is isolated, and no other VM forwards its requests.
-    None,
+    Unreachable,
 }
 
 /// A change that is logged.
@@ -109,7 +109,7 @@
         }
         match (self.forwarders.has_usable(now), is_isolated) {
             (true, _) => SendRoute::Forwarded,
-            (false, true) => SendRoute::None,
+            (false, true) => SendRoute::Unreachable,
             // What a single target does not accept is up to it.
             (false, false) => SendRoute::Direct,
         }
@@ -151,9 +151,9 @@
         self.forwarders.record(address, result, now);
     }
 
-    /// Records that no VM that was asked for one request has paths of its own.
-    pub fn record_vain(&mut self, now: Uptime) {
-        self.forwarders.record_vain(now);
+    /// Records that none of the VMs that were asked for one request has paths of its own.
+    pub fn record_exhausted(&mut self, now: Uptime) {
+        self.forwarders.record_exhausted(now);
     }
 
     /// The target to connect to in order to find out whether a path is open again, if it is time to. That is `target` itself, or,
--- a/crates/paths/tests/all/large_fleet.rs
+++ b/crates/paths/tests/all/large_fleet.rs
@@ -78,7 +78,7 @@
                 let is_isolated = self.tables[vm].is_isolated(now);
                 self.forward(vm, number, now) || !is_isolated && self.connect(vm, number, now)
             }
-            SendRoute::None => false,
+            SendRoute::Unreachable => false,
         }
     }
 
@@ -107,7 +107,7 @@
                 return true;
             }
         }
-        self.tables[vm].record_vain(now);
+        self.tables[vm].record_exhausted(now);
         false
     }
 
@@ -159,6 +159,6 @@
     for vm in 0..VMS {
         fleet.send(vm, 0, millis(4_000));
         let route = fleet.tables[vm].route(&target(1), millis(4_000));
-        assert_eq!(route, SendRoute::None, "VM {vm}");
+        assert_eq!(route, SendRoute::Unreachable, "VM {vm}");
     }
 }
--- a/crates/paths/tests/all/lost_paths.rs
+++ b/crates/paths/tests/all/lost_paths.rs
@@ -112,7 +112,7 @@
     // What a single target does not accept is up to it.
     assert_eq!(table.route(&target(0), millis(2)), SendRoute::Direct);
     lose(&mut table, 1..3, millis(3));
-    assert_eq!(table.route(&target(9), millis(4)), SendRoute::None);
+    assert_eq!(table.route(&target(9), millis(4)), SendRoute::Unreachable);
     assert!(table.is_unreachable(millis(4)));
     assert_eq!(table.route(&target(9), millis(2_001)), SendRoute::Forwarded);
 }
--- a/crates/proxy/src/relay/forward.rs
+++ b/crates/proxy/src/relay/forward.rs
@@ -131,7 +131,7 @@
         direct: Option<SendFailure>,
     ) -> Result<TargetResponse, SendFailure> {
         let mut asked: Vec<SocketAddr> = Vec::new();
-        let mut is_vain = true;
+        let mut has_only_isolated = true;
         while asked.len() < MAX_FORWARDERS {
             let mut candidates = paths.forwarders().into_iter();
             let Some(forwarder) = candidates.find(|address| !asked.contains(address)) else {
@@ -147,11 +147,11 @@
                 Err(failure) if failure.is_unsent() => ForwardResult::Failed,
                 Err(failure) => return Err(failure),
             };
-            is_vain &= result != ForwardResult::Declined;
+            has_only_isolated &= result != ForwardResult::Declined;
             paths.record_forward(forwarder, result);
         }
-        if is_vain {
-            paths.record_vain();
+        if has_only_isolated {
+            paths.record_exhausted();
         }
         Err(direct.unwrap_or_else(|| {
             let reason = format!("none of {} VMs reaches the target", asked.len());
--- a/crates/proxy/src/relay/send.rs
+++ b/crates/proxy/src/relay/send.rs
@@ -77,7 +77,7 @@
                     return result;
                 }
             }
-            SendRoute::None => {
+            SendRoute::Unreachable => {
                 let reason = "no path to the target, and no VM that forwards the request";
                 return Err(SendFailure::unreachable(reason));
             }
--- a/crates/proxy/src/transport.rs
+++ b/crates/proxy/src/transport.rs
@@ -44,7 +44,7 @@
 
 /// Ends a connection whose other side acknowledges nothing, also while neither side sends. A target that is silent is not
 /// affected, because its system acknowledges.
-fn limit_silence(stream: &TcpStream) -> io::Result<()> {
+fn detect_dead_peer(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_DELAY)
@@ -62,7 +62,7 @@
         async move {
             let stream = TcpStream::connect(address).await?;
             stream.set_nodelay(true)?;
-            limit_silence(&stream)?;
+            detect_dead_peer(&stream)?;
             Ok(stream)
         }
         .boxed_local()
