--- a/review/harness.rs
+++ b/review/harness.rs
@@ -44,7 +44,10 @@
 impl Json {
     pub fn get(&self, name: &str) -> &Json {
         match self {
-            Json::Obj(fields) => fields.iter().find(|(n, _)| n == name).map_or(&Json::Null, |(_, v)| v),
+            Json::Obj(fields) => fields
+                .iter()
+                .find(|(n, _)| n == name)
+                .map_or(&Json::Null, |(_, v)| v),
             _ => &Json::Null,
         }
     }
@@ -52,7 +55,11 @@
         if let Json::Str(s) = self { s } else { "" }
     }
     pub fn num(&self) -> Option<f64> {
-        if let Json::Num(n) = self { Some(*n) } else { None }
+        if let Json::Num(n) = self {
+            Some(*n)
+        } else {
+            None
+        }
     }
     pub fn arr(&self) -> &[Json] {
         if let Json::Arr(a) = self { a } else { &[] }
@@ -90,7 +97,9 @@
             Json::Arr(a) => {
                 out.push('[');
                 for (i, v) in a.iter().enumerate() {
-                    if i > 0 { out.push(','); }
+                    if i > 0 {
+                        out.push(',');
+                    }
                     v.write(out);
                 }
                 out.push(']');
@@ -98,7 +107,9 @@
             Json::Obj(o) => {
                 out.push('{');
                 for (i, (n, v)) in o.iter().enumerate() {
-                    if i > 0 { out.push(','); }
+                    if i > 0 {
+                        out.push(',');
+                    }
                     Json::Str(n.clone()).write(out);
                     out.push(':');
                     v.write(out);
@@ -121,7 +132,9 @@
         }
     }
     fn eat(&mut self, word: &str) -> Option<()> {
-        self.t[self.i..].starts_with(word.as_bytes()).then(|| self.i += word.len())
+        self.t[self.i..]
+            .starts_with(word.as_bytes())
+            .then(|| self.i += word.len())
     }
     fn value(&mut self) -> Option<Json> {
         self.space();
@@ -135,8 +148,14 @@
                 let mut a = Vec::new();
                 loop {
                     self.space();
-                    if self.t.get(self.i)? == &b']' { self.i += 1; return Some(Json::Arr(a)); }
-                    if self.t[self.i] == b',' { self.i += 1; continue; }
+                    if self.t.get(self.i)? == &b']' {
+                        self.i += 1;
+                        return Some(Json::Arr(a));
+                    }
+                    if self.t[self.i] == b',' {
+                        self.i += 1;
+                        continue;
+                    }
                     a.push(self.value()?);
                 }
             }
@@ -145,8 +164,14 @@
                 let mut o = Vec::new();
                 loop {
                     self.space();
-                    if self.t.get(self.i)? == &b'}' { self.i += 1; return Some(Json::Obj(o)); }
-                    if self.t[self.i] == b',' { self.i += 1; continue; }
+                    if self.t.get(self.i)? == &b'}' {
+                        self.i += 1;
+                        return Some(Json::Obj(o));
+                    }
+                    if self.t[self.i] == b',' {
+                        self.i += 1;
+                        continue;
+                    }
                     let n = self.string()?;
                     self.space();
                     self.eat(":")?;
@@ -158,7 +183,11 @@
                 while self.i < self.t.len() && b"+-.eE0123456789".contains(&self.t[self.i]) {
                     self.i += 1;
                 }
-                std::str::from_utf8(&self.t[from..self.i]).ok()?.parse().ok().map(Json::Num)
+                std::str::from_utf8(&self.t[from..self.i])
+                    .ok()?
+                    .parse()
+                    .ok()
+                    .map(Json::Num)
             }
         }
     }
@@ -208,7 +237,9 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for c in bytes.chunks(3) {
-        let v = (u32::from(c[0]) << 16) | (u32::from(*c.get(1).unwrap_or(&0)) << 8) | u32::from(*c.get(2).unwrap_or(&0));
+        let v = (u32::from(c[0]) << 16)
+            | (u32::from(*c.get(1).unwrap_or(&0)) << 8)
+            | u32::from(*c.get(2).unwrap_or(&0));
         for k in 0..4 {
             if k <= c.len() {
                 out.push(B64[(v >> (18 - 6 * k)) as usize & 63] as char);
@@ -250,7 +281,10 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> &str {
-        self.headers.iter().find(|(n, _)| n == name).map_or("", |(_, v)| v)
+        self.headers
+            .iter()
+            .find(|(n, _)| n == name)
+            .map_or("", |(_, v)| v)
     }
 }
 
@@ -263,7 +297,7 @@
     let mut out = Vec::new();
     let mut i = 0;
     while i < b.len() {
-        if b[i] == b'%' && i + 2 < b.len() + 0 && b.len() >= i + 3 {
+        if b[i] == b'%' && b.len() >= i + 3 {
             if let Ok(v) = u8::from_str_radix(&text[i + 1..i + 3], 16) {
                 out.push(v);
                 i += 3;
@@ -276,7 +310,10 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
-fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<(String, Vec<(String, String)>)> {
+fn read_head(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> Option<(String, Vec<(String, String)>)> {
     loop {
         if let Some(end) = find(buffer, b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
@@ -305,12 +342,21 @@
 }
 
 fn header_of<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    headers
+        .iter()
+        .find(|(n, _)| n == name)
+        .map(|(_, v)| v.as_str())
 }
 
 /// Reads a body by its length or its chunks. The flag says whether its end was marked and reached.
-fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, headers: &[(String, String)], to_end: bool) -> (Vec<u8>, bool) {
-    if let Some(length) = header_of(headers, "content-length").and_then(|v| v.parse::<usize>().ok()) {
+fn read_body(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    headers: &[(String, String)],
+    to_end: bool,
+) -> (Vec<u8>, bool) {
+    if let Some(length) = header_of(headers, "content-length").and_then(|v| v.parse::<usize>().ok())
+    {
         while buffer.len() < length {
             if fill(stream, buffer).is_none() {
                 return (std::mem::take(buffer), false);
@@ -322,13 +368,21 @@
         let mut body = Vec::new();
         loop {
             let end = loop {
-                if let Some(end) = find(buffer, b"\r\n") { break end; }
-                if fill(stream, buffer).is_none() { return (body, false); }
+                if let Some(end) = find(buffer, b"\r\n") {
+                    break end;
+                }
+                if fill(stream, buffer).is_none() {
+                    return (body, false);
+                }
             };
             let size = String::from_utf8_lossy(&buffer[..end]).trim().to_owned();
-            let Ok(size) = usize::from_str_radix(&size, 16) else { return (body, false) };
+            let Ok(size) = usize::from_str_radix(&size, 16) else {
+                return (body, false);
+            };
             while buffer.len() < end + 2 + size + 2 {
-                if fill(stream, buffer).is_none() { return (body, false); }
+                if fill(stream, buffer).is_none() {
+                    return (body, false);
+                }
             }
             body.extend_from_slice(&buffer[end + 2..end + 2 + size]);
             buffer.drain(..end + 2 + size + 2);
@@ -357,7 +411,13 @@
         .collect();
     let path = path.to_owned();
     let (body, whole) = read_body(stream, buffer, &headers, false);
-    whole.then_some(Request { method, path, query, headers, body })
+    whole.then_some(Request {
+        method,
+        path,
+        query,
+        headers,
+        body,
+    })
 }
 
 pub struct Answer {
@@ -374,7 +434,14 @@
 }
 
 /// One call on a new channel. `None` if no answer came in time.
-pub fn call(address: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8], limit: Duration) -> Option<Answer> {
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    limit: Duration,
+) -> Option<Answer> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
@@ -396,7 +463,12 @@
             continue;
         }
         let (body, whole) = read_body(&mut stream, &mut buffer, &headers, true);
-        return Some(Answer { status, headers, body, whole });
+        return Some(Answer {
+            status,
+            headers,
+            body,
+            whole,
+        });
     }
 }
 
@@ -437,7 +509,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the store");
         let store = Arc::new(Store {
             address: listener.local_addr().expect("an address"),
-            state: Mutex::new(StoreState { rows: BTreeMap::new(), log: Vec::new(), version: 1, mode: StoreMode::Sound }),
+            state: Mutex::new(StoreState {
+                rows: BTreeMap::new(),
+                log: Vec::new(),
+                version: 1,
+                mode: StoreMode::Sound,
+            }),
             changed: Condvar::new(),
             record: Arc::clone(record),
             refused_for_size: AtomicU64::new(0),
@@ -519,7 +596,9 @@
     }
 
     fn transact(&self, request: &Request) -> (u16, Json) {
-        let Some(call) = Json::parse(&request.body) else { return (400, Json::Null) };
+        let Some(call) = Json::parse(&request.body) else {
+            return (400, Json::Null);
+        };
         let expected = call.get("ExpectedRev").arr();
         let puts = call.get("Put").arr();
         let removes = call.get("Remove").arr();
@@ -529,7 +608,13 @@
             self.record.line(&format!("store: a transaction of {entries} entries and {} bytes is refused: at most 100 entries and 1 MB", request.body.len()));
             return (413, Json::Null);
         }
-        let key = |e: &Json| (e.get("Table").str().to_owned(), e.get("part").str().to_owned(), e.get("Key").str().to_owned());
+        let key = |e: &Json| {
+            (
+                e.get("Table").str().to_owned(),
+                e.get("part").str().to_owned(),
+                e.get("Key").str().to_owned(),
+            )
+        };
         for put in puts {
             if put.get("Value").str().len() > 65_536 {
                 return (400, Json::Null);
@@ -554,7 +639,14 @@
                 let (value, version) = state.rows.get(&key)?;
                 Some(wire_row(&key, Some(value), *version))
             });
-            return (412, obj(vec![("Rows", Json::Arr(rows.collect())), ("Ver", n(state.version)), ("NowMs", self.now_ms())]));
+            return (
+                412,
+                obj(vec![
+                    ("Rows", Json::Arr(rows.collect())),
+                    ("Ver", n(state.version)),
+                    ("NowMs", self.now_ms()),
+                ]),
+            );
         }
         state.version += 1;
         let version = state.version;
@@ -568,7 +660,10 @@
             state.log.push((version, key(remove), None));
         }
         self.changed.notify_all();
-        (200, obj(vec![("Ver", n(version)), ("NowMs", self.now_ms())]))
+        (
+            200,
+            obj(vec![("Ver", n(version)), ("NowMs", self.now_ms())]),
+        )
     }
 
     fn read(&self, request: &Request) -> (u16, Json) {
@@ -589,14 +684,23 @@
             bytes += value.len();
             rows.push(wire_row(key, Some(value), *version));
         }
-        (200, obj(vec![("Rows", Json::Arr(rows)), ("HasMore", Json::Bool(more)), ("Ver", n(state.version)), ("NowMs", self.now_ms())]))
+        (
+            200,
+            obj(vec![
+                ("Rows", Json::Arr(rows)),
+                ("HasMore", Json::Bool(more)),
+                ("Ver", n(state.version)),
+                ("NowMs", self.now_ms()),
+            ]),
+        )
     }
 
     fn feed(&self, request: &Request) -> (u16, Json) {
         let field = |name: &str| request.query.get(name).cloned().unwrap_or_default();
         let table = field("Table");
         let after: u64 = field("After").parse().unwrap_or(0);
-        let until = Instant::now() + Duration::from_millis(field("WaitMs").parse().unwrap_or(0).min(30_000));
+        let until = Instant::now()
+            + Duration::from_millis(field("WaitMs").parse().unwrap_or(0).min(30_000));
         let mut state = self.state.lock().unwrap();
         loop {
             if state.mode == StoreMode::Busy {
@@ -610,7 +714,14 @@
                 .collect();
             let now = Instant::now();
             if !rows.is_empty() || now >= until {
-                return (200, obj(vec![("Rows", Json::Arr(rows)), ("Ver", n(state.version)), ("NowMs", self.now_ms())]));
+                return (
+                    200,
+                    obj(vec![
+                        ("Rows", Json::Arr(rows)),
+                        ("Ver", n(state.version)),
+                        ("NowMs", self.now_ms()),
+                    ]),
+                );
             }
             state = self.changed.wait_timeout(state, until - now).unwrap().0;
         }
@@ -618,7 +729,11 @@
 }
 
 fn wire_row(key: &Key, value: Option<&String>, version: u64) -> Json {
-    let mut row = vec![("Table", s(&key.0)), ("part", s(&key.1)), ("Key", s(&key.2))];
+    let mut row = vec![
+        ("Table", s(&key.0)),
+        ("part", s(&key.1)),
+        ("Key", s(&key.2)),
+    ];
     match value {
         Some(value) => row.push(("Value", s(value))),
         None => row.push(("Deleted", Json::Bool(true))),
@@ -633,7 +748,11 @@
 #[derive(Clone, Debug)]
 pub enum Work {
     /// Streams events of `bytes` bytes of data, one each `pause`, from the first one or after `Last-Event-Id`.
-    Events { count: u64, bytes: usize, pause: Duration },
+    Events {
+        count: u64,
+        bytes: usize,
+        pause: Duration,
+    },
     /// Fails at once with status 500. `extra_late`: the same answer comes once more, at the point where the next response on
     /// the channel is expected.
     Fail { extra_late: bool },
@@ -676,8 +795,22 @@
 
 impl Replicas {
     /// Starts `count` replicas of a service with `slots` slots each, and keeps their entries in the store fresh.
-    pub fn start(store: &Arc<Store>, record: &Arc<Record>, service: &'static str, count: usize, slots: usize, work_of: Box<WorkOf>) -> Arc<Replicas> {
-        let ids: Vec<String> = (0..count).map(|k| format!("i-{service}{:08x}", 0x7f3a_91c2_u32.wrapping_add(k as u32 * 7919))).collect();
+    pub fn start(
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+        service: &'static str,
+        count: usize,
+        slots: usize,
+        work_of: Box<WorkOf>,
+    ) -> Arc<Replicas> {
+        let ids: Vec<String> = (0..count)
+            .map(|k| {
+                format!(
+                    "i-{service}{:08x}",
+                    0x7f3a_91c2_u32.wrapping_add(k as u32 * 7919)
+                )
+            })
+            .collect();
         let replicas = Arc::new(Replicas {
             ids: ids.clone(),
             runs: Mutex::default(),
@@ -689,7 +822,9 @@
             stamp: AtomicU64::new(1),
             stopped: AtomicBool::new(false),
         });
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |d| d.as_millis() as u64);
         for id in ids {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a port for a replica");
             let address = listener.local_addr().expect("an address");
@@ -703,8 +838,14 @@
             let (store, replicas) = (Arc::clone(store), Arc::clone(&replicas));
             let entry = move |sequence: u64| {
                 obj(vec![
-                    ("Service", s(service)), ("Address", s(&address.to_string())), ("Zone", s("a")), ("Version", s("v1")),
-                    ("Slots", n(replicas.slots as u64)), ("State", s("ready")), ("ColdLeftMs", n(0)), ("Sequence", n(sequence)),
+                    ("Service", s(service)),
+                    ("Address", s(&address.to_string())),
+                    ("Zone", s("a")),
+                    ("Version", s("v1")),
+                    ("Slots", n(replicas.slots as u64)),
+                    ("State", s("ready")),
+                    ("ColdLeftMs", n(0)),
+                    ("Sequence", n(sequence)),
                     ("born", n(born)),
                 ])
             };
@@ -732,7 +873,11 @@
                 return;
             }
             let id = request.header("x-plantainmill-request-id").to_owned();
-            let refuse = |status: u16| format!("HTTP/1.1 {status} Any\r\nX-Plantainmill-Not-Executed: 1\r\nX-Plantainmill-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            let refuse = |status: u16| {
+                format!(
+                    "HTTP/1.1 {status} Any\r\nX-Plantainmill-Not-Executed: 1\r\nX-Plantainmill-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                )
+            };
             let expected = request.header("x-plantainmill-expect-instance");
             if !expected.is_empty() && expected != name {
                 let _ = stream.write_all(refuse(421).as_bytes());
@@ -744,35 +889,72 @@
             }
             let arrived_ms = self.record.ms();
             if !self.take_slot(&stream, name) {
-                self.record.line(&format!("replica {name}: {id} left before it ran"));
+                self.record
+                    .line(&format!("replica {name}: {id} left before it ran"));
                 return;
             }
-            let attempt = self.runs.lock().unwrap().iter().filter(|run| run.id == id).count() + 1;
+            let attempt = self
+                .runs
+                .lock()
+                .unwrap()
+                .iter()
+                .filter(|run| run.id == id)
+                .count()
+                + 1;
             let from = request.header("last-event-id").to_owned();
             let position = {
                 let mut runs = self.runs.lock().unwrap();
-                runs.push(Run { replica: name.to_owned(), id: id.clone(), from: from.clone(), arrived_ms, began_ms: self.record.ms(), ended: None });
+                runs.push(Run {
+                    replica: name.to_owned(),
+                    id: id.clone(),
+                    from: from.clone(),
+                    arrived_ms,
+                    began_ms: self.record.ms(),
+                    ended: None,
+                });
                 runs.len() - 1
             };
-            self.record.line(&format!("replica {name}: runs {id}, run {attempt}, after event '{from}'"));
+            self.record.line(&format!(
+                "replica {name}: runs {id}, run {attempt}, after event '{from}'"
+            ));
             // A late extra answer comes where the next response on this channel is expected.
             if let Some(extra) = late.take() {
-                self.record.line(&format!("replica {name}: writes the earlier answer once more, before that of {id}"));
+                self.record.line(&format!(
+                    "replica {name}: writes the earlier answer once more, before that of {id}"
+                ));
                 let _ = stream.write_all(&extra);
             }
             let end = match (self.work_of)(&request, attempt) {
-                Work::Events { count, bytes, pause } => self.stream_events(&mut stream, &id, from.parse().unwrap_or(0), count, bytes, pause),
+                Work::Events {
+                    count,
+                    bytes,
+                    pause,
+                } => self.stream_events(
+                    &mut stream,
+                    &id,
+                    from.parse().unwrap_or(0),
+                    count,
+                    bytes,
+                    pause,
+                ),
                 Work::Fail { extra_late } => {
                     let stamp = self.stamp.fetch_add(1, Ordering::SeqCst);
-                    let text = format!("HTTP/1.1 500 Any\r\nX-Plantainmill-Request-Id: {id}\r\nX-Plantainmill-Server-Stamp: {stamp:x}\r\nContent-Length: 6\r\n\r\nfailed");
+                    let text = format!(
+                        "HTTP/1.1 500 Any\r\nX-Plantainmill-Request-Id: {id}\r\nX-Plantainmill-Server-Stamp: {stamp:x}\r\nContent-Length: 6\r\n\r\nfailed"
+                    );
                     let written = stream.write_all(text.as_bytes());
                     if extra_late {
                         late = Some(text.into_bytes());
                     }
-                    if written.is_ok() { "500".to_owned() } else { "cut".to_owned() }
+                    if written.is_ok() {
+                        "500".to_owned()
+                    } else {
+                        "cut".to_owned()
+                    }
                 }
             };
-            self.record.line(&format!("replica {name}: {id}, run {attempt}, ends: {end}"));
+            self.record
+                .line(&format!("replica {name}: {id}, run {attempt}, ends: {end}"));
             self.runs.lock().unwrap()[position].ended = Some((self.record.ms(), end.clone()));
             self.free_slot(name);
             if end == "cut" {
@@ -790,7 +972,11 @@
                 *count += 1;
                 return true;
             }
-            busy = self.freed.wait_timeout(busy, Duration::from_millis(20)).unwrap().0;
+            busy = self
+                .freed
+                .wait_timeout(busy, Duration::from_millis(20))
+                .unwrap()
+                .0;
             if is_closed(stream) {
                 return false;
             }
@@ -798,11 +984,24 @@
     }
 
     fn free_slot(&self, name: &str) {
-        *self.busy.lock().unwrap().entry(name.to_owned()).or_default() -= 1;
+        *self
+            .busy
+            .lock()
+            .unwrap()
+            .entry(name.to_owned())
+            .or_default() -= 1;
         self.freed.notify_all();
     }
 
-    fn stream_events(&self, stream: &mut TcpStream, id: &str, after: u64, count: u64, bytes: usize, pause: Duration) -> String {
+    fn stream_events(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        after: u64,
+        count: u64,
+        bytes: usize,
+        pause: Duration,
+    ) -> String {
         let stamp = self.stamp.fetch_add(1, Ordering::SeqCst);
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Plantainmill-Request-Id: {id}\r\nX-Plantainmill-Server-Stamp: {stamp:x}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -829,7 +1028,11 @@
                 return "cut".to_owned();
             }
         }
-        if stream.write_all(b"0\r\n\r\n").is_err() { "cut".to_owned() } else { "whole".to_owned() }
+        if stream.write_all(b"0\r\n\r\n").is_err() {
+            "cut".to_owned()
+        } else {
+            "whole".to_owned()
+        }
     }
 }
 
@@ -858,7 +1061,11 @@
 
 impl Vm {
     fn pid(&self) -> Option<i32> {
-        self.child.lock().unwrap().as_ref().map(|child| child.id() as i32)
+        self.child
+            .lock()
+            .unwrap()
+            .as_ref()
+            .map(|child| child.id() as i32)
     }
     pub fn signal(&self, signal: i32) {
         if let Some(pid) = self.pid() {
@@ -873,7 +1080,11 @@
         }
     }
     pub fn start(&self) -> Result<(), String> {
-        let log = File::options().create(true).append(true).open(&self.log).map_err(|e| e.to_string())?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .map_err(|e| e.to_string())?;
         let mut command = Command::new("target/release/plantainmill");
         // No process outlives the script, however it ends.
         unsafe {
@@ -896,7 +1107,15 @@
         Ok(())
     }
     pub fn is_ready(&self) -> bool {
-        call(self.readiness, "GET", "/api/readiness", &[("Host", "platform")], b"", Duration::from_millis(500)).is_some_and(|a| a.status == 200)
+        call(
+            self.readiness,
+            "GET",
+            "/api/readiness",
+            &[("Host", "platform")],
+            b"",
+            Duration::from_millis(500),
+        )
+        .is_some_and(|a| a.status == 200)
     }
 }
 
@@ -913,7 +1132,8 @@
 fn free_port() -> (TcpListener, UdpSocket) {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     loop {
-        let port = 10_240 + (u64::from(std::process::id()) * 131 + NEXT.fetch_add(1, Ordering::SeqCst)) % 21_000;
+        let port = 10_240
+            + (u64::from(std::process::id()) * 131 + NEXT.fetch_add(1, Ordering::SeqCst)) % 21_000;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
         if let (Ok(tcp), Ok(udp)) = (TcpListener::bind(address), UdpSocket::bind(address)) {
             return (tcp, udp);
@@ -927,7 +1147,8 @@
         let mut held = Vec::new();
         for k in 0..count {
             let ports = [free_port(), free_port(), free_port(), free_port()];
-            let [front_at, readiness_at, control_at, metrics_at] = [0, 1, 2, 3].map(|k: usize| ports[k].0.local_addr().unwrap());
+            let [front_at, readiness_at, control_at, metrics_at] =
+                [0, 1, 2, 3].map(|k: usize| ports[k].0.local_addr().unwrap());
             held.push(ports);
             let name = format!("front-a-{}", k + 1);
             // As deploy/settings.toml writes it.
@@ -939,7 +1160,14 @@
             );
             let settings = self.folder.join(format!("{name}.toml"));
             std::fs::write(&settings, text).map_err(|e| e.to_string())?;
-            let vm = Arc::new(Vm { name: name.clone(), front: front_at, readiness: readiness_at, settings, log: self.folder.join(format!("{name}.log")), child: Mutex::new(None) });
+            let vm = Arc::new(Vm {
+                name: name.clone(),
+                front: front_at,
+                readiness: readiness_at,
+                settings,
+                log: self.folder.join(format!("{name}.log")),
+                child: Mutex::new(None),
+            });
             self.all.lock().unwrap().push(Arc::clone(&vm));
             self.vms.push(vm);
         }
@@ -963,7 +1191,10 @@
     /// Lines of a VM's log that hold `word`.
     pub fn log_lines(&self, vm: &Vm, word: &str) -> Vec<String> {
         let text = std::fs::read_to_string(&vm.log).unwrap_or_default();
-        text.lines().filter(|line| line.contains(word)).map(str::to_owned).collect()
+        text.lines()
+            .filter(|line| line.contains(word))
+            .map(str::to_owned)
+            .collect()
     }
 
     pub fn say(&self, text: &str) {
@@ -1001,8 +1232,21 @@
 /// A batch job whose items have the ids `items`.
 pub fn lot_body(items: &[String], tokens: u64) -> String {
     let items = items.iter().map(|id| {
-        let headers = obj(vec![("X-Plantainmill-Model", s("m")), ("X-Plantainmill-Token-Usage", s("350,1530")), ("X-Plantainmill-Prompt-Prefix", s(&format!("9c2e41:100,{id}:250")))]);
-        obj(vec![("Id", s(id)), ("Path", s(&format!("/lot/{}", &id[..4]))), ("Headers", headers), ("Body", s(&base64(id.as_bytes()))), ("Tokens", n(tokens))])
+        let headers = obj(vec![
+            ("X-Plantainmill-Model", s("m")),
+            ("X-Plantainmill-Token-Usage", s("350,1530")),
+            (
+                "X-Plantainmill-Prompt-Prefix",
+                s(&format!("9c2e41:100,{id}:250")),
+            ),
+        ]);
+        obj(vec![
+            ("Id", s(id)),
+            ("Path", s(&format!("/lot/{}", &id[..4]))),
+            ("Headers", headers),
+            ("Body", s(&base64(id.as_bytes()))),
+            ("Tokens", n(tokens)),
+        ])
     });
     obj(vec![("Requests", Json::Arr(items.collect()))]).text()
 }
@@ -1013,24 +1257,61 @@
 
 /// Hands in a batch job at one VM, on a new channel.
 pub fn submit(fleet: &Fleet, vm: &Vm, lot: &str, body: &str) -> Option<u16> {
-    let headers = [("Host", LOT_HOST), ("Authorization", &auth()), ("X-Plantainmill-Request-Id", lot), ("Content-Type", "application/json")];
-    fleet.record.line(&format!("client: hands in batch job {lot} at {}", vm.name));
-    let answer = call(vm.front, "POST", &format!("/lot/{}", &lot[..4]), &headers, body.as_bytes(), Duration::from_secs(5));
+    let headers = [
+        ("Host", LOT_HOST),
+        ("Authorization", &auth()),
+        ("X-Plantainmill-Request-Id", lot),
+        ("Content-Type", "application/json"),
+    ];
+    fleet
+        .record
+        .line(&format!("client: hands in batch job {lot} at {}", vm.name));
+    let answer = call(
+        vm.front,
+        "POST",
+        &format!("/lot/{}", &lot[..4]),
+        &headers,
+        body.as_bytes(),
+        Duration::from_secs(5),
+    );
     let status = answer.map(|a| a.status);
-    fleet.record.line(&format!("client: batch job {lot} is answered {status:?}"));
+    fleet
+        .record
+        .line(&format!("client: batch job {lot} is answered {status:?}"));
     status
 }
 
 /// One page of results: `(Total, [(Id, State, Output)])`, or the status of another answer.
-pub fn results(vm: &Vm, lot: &str, after: usize) -> Result<(u64, Vec<(String, String, String)>), u16> {
+pub fn results(
+    vm: &Vm,
+    lot: &str,
+    after: usize,
+) -> Result<(u64, Vec<(String, String, String)>), u16> {
     let headers = [("Host", LOT_HOST), ("Authorization", &*auth())];
-    let answer = call(vm.front, "GET", &format!("/api/lots/{lot}?After={after}"), &headers, b"", Duration::from_secs(4)).ok_or(0u16)?;
+    let answer = call(
+        vm.front,
+        "GET",
+        &format!("/api/lots/{lot}?After={after}"),
+        &headers,
+        b"",
+        Duration::from_secs(4),
+    )
+    .ok_or(0u16)?;
     if answer.status != 200 {
         return Err(answer.status);
     }
     let page = Json::parse(&answer.body).ok_or(1u16)?;
-    let list = page.get("Results").arr().iter().map(|r| (r.get("Id").str().to_owned(), r.get("State").str().to_owned(), r.get("Output").str().to_owned()));
-    Ok((page.get("Total").num().unwrap_or(0.0) as u64, list.collect()))
+    let list = page.get("Results").arr().iter().map(|r| {
+        (
+            r.get("Id").str().to_owned(),
+            r.get("State").str().to_owned(),
+            r.get("Output").str().to_owned(),
+        )
+    });
+    Ok((
+        page.get("Total").num().unwrap_or(0.0) as u64,
+        list.collect(),
+    ))
 }
 
 /// Reads all results from the start, page by page.
@@ -1046,20 +1327,39 @@
 }
 
 /// Clients that send one stream after the other until `stop` is set, `clients` of them, at the given VMs in turn.
-pub fn stream_clients(fleet: &Fleet, host: &'static str, vms: &[usize], clients: usize, pause_ms: u64, stop: &Arc<AtomicBool>) {
+pub fn stream_clients(
+    fleet: &Fleet,
+    host: &'static str,
+    vms: &[usize],
+    clients: usize,
+    pause_ms: u64,
+    stop: &Arc<AtomicBool>,
+) {
     static NEXT: AtomicU64 = AtomicU64::new(1);
     for k in 0..clients {
         let vm = Arc::clone(&fleet.vms[vms[k % vms.len()]]);
         let stop = Arc::clone(stop);
-        let key = if host == ASK_HOST { format!("Bearer {}", tenant_key(k % TENANTS)) } else { auth() };
+        let key = if host == ASK_HOST {
+            format!("Bearer {}", tenant_key(k % TENANTS))
+        } else {
+            auth()
+        };
         thread::spawn(move || {
             let path = format!("/{}/q", host.split('.').next().unwrap_or(""));
             while !stop.load(Ordering::SeqCst) {
-                let id = format!("{:016x}", 0x51_0000_0000 + NEXT.fetch_add(1, Ordering::SeqCst));
+                let id = format!(
+                    "{:016x}",
+                    0x51_0000_0000 + NEXT.fetch_add(1, Ordering::SeqCst)
+                );
                 let prefix = format!("5c1e07a2:100,{id}:250");
                 let headers = [
-                    ("Host", host), ("Authorization", &*key), ("X-Plantainmill-Request-Id", &*id), ("X-Plantainmill-Model", "m"),
-                    ("X-Plantainmill-Token-Usage", "350,225"), ("X-Plantainmill-Prompt-Prefix", &*prefix), ("X-Plantainmill-Deadline-Ms", "5000"),
+                    ("Host", host),
+                    ("Authorization", &*key),
+                    ("X-Plantainmill-Request-Id", &*id),
+                    ("X-Plantainmill-Model", "m"),
+                    ("X-Plantainmill-Token-Usage", "350,225"),
+                    ("X-Plantainmill-Prompt-Prefix", &*prefix),
+                    ("X-Plantainmill-Deadline-Ms", "5000"),
                 ];
                 call_until(vm.front, &path, &headers, id.as_bytes(), &stop);
                 sleep_ms(pause_ms);
@@ -1069,15 +1369,27 @@
 }
 
 /// A call whose client leaves when `stop` is set.
-fn call_until(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &[u8], stop: &AtomicBool) {
-    let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else { return };
+fn call_until(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    stop: &AtomicBool,
+) {
+    let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
+        return;
+    };
     let _ = stream.set_read_timeout(Some(Duration::from_millis(50)));
     let mut head = format!("POST {path} HTTP/1.1\r\nConnection: close\r\n");
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
     head.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
-    if stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body)).is_err() {
+    if stream
+        .write_all(head.as_bytes())
+        .and_then(|()| stream.write_all(body))
+        .is_err()
+    {
         return;
     }
     let until = Instant::now() + Duration::from_millis(5_500);
@@ -1092,7 +1404,11 @@
                     return;
                 }
             }
-            Err(error) if matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {}
+            Err(error)
+                if matches!(
+                    error.kind(),
+                    std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                ) => {}
             Err(_) => return,
         }
     }
@@ -1101,15 +1417,29 @@
 /// Ends a batch job at one VM.
 pub fn end_lot(fleet: &Fleet, vm: &Vm, lot: &str) -> Option<u16> {
     let headers = [("Host", LOT_HOST), ("Authorization", &*auth())];
-    fleet.record.line(&format!("client: ends batch job {lot} at {}", vm.name));
-    let status = call(vm.front, "DELETE", &format!("/api/lots/{lot}"), &headers, b"", Duration::from_secs(4)).map(|a| a.status);
-    fleet.record.line(&format!("client: the end of {lot} is answered {status:?}"));
+    fleet
+        .record
+        .line(&format!("client: ends batch job {lot} at {}", vm.name));
+    let status = call(
+        vm.front,
+        "DELETE",
+        &format!("/api/lots/{lot}"),
+        &headers,
+        b"",
+        Duration::from_secs(4),
+    )
+    .map(|a| a.status);
+    fleet
+        .record
+        .line(&format!("client: the end of {lot} is answered {status:?}"));
     status
 }
 
 /// A number below `limit`, from the clock.
 pub fn random_ms(limit: u64) -> u64 {
-    let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| u64::from(d.subsec_nanos()));
+    let nanos = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| u64::from(d.subsec_nanos()));
     (nanos / 1_000).wrapping_mul(2_654_435_761) / 65_536 % limit
 }
 
@@ -1118,12 +1448,18 @@
 }
 
 pub fn item_ids(lot: &str, count: usize) -> Vec<String> {
-    (0..count).map(|k| format!("{}{:08x}", &lot[..8], k as u32 + 0x10)).collect()
+    (0..count)
+        .map(|k| format!("{}{:08x}", &lot[..8], k as u32 + 0x10))
+        .collect()
 }
 
 pub fn unlisted(items: &[String], listed: &[(String, String, String)]) -> Vec<String> {
     let ids: BTreeSet<&String> = listed.iter().map(|(id, _, _)| id).collect();
-    items.iter().filter(|id| !ids.contains(id)).cloned().collect()
+    items
+        .iter()
+        .filter(|id| !ids.contains(id))
+        .cloned()
+        .collect()
 }
 
 fn main() {
@@ -1137,8 +1473,13 @@
     if std::fs::create_dir_all(&scratch).is_err() {
         std::process::exit(2);
     }
-    let Ok(file) = File::create(folder.join("record.txt")) else { std::process::exit(2) };
-    let record = Arc::new(Record { start: Instant::now(), file: Mutex::new(file) });
+    let Ok(file) = File::create(folder.join("record.txt")) else {
+        std::process::exit(2)
+    };
+    let record = Arc::new(Record {
+        start: Instant::now(),
+        file: Mutex::new(file),
+    });
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let all: Arc<Mutex<Vec<Arc<Vm>>>> = Arc::default();
     let end_all = |all: &Mutex<Vec<Arc<Vm>>>| {
@@ -1159,9 +1500,25 @@
         std::process::exit(2);
     });
     let store = Store::start(&record);
-    let mut fleet = Fleet { vms: Vec::new(), store, record: Arc::clone(&record), trouble, folder: scratch.clone(), all: Arc::clone(&all) };
-    record.line(&format!("case {case}, {}", if trouble { "with the disruption" } else { "without the disruption" }));
-    let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| cases::play(case, &mut fleet)));
+    let mut fleet = Fleet {
+        vms: Vec::new(),
+        store,
+        record: Arc::clone(&record),
+        trouble,
+        folder: scratch.clone(),
+        all: Arc::clone(&all),
+    };
+    record.line(&format!(
+        "case {case}, {}",
+        if trouble {
+            "with the disruption"
+        } else {
+            "without the disruption"
+        }
+    ));
+    let result = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        cases::play(case, &mut fleet)
+    }));
     end_all(&all);
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&scratch);
