--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -10,6 +10,7 @@
 mod catalog;
 mod codec;
 mod commit;
+mod job_run;
 mod run;
 mod service;
 mod store;
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -1,23 +1,20 @@
 //! Tracks all jobs in the store and runs those assigned to this VM.
 
 use crate::catalog::{FleetSnapshot, JobCatalog, KnownJob};
-use crate::commit::{CommitQueue, CommitStep};
-use crate::run::{JobContext, RunContext, run_item};
+use crate::job_run::RunOutcome;
+use crate::run::RunContext;
 use crate::store::{HeadOutcome, JobStore, read_head};
-use crate::stored::{HEAD_TABLE, ItemState, JobHead, JobItem, JobOwner, ListedResult};
-use futures_util::FutureExt as _;
-use futures_util::StreamExt as _;
-use futures_util::future::{LocalBoxFuture, join_all};
-use futures_util::stream::FuturesUnordered;
-use plantainmill_core::{Clock, ItemId, JobId, Uptime, wait_until_set};
+use crate::stored::{HEAD_TABLE, JobHead, JobItem, JobOwner};
+use futures_util::future::join_all;
+use plantainmill_core::{Clock, JobId, Uptime};
 use plantainmill_provider::{FeedRead, RowVersion, StoreError};
 use plantainmill_proxy::relay::RelayCaller;
 use plantainmill_routing::DocumentView;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
@@ -29,7 +26,7 @@
 /// Time for which a head that was read is sent to the other VMs of the domain: in two messages of each reader.
 const UPDATE_RETENTION: Duration = Duration::from_millis(400);
 /// Delay before a failed store operation is retried.
-const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
+pub(crate) const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval between checks for jobs that this VM has to resume or reassign.
 const TAKEOVER_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after the start before jobs of other VMs are reassigned, so that live VMs have reported by then.
@@ -74,7 +71,7 @@
     pub jobs: RefCell<JobCatalog>,
     /// Notified when a head in the catalog changes or a job stops running here.
     pub changed: Notify,
-    run_context: Rc<RunContext>,
+    pub run_context: Rc<RunContext>,
     /// Stop signals of the jobs that run on this VM.
     running: RefCell<HashMap<JobId, watch::Sender<bool>>>,
     pub fleet: RefCell<FleetSnapshot>,
@@ -94,15 +91,6 @@
     At(RowVersion),
 }
 
-/// Why a job stopped running on this VM.
-enum RunOutcome {
-    Completed,
-    /// The job was ended or has been taken over by another VM.
-    Lost,
-    /// This VM is shutting down. Holds the last known head and its version.
-    Released(JobHead, RowVersion),
-}
-
 impl JobService {
     /// Starts the service. Its tasks run on the current thread, which must run an actix runtime.
     #[must_use]
@@ -400,181 +388,4 @@
             Err(error) => tracing::info!(event = "job_not_released", %job, %error),
         }
     }
-
-    /// Reads the items of a job and the ids of those already listed, retrying until the store responds.
-    async fn load(&self, job: &JobId, head: &JobHead) -> (Vec<JobItem>, HashSet<ItemId>) {
-        loop {
-            let read = async {
-                let items = self.parts.store.items(job).await?;
-                let results = if head.listed > 0 {
-                    self.read_listed_ids(job, head.listed).await?
-                } else {
-                    HashSet::new()
-                };
-                Ok::<_, StoreError>((items, results))
-            };
-            match read.await {
-                Ok(loaded) => return loaded,
-                Err(error) => tracing::info!(event = "job_not_loaded", %job, %error),
-            }
-            sleep(STORE_RETRY_DELAY).await;
-        }
-    }
-
-    async fn read_listed_ids(
-        &self,
-        job: &JobId,
-        count: u64,
-    ) -> Result<HashSet<ItemId>, StoreError> {
-        let mut listed = HashSet::new();
-        while (listed.len() as u64) < count {
-            let results = self.parts.store.results(job, listed.len() as u64).await?;
-            if results.is_empty() {
-                break;
-            }
-            listed.extend(results.into_iter().map(|result| result.item));
-        }
-        Ok(listed)
-    }
-
-    async fn run_job(
-        self: &Rc<Self>,
-        job: &JobId,
-        head: JobHead,
-        version: RowVersion,
-        items: Option<Vec<JobItem>>,
-        mut stopped: watch::Receiver<bool>,
-    ) -> RunOutcome {
-        let (items, listed) = if let Some(items) = items {
-            (items, HashSet::new())
-        } else {
-            tokio::select! {
-                loaded = self.load(job, &head) => loaded,
-                () = wait_until_set(&mut stopped) => return RunOutcome::Released(head, version),
-            }
-        };
-        let context = Rc::new(self.job_context(&head));
-        let tokens: HashMap<ItemId, u64> = items
-            .iter()
-            .map(|item| (item.id.clone(), item.tokens))
-            .collect();
-        let mut runs: FuturesUnordered<_> = items
-            .into_iter()
-            .filter(|item| !listed.contains(&item.id))
-            .map(|item| run_item(Rc::clone(&self.run_context), Rc::clone(&context), item))
-            .collect();
-        let mut queue = CommitQueue::new(self.parts.local_owner.clone(), head, version);
-        let mut write: Option<LocalBoxFuture<'_, Result<HeadOutcome, StoreError>>> = None;
-        let mut written = None;
-        while !queue.is_done() {
-            if self.has_lost_job(job) {
-                return RunOutcome::Lost;
-            }
-            if write.is_none()
-                && let Some((head, results)) = queue.next_write()
-            {
-                let results: Vec<ListedResult> = results.into_iter().cloned().collect();
-                let (current, version) = queue.head();
-                let first = current.listed;
-                written = Some(head.clone());
-                write = Some(self.write(job, version, head, first, results).boxed_local());
-            }
-            let is_writing = write.is_some();
-            let outcome = async {
-                match write.as_mut() {
-                    Some(write) => write.await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                biased;
-                () = wait_until_set(&mut stopped), if !is_writing => {
-                    let (head, version) = queue.head();
-                    return RunOutcome::Released(head.clone(), version);
-                }
-                outcome = outcome => {
-                    write = None;
-                    let step = self.apply_outcome(job, &mut queue, outcome, written.take()).await;
-                    if step == CommitStep::Stop {
-                        return RunOutcome::Lost;
-                    }
-                }
-                result = runs.next(), if !runs.is_empty() => {
-                    if let Some(result) = result {
-                        log_result(job, &result);
-                        let tokens = tokens.get(&result.item).copied().unwrap_or(0);
-                        queue.push(result, tokens);
-                    }
-                }
-                () = self.changed.notified() => {}
-            }
-        }
-        RunOutcome::Completed
-    }
-
-    /// Derives the properties shared by the items of a job, with its times converted to this VM's uptime.
-    fn job_context(&self, head: &JobHead) -> JobContext {
-        let now = self.parts.clock.uptime();
-        let wall = self.parts.clock.wall().duration_since(UNIX_EPOCH);
-        let accepted = Duration::from_millis(head.accepted_ms);
-        let age = wall.unwrap_or_default().saturating_sub(accepted);
-        JobContext {
-            organisation: head.organisation.clone(),
-            host: head.host.clone(),
-            due_at: (now + head.completion).saturating_sub(age),
-            expires_at: (now + head.retention).saturating_sub(age),
-        }
-    }
-
-    async fn write(
-        &self,
-        job: &JobId,
-        version: RowVersion,
-        head: JobHead,
-        first: u64,
-        results: Vec<ListedResult>,
-    ) -> Result<HeadOutcome, StoreError> {
-        let results: Vec<&ListedResult> = results.iter().collect();
-        let store = &self.parts.store;
-        store.write_head(job, version, &head, first, &results).await
-    }
-
-    async fn apply_outcome(
-        &self,
-        job: &JobId,
-        queue: &mut CommitQueue,
-        outcome: Result<HeadOutcome, StoreError>,
-        written: Option<JobHead>,
-    ) -> CommitStep {
-        let (head, version) = match outcome {
-            Ok(HeadOutcome::Applied(version)) => match written {
-                Some(head) => (head, version),
-                None => return CommitStep::Continue,
-            },
-            Ok(HeadOutcome::Conflict(Some(found))) => found,
-            Ok(HeadOutcome::Conflict(None)) => return CommitStep::Stop,
-            Err(error) => {
-                // The queue writes the same results again: the failed write may still be applied, and other results at
-                // these positions would then be listed twice or lost.
-                tracing::info!(event = "results_not_written", %job, %error);
-                sleep(STORE_RETRY_DELAY).await;
-                return CommitStep::Continue;
-            }
-        };
-        self.record(job, head.clone(), version);
-        queue.apply_head(head, version)
-    }
-
-    /// Whether the catalog shows that the job was ended or has another owner.
-    fn has_lost_job(&self, job: &JobId) -> bool {
-        let catalog = self.jobs.borrow();
-        catalog.get(job).is_some_and(|known| {
-            known.head.ended || known.head.owner.as_ref() != Some(&self.parts.local_owner)
-        })
-    }
-}
-
-fn log_result(job: &JobId, result: &ListedResult) {
-    let succeeded = result.state == ItemState::Succeeded;
-    tracing::info!(event = "item_ended", %job, item = %result.item, succeeded);
 }
