Read which items are listed when another write has replaced a job's head

Cause: after a conflict the queue took the count of results in the stored head for the count of its own results that were listed. The head says how many are listed, not which. Change: the owner reads the ids at the positions that it does not know, drops these results and aborts these runs, at a conflict and as soon as the catalog has a newer head. Works because only the owner's own applied write may be taken for its own. Related: the model let VMs take jobs over themselves; now a job is given to a VM that need not hear of it. The model's property for -DMUTATION is that a result undoes neither an end nor a take-over.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -4,8 +4,9 @@
 //! written: the queue retries their write until the store reports whether it was applied.
 
 use crate::stored::{JobHead, JobOwner, ListedResult};
+use plantainmill_core::ItemId;
 use plantainmill_provider::RowVersion;
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 
 /// Maximum number of results in one write. A result has about 10 KB, and a write is limited to 1 MB.
 const RESULTS_PER_WRITE: usize = 16;
@@ -26,6 +27,8 @@
     head: JobHead,
     version: RowVersion,
     queue: VecDeque<(ListedResult, u64)>,
+    /// Items listed by another write than those of this queue.
+    listed_elsewhere: HashSet<ItemId>,
 }
 
 impl CommitQueue {
@@ -37,12 +40,16 @@
             head,
             version,
             queue: VecDeque::new(),
+            listed_elsewhere: HashSet::new(),
         }
     }
 
-    /// Appends the result of an item that accounts for `tokens` in the organisation's token limit.
+    /// Appends the result of an item that accounts for `tokens` in the organisation's token limit, unless another VM has
+    /// listed the item.
     pub fn push(&mut self, result: ListedResult, tokens: u64) {
-        self.queue.push_back((result, tokens));
+        if !self.listed_elsewhere.contains(&result.item) {
+            self.queue.push_back((result, tokens));
+        }
     }
 
     /// Whether there are no results left to list.
@@ -80,21 +87,38 @@
         ))
     }
 
-    /// Applies the head that is now stored, from an applied write or from a conflict, and drops the results it lists.
-    pub fn apply_head(&mut self, head: JobHead, version: RowVersion) -> CommitStep {
-        if head.owner.as_ref() != Some(&self.owner) {
-            return CommitStep::Stop;
-        }
-        let listed = head.listed.saturating_sub(self.head.listed);
-        for _ in 0..listed {
+    /// Number of results that `head` lists beyond the last known head.
+    #[must_use]
+    pub fn unknown_results(&self, head: &JobHead) -> u64 {
+        head.listed.saturating_sub(self.head.listed)
+    }
+
+    /// Applies the head that an applied write of this queue stored, and drops the results that it lists.
+    pub fn apply_written(&mut self, head: JobHead, version: RowVersion) {
+        for _ in 0..self.unknown_results(&head) {
             self.queue.pop_front();
         }
         self.head = head;
         self.version = version;
-        if self.head.ended {
-            CommitStep::Stop
-        } else {
-            CommitStep::Continue
+    }
+
+    /// Applies a stored head that replaced the last known one, and drops the results of `listed`: the items at the
+    /// positions that it adds. The count of results does not tell which ones are listed, because the job may have had
+    /// another owner in between.
+    pub fn apply_found(
+        &mut self,
+        head: JobHead,
+        version: RowVersion,
+        listed: HashSet<ItemId>,
+    ) -> CommitStep {
+        if head.ended || head.owner.as_ref() != Some(&self.owner) {
+            return CommitStep::Stop;
         }
+        self.queue
+            .retain(|(result, _)| !listed.contains(&result.item));
+        self.listed_elsewhere.extend(listed);
+        self.head = head;
+        self.version = version;
+        CommitStep::Continue
     }
 }
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -7,7 +7,7 @@
 use crate::stored::{ItemState, JobHead, JobItem, ListedResult};
 use futures_util::FutureExt as _;
 use futures_util::StreamExt as _;
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{AbortHandle, Abortable, LocalBoxFuture};
 use futures_util::stream::FuturesUnordered;
 use plantainmill_core::{ItemId, JobId, wait_until_set};
 use plantainmill_provider::{RowVersion, StoreError};
@@ -32,11 +32,7 @@
         loop {
             let read = async {
                 let items = self.parts.store.items(job).await?;
-                let results = if head.listed > 0 {
-                    self.read_listed_ids(job, head.listed).await?
-                } else {
-                    HashSet::new()
-                };
+                let results = self.read_listed_ids(job, 0, head.listed).await?;
                 Ok::<_, StoreError>((items, results))
             };
             match read.await {
@@ -47,14 +43,17 @@
         }
     }
 
+    /// Reads the ids of the items at `count` positions from `first` on, or more if others have been listed since.
     async fn read_listed_ids(
         &self,
         job: &JobId,
+        first: u64,
         count: u64,
     ) -> Result<HashSet<ItemId>, StoreError> {
         let mut listed = HashSet::new();
         while (listed.len() as u64) < count {
-            let results = self.parts.store.results(job, listed.len() as u64).await?;
+            let position = first + listed.len() as u64;
+            let results = self.parts.store.results(job, position).await?;
             if results.is_empty() {
                 break;
             }
@@ -85,11 +84,14 @@
             .iter()
             .map(|item| (item.id.clone(), item.tokens))
             .collect();
-        let mut runs: FuturesUnordered<_> = items
-            .into_iter()
-            .filter(|item| !listed.contains(&item.id))
-            .map(|item| run_item(Rc::clone(&self.run_context), Rc::clone(&context), item))
-            .collect();
+        let mut aborts: HashMap<ItemId, AbortHandle> = HashMap::new();
+        let mut runs = FuturesUnordered::new();
+        for item in items.into_iter().filter(|item| !listed.contains(&item.id)) {
+            let (abort, aborted) = AbortHandle::new_pair();
+            aborts.insert(item.id.clone(), abort);
+            let run = run_item(Rc::clone(&self.run_context), Rc::clone(&context), item);
+            runs.push(Abortable::new(run, aborted));
+        }
         let mut queue = CommitQueue::new(self.parts.local_owner.clone(), head, version);
         let mut write: Option<LocalBoxFuture<'_, Result<HeadOutcome, StoreError>>> = None;
         let mut written = None;
@@ -97,6 +99,18 @@
             if self.has_lost_job(job) {
                 return RunOutcome::Lost;
             }
+            if write.is_none()
+                && let Some((head, version)) = self.newer_head(job, queue.head().1)
+            {
+                // Another VM owned the job in between, or the response to a write of this one was lost.
+                let step = self
+                    .apply_found(job, &mut queue, &aborts, head, version)
+                    .await;
+                if step == CommitStep::Stop {
+                    return RunOutcome::Lost;
+                }
+                continue;
+            }
             if write.is_none()
                 && let Some((head, results)) = queue.next_write()
             {
@@ -121,13 +135,15 @@
                 }
                 outcome = outcome => {
                     write = None;
-                    let step = self.apply_outcome(job, &mut queue, outcome, written.take()).await;
+                    let step = self
+                        .apply_outcome(job, &mut queue, &aborts, outcome, written.take())
+                        .await;
                     if step == CommitStep::Stop {
                         return RunOutcome::Lost;
                     }
                 }
                 result = runs.next(), if !runs.is_empty() => {
-                    if let Some(result) = result {
+                    if let Some(Ok(result)) = result {
                         log_result(job, &result);
                         let tokens = tokens.get(&result.item).copied().unwrap_or(0);
                         queue.push(result, tokens);
@@ -170,26 +186,66 @@
         &self,
         job: &JobId,
         queue: &mut CommitQueue,
+        runs: &HashMap<ItemId, AbortHandle>,
         outcome: Result<HeadOutcome, StoreError>,
         written: Option<JobHead>,
     ) -> CommitStep {
-        let (head, version) = match outcome {
-            Ok(HeadOutcome::Applied(version)) => match written {
-                Some(head) => (head, version),
-                None => return CommitStep::Continue,
-            },
-            Ok(HeadOutcome::Conflict(Some(found))) => found,
-            Ok(HeadOutcome::Conflict(None)) => return CommitStep::Stop,
+        match outcome {
+            Ok(HeadOutcome::Applied(version)) => {
+                if let Some(head) = written {
+                    self.record(job, head.clone(), version);
+                    queue.apply_written(head, version);
+                }
+                CommitStep::Continue
+            }
+            Ok(HeadOutcome::Conflict(Some((head, version)))) => {
+                self.record(job, head.clone(), version);
+                self.apply_found(job, queue, runs, head, version).await
+            }
+            Ok(HeadOutcome::Conflict(None)) => CommitStep::Stop,
             Err(error) => {
                 // The queue writes the same results again: the failed write may still be applied, and other results at
                 // these positions would then be listed twice or lost.
                 tracing::info!(event = "results_not_written", %job, %error);
                 sleep(STORE_RETRY_DELAY).await;
+                CommitStep::Continue
+            }
+        }
+    }
+
+    /// Continues from a stored head that another write has replaced: drops the results that it lists, and the runs of
+    /// their items.
+    async fn apply_found(
+        &self,
+        job: &JobId,
+        queue: &mut CommitQueue,
+        runs: &HashMap<ItemId, AbortHandle>,
+        head: JobHead,
+        version: RowVersion,
+    ) -> CommitStep {
+        let count = queue.unknown_results(&head);
+        let first = queue.head().0.listed;
+        let listed = match self.read_listed_ids(job, first, count).await {
+            Ok(listed) => listed,
+            Err(error) => {
+                // The next write conflicts again.
+                tracing::info!(event = "results_not_read", %job, %error);
+                sleep(STORE_RETRY_DELAY).await;
                 return CommitStep::Continue;
             }
         };
-        self.record(job, head.clone(), version);
-        queue.apply_head(head, version)
+        for run in listed.iter().filter_map(|item| runs.get(item)) {
+            run.abort();
+        }
+        tracing::info!(event = "job_head_replaced", %job, first, count, version);
+        queue.apply_found(head, version, listed)
+    }
+
+    /// Returns the head of the catalog if it is newer than `version`.
+    fn newer_head(&self, job: &JobId, version: RowVersion) -> Option<(JobHead, RowVersion)> {
+        let catalog = self.jobs.borrow();
+        let known = catalog.get(job).filter(|known| known.version > version)?;
+        Some((known.head.clone(), known.version))
     }
 
     /// Whether the catalog shows that the job was ended or has another owner.
--- a/crates/jobs/tests/all/commit_order.rs
+++ b/crates/jobs/tests/all/commit_order.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{head, owner};
 use plantainmill_jobs::{CommitQueue, CommitStep, ItemState, ListedResult};
+use std::collections::HashSet;
 
 fn result(item: &str) -> ListedResult {
     ListedResult {
@@ -26,7 +27,8 @@
     let (written, _) = queue.next_write().expect("a write");
     queue.push(result("b"), 100);
     // The write of "a" was applied, so a retry with both results conflicts with it.
-    assert_eq!(queue.apply_head(written, 11), CommitStep::Continue);
+    let listed = HashSet::from(["a".into()]);
+    assert_eq!(queue.apply_found(written, 11, listed), CommitStep::Continue);
     let (next, results) = queue.next_write().expect("a write");
     assert_eq!(
         results
@@ -44,11 +46,17 @@
     let mut queue = queue_of(&["a"]);
     let mut taken = head(3);
     taken.owner = Some(owner("other", 7));
-    assert_eq!(queue.apply_head(taken, 12), CommitStep::Stop);
+    assert_eq!(
+        queue.apply_found(taken, 12, HashSet::new()),
+        CommitStep::Stop
+    );
     // A restarted VM has another incarnation and is another owner.
     let mut restarted = head(3);
     restarted.owner = Some(owner("vm", 2));
-    assert_eq!(queue_of(&["a"]).apply_head(restarted, 12), CommitStep::Stop);
+    assert_eq!(
+        queue_of(&["a"]).apply_found(restarted, 12, HashSet::new()),
+        CommitStep::Stop
+    );
 }
 
 /// Guards against further work on a job that its organisation has ended.
@@ -57,7 +65,10 @@
     let mut queue = queue_of(&["a"]);
     let mut ended = head(3);
     ended.ended = true;
-    assert_eq!(queue.apply_head(ended, 12), CommitStep::Stop);
+    assert_eq!(
+        queue.apply_found(ended, 12, HashSet::new()),
+        CommitStep::Stop
+    );
 }
 
 /// Guards against a job that is not recognised as complete after its last result.
@@ -67,6 +78,30 @@
     let (written, results) = queue.next_write().expect("a write");
     assert_eq!(results.len(), 3);
     assert_eq!(written.tokens_left, 0);
-    assert_eq!(queue.apply_head(written, 11), CommitStep::Continue);
+    queue.apply_written(written, 11);
     assert!(queue.is_done() && queue.is_empty());
 }
+
+/// Guards against an owner that takes the results of another VM for its own after it has lost the job and got it back:
+/// its results would be dropped, and those of the other VM listed twice.
+#[test]
+fn returned_job() {
+    let mut queue = queue_of(&["a"]);
+    let mut returned = head(3);
+    (returned.listed, returned.tokens_left) = (1, 200);
+    let listed = HashSet::from(["b".into()]);
+    assert_eq!(
+        queue.apply_found(returned, 14, listed),
+        CommitStep::Continue
+    );
+    queue.push(result("b"), 100);
+    let (next, results) = queue.next_write().expect("a write");
+    assert_eq!(
+        results
+            .iter()
+            .map(|result| result.item.as_str())
+            .collect::<Vec<_>>(),
+        ["a"]
+    );
+    assert_eq!((next.listed, next.tokens_left), (2, 100));
+}
--- a/crates/jobs/tests/all/job_faults.rs
+++ b/crates/jobs/tests/all/job_faults.rs
@@ -1,29 +1,16 @@
 //! Jobs from submission to the last result, with faults of the store, targets and VMs.
 
-use crate::support::{TestCluster, complete_output, route, submission, ward};
+use crate::support::{TestCluster, check_results, route, submission, ward};
 use plantainmill_core::{JobId, ResultCode};
 use plantainmill_fakes::{RowsFault, TargetAct};
-use plantainmill_jobs::{FleetSnapshot, ItemState, ListedResult};
+use plantainmill_jobs::{FleetSnapshot, ItemState};
 use rstest::rstest;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 fn job() -> JobId {
     "j1".into()
 }
 
-/// Asserts that each item is listed exactly once and that successful results are complete.
-fn check_results(results: &[ListedResult], count: usize) {
-    let ids: BTreeSet<_> = results.iter().map(|result| result.item.clone()).collect();
-    assert_eq!((results.len(), ids.len()), (count, count));
-    for result in results
-        .iter()
-        .filter(|result| result.state == ItemState::Succeeded)
-    {
-        assert_eq!(result.output, complete_output());
-    }
-}
-
 /// Guards against lost or duplicate results, and against output that is joined wrongly, when targets fail.
 #[rstest]
 #[case(vec![])]
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod commit_order;
 mod job_catalog;
 mod job_faults;
+mod missed_decisions;
 mod support;
--- /dev/null
+++ b/crates/jobs/tests/all/missed_decisions.rs
@@ -0,0 +1,60 @@
+//! Decisions about a job that its owner does not hear of: a take-over and its return.
+
+use crate::support::{TestCluster, TestVm, check_results, route, submission, ward};
+use plantainmill_core::JobId;
+use plantainmill_fakes::TargetAct;
+use plantainmill_jobs::FleetSnapshot;
+use std::time::Duration;
+
+fn job() -> JobId {
+    "j1".into()
+}
+
+/// Makes `vm` hear of jobs only what a reader sends it, which is nothing here.
+fn isolate(vm: &TestVm) {
+    vm.jobs.set_fleet(FleetSnapshot {
+        live: vec![vm.own.clone()],
+        domains: vec!["a".into()],
+        readers: vec!["reader".into()],
+        domain: "a".into(),
+        members: vec![vm.own.clone()],
+    });
+}
+
+/// Guards against items that are listed twice and others that are lost when an owner does not notice that another VM had
+/// its job, and listed results, before it got it back.
+#[actix_rt::test]
+async fn returned_job() {
+    let cluster = TestCluster::start().await;
+    let owner = cluster.vm("owner", 1);
+    isolate(&owner);
+    owner.dispatcher.set_targets(std::iter::empty());
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    owner
+        .jobs
+        .submit(&ward(), &route(), &job(), &submission(4))
+        .await
+        .expect("accepted");
+    cluster.target.plan([
+        TargetAct::TrickleAfter(1),
+        TargetAct::TrickleAfter(1),
+        TargetAct::Serve,
+        TargetAct::Serve,
+    ]);
+    let other = cluster.vm("other", 1);
+    other.set_live_peers(&[]);
+    assert_eq!(other.read_results(&job(), 2).await.len(), 2);
+    other.jobs.stop().await;
+    let reader = cluster.vm("reader", 1);
+    reader.assign_jobs_to(&owner.own);
+    while !cluster
+        .head_of(&job())
+        .is_some_and(|head| head.owner == Some(owner.own.clone()))
+    {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    owner
+        .dispatcher
+        .set_targets(std::iter::once(&cluster.entry("t1", "v1")));
+    check_results(&reader.read_results(&job(), 4).await, 4);
+}
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -6,15 +6,15 @@
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_fakes::{MemoryRows, StreamTarget, TargetNames};
 use plantainmill_jobs::{
-    FleetSnapshot, JobHead, JobItem, JobOwner, JobParts, JobService, JobSettings, JobStore,
-    ListedResult, Submission,
+    FleetSnapshot, ItemState, JobHead, JobItem, JobOwner, JobParts, JobService, JobSettings,
+    JobStore, ListedResult, Submission,
 };
 use plantainmill_proxy::relay::{HeaderNames, RelayCaller, RelayLimits};
 use plantainmill_routing::{
     CallerLimits, DocumentView, FleetDocument, JobRule, RouteKind, RouteRule, ServiceShare,
     TargetEntry,
 };
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -133,6 +133,13 @@
         }
     }
 
+    /// Stored head of a job.
+    pub fn head_of(&self, job: &JobId) -> Option<JobHead> {
+        let rows = self.rows.table("jobs");
+        let row = rows.into_iter().find(|row| row.key == *job)?;
+        ciborium::from_reader(row.value.as_ref()).ok()
+    }
+
     /// Starts a VM with a fleet document and the shared target.
     pub fn vm(&self, name: &str, incarnation: u64) -> TestVm {
         let clock = Arc::new(SystemClock);
@@ -200,6 +207,17 @@
         });
     }
 
+    /// Has this VM, the reader of its domain, give all orphaned jobs to `owner`.
+    pub fn assign_jobs_to(&self, owner: &JobOwner) {
+        self.jobs.set_fleet(FleetSnapshot {
+            live: vec![self.own.clone(), owner.clone()],
+            domains: vec!["a".into()],
+            readers: vec![self.own.vm.clone()],
+            domain: "a".into(),
+            members: vec![owner.clone()],
+        });
+    }
+
     /// Polls for results until there are `count`, or until 100 attempts of 50 ms have passed.
     pub async fn read_results(&self, job: &JobId, count: usize) -> Vec<ListedResult> {
         let mut results = Vec::new();
@@ -224,3 +242,15 @@
         .collect();
     lines.join("\n")
 }
+
+/// Asserts that each item is listed exactly once and that successful results are complete.
+pub fn check_results(results: &[ListedResult], count: usize) {
+    let ids: BTreeSet<_> = results.iter().map(|result| result.item.clone()).collect();
+    assert_eq!((results.len(), ids.len()), (count, count));
+    for result in results
+        .iter()
+        .filter(|result| result.state == ItemState::Succeeded)
+    {
+        assert_eq!(result.output, complete_output());
+    }
+}
--- a/spec/job_results.pml
+++ b/spec/job_results.pml
@@ -2,8 +2,11 @@
  *
  * The head row names the owner and counts the results. A VM lists a result by a write of the head and of the row at the
  * next position, under the versions of both. Answers may be lost, and a write may take effect after its sender has given
- * up waiting, if its conditions still hold. Any VM may take the job over at any time, because judging an owner as gone
- * is only a guess. -DMUTATION drops the head's version from the condition of a result, which leaves only the position.
+ * up waiting, if its conditions still hold. Any VM may be given the job at any time, because judging an owner as gone
+ * is only a guess, and neither the new owner nor the former one need hear of it: a VM acts on the head that it last saw
+ * until a write conflicts. So a job may go to another VM and back unnoticed. -DMUTATION drops the head's version from the
+ * condition of a result, which leaves only the position. -DMUTATION_COUNTS takes the number of results in a conflicting
+ * head for the number of own results that are listed.
  */
 
 #define VMS 2
@@ -36,8 +39,10 @@
 #define HOLDS(seen_version, seen_count) (version == seen_version && position[seen_count] == NONE)
 #endif
 
-/* The effect of a result whose conditions hold. */
-inline list(seen_count, item) {
+/* The effect of a result of `writer` whose conditions hold. The head that it writes is the one that `writer` has seen. */
+inline list(writer, seen_count, item) {
+  /* It undoes neither an end nor a take-over. */
+  assert(!ended && owner == writer);
   position[seen_count] = item;
   count = seen_count + 1;
   version++;
@@ -48,6 +53,11 @@
   assert(!(position[1] != NONE && position[0] == NONE))
 }
 
+inline read_listed() {
+  done[0] = (position[0] == 0 || position[1] == 0);
+  done[1] = (position[0] == 1 || position[1] == 1)
+}
+
 proctype Vm(byte own) {
   byte seen_version = 0;
   byte seen_count = 0;
@@ -55,17 +65,12 @@
   bool is_owner = false;
   bool done[ITEMS];
   do
-  :: !is_owner && takeovers < TAKEOVERS && !ended && count < ITEMS ->
-    /* Takes the job over, and reads which items are listed. */
-    atomic {
-      takeovers++;
-      version++;
-      owner = own;
+  :: atomic { !is_owner && owner == own && !ended && count < ITEMS ->
+      /* Hears that it owns the job, and reads which items are listed. */
       is_owner = true;
       seen_version = version;
       seen_count = count;
-      done[0] = (position[0] == 0 || position[1] == 0);
-      done[1] = (position[0] == 1 || position[1] == 1)
+      read_listed()
     }
   :: is_owner && (!done[0] || !done[1]) ->
     /* Some item ends first. */
@@ -76,7 +81,7 @@
     /* The same write is sent until its outcome is known. */
     do
     :: atomic { HOLDS(seen_version, seen_count) ->
-        list(seen_count, item);
+        list(own, seen_count, item);
         seen_version = version;
         seen_count++;
         done[item] = true;
@@ -85,7 +90,7 @@
     :: atomic { HOLDS(seen_version, seen_count) && losses < LOSSES ->
         /* It took effect, and the answer is lost. */
         losses++;
-        list(seen_count, item)
+        list(own, seen_count, item)
       }
     :: atomic { !late[own] && losses < LOSSES ->
         /* It is on its way; no answer comes. */
@@ -99,10 +104,14 @@
         /* A conflict shows the head. */
         if
         :: owner == own && !ended ->
+#ifdef MUTATION_COUNTS
           if
           :: count > seen_count -> done[item] = true
           :: else
           fi;
+#else
+          read_listed();
+#endif
           seen_version = version;
           seen_count = count
         :: else -> is_owner = false
@@ -111,16 +120,17 @@
       }
     od
   :: is_owner && done[0] && done[1] -> break
-  :: !is_owner && (ended || count == ITEMS || takeovers == TAKEOVERS) -> break
+  :: !is_owner && (ended || count == ITEMS || (takeovers == TAKEOVERS && owner != own)) -> break
   od
 }
 
-/* Writes that take effect late, if their conditions still hold, or never. */
+/* Writes that take effect late, if their conditions still hold, or never. Readers of the feed give the job to a VM. */
 proctype Network() {
   byte index;
   do
-  :: atomic { late[0] -> index = 0; late[0] = false; if :: HOLDS(late_version[0], late_count[0]) -> list(late_count[0], late_item[0]) :: else fi }
-  :: atomic { late[1] -> index = 1; late[1] = false; if :: HOLDS(late_version[1], late_count[1]) -> list(late_count[1], late_item[1]) :: else fi }
+  :: atomic { takeovers < TAKEOVERS && !ended && count < ITEMS -> takeovers++; owner = 1 - owner; version++ }
+  :: atomic { late[0] -> index = 0; late[0] = false; if :: HOLDS(late_version[0], late_count[0]) -> list(0, late_count[0], late_item[0]) :: else fi }
+  :: atomic { late[1] -> index = 1; late[1] = false; if :: HOLDS(late_version[1], late_count[1]) -> list(1, late_count[1], late_item[1]) :: else fi }
   :: atomic { ends < ENDS -> ends++; ended = true; version++ }
   :: timeout -> break
   od
