Confirm what a VM knows of job heads, and read them itself when nobody does

Cause: a VM that is no reader of its domain heard of heads by datagrams alone, repeated for 0.4 s, and could not know that it had missed one. Change: messages with heads state the range of versions that they cover; the answer about the document's age says up to which version all changes were sent; a VM without a confirmation for 1.5 s reads the changes itself, through a peer if need be. Works because a confirmation counts from the question, and a gap in the ranges withholds it. Long polls of the feed last 0.5 s instead of 2 s, since what is known is as old as their start. Older VMs: they get heads in the former message; the new one and the new field are ignored by them.

--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -77,6 +77,7 @@
             targets_age: self.state.targets_age()?,
             reaches_store: self.state.is_reader.get() && !self.state.rows.is_failing(),
             control: self.own_row.control,
+            jobs: self.state.jobs.announced(),
         })
     }
 
--- a/crates/edge/src/compact_batch.rs
+++ b/crates/edge/src/compact_batch.rs
@@ -119,6 +119,7 @@
             control,
             processor_percent,
             reads_batches: true,
+            reads_job_changes: false,
         }
     }
 }
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -6,7 +6,8 @@
 use plantainmill_dispatch::limits::LimitReport;
 use plantainmill_dispatch::quarantine::PartReport;
 use plantainmill_dispatch::shared::{LeavingReport, PeerLoad};
-use plantainmill_jobs::{HeadUpdate, JobOwner};
+use plantainmill_jobs::{HeadChanges, HeadUpdate, JobOwner};
+use plantainmill_provider::RowVersion;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -31,6 +32,10 @@
     /// The VM understands report batches. One of an older release does not, and gets single reports.
     #[serde(default)]
     pub reads_batches: bool,
+    /// The VM understands [`PeerMessage::JobChanges`]. One of an older release does not, and gets the heads alone.
+    /// Batches leave it out; the stored row has it.
+    #[serde(default)]
+    pub reads_job_changes: bool,
 }
 
 /// Report of one VM to the other VMs of its failure domain.
@@ -116,8 +121,10 @@
     Limits(LimitReport),
     /// Targets whose responses say that they leave. Older releases ignore it.
     LeavingTargets(LeavingReport),
-    /// Job heads that the sender has read from the store.
+    /// Job heads that the sender has read from the store, for VMs of older releases.
     Jobs(Vec<HeadUpdate>),
+    /// Changes of job heads that the sender has read from the store. Older releases ignore it.
+    JobChanges(HeadChanges),
     /// Queries the age of the peer's document and targets.
     AskAge {
         /// Nonce that the response repeats.
@@ -139,6 +146,10 @@
         reaches_store: bool,
         /// Address of the peer's control listener, which serves the document and the targets.
         control: SocketAddr,
+        /// Version up to which the peer has sent all changes of job heads, and the time since nothing newer was stored.
+        /// Older releases leave it out.
+        #[serde(default)]
+        jobs: Option<(RowVersion, Duration)>,
     },
 }
 
--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -152,7 +152,9 @@
             tracing::info!(event = "peer_joined", peer = %row.vm, incarnation);
             self.has_joined_peer = true;
         }
+        let reads_job_changes = is_same_incarnation && known.row.reads_job_changes;
         known.row = row.clone();
+        known.row.reads_job_changes |= reads_job_changes;
         known.sequence = sequence;
         known.last_report_at = Some(now);
         true
@@ -297,6 +299,9 @@
                     discovered_at: now,
                     stopped_incarnation: None,
                 });
+            if row.incarnation == known.row.incarnation {
+                known.row.reads_job_changes = row.reads_job_changes;
+            }
             if row.incarnation > known.row.incarnation {
                 known.row = row.clone();
                 known.sequence = 0;
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -7,6 +7,7 @@
 use plantainmill_admission::UsageSource;
 use plantainmill_core::Uptime;
 use plantainmill_dispatch::shared::LoadSource;
+use plantainmill_jobs::HeadChanges;
 use plantainmill_provider::PartitionStore;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -70,7 +71,7 @@
         actix_rt::spawn(Rc::clone(&exchange).discover());
         actix_rt::spawn(Rc::clone(&exchange).query_ages());
         actix_rt::spawn(Rc::clone(&exchange).announce_changes());
-        actix_rt::spawn(Rc::clone(&exchange).broadcast_job_updates());
+        actix_rt::spawn(Rc::clone(&exchange).broadcast_job_changes());
         actix_rt::spawn(Rc::clone(&exchange).tick());
         exchange
     }
@@ -150,6 +151,7 @@
                 self.state.dispatcher.record_leaving_report(&report);
             }
             PeerMessage::Jobs(updates) => self.state.jobs.apply_updates(updates),
+            PeerMessage::JobChanges(changes) => self.state.jobs.apply_changes(changes),
             PeerMessage::Leaving { vm, incarnation } => {
                 if self.directory.borrow_mut().remove_peer(&vm, incarnation) {
                     self.state.limiter.remove_peer(&UsageSource::Vm(vm.clone()));
@@ -169,6 +171,7 @@
                 targets_age,
                 reaches_store,
                 control,
+                jobs,
             } => {
                 self.state.rows.record_proxy(control, reaches_store);
                 let queried_at = self.pending_queries.borrow_mut().remove(&nonce);
@@ -179,6 +182,10 @@
                         .view
                         .confirm(version, queried_at.saturating_sub(age));
                     self.confirm_targets(targets_stamp, queried_at.saturating_sub(targets_age));
+                    if let Some((version, age)) = jobs {
+                        let at = queried_at.saturating_sub(age);
+                        self.state.jobs.confirm_heads(version, at);
+                    }
                 }
                 if queried_at.is_some() || nonce == 0 {
                     self.fetch_newer(version, targets_stamp, targets_age, control);
@@ -187,20 +194,39 @@
         }
     }
 
-    /// Sends the job heads that this VM has read to the VMs of the domain whenever they change.
-    async fn broadcast_job_updates(self: Rc<Self>) {
-        let mut last_sent = Vec::new();
+    /// Sends the changes of job heads that this VM has read to the VMs of the domain.
+    async fn broadcast_job_changes(self: Rc<Self>) {
+        let mut last_sent = None;
         loop {
             sleep(JOB_UPDATE_INTERVAL).await;
-            let updates = self.state.jobs.recent_updates();
-            if updates == last_sent {
+            let changes = self.state.jobs.recent_changes();
+            if changes == last_sent {
                 continue;
             }
-            for chunk in updates.chunks(UPDATES_PER_MESSAGE) {
-                self.send_to_domain(&PeerMessage::Jobs(chunk.to_vec()))
-                    .await;
+            last_sent.clone_from(&changes);
+            let parts = changes.map(|changes| changes.split(UPDATES_PER_MESSAGE));
+            for part in parts.unwrap_or_default() {
+                self.send_job_changes(part).await;
             }
-            last_sent = updates;
+        }
+    }
+
+    async fn send_job_changes(&self, changes: HeadChanges) {
+        let (newer, older): (Vec<VmRow>, Vec<VmRow>) = {
+            let directory = self.directory.borrow();
+            let rows = directory.local_rows().cloned();
+            rows.partition(|row| row.reads_job_changes)
+        };
+        if !older.is_empty() {
+            let content = PeerMessage::Jobs(changes.heads.clone()).encode();
+            for row in &older {
+                self.send(&content, row.peers).await;
+            }
+        }
+        // A VM whose row in the store has not been read yet counts as older, and may understand both.
+        let content = PeerMessage::JobChanges(changes).encode();
+        for row in newer.iter().chain(&older) {
+            self.send(&content, row.peers).await;
         }
     }
 }
--- a/crates/edge/src/proxied_rows.rs
+++ b/crates/edge/src/proxied_rows.rs
@@ -44,6 +44,11 @@
         from: CompactString,
         until: CompactString,
     },
+    /// Changes after a version, without waiting for any. Older releases do not know it.
+    Follow {
+        table: CompactString,
+        after: RowVersion,
+    },
     Change {
         part: CompactString,
         expected: Vec<(CompactString, CompactString, RowVersion)>,
@@ -59,6 +64,13 @@
         rows: Vec<ProxiedRow>,
         version: RowVersion,
     },
+    /// Response to [`RowsRequest::Follow`].
+    Changes {
+        rows: Vec<ProxiedRow>,
+        version: RowVersion,
+    },
+    /// The store no longer has the changes after the version.
+    HistoryLost,
     Applied(RowVersion),
     Conflict(Vec<ProxiedRow>),
     /// The call had no effect.
@@ -75,6 +87,8 @@
     key: CompactString,
     value: Bytes,
     version: RowVersion,
+    #[serde(default)]
+    is_removed: bool,
 }
 
 /// Tables that may be accessed through a peer.
@@ -166,6 +180,19 @@
                     version: read.version,
                 })
             }
+            RowsRequest::Follow { table, after } => {
+                let Some(table) = find_table(&table) else {
+                    return RowsResponse::Unavailable(format!("no table {table}"));
+                };
+                let read = self.direct.follow(table, after, Duration::ZERO).await;
+                read.map(|read| match read {
+                    FeedRead::HistoryLost => RowsResponse::HistoryLost,
+                    FeedRead::Changes(rows, version) => RowsResponse::Changes {
+                        rows: rows.into_iter().map(proxied_row).collect(),
+                        version,
+                    },
+                })
+            }
             RowsRequest::Change { .. } => {
                 let Some(change) = row_change(request) else {
                     return RowsResponse::Unavailable("no such table".to_owned());
@@ -203,6 +230,18 @@
         direct: impl Future<Output = Result<T, StoreError>>,
         request: RowsRequest,
         read_response: impl Fn(RowsResponse) -> Result<T, StoreError>,
+    ) -> Result<T, StoreError> {
+        self.call_after(direct, Duration::ZERO, request, read_response)
+            .await
+    }
+
+    /// Makes a call as [`ProxiedRows::call`] does. The store may take `wait` longer to respond than usual.
+    async fn call_after<T>(
+        &self,
+        direct: impl Future<Output = Result<T, StoreError>>,
+        wait: Duration,
+        request: RowsRequest,
+        read_response: impl Fn(RowsResponse) -> Result<T, StoreError>,
     ) -> Result<T, StoreError> {
         let proxies = self.proxies();
         if proxies.is_empty() {
@@ -220,8 +259,10 @@
         let hedge_delay = if failed_recently {
             Duration::ZERO
         } else {
-            HEDGE_DELAY
+            wait + HEDGE_DELAY
         };
+        // A peer of an older release fails such a request, which does not say that it has lost the store.
+        let tells_reach = !matches!(request, RowsRequest::Follow { .. });
         let mut direct = std::pin::pin!(direct);
         let mut may_have_effect = false;
         tokio::select! {
@@ -247,11 +288,15 @@
                 .and_then(&read_response)
             {
                 Err(StoreError::Unavailable(error)) => {
-                    self.record_proxy(proxy, false);
+                    if tells_reach {
+                        self.record_proxy(proxy, false);
+                    }
                     reason = error;
                 }
                 Err(StoreError::Unknown(error)) => {
-                    self.record_proxy(proxy, false);
+                    if tells_reach {
+                        self.record_proxy(proxy, false);
+                    }
                     may_have_effect = true;
                     reason = error;
                 }
@@ -274,6 +319,7 @@
         key: row.key,
         value: row.value,
         version: row.version,
+        is_removed: row.is_removed,
     }
 }
 
@@ -284,7 +330,7 @@
         key: row.key,
         value: row.value,
         version: row.version,
-        is_removed: false,
+        is_removed: row.is_removed,
     }
 }
 
@@ -386,7 +432,20 @@
         after: RowVersion,
         wait: Duration,
     ) -> PlatformFuture<'_, FeedRead> {
-        // Not proxied: a reader that cannot reach the store receives updates from the domain's other reader.
-        self.direct.follow(table, after, wait)
+        let request = RowsRequest::Follow {
+            table: table.into(),
+            after,
+        };
+        let read_response = |response| match response {
+            RowsResponse::Changes { rows, version } => Ok(FeedRead::Changes(
+                rows.into_iter().map(partition_row).collect(),
+                version,
+            )),
+            RowsResponse::HistoryLost => Ok(FeedRead::HistoryLost),
+            other => response_error(other),
+        };
+        let direct = self.direct.follow(table, after, wait);
+        self.call_after(direct, wait, request, read_response)
+            .boxed_local()
     }
 }
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -90,6 +90,7 @@
             control: listen.control,
             processor_percent: whole_percent(settings.vm.processor_percent),
             reads_batches: true,
+            reads_job_changes: true,
         };
         let state = Rc::new(build_state(settings, &platform, clock, incarnation)?);
         let (drain, drained) = watch::channel(false);
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -17,6 +17,7 @@
         control: SocketAddr::from(([10, 0, 0, 2], number)),
         processor_percent: 50,
         reads_batches: true,
+        reads_job_changes: false,
     }
 }
 
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -1,6 +1,7 @@
 //! Tracks all jobs in the store and runs those assigned to this VM.
 
 use crate::catalog::{FleetSnapshot, JobCatalog, KnownJob};
+use crate::heads::{HeadChanges, HeadProgress};
 use crate::job_run::RunOutcome;
 use crate::run::RunContext;
 use crate::store::{HeadOutcome, JobStore, read_head};
@@ -18,13 +19,15 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
-/// Time for which a long poll of the change feed waits for changes.
-const FEED_POLL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a long poll of the change feed waits for changes. What is known is as old as the start of the poll.
+const FEED_POLL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between reads of the change feed. It batches changes, and stays well below the 1 s within which VMs have to
 /// agree.
 const FEED_POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which a head that was read is sent to the other VMs of the domain: in two messages of each reader.
 const UPDATE_RETENTION: Duration = Duration::from_millis(400);
+/// Delay before a VM that is no reader repeats a failed read of the heads. All VMs may need them at the same time.
+const DIRECT_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Delay before a failed store operation is retried.
 pub(crate) const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval between checks for jobs that this VM has to resume or reassign.
@@ -75,20 +78,25 @@
     /// Stop signals of the jobs that run on this VM.
     running: RefCell<HashMap<JobId, watch::Sender<bool>>>,
     pub fleet: RefCell<FleetSnapshot>,
-    /// Heads read within [`UPDATE_RETENTION`], oldest first, with the times of their reads.
-    recent: RefCell<VecDeque<(Uptime, HeadUpdate)>>,
+    /// Reads of changes within [`UPDATE_RETENTION`], oldest first.
+    recent: RefCell<VecDeque<RecentRead>>,
+    pub heads: RefCell<HeadProgress>,
+    /// Notified when the heads are read or confirmed, or a read of them fails.
+    pub heads_checked: Notify,
+    /// Version up to which other readers have sent the changes.
+    sent_elsewhere: Cell<RowVersion>,
+    /// What this VM has sent: the version up to which it is complete, and when nothing newer was stored.
+    announced: Cell<Option<(RowVersion, Uptime)>>,
+    /// Whether the last read of the heads was made by a VM that is no reader.
+    reads_directly: Cell<bool>,
     stopping: Cell<bool>,
 }
 
-/// How far this VM has read the change feed of job heads.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum FeedPosition {
-    /// Nothing was read, or the history after the last position is gone.
-    Unread,
-    /// All heads were read once; changes since then come from the readers of the domain.
-    FromReaders,
-    /// All changes up to this version were read.
-    At(RowVersion),
+/// Changes found by one read of the feed.
+struct RecentRead {
+    at: Uptime,
+    after: RowVersion,
+    heads: Vec<HeadUpdate>,
 }
 
 impl JobService {
@@ -108,6 +116,11 @@
             running: RefCell::default(),
             fleet: RefCell::default(),
             recent: RefCell::default(),
+            heads: RefCell::default(),
+            heads_checked: Notify::new(),
+            sent_elsewhere: Cell::new(0),
+            announced: Cell::new(None),
+            reads_directly: Cell::new(false),
             stopping: Cell::new(false),
         });
         actix_rt::spawn(Rc::clone(&inner).follow_feed());
@@ -121,44 +134,76 @@
         *self.inner.fleet.borrow_mut() = fleet;
     }
 
-    /// Returns the latest head of each job that was read a short time ago, for VMs that do not read the change feed.
-    /// Several calls return the same head, so that one lost message does not lose it.
+    /// Returns the changes that this VM has read a short time ago and other readers have not sent, for the VMs that do not
+    /// read them. Several calls return the same change, so that one lost message does not lose it.
     #[must_use]
-    pub fn recent_updates(&self) -> Vec<HeadUpdate> {
-        let now = self.inner.parts.clock.uptime();
-        let mut recent = self.inner.recent.borrow_mut();
+    pub fn recent_changes(&self) -> Option<HeadChanges> {
+        let inner = &self.inner;
+        let now = inner.parts.clock.uptime();
+        let mut recent = inner.recent.borrow_mut();
         while recent
             .front()
-            .is_some_and(|(at, _)| now.saturating_sub(*at) > UPDATE_RETENTION)
+            .is_some_and(|read| now.saturating_sub(read.at) > UPDATE_RETENTION)
         {
             recent.pop_front();
         }
+        let confirmed = inner.heads.borrow().confirmed();
+        inner.announced.set(confirmed);
+        let (until, _) = confirmed?;
+        let after = recent.front()?.after.max(inner.sent_elsewhere.get());
+        if until <= after {
+            return None;
+        }
         let mut latest: HashMap<&JobId, &HeadUpdate> = HashMap::new();
-        for (_, update) in recent.iter() {
+        let updates = recent.iter().flat_map(|read| &read.heads);
+        for update in updates.filter(|(_, _, version)| *version > after) {
             latest.insert(&update.0, update);
         }
-        let mut updates: Vec<HeadUpdate> = latest.into_values().cloned().collect();
-        updates.sort_by_key(|(_, _, version)| *version);
-        updates
+        let mut heads: Vec<HeadUpdate> = latest.into_values().cloned().collect();
+        heads.sort_by_key(|(_, _, version)| *version);
+        Some(HeadChanges {
+            after,
+            until,
+            heads,
+        })
+    }
+
+    /// Applies changes that a reader of the domain has sent. Outdated heads are ignored.
+    pub fn apply_changes(&self, changes: HeadChanges) {
+        let inner = &self.inner;
+        let sent = inner.sent_elsewhere.get().max(changes.until);
+        inner.sent_elsewhere.set(sent);
+        let HeadChanges {
+            after,
+            until,
+            heads,
+        } = changes;
+        self.apply_updates(heads);
+        inner.heads.borrow_mut().record_range(after, until);
     }
 
-    /// Applies heads that a reader of the domain has sent. Outdated ones are ignored. The other reader need not send them
-    /// as well.
+    /// Applies heads without a statement whether they are all that have changed, as VMs of older releases send them.
     pub fn apply_updates(&self, updates: Vec<HeadUpdate>) {
-        let mut recent = self.inner.recent.borrow_mut();
-        if !recent.is_empty() {
-            let sent: HashMap<&JobId, RowVersion> = updates
-                .iter()
-                .map(|(job, _, version)| (job, *version))
-                .collect();
-            recent.retain(|(_, (job, _, version))| sent.get(job).is_none_or(|sent| sent < version));
-        }
-        drop(recent);
         for (job, head, version) in updates {
             self.inner.record(&job, head, version);
         }
     }
 
+    /// Version up to which this VM knows all changes and has sent them to its domain, and the time since nothing newer was
+    /// stored. `None` before the first read.
+    #[must_use]
+    pub fn announced(&self) -> Option<(RowVersion, Duration)> {
+        let (version, confirmed_at) = self.inner.announced.get()?;
+        let now = self.inner.parts.clock.uptime();
+        Some((version, now.saturating_sub(confirmed_at)))
+    }
+
+    /// Records that by the statement of another VM nothing newer than `version` was stored at `at`.
+    pub fn confirm_heads(&self, version: RowVersion, at: Uptime) {
+        self.inner.heads.borrow_mut().confirm(version, at);
+        self.inner.heads_checked.notify_waiters();
+    }
+
     /// Number of jobs that run on this VM.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -215,49 +260,70 @@
         }
     }
 
+    /// Reads the heads: all of them at the start, and then the changes, while this VM is a reader of its domain or no
+    /// reader confirms what it knows.
     async fn follow_feed(self: Rc<Self>) {
-        let mut position = FeedPosition::Unread;
         loop {
-            // Every VM reads all heads once. After that, only the readers of the domain read changes and send them on.
-            if position != FeedPosition::Unread && !self.is_reader() {
-                position = FeedPosition::FromReaders;
+            let now = self.parts.clock.uptime();
+            let is_reader = self.is_reader();
+            let reads_directly = !is_reader && self.heads.borrow().needs_read(now);
+            self.log_direct_reads(reads_directly, now);
+            if !is_reader && !reads_directly {
                 sleep(FEED_POLL_INTERVAL).await;
                 continue;
             }
+            let position = self.heads.borrow().feed_position();
             let read = match position {
-                FeedPosition::Unread | FeedPosition::FromReaders => self.read_all().await,
-                FeedPosition::At(version) => self.read_feed(version).await,
+                None => self.read_all(now).await,
+                Some(version) if is_reader => self.read_feed(version, FEED_POLL_TIMEOUT, now).await,
+                Some(version) => self.read_feed(version, Duration::ZERO, now).await,
             };
-            match read {
-                Ok(next) => {
-                    position = next;
-                    sleep(FEED_POLL_INTERVAL).await;
-                }
+            let delay = match read {
+                Ok(()) => FEED_POLL_INTERVAL,
                 Err(error) => {
+                    let failed_at = self.parts.clock.uptime();
+                    self.heads.borrow_mut().record_failure(failed_at);
                     tracing::info!(event = "jobs_not_followed", %error);
-                    sleep(STORE_RETRY_DELAY).await;
+                    if is_reader {
+                        STORE_RETRY_DELAY
+                    } else {
+                        DIRECT_RETRY_DELAY
+                    }
                 }
-            }
+            };
+            self.heads_checked.notify_waiters();
+            sleep(delay).await;
         }
     }
 
-    async fn read_all(&self) -> Result<FeedPosition, StoreError> {
+    fn log_direct_reads(&self, reads_directly: bool, now: Uptime) {
+        if self.reads_directly.replace(reads_directly) != reads_directly {
+            let age_ms = self.heads.borrow().age(now).map(|age| age.as_millis());
+            tracing::info!(event = "job_heads_source_changed", reads_directly, age_ms);
+        }
+    }
+
+    async fn read_all(&self, sent_at: Uptime) -> Result<(), StoreError> {
         let (heads, version) = self.parts.store.all_heads().await?;
+        let known_until = self.heads.borrow().confirmed().map(|(version, _)| version);
+        self.heads.borrow_mut().record_read(version, sent_at);
+        let changed = heads
+            .iter()
+            .filter(|(_, _, version)| known_until.is_some_and(|known| *version > known));
+        self.keep_recent(known_until.unwrap_or(version), changed.cloned().collect());
         for (job, head, row_version) in heads {
-            self.record_read(&job, head, row_version);
+            self.record(&job, head, row_version);
         }
-        Ok(FeedPosition::At(version))
+        Ok(())
     }
 
-    /// Records a head read from the store, and keeps it for the other VMs of the domain if this VM is a reader.
-    fn record_read(&self, job: &JobId, head: JobHead, version: RowVersion) {
-        if self.is_reader() {
-            let update = (job.clone(), head.clone(), version);
-            self.recent
-                .borrow_mut()
-                .push_back((self.parts.clock.uptime(), update));
+    /// Keeps changes that were read for the other VMs of the domain if this VM is a reader.
+    fn keep_recent(&self, after: RowVersion, heads: Vec<HeadUpdate>) {
+        if self.is_reader() && !heads.is_empty() {
+            let at = self.parts.clock.uptime();
+            let read = RecentRead { at, after, heads };
+            self.recent.borrow_mut().push_back(read);
         }
-        self.record(job, head, version);
     }
 
     fn is_reader(&self) -> bool {
@@ -265,25 +331,36 @@
         fleet.readers.is_empty() || fleet.is_reader(&self.parts.local_owner)
     }
 
-    /// Reads the change feed once and returns the new position.
-    async fn read_feed(&self, after: RowVersion) -> Result<FeedPosition, StoreError> {
+    /// Reads the changes after a version from the feed once, waiting up to `wait` until there are any.
+    async fn read_feed(
+        &self,
+        after: RowVersion,
+        wait: Duration,
+        sent_at: Uptime,
+    ) -> Result<(), StoreError> {
         let rows = self.parts.store.rows();
-        match rows.follow(HEAD_TABLE, after, FEED_POLL_TIMEOUT).await? {
+        match rows.follow(HEAD_TABLE, after, wait).await? {
             FeedRead::HistoryLost => {
                 tracing::info!(event = "job_history_lost", after);
-                Ok(FeedPosition::Unread)
+                self.heads.borrow_mut().record_lost_history();
             }
             FeedRead::Changes(rows, version) => {
+                let mut heads = Vec::new();
                 for row in rows {
                     if row.is_removed {
                         self.jobs.borrow_mut().remove(&row.key, row.version);
                     } else if let Some((head, row_version)) = read_head(&row) {
-                        self.record_read(&row.key, head, row_version);
+                        heads.push((row.key, head, row_version));
                     }
                 }
-                Ok(FeedPosition::At(version))
+                self.heads.borrow_mut().record_read(version, sent_at);
+                self.keep_recent(after, heads.clone());
+                for (job, head, row_version) in heads {
+                    self.record(&job, head, row_version);
+                }
             }
         }
+        Ok(())
     }
 
     /// Periodically resumes jobs assigned to this VM and reassigns jobs whose owner is gone.
--- a/crates/jobs/tests/all/job_faults.rs
+++ b/crates/jobs/tests/all/job_faults.rs
@@ -300,7 +300,9 @@
     let relay_updates = async || {
         for _ in 0..20 {
             actix_rt::time::sleep(Duration::from_millis(150)).await;
-            other.jobs.apply_updates(reader.jobs.recent_updates());
+            if let Some(changes) = reader.jobs.recent_changes() {
+                other.jobs.apply_changes(changes);
+            }
         }
     };
     relay_updates().await;
--- a/crates/jobs/tests/all/missed_decisions.rs
+++ b/crates/jobs/tests/all/missed_decisions.rs
@@ -1,4 +1,4 @@
-//! Decisions about a job that its owner does not hear of: a take-over and its return.
+//! Decisions about a job that its owner does not hear of: a take-over and its return, and an assignment.
 
 use crate::support::{TestCluster, TestVm, check_results, route, submission, ward};
 use plantainmill_core::JobId;
@@ -58,3 +58,22 @@
         .set_targets(std::iter::once(&cluster.entry("t1", "v1")));
     check_results(&reader.read_results(&job(), 4).await, 4);
 }
+
+/// Guards against a job that never runs because the VM that it was given to did not get the message, and is alive.
+#[actix_rt::test]
+async fn unheard_assignment() {
+    let cluster = TestCluster::start().await;
+    let gone = cluster.vm("gone", 1);
+    gone.dispatcher.set_targets(std::iter::empty());
+    gone.jobs
+        .submit(&ward(), &route(), &job(), &submission(4))
+        .await
+        .expect("accepted");
+    let new_owner = cluster.vm("new-owner", 1);
+    isolate(&new_owner);
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    gone.jobs.stop().await;
+    let reader = cluster.vm("reader", 1);
+    reader.assign_jobs_to(&new_owner.own);
+    check_results(&reader.read_results(&job(), 4).await, 4);
+}
