Send items only while what the VM knows of their job is recent

Evidence: with reads that take 0.5 s, missed_decisions::missed_end had all three items sent without the check, although the VM reads the heads; none with it. Change: an item is sent only while the heads are less than 2 s old, by the document in force after the wait for a slot. While the heads cannot be read at all, what is known holds for up to 20 s. Works because the age counts suspension. Metrics: job_held_items, job_direct_reads, job_replaced_heads. Log: item_held.

--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -21,7 +21,7 @@
 use plantainmill_dispatch::{
     LimitDispatcher, PartQuarantine, QuarantineDispatcher, SharedDispatcher, TargetLimits,
 };
-use plantainmill_jobs::{JobOwner, JobParts, JobService, JobSettings, JobStore};
+use plantainmill_jobs::{JobMetrics, JobOwner, JobParts, JobService, JobSettings, JobStore};
 use plantainmill_paths::TargetPaths;
 use plantainmill_provider::PartitionStore;
 use plantainmill_proxy::TargetDialer;
@@ -249,6 +249,7 @@
             result_retention: settings.bounds.result_retention,
             stop_timeout: JOB_HANDOVER_TIMEOUT,
         },
+        metrics: JobMetrics::new(&metrics.meter(), METRIC_PREFIX),
     });
     Ok(EdgeState {
         bounds: Cell::new(settings.bounds),
--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -17,6 +17,9 @@
 /// Time between looks at the feed.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Delay of a late answer to a read.
+const SLOW_READ_DELAY: Duration = Duration::from_millis(500);
+
 /// What goes wrong with calls.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum RowsFault {
@@ -29,6 +32,8 @@
     LoseAnswers,
     /// Changes are neither done nor answered; [`MemoryRows::land`] does them later, if their conditions still hold.
     HoldChanges,
+    /// Reads are answered half a second late.
+    SlowReads,
 }
 
 type RowKey = (CompactString, PartitionName, CompactString);
@@ -141,6 +146,12 @@
         Ok(())
     }
 
+    async fn wait_if_slow(&self) {
+        if self.state.fault.get() == RowsFault::SlowReads {
+            sleep(SLOW_READ_DELAY).await;
+        }
+    }
+
     async fn read_rows(
         &self,
         table: &str,
@@ -150,6 +161,7 @@
     ) -> Result<RowsRead, StoreError> {
         self.state.reads.set(self.state.reads.get() + 1);
         tokio::task::yield_now().await;
+        self.wait_if_slow().await;
         self.check_refused()?;
         let rows = self.state.rows.borrow();
         let found = rows.values().filter(|row| {
@@ -178,7 +190,7 @@
                 self.seed(&change);
                 Err(lost())
             }
-            RowsFault::None | RowsFault::Refuse => Ok(self.apply(&change)),
+            RowsFault::None | RowsFault::Refuse | RowsFault::SlowReads => Ok(self.apply(&change)),
         }
     }
 
@@ -188,6 +200,7 @@
         after: RowVersion,
         wait: Duration,
     ) -> Result<FeedRead, StoreError> {
+        self.wait_if_slow().await;
         let until = Instant::now() + wait;
         loop {
             self.check_refused()?;
--- a/crates/jobs/src/heads.rs
+++ b/crates/jobs/src/heads.rs
@@ -5,10 +5,14 @@
 //! that no reader confirms reads the heads itself.
 
 use crate::service::HeadUpdate;
-use plantainmill_core::Uptime;
+use plantainmill_core::{Clock, Uptime};
 use plantainmill_provider::RowVersion;
 use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 /// Age from which a VM reads the heads itself. The readers have been asked three times by then.
 const DIRECT_READ_AGE: Duration = Duration::from_millis(1_500);
@@ -19,6 +23,9 @@
 /// Time for which a failed read shows that the heads cannot be read: longer than a read and the delay before the next.
 const FAILURE_VALIDITY: Duration = Duration::from_secs(3);
 
+/// Interval at which a waiting item checks the age of the heads without a notification.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// All changes of job heads between two versions of the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HeadChanges {
@@ -138,3 +145,45 @@
         self.age(now).is_some_and(|age| age < limit)
     }
 }
+
+/// The [`HeadProgress`] of this VM, shared by the tasks that advance it and those that wait for it.
+pub(crate) struct HeadView {
+    progress: RefCell<HeadProgress>,
+    /// Notified when the heads are read or confirmed, or a read of them fails.
+    checked: Notify,
+    clock: Arc<dyn Clock>,
+}
+
+impl HeadView {
+    pub fn new(clock: Arc<dyn Clock>) -> HeadView {
+        HeadView {
+            progress: RefCell::default(),
+            checked: Notify::new(),
+            clock,
+        }
+    }
+
+    /// Returns what `read` finds in the progress.
+    pub fn read<T>(&self, read: impl FnOnce(&HeadProgress) -> T) -> T {
+        read(&self.progress.borrow())
+    }
+
+    /// Changes the progress and wakes the tasks that wait for it.
+    pub fn update(&self, change: impl FnOnce(&mut HeadProgress)) {
+        change(&mut self.progress.borrow_mut());
+        self.checked.notify_waiters();
+    }
+
+    /// Whether this VM may act on the heads that it knows.
+    pub fn may_act(&self) -> bool {
+        self.progress.borrow().may_act(self.clock.uptime())
+    }
+
+    /// Waits until this VM may act on the heads that it knows.
+    pub async fn wait_until_recent(&self) {
+        while !self.may_act() {
+            // After the interval the age is checked once more.
+            let _ = timeout(RECHECK_INTERVAL, self.checked.notified()).await;
+        }
+    }
+}
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -237,6 +237,7 @@
         for run in listed.iter().filter_map(|item| runs.get(item)) {
             run.abort();
         }
+        self.parts.metrics.count_replaced_head();
         tracing::info!(event = "job_head_replaced", %job, first, count, version);
         queue.apply_found(head, version, listed)
     }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -1,5 +1,7 @@
 //! Runs one item on idle target slots until it has a result, resuming its event stream after an interruption.
 
+use crate::heads::HeadView;
+use crate::metrics::JobMetrics;
 use crate::stored::{ItemState, JobItem, ListedResult};
 use awc::http::Method;
 use awc::http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
@@ -14,7 +16,7 @@
     CallSend, EventSplitter, RelayCall, RelayCaller, SendFailure, SendTrace, TargetResponse,
     broken_body_outcome, check_order,
 };
-use plantainmill_routing::{DocumentView, RouteRule};
+use plantainmill_routing::{DocumentView, FleetDocument, RouteRule};
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -42,6 +44,9 @@
     pub caller: RelayCaller,
     pub view: DocumentView,
     pub clock: Arc<dyn Clock>,
+    /// Whether what this VM knows of the jobs is recent enough to send items.
+    pub heads: Rc<HeadView>,
+    pub metrics: JobMetrics,
 }
 
 /// Properties shared by all items of one job.
@@ -113,6 +118,7 @@
 impl ItemRunner {
     async fn run(&mut self) -> ItemState {
         loop {
+            self.wait_for_heads().await;
             if self.context.clock.uptime() >= self.job.expires_at {
                 return ItemState::GivenUp;
             }
@@ -137,6 +143,10 @@
                     continue;
                 }
             };
+            if !self.may_send(&document) {
+                ticket.finish(CallOutcome::Abandoned);
+                continue;
+            }
             match self.send(&call, ticket).await {
                 SendOutcome::Succeeded => return ItemState::Succeeded,
                 SendOutcome::Unprocessable => return ItemState::GivenUp,
@@ -149,6 +159,23 @@
         }
     }
 
+    /// Waits until this VM knows recent heads, so that it would know if the job had been ended or had another owner.
+    async fn wait_for_heads(&self) {
+        let heads = &self.context.heads;
+        if heads.may_act() {
+            return;
+        }
+        self.context.metrics.count_held_item();
+        tracing::info!(event = "item_held", item = %self.item.id, "the job's state is not confirmed");
+        heads.wait_until_recent().await;
+    }
+
+    /// Whether the item may be sent after its wait for a slot, during which the VM may have been suspended and the
+    /// document changed.
+    fn may_send(&self, document: &FleetDocument) -> bool {
+        self.context.heads.may_act() && self.context.view.version() == document.version
+    }
+
     /// Builds the request of the item. Returns `None` if it has an invalid header or the route has no service.
     fn build_call(&self, route: &RouteRule) -> Option<RelayCall> {
         let mut headers = HeaderMap::new();
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -1,8 +1,9 @@
 //! Tracks all jobs in the store and runs those assigned to this VM.
 
 use crate::catalog::{FleetSnapshot, JobCatalog, KnownJob};
-use crate::heads::{HeadChanges, HeadProgress};
+use crate::heads::{HeadChanges, HeadProgress, HeadView};
 use crate::job_run::RunOutcome;
+use crate::metrics::JobMetrics;
 use crate::run::RunContext;
 use crate::store::{HeadOutcome, JobStore, read_head};
 use crate::stored::{HEAD_TABLE, JobHead, JobItem, JobOwner};
@@ -61,6 +62,8 @@
     pub clock: Arc<dyn Clock>,
     /// Retention and shutdown settings.
     pub settings: JobSettings,
+    /// Counters.
+    pub metrics: JobMetrics,
 }
 
 /// Handle to the job service of this VM. Clones share the same state.
@@ -80,9 +83,7 @@
     pub fleet: RefCell<FleetSnapshot>,
     /// Reads of changes within [`UPDATE_RETENTION`], oldest first.
     recent: RefCell<VecDeque<RecentRead>>,
-    pub heads: RefCell<HeadProgress>,
-    /// Notified when the heads are read or confirmed, or a read of them fails.
-    pub heads_checked: Notify,
+    pub heads: Rc<HeadView>,
     /// Version up to which other readers have sent the changes.
     sent_elsewhere: Cell<RowVersion>,
     /// What this VM has sent: the version up to which it is complete, and when nothing newer was stored.
@@ -103,10 +104,13 @@
     /// Starts the service. Its tasks run on the current thread, which must run an actix runtime.
     #[must_use]
     pub fn start(parts: JobParts) -> JobService {
+        let heads = Rc::new(HeadView::new(Arc::clone(&parts.clock)));
         let run_context = RunContext {
             caller: parts.caller.clone(),
             view: parts.view.clone(),
             clock: Arc::clone(&parts.clock),
+            heads: Rc::clone(&heads),
+            metrics: parts.metrics.clone(),
         };
         let inner = Rc::new(JobInner {
             run_context: Rc::new(run_context),
@@ -116,8 +120,7 @@
             running: RefCell::default(),
             fleet: RefCell::default(),
             recent: RefCell::default(),
-            heads: RefCell::default(),
-            heads_checked: Notify::new(),
+            heads,
             sent_elsewhere: Cell::new(0),
             announced: Cell::new(None),
             reads_directly: Cell::new(false),
@@ -147,7 +150,7 @@
         {
             recent.pop_front();
         }
-        let confirmed = inner.heads.borrow().confirmed();
+        let confirmed = inner.heads.read(HeadProgress::confirmed);
         inner.announced.set(confirmed);
         let (until, _) = confirmed?;
         let after = recent.front()?.after.max(inner.sent_elsewhere.get());
@@ -179,7 +182,9 @@
             heads,
         } = changes;
         self.apply_updates(heads);
-        inner.heads.borrow_mut().record_range(after, until);
+        inner
+            .heads
+            .update(|progress| progress.record_range(after, until));
     }
 
     /// Applies heads without a statement whether they are all that have changed, as VMs of older releases send them.
@@ -200,8 +205,8 @@
 
     /// Records that by the statement of another VM nothing newer than `version` was stored at `at`.
     pub fn confirm_heads(&self, version: RowVersion, at: Uptime) {
-        self.inner.heads.borrow_mut().confirm(version, at);
-        self.inner.heads_checked.notify_waiters();
+        let heads = &self.inner.heads;
+        heads.update(|progress| progress.confirm(version, at));
     }
 
     /// Number of jobs that run on this VM.
@@ -266,13 +271,16 @@
         loop {
             let now = self.parts.clock.uptime();
             let is_reader = self.is_reader();
-            let reads_directly = !is_reader && self.heads.borrow().needs_read(now);
+            let reads_directly = !is_reader && self.heads.read(|progress| progress.needs_read(now));
             self.log_direct_reads(reads_directly, now);
             if !is_reader && !reads_directly {
                 sleep(FEED_POLL_INTERVAL).await;
                 continue;
             }
-            let position = self.heads.borrow().feed_position();
+            if reads_directly {
+                self.parts.metrics.count_direct_read();
+            }
+            let position = self.heads.read(HeadProgress::feed_position);
             let read = match position {
                 None => self.read_all(now).await,
                 Some(version) if is_reader => self.read_feed(version, FEED_POLL_TIMEOUT, now).await,
@@ -282,7 +290,8 @@
                 Ok(()) => FEED_POLL_INTERVAL,
                 Err(error) => {
                     let failed_at = self.parts.clock.uptime();
-                    self.heads.borrow_mut().record_failure(failed_at);
+                    self.heads
+                        .update(|progress| progress.record_failure(failed_at));
                     tracing::info!(event = "jobs_not_followed", %error);
                     if is_reader {
                         STORE_RETRY_DELAY
@@ -291,22 +300,26 @@
                     }
                 }
             };
-            self.heads_checked.notify_waiters();
             sleep(delay).await;
         }
     }
 
     fn log_direct_reads(&self, reads_directly: bool, now: Uptime) {
         if self.reads_directly.replace(reads_directly) != reads_directly {
-            let age_ms = self.heads.borrow().age(now).map(|age| age.as_millis());
+            let age_ms = self
+                .heads
+                .read(|progress| progress.age(now))
+                .map(|age| age.as_millis());
             tracing::info!(event = "job_heads_source_changed", reads_directly, age_ms);
         }
     }
 
     async fn read_all(&self, sent_at: Uptime) -> Result<(), StoreError> {
         let (heads, version) = self.parts.store.all_heads().await?;
-        let known_until = self.heads.borrow().confirmed().map(|(version, _)| version);
-        self.heads.borrow_mut().record_read(version, sent_at);
+        let known_until = self
+            .heads
+            .read(HeadProgress::confirmed)
+            .map(|(version, _)| version);
         let changed = heads
             .iter()
             .filter(|(_, _, version)| known_until.is_some_and(|known| *version > known));
@@ -314,6 +327,8 @@
         for (job, head, row_version) in heads {
             self.record(&job, head, row_version);
         }
+        self.heads
+            .update(|progress| progress.record_read(version, sent_at));
         Ok(())
     }
 
@@ -342,7 +357,7 @@
         match rows.follow(HEAD_TABLE, after, wait).await? {
             FeedRead::HistoryLost => {
                 tracing::info!(event = "job_history_lost", after);
-                self.heads.borrow_mut().record_lost_history();
+                self.heads.update(HeadProgress::record_lost_history);
             }
             FeedRead::Changes(rows, version) => {
                 let mut heads = Vec::new();
@@ -353,11 +368,12 @@
                         heads.push((row.key, head, row_version));
                     }
                 }
-                self.heads.borrow_mut().record_read(version, sent_at);
                 self.keep_recent(after, heads.clone());
                 for (job, head, row_version) in heads {
                     self.record(&job, head, row_version);
                 }
+                self.heads
+                    .update(|progress| progress.record_read(version, sent_at));
             }
         }
         Ok(())
--- a/crates/jobs/tests/all/head_progress.rs
+++ b/crates/jobs/tests/all/head_progress.rs
@@ -72,3 +72,20 @@
     let heads = Vec::new();
     assert_eq!(ranges(HeadChanges { heads, ..changes }), [(10, 20, 0)]);
 }
+
+/// Guards against a VM that acts on old heads although it can read newer ones, and against one that stops all work at once
+/// when the store is down, or never.
+#[test]
+fn old_heads() {
+    let mut progress = started();
+    assert!(progress.may_act(seconds(101.9)));
+    assert!(!progress.may_act(seconds(102.0)));
+    progress.record_failure(seconds(102.5));
+    assert!(progress.may_act(seconds(102.6)));
+    // The failure is too old to say anything, for example after the VM was suspended.
+    assert!(!progress.may_act(seconds(105.6)));
+    progress.record_failure(seconds(119.0));
+    assert!(progress.may_act(seconds(119.9)));
+    assert!(!progress.may_act(seconds(120.0)));
+    assert!(!HeadProgress::default().may_act(seconds(1.0)));
+}
--- a/crates/jobs/tests/all/missed_decisions.rs
+++ b/crates/jobs/tests/all/missed_decisions.rs
@@ -1,8 +1,9 @@
-//! Decisions about a job that its owner does not hear of: a take-over and its return, and an assignment.
+//! Decisions about a job that its owner does not hear of: a take-over and its return, an assignment,
+//! and an end.
 
 use crate::support::{TestCluster, TestVm, check_results, route, submission, ward};
 use plantainmill_core::JobId;
-use plantainmill_fakes::TargetAct;
+use plantainmill_fakes::{RowsFault, TargetAct};
 use plantainmill_jobs::FleetSnapshot;
 use std::time::Duration;
 
@@ -77,3 +78,29 @@
     reader.assign_jobs_to(&new_owner.own);
     check_results(&reader.read_results(&job(), 4).await, 4);
 }
+
+/// Guards against items of an ended job that are sent by an owner that was suspended at the end, as soon as there is a slot.
+#[actix_rt::test]
+async fn missed_end() {
+    let cluster = TestCluster::start().await;
+    let owner = cluster.vm("owner", 1);
+    isolate(&owner);
+    owner.dispatcher.set_targets(std::iter::empty());
+    let other = cluster.vm("other", 1);
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    owner
+        .jobs
+        .submit(&ward(), &route(), &job(), &submission(3))
+        .await
+        .expect("accepted");
+    other.jobs.end(&ward(), &job()).await.expect("ended");
+    cluster.rows.set_fault(RowsFault::SlowReads);
+    // All VMs of the test share the thread that stands still.
+    std::thread::sleep(Duration::from_secs(3));
+    owner
+        .dispatcher
+        .set_targets(std::iter::once(&cluster.entry("t1", "v1")));
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(cluster.target.seen().len(), 0);
+    assert_eq!(owner.jobs.running(), 0);
+}
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -6,8 +6,8 @@
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_fakes::{MemoryRows, StreamTarget, TargetNames};
 use plantainmill_jobs::{
-    FleetSnapshot, ItemState, JobHead, JobItem, JobOwner, JobParts, JobService, JobSettings,
-    JobStore, ListedResult, Submission,
+    FleetSnapshot, ItemState, JobHead, JobItem, JobMetrics, JobOwner, JobParts, JobService,
+    JobSettings, JobStore, ListedResult, Submission,
 };
 use plantainmill_proxy::relay::{HeaderNames, RelayCaller, RelayLimits};
 use plantainmill_routing::{
@@ -185,6 +185,7 @@
                 result_retention: Duration::from_mins(2),
                 stop_timeout: Duration::from_secs(1),
             },
+            metrics: JobMetrics::new(&opentelemetry::global::meter("test"), ""),
         });
         TestVm {
             jobs,
