--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -45,6 +45,10 @@
     EndlessHead,
     /// Fails with status 500 and a body that never ends, until the caller closes.
     EndlessBody,
+    /// Says that it did not run the request, with a body that never ends, until the caller closes.
+    EndlessRefusal,
+    /// Answers with status 200 and the text of an error, which is no stream of events.
+    ErrorText,
     /// Sends bytes without the end of an event after this one, until the caller closes.
     EndlessEvent(u64),
     /// Sends a comment now and then, but no event after this one, until the caller closes.
@@ -232,7 +236,10 @@
             let act = planned.unwrap_or_else(|| self.default_act.get());
             let crashes = self.has_crash_marker(&request);
             self.seen.borrow_mut().push(SeenRequest {
-                ran: !matches!(act, TargetAct::Refuse | TargetAct::RefuseWithoutId),
+                ran: !matches!(
+                    act,
+                    TargetAct::Refuse | TargetAct::RefuseWithoutId | TargetAct::EndlessRefusal
+                ),
                 ..request
             });
             if crashes {
@@ -269,6 +276,24 @@
                     stream.write_all(b"HTTP/1.1 200 Any\r\nfiller: ").await?;
                     return send_endless(&mut stream, &[b'x'; ENDLESS_PART_BYTES]).await;
                 }
+                TargetAct::EndlessRefusal => {
+                    let refused = format!("{}: 1\r\n", self.names.not_executed);
+                    let head = self.head(503, &id, &refused, "connection: close\r\n");
+                    stream.write_all(head.as_bytes()).await?;
+                    self.running.set(self.running.get() + 1);
+                    let _running = RunGuard(&self.running);
+                    return send_endless(&mut stream, &[b'x'; ENDLESS_PART_BYTES]).await;
+                }
+                TargetAct::ErrorText => {
+                    let text = "data: out of memory\n\n";
+                    let framing = format!(
+                        "content-type: text/plain\r\ncontent-length: {}\r\n",
+                        text.len()
+                    );
+                    let head = self.head(200, &id, "", &framing);
+                    stream.write_all(head.as_bytes()).await?;
+                    stream.write_all(text.as_bytes()).await?;
+                }
                 TargetAct::EndlessBody => {
                     let head = self.head(500, &id, "", "connection: close\r\n");
                     stream.write_all(head.as_bytes()).await?;
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -1,162 +1,16 @@
 //! Relayed requests to targets with faults.
 
-use awc::http::Method;
-use awc::http::header::{HeaderMap, HeaderName};
+mod relay_fleet;
+
 use futures_util::StreamExt as _;
-use plantainmill_core::{Clock as _, Executed, Problem, SystemClock};
-use plantainmill_dispatch::shared::SharedParts;
-use plantainmill_dispatch::{SharedDispatcher, TrafficClass};
-use plantainmill_fakes::{StreamTarget, TargetAct, TargetNames};
-use plantainmill_proxy::relay::{
-    EventSplitter, HeaderNames, RelayCall, RelayCaller, RelayLimits, check_order,
-};
+use plantainmill_core::{Clock as _, Executed, SystemClock};
+use plantainmill_fakes::{StreamTarget, TargetAct};
+use plantainmill_proxy::relay::{EventSplitter, RelayCall, RelayLimits, check_order};
 use plantainmill_routing::TargetEntry;
+use relay_fleet::{EVENTS, Fleet, NAMES, all_events, call, read_response};
 use rstest::rstest;
-use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const EVENTS: u64 = 6;
-const NAMES: TargetNames = TargetNames {
-    request_id: "request-id",
-    not_executed: "not-executed",
-    limit: "server-limit",
-    leaving: "server-leaving",
-};
-
-struct Fleet {
-    targets: Vec<StreamTarget>,
-    dispatcher: SharedDispatcher,
-    caller: RelayCaller,
-}
-
-impl Fleet {
-    async fn start(count: usize) -> Fleet {
-        Fleet::with_sends(count, RelayLimits::default().max_sends).await
-    }
-
-    async fn with_sends(count: usize, max_sends: u32) -> Fleet {
-        let mut targets = Vec::new();
-        for _ in 0..count {
-            targets.push(StreamTarget::start(NAMES, EVENTS).await.expect("a port"));
-        }
-        let dispatcher = SharedDispatcher::new(SharedParts {
-            vm: "vm".into(),
-            domain: "a".into(),
-            region: "north".into(),
-            regions: HashMap::from([("a".into(), "north".into())]),
-            clock: Arc::new(SystemClock),
-        });
-        let entries: Vec<TargetEntry> = targets.iter().enumerate().map(entry).collect();
-        dispatcher.set_targets(entries.iter());
-        let limits = RelayLimits {
-            min_first_event_timeout: Duration::from_millis(150),
-            min_event_gap: Duration::from_millis(150),
-            max_sends,
-            ..RelayLimits::default()
-        };
-        let clock = Arc::new(SystemClock);
-        let caller = RelayCaller::new(Arc::new(dispatcher.clone()), clock, names(), limits);
-        Fleet {
-            targets,
-            dispatcher,
-            caller,
-        }
-    }
-
-    /// Plans `act` for the first request that each target receives.
-    fn plan_first(&self, act: TargetAct) {
-        for target in &self.targets {
-            target.plan([act]);
-        }
-    }
-
-    fn entries(&self) -> impl Iterator<Item = TargetEntry> {
-        self.targets.iter().enumerate().map(entry)
-    }
-
-    fn sends(&self) -> usize {
-        self.targets.iter().map(|target| target.seen().len()).sum()
-    }
-}
-
-fn names() -> HeaderNames {
-    HeaderNames {
-        request_id: HeaderName::from_static(NAMES.request_id),
-        deadline: HeaderName::from_static("deadline-ms"),
-        organisation: HeaderName::from_static("organisation"),
-        expected_instance: HeaderName::from_static("expected"),
-        not_executed: HeaderName::from_static(NAMES.not_executed),
-        target_limit: HeaderName::from_static(NAMES.limit),
-        target_leaving: HeaderName::from_static(NAMES.leaving),
-        last_event: HeaderName::from_static("last-event-id"),
-    }
-}
-
-fn entry((number, target): (usize, &StreamTarget)) -> TargetEntry {
-    TargetEntry {
-        id: format!("t{number}").into(),
-        service: "llm".into(),
-        address: target.address,
-        domain: "a".into(),
-        slots: 4,
-        draining: false,
-        born: 0,
-        version: "v1".into(),
-    }
-}
-
-fn call(repeatable: bool) -> RelayCall {
-    RelayCall {
-        id: "r1".into(),
-        service: "llm".into(),
-        organisation: Some("ward".into()),
-        priority: 0,
-        class: TrafficClass::Online,
-        method: Method::POST,
-        path: "/ask/1?x=2".into(),
-        headers: HeaderMap::new(),
-        body: "question".into(),
-        prefix_hash: None,
-        parts: Vec::new(),
-        deadline: SystemClock.uptime() + Duration::from_secs(2),
-        wait_limit: Duration::from_millis(75),
-        max_executions: 2,
-        may_repeat: repeatable,
-        is_stream: true,
-        first_event_objective: Duration::from_millis(50),
-        event_gap: Duration::from_millis(50),
-        last_event: None,
-        version: None,
-    }
-}
-
-/// Ids of the events that the caller receives, and the problem that ends its response.
-async fn read_response(
-    fleet: &Fleet,
-    call: RelayCall,
-) -> Result<(Vec<u64>, Option<Problem>), Problem> {
-    let mut response = fleet.caller.open(call).await?;
-    assert_eq!(response.status, 200);
-    let mut splitter = EventSplitter::default();
-    let mut ids = Vec::new();
-    while let Some(part) = response.body.next().await {
-        match part {
-            Ok(part) => {
-                let events = splitter.push(&part).expect("events of a usual size");
-                ids.extend(events.iter().filter_map(|event| event.id));
-            }
-            Err(problem) => return Ok((ids, Some(problem))),
-        }
-    }
-    assert!(splitter.is_at_boundary(), "a partial event was passed on");
-    Ok((ids, None))
-}
-
-fn all_events() -> Vec<u64> {
-    (1..=EVENTS).collect()
-}
-
 /// Guards against lost, duplicated or merged events when a target fails while it streams.
 #[rstest]
 #[case(TargetAct::Serve, 1)]
@@ -442,6 +296,53 @@
     wait_until_idle(&fleet).await;
 }
 
+/// Guards against a refusal whose body never ends and is read for as long as it comes.
+#[actix_rt::test]
+async fn endless_refusal() {
+    let fleet = Fleet::start(2).await;
+    fleet.plan_first(TargetAct::EndlessRefusal);
+    let response = read_response(&fleet, call(false)).await;
+    let served = matches!(&response, Ok((ids, None)) if *ids == all_events());
+    assert!(served || response.is_err(), "{response:?}");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let running = fleet.targets.iter().map(StreamTarget::running);
+    assert_eq!(running.sum::<usize>(), 0);
+}
+
+/// Guards against a stream that broke off and at whose next target the text of an error reaches the caller, or that ends
+/// there as if it were complete.
+#[rstest]
+#[case::failed(TargetAct::Fail(500))]
+#[case::gone(TargetAct::Fail(404))]
+#[case::unavailable(TargetAct::Fail(503))]
+#[case::endless(TargetAct::EndlessBody)]
+#[case::text(TargetAct::ErrorText)]
+#[actix_rt::test]
+async fn error_after_break(#[case] act: TargetAct) {
+    let fleet = Fleet::start(1).await;
+    fleet.targets[0].plan([TargetAct::CutAfter(3)]);
+    fleet.targets[0].set_default_act(act);
+    let repeatable = RelayCall {
+        max_executions: 3,
+        ..call(true)
+    };
+    let mut response = fleet.caller.open(repeatable).await.expect("a response");
+    let (mut received, mut is_broken) = (Vec::new(), false);
+    while let Some(part) = response.body.next().await {
+        match part {
+            Ok(part) => received.extend_from_slice(&part),
+            Err(_) => is_broken = true,
+        }
+    }
+    assert!(is_broken, "the stream ended as if it were complete");
+    let received = String::from_utf8_lossy(&received).into_owned();
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(received.as_bytes()).expect("events");
+    let ids: Vec<u64> = events.iter().filter_map(|event| event.id).collect();
+    assert_eq!((ids, events.len()), (vec![1, 2, 3], 3), "{received}");
+    assert!(splitter.is_at_boundary(), "{received}");
+}
+
 /// Guards against an endless answer to a request that may not be repeated: it must end before the deadline, with a
 /// problem that does not deny the execution.
 #[rstest]
