Fail an item's attempt whose response is no stream of events

Callers saw: the text of an error as the output of a batch item, listed as succeeded (MIXED). Cause: the run of an item checked the status alone, and the relay the content type as well. Evidence: target_faults::case_5_error_text failed before with the output 'out of memory'. Change: such a response fails the attempt.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -331,6 +331,11 @@
             };
             return Ok((outcome, first_byte));
         }
+        if !response.is_event_stream() {
+            let reason = "the response is no stream of events";
+            let failure = SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
+            return Err(failure.at(&trace));
+        }
         let read = self.read_events(&mut response, ticket).await;
         read.map_err(|failure| failure.at(&trace))?;
         Ok((SendOutcome::Succeeded, first_byte))
--- a/crates/jobs/tests/all/job_faults.rs
+++ b/crates/jobs/tests/all/job_faults.rs
@@ -17,6 +17,7 @@
 #[case(vec![TargetAct::CutAfter(2), TargetAct::CutAfter(4), TargetAct::Skip(1)])]
 #[case(vec![TargetAct::Refuse, TargetAct::LoseAnswer, TargetAct::CrossAnswer])]
 #[case(vec![TargetAct::Fail(500), TargetAct::Fail(500)])]
+#[case::error_text(vec![TargetAct::ErrorText, TargetAct::CutAfter(2), TargetAct::ErrorText])]
 #[case::unframed(vec![TargetAct::UnframedEnd(0), TargetAct::UnframedEnd(0)])]
 #[actix_rt::test]
 async fn target_faults(#[case] acts: Vec<TargetAct>) {
