Leave the jobs of others to them while this VM hears nobody

Cause: a VM that was cut off from all others, or woke from a suspension, took all of them for gone and gave their jobs to itself; the others gave them back, every 0.4 s. Evidence: missed_decisions::isolated_reader failed before (the job had another owner at once). Change: a VM that has heard others and hears none reassigns only released jobs, for 8 s.

--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -36,6 +36,10 @@
 /// Time after the start before jobs of other VMs are reassigned, so that live VMs have reported by then.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Time without any other VM before a VM takes the jobs of the others over. It is more likely that this VM is cut off, or was
+/// suspended, than that it is the only one left, and the others would take the jobs back.
+const ISOLATED_TAKEOVER_DELAY: Duration = Duration::from_secs(8);
+
 /// A head that was read from the store, with the version of its row. Readers of a domain send these to its other VMs.
 pub type HeadUpdate = (JobId, JobHead, RowVersion);
 
@@ -81,6 +85,8 @@
     /// Stop signals of the jobs that run on this VM.
     running: RefCell<HashMap<JobId, watch::Sender<bool>>>,
     pub fleet: RefCell<FleetSnapshot>,
+    /// Since when no other VM is heard, after some have been.
+    isolated_since: Cell<Option<Uptime>>,
     /// Reads of changes within [`UPDATE_RETENTION`], oldest first.
     recent: RefCell<VecDeque<RecentRead>>,
     pub heads: Rc<HeadView>,
@@ -119,6 +125,7 @@
             changed: Notify::new(),
             running: RefCell::default(),
             fleet: RefCell::default(),
+            isolated_since: Cell::new(None),
             recent: RefCell::default(),
             heads,
             sent_elsewhere: Cell::new(0),
@@ -134,7 +141,16 @@
 
     /// Replaces the view of the other VMs.
     pub fn set_fleet(&self, fleet: FleetSnapshot) {
-        *self.inner.fleet.borrow_mut() = fleet;
+        let inner = &self.inner;
+        let has_others = |fleet: &FleetSnapshot| fleet.live.len() > 1;
+        if has_others(&fleet) {
+            inner.isolated_since.set(None);
+        } else if has_others(&inner.fleet.borrow()) {
+            let now = inner.parts.clock.uptime();
+            inner.isolated_since.set(Some(now));
+            tracing::info!(event = "jobs_isolated", "no other VM is heard");
+        }
+        *inner.fleet.borrow_mut() = fleet;
     }
 
     /// Returns the changes that this VM has read a short time ago and other readers have not sent, for the VMs that do not
@@ -396,11 +412,15 @@
                 let resumable: Vec<HeadUpdate> = resumable
                     .map(|(job, known)| (job.clone(), known.head.clone(), known.version))
                     .collect();
-                let orphans = if may_take_over {
+                let mut orphans = if may_take_over {
                     catalog.orphans(local_owner, &self.fleet.borrow())
                 } else {
                     Vec::new()
                 };
+                if self.is_isolated() {
+                    // Released jobs have no owner that could still be there.
+                    orphans.retain(|(_, known, _)| known.head.owner.is_none());
+                }
                 (resumable, orphans)
             };
             for (job, head, version) in resumable {
@@ -414,6 +434,13 @@
         }
     }
 
+    /// Whether no other VM has been heard for a short time only.
+    fn is_isolated(&self) -> bool {
+        let now = self.parts.clock.uptime();
+        let isolated_since = self.isolated_since.get();
+        isolated_since.is_some_and(|since| now.saturating_sub(since) < ISOLATED_TAKEOVER_DELAY)
+    }
+
     /// Assigns an orphaned job to `new_owner`, which may be this VM.
     async fn reassign(self: &Rc<Self>, job: &JobId, known: KnownJob, new_owner: JobOwner) {
         let from = known.head.owner.as_ref().map(|owner| owner.vm.clone());
--- a/crates/jobs/tests/all/missed_decisions.rs
+++ b/crates/jobs/tests/all/missed_decisions.rs
@@ -1,5 +1,5 @@
 //! Decisions about a job that its owner does not hear of: a take-over and its return, an assignment,
-//! and an end.
+//! an end, and that its VM is cut off.
 
 use crate::support::{TestCluster, TestVm, check_results, route, submission, ward};
 use plantainmill_core::JobId;
@@ -104,3 +104,25 @@
     assert_eq!(cluster.target.seen().len(), 0);
     assert_eq!(owner.jobs.running(), 0);
 }
+
+/// Guards against a VM that is cut off from all others, or was suspended, and takes the jobs of live VMs over as soon as it
+/// hears none: the others take them back, and no item is done meanwhile.
+#[actix_rt::test]
+async fn isolated_reader() {
+    let cluster = TestCluster::start().await;
+    cluster.target.set_pause(Duration::from_millis(500));
+    let owner = cluster.vm("owner", 1);
+    let reader = cluster.vm("reader", 1);
+    reader.set_live_peers(std::slice::from_ref(&owner.own));
+    owner
+        .jobs
+        .submit(&ward(), &route(), &job(), &submission(2))
+        .await
+        .expect("accepted");
+    actix_rt::time::sleep(Duration::from_millis(1_600)).await;
+    reader.set_live_peers(&[]);
+    check_results(&owner.read_results(&job(), 2).await, 2);
+    let head = cluster.head_of(&job()).expect("a head");
+    assert_eq!(head.owner, Some(owner.own.clone()));
+    assert_eq!(cluster.target.seen().len(), 2);
+}
