Bound the bytes of the results in one write

Cause: a write had up to 16 results of any size; the store refuses more than 1 MB, and the owner repeated the write. Evidence: commit_order::large_results failed before. Change: at most 512 KiB of output in a write, or one result; an item with more output has failed (4 MiB before), since no write could list it.

--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -8,8 +8,10 @@
 use plantainmill_provider::RowVersion;
 use std::collections::{HashSet, VecDeque};
 
-/// Maximum number of results in one write. A result has about 10 KB, and a write is limited to 1 MB.
+/// Maximum number of results in one write.
 const RESULTS_PER_WRITE: usize = 16;
+/// Maximum bytes of output in one write, unless it has a single result. The platform limits a write to 1 MB in base64.
+const OUTPUT_BYTES_PER_WRITE: usize = 512 << 10;
 
 /// What the owner of a job does after a write.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -73,7 +75,14 @@
     /// Returns the next write: the new head, and the results that it lists from the position of the current head on.
     #[must_use]
     pub fn next_write(&self) -> Option<(JobHead, Vec<&ListedResult>)> {
-        let next_results: Vec<_> = self.queue.iter().take(RESULTS_PER_WRITE).collect();
+        let mut bytes = 0;
+        let fits_write = |(result, _): &&(ListedResult, u64)| {
+            let is_first = bytes == 0;
+            bytes += result.output.len().max(1);
+            is_first || bytes <= OUTPUT_BYTES_PER_WRITE
+        };
+        let next_results = self.queue.iter().take(RESULTS_PER_WRITE);
+        let next_results: Vec<_> = next_results.take_while(fits_write).collect();
         if next_results.is_empty() {
             return None;
         }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -30,8 +30,8 @@
 /// Maximum time without an event from a target that runs an item. Several times the event interval of a slow target.
 /// Bytes that complete no event are no progress.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Largest output of an item in bytes. A target that goes on beyond it has failed.
-const MAX_OUTPUT_BYTES: usize = 4 << 20;
+/// Largest output of an item in bytes, which one write to the store can list. A target that goes on beyond it has failed.
+const MAX_OUTPUT_BYTES: usize = 512 << 10;
 /// Delay before the next attempt when there is no fleet document or no target.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Longest delay before the next attempt of an item that is quarantined, or has a quarantined prompt part. The quarantine may be lifted early.
--- a/crates/jobs/tests/all/commit_order.rs
+++ b/crates/jobs/tests/all/commit_order.rs
@@ -105,3 +105,30 @@
     );
     assert_eq!((next.listed, next.tokens_left), (2, 100));
 }
+
+/// Guards against results that have waited for the store and make a write that it never takes, because it is too large.
+#[test]
+fn large_results() {
+    let mut queue = queue_of(&[]);
+    for number in 0..16 {
+        let output = "x".repeat(if number == 15 { 600_000 } else { 76_000 });
+        queue.push(
+            ListedResult {
+                output,
+                ..result(&format!("item{number}"))
+            },
+            100,
+        );
+    }
+    let mut counts = Vec::new();
+    for version in 11.. {
+        let Some((written, results)) = queue.next_write() else {
+            break;
+        };
+        let bytes: usize = results.iter().map(|result| result.output.len()).sum();
+        assert!(bytes <= 524_288 || results.len() == 1, "{bytes}");
+        counts.push(results.len());
+        queue.apply_written(written, version);
+    }
+    assert_eq!(counts, [6, 6, 3, 1]);
+}
