Forget closed jobs at VMs that do not hear of their removal

Callers saw: nothing. Evidence: job_catalog::forgotten_jobs (the method is new); read in the code, not seen in a run. Change: closed jobs are forgotten two minutes after their retention.

--- a/crates/jobs/src/catalog.rs
+++ b/crates/jobs/src/catalog.rs
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Removes the closed jobs that were accepted before `accepted_ms`, in milliseconds since the Unix epoch. A VM that does
+    /// not read the change feed does not hear that their rows were deleted.
+    pub fn forget_closed(&mut self, accepted_ms: u64) {
+        self.jobs
+            .retain(|_, known| known.head.is_open() || known.head.accepted_ms >= accepted_ms);
+    }
+
     /// Returns the last known state of `job`.
     #[must_use]
     pub fn get(&self, job: &JobId) -> Option<&KnownJob> {
--- a/crates/jobs/src/sweep.rs
+++ b/crates/jobs/src/sweep.rs
@@ -10,6 +10,9 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 /// Additional time after the retention period before a job is removed, to allow for clock skew between VMs.
 const SWEEP_MARGIN: Duration = Duration::from_secs(30);
+/// Additional time after the retention period before a VM forgets a job that another one has to remove. It may have to
+/// remove the job itself until then.
+const FORGET_MARGIN: Duration = Duration::from_mins(2);
 
 impl JobInner {
     /// Periodically removes closed jobs whose retention period has passed.
@@ -31,6 +34,10 @@
                     .map(|(job, _)| job.clone())
                     .collect()
             };
+            let retention = self.parts.settings.result_retention + FORGET_MARGIN;
+            let accepted_ms = wall.saturating_sub(retention).as_millis();
+            let accepted_ms = u64::try_from(accepted_ms).unwrap_or(0);
+            self.jobs.borrow_mut().forget_closed(accepted_ms);
             for job in expired {
                 match self.parts.store.remove(&job).await {
                     Ok(()) => tracing::info!(event = "job_removed", %job),
--- a/crates/jobs/tests/all/job_catalog.rs
+++ b/crates/jobs/tests/all/job_catalog.rs
@@ -21,6 +21,21 @@
     assert!(catalog.get(&job).is_none());
 }
 
+/// Guards against closed jobs that stay in memory for good at VMs that do not hear of their removal, and against an open one
+/// that is forgotten.
+#[test]
+fn forgotten_jobs() {
+    let mut catalog = JobCatalog::default();
+    for (name, accepted_ms, listed) in [("old", 10, 3), ("open", 10, 2), ("new", 20, 3)] {
+        let mut head = head(3);
+        (head.accepted_ms, head.listed) = (accepted_ms, listed);
+        catalog.record(&JobId::from(name), head, 1);
+    }
+    catalog.forget_closed(20);
+    let kept = ["old", "open", "new"].map(|name| catalog.get(&JobId::from(name)).is_some());
+    assert_eq!(kept, [false, true, true]);
+}
+
 fn fleet(domain: &str, members: &[&str]) -> FleetSnapshot {
     FleetSnapshot {
         live: ["a1", "a2", "a3", "b1", "b2", "b3"]
