Check rows and datagrams against those of the release before

Both builds run side by side during an upgrade. former_release decodes what either writes with the other's types: answers about ages with and without job heads, heads, changes (which the former release ignores), and rows of VMs. No change of the product.

--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the settings, the peer directory and the report relay of a VM.
 
 mod edge_settings;
+mod former_release;
 mod peer_directory;
 mod relay_fleet;
 mod report_relay;
