State what each owed item waits for, and for how long

Callers saw items of accepted jobs that were neither at a target nor listed, and nothing told why: an item that waits for a slot writes no line, and a job without a runner is nobody's.

Each VM now knows of every item of its jobs whether it waits for the job's rows, recent heads, a document, a slot, the end of a quarantine, the next attempt, a response or the write of its result, since when, and since when no target has sent output of it. It knows the same of jobs whose owner is not live. An item without a target for 4 s is logged as item_owed, and again every 4 s, with owner, state, reason, age and the number of targets that could take it; gauges count the items by state and give the longest time. JobService::owed_items() returns them to tests.

The four tests of owed_items.rs show the states of a wait for a slot, an unlisted result, a silent target and a job without a runner.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -194,6 +194,10 @@
     ) -> bool {
         true
     }
+    /// Number of targets of the service that have `version` and room for a batch request, as far as the policy knows.
+    fn free_targets(&self, _service: &ServiceName, _version: Option<&VersionName>) -> usize {
+        0
+    }
     /// Internal state of the policy, for the diagnostic dump.
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value>;
 }
--- a/crates/dispatch/src/limits/dispatcher.rs
+++ b/crates/dispatch/src/limits/dispatcher.rs
@@ -269,6 +269,10 @@
         self.inner.has_other_target(service, version, current)
     }
 
+    fn free_targets(&self, service: &ServiceName, version: Option<&VersionName>) -> usize {
+        self.inner.free_targets(service, version)
+    }
+
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value> {
         async {
             let mut dump = self.inner.dump().await;
--- a/crates/dispatch/src/shared/batch.rs
+++ b/crates/dispatch/src/shared/batch.rs
@@ -2,8 +2,10 @@
 
 use super::choice::{CandidateOrder, SlotState};
 use super::ledger::{LedgerEffect, LoadLedger, RequestId, WaitingRequest};
+use super::peers::SlotUse;
+use super::target::LedgerTarget;
 use crate::rendezvous::{key_of, score};
-use plantainmill_core::Uptime;
+use plantainmill_core::{ServiceName, Uptime, VersionName};
 use std::time::Duration;
 
 /// Slots of each target that batch calls leave free, so that online requests rarely wait for a preemption.
@@ -44,6 +46,23 @@
         }));
     }
 
+    /// Number of targets that have the service and version, room for a batch request, and no recent failure.
+    #[must_use]
+    pub fn free_targets(
+        &self,
+        service: &ServiceName,
+        version: Option<&VersionName>,
+        now: Uptime,
+    ) -> usize {
+        let targets = self.targets.iter();
+        let free = targets.filter(|(id, target)| {
+            target.has_version(service, version)
+                && !target.backoff.is_backing_off(now)
+                && has_batch_room(target, self.peers.at(id))
+        });
+        free.count()
+    }
+
     /// Number of batch requests that this VM may start now: the free slots divided by the VMs with waiting batch
     /// requests.
     fn batch_budget(&self) -> usize {
@@ -70,10 +89,8 @@
             .values()
             .any(|target| target.serves(&waiting.request) && !target.backoff.is_backing_off(now));
         let candidates = self.candidates(&waiting.request, |target, peers| {
-            let total = target.own.total() + peers.total();
-            let fits = total + BATCH_RESERVE < target.entry.slots;
             let is_usable = !has_healthy || !target.backoff.is_backing_off(now);
-            (fits && is_usable).then_some(SlotState::Free)
+            (has_batch_room(target, peers) && is_usable).then_some(SlotState::Free)
         });
         let order = CandidateOrder {
             prefix_hash: waiting.request.prefix_hash,
@@ -87,3 +104,7 @@
         true
     }
 }
+
+fn has_batch_room(target: &LedgerTarget, peers: SlotUse) -> bool {
+    target.own.total() + peers.total() + BATCH_RESERVE < target.entry.slots
+}
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -416,6 +416,11 @@
         state.ledger.has_other_target(service, version, current)
     }
 
+    fn free_targets(&self, service: &ServiceName, version: Option<&VersionName>) -> usize {
+        let now = self.inner.clock.uptime();
+        self.inner.lock().ledger.free_targets(service, version, now)
+    }
+
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value> {
         let state = self.inner.lock();
         let (online, batch) = state.ledger.waiting();
--- a/crates/jobs/src/commit.rs
+++ b/crates/jobs/src/commit.rs
@@ -102,13 +102,14 @@
         head.listed.saturating_sub(self.head.listed)
     }
 
-    /// Applies the head that an applied write of this queue stored, and drops the results that it lists.
-    pub fn apply_written(&mut self, head: JobHead, version: RowVersion) {
-        for _ in 0..self.unknown_results(&head) {
-            self.queue.pop_front();
-        }
+    /// Applies the head that an applied write of this queue stored, and drops the results that it lists. Returns their items.
+    pub fn apply_written(&mut self, head: JobHead, version: RowVersion) -> Vec<ItemId> {
+        let count = usize::try_from(self.unknown_results(&head)).unwrap_or(usize::MAX);
+        let listed = self.queue.drain(..count.min(self.queue.len()));
+        let listed = listed.map(|(result, _)| result.item).collect();
         self.head = head;
         self.version = version;
+        listed
     }
 
     /// Applies a stored head that replaced the last known one, and drops the results of `listed`: the items at the
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -1,6 +1,7 @@
 //! Runs one job on the VM that owns it, and lists the results of its items.
 
 use crate::commit::{CommitQueue, CommitStep};
+use crate::owed::ItemWatch;
 use crate::run::{JobContext, run_item};
 use crate::service::{JobInner, STORE_RETRY_DELAY};
 use crate::store::HeadOutcome;
@@ -26,6 +27,24 @@
     Released(JobHead, RowVersion),
 }
 
+/// The items of a job that have not been listed by a known head.
+struct ItemRuns {
+    watch: Rc<ItemWatch>,
+    aborts: HashMap<ItemId, AbortHandle>,
+}
+
+impl ItemRuns {
+    /// Ends the runs of items that are listed.
+    fn end<'a>(&self, listed: impl IntoIterator<Item = &'a ItemId>) {
+        for item in listed {
+            self.watch.remove(item);
+            if let Some(abort) = self.aborts.get(item) {
+                abort.abort();
+            }
+        }
+    }
+}
+
 impl JobInner {
     /// Reads the items of a job and the ids of those already listed, retrying until the store responds.
     async fn load(&self, job: &JobId, head: &JobHead) -> (Vec<JobItem>, HashSet<ItemId>) {
@@ -84,14 +103,26 @@
             .iter()
             .map(|item| (item.id.clone(), item.tokens))
             .collect();
-        let mut aborts: HashMap<ItemId, AbortHandle> = HashMap::new();
+        let owed = self.owed.watch(job, &self.parts.clock);
+        let mut aborts = HashMap::new();
         let mut runs = FuturesUnordered::new();
         for item in items.into_iter().filter(|item| !listed.contains(&item.id)) {
             let (abort, aborted) = AbortHandle::new_pair();
             aborts.insert(item.id.clone(), abort);
-            let run = run_item(Rc::clone(&self.run_context), Rc::clone(&context), item);
+            owed.watch.add(&item.id);
+            let watch = Rc::clone(&owed.watch);
+            let run = run_item(
+                Rc::clone(&self.run_context),
+                Rc::clone(&context),
+                watch,
+                item,
+            );
             runs.push(Abortable::new(run, aborted));
         }
+        let item_runs = ItemRuns {
+            watch: Rc::clone(&owed.watch),
+            aborts,
+        };
         let mut queue = CommitQueue::new(self.parts.local_owner.clone(), head, version);
         let mut write: Option<LocalBoxFuture<'_, Result<HeadOutcome, StoreError>>> = None;
         let mut written = None;
@@ -104,7 +135,7 @@
             {
                 // Another VM owned the job in between, or the response to a write of this one was lost.
                 let step = self
-                    .apply_found(job, &mut queue, &aborts, head, version)
+                    .apply_found(job, &mut queue, &item_runs, head, version)
                     .await;
                 if step == CommitStep::Stop {
                     return RunOutcome::Lost;
@@ -136,7 +167,7 @@
                 outcome = outcome => {
                     write = None;
                     let step = self
-                        .apply_outcome(job, &mut queue, &aborts, outcome, written.take())
+                        .apply_outcome(job, &mut queue, &item_runs, outcome, written.take())
                         .await;
                     if step == CommitStep::Stop {
                         return RunOutcome::Lost;
@@ -186,7 +217,7 @@
         &self,
         job: &JobId,
         queue: &mut CommitQueue,
-        runs: &HashMap<ItemId, AbortHandle>,
+        runs: &ItemRuns,
         outcome: Result<HeadOutcome, StoreError>,
         written: Option<JobHead>,
     ) -> CommitStep {
@@ -194,7 +225,7 @@
             Ok(HeadOutcome::Applied(version)) => {
                 if let Some(head) = written {
                     self.record(job, head.clone(), version);
-                    queue.apply_written(head, version);
+                    runs.end(&queue.apply_written(head, version));
                 }
                 CommitStep::Continue
             }
@@ -219,7 +250,7 @@
         &self,
         job: &JobId,
         queue: &mut CommitQueue,
-        runs: &HashMap<ItemId, AbortHandle>,
+        runs: &ItemRuns,
         head: JobHead,
         version: RowVersion,
     ) -> CommitStep {
@@ -234,9 +265,7 @@
                 return CommitStep::Continue;
             }
         };
-        for run in listed.iter().filter_map(|item| runs.get(item)) {
-            run.abort();
-        }
+        runs.end(&listed);
         self.parts.metrics.count_replaced_head();
         tracing::info!(event = "job_head_replaced", %job, first, count, version);
         queue.apply_found(head, version, listed)
--- a/crates/jobs/src/metrics.rs
+++ b/crates/jobs/src/metrics.rs
@@ -1,17 +1,22 @@
 //! Metrics of the jobs of one VM.
 
-use opentelemetry::metrics::{Counter, Meter};
+use crate::owed::OwedState;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Meter};
+use std::time::Duration;
 
-/// Counters of a job service. Clones share them.
+/// Instruments of a job service. Clones share them.
 #[derive(Clone, Debug)]
 pub struct JobMetrics {
     direct_reads: Counter<u64>,
     held_items: Counter<u64>,
+    owed_items: Gauge<u64>,
+    owed_seconds: Gauge<f64>,
     replaced_heads: Counter<u64>,
 }
 
 impl JobMetrics {
-    /// Registers the counters at `meter`, with names that begin with `prefix`.
+    /// Registers the instruments at `meter`, with names that begin with `prefix`.
     #[must_use]
     pub fn new(meter: &Meter, prefix: &str) -> JobMetrics {
         let counter = |name: &str, description: &'static str| {
@@ -27,6 +32,16 @@
                 "job_held_items",
                 "Items that waited until the job heads were confirmed",
             ),
+            owed_items: meter
+                .u64_gauge(format!("{prefix}job_owed_items"))
+                .with_description("Items that are owed and not at a target, by what they wait for")
+                .build(),
+            owed_seconds: meter
+                .f64_gauge(format!("{prefix}job_owed_seconds"))
+                .with_description(
+                    "Longest time without a target of an item that is owed, by what it waits for",
+                )
+                .build(),
             replaced_heads: counter(
                 "job_replaced_heads",
                 "Heads of own jobs that this VM had not written",
@@ -42,6 +57,13 @@
         self.held_items.add(1, &[]);
     }
 
+    /// Records how many items wait in a state, and the longest time for which one of them has been without a target.
+    pub(crate) fn record_owed(&self, state: OwedState, count: u64, longest: Duration) {
+        let attributes = [KeyValue::new("state", state.name())];
+        self.owed_items.record(count, &attributes);
+        self.owed_seconds.record(longest.as_secs_f64(), &attributes);
+    }
+
     pub(crate) fn count_replaced_head(&self) {
         self.replaced_heads.add(1, &[]);
     }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::heads::HeadView;
 use crate::metrics::JobMetrics;
+use crate::owed::{ItemWatch, OwedState};
 use crate::stored::{ItemState, JobItem, ListedResult};
 use awc::http::Method;
 use awc::http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
@@ -63,6 +64,7 @@
 struct ItemRunner {
     context: Rc<RunContext>,
     job: Rc<JobContext>,
+    watch: Rc<ItemWatch>,
     item: JobItem,
     output: Vec<u8>,
     has_events: bool,
@@ -89,11 +91,13 @@
 pub(crate) async fn run_item(
     context: Rc<RunContext>,
     job: Rc<JobContext>,
+    watch: Rc<ItemWatch>,
     item: JobItem,
 ) -> ListedResult {
     let mut runner = ItemRunner {
         context,
         job,
+        watch,
         item,
         output: Vec::new(),
         has_events: false,
@@ -104,6 +108,7 @@
         refused_by: HashSet::new(),
     };
     let state = runner.run().await;
+    runner.enter(OwedState::Listing, "");
     let output = match state {
         ItemState::Succeeded => String::from_utf8_lossy(&runner.output).into_owned(),
         ItemState::GivenUp => String::new(),
@@ -123,6 +128,7 @@
                 return ItemState::GivenUp;
             }
             let Some(document) = self.context.view.load() else {
+                self.enter(OwedState::Document, "");
                 sleep(UNAVAILABLE_RETRY_DELAY).await;
                 continue;
             };
@@ -152,6 +158,7 @@
                 SendOutcome::Unprocessable => return ItemState::GivenUp,
                 SendOutcome::Failed => {
                     self.failures += 1;
+                    self.enter(OwedState::Retry, "the target failed");
                     sleep(FAILURE_RETRY_DELAY).await;
                 }
                 SendOutcome::Interrupted => {}
@@ -165,11 +172,16 @@
         if heads.may_act() {
             return;
         }
+        self.enter(OwedState::Heads, "");
         self.context.metrics.count_held_item();
         tracing::info!(event = "item_held", item = %self.item.id, "the job's state is not confirmed");
         heads.wait_until_recent().await;
     }
 
+    fn enter(&self, state: OwedState, reason: impl Into<CompactString>) {
+        self.watch.enter(&self.item.id, state, reason);
+    }
+
     /// Whether the item may be sent after its wait for a slot, during which the VM may have been suspended and the
     /// document changed.
     fn may_send(&self, document: &FleetDocument) -> bool {
@@ -214,6 +226,8 @@
         let request = call.ticket_request(&self.excluded);
         // A failed target is excluded from the next attempt only.
         self.excluded.clear();
+        let need = (call.service.clone(), call.version.clone());
+        self.watch.enter_slot(&self.item.id, need);
         match self.context.caller.dispatcher().acquire(request).await {
             Ok(ticket) => Ok(ticket),
             Err(problem) => {
@@ -226,6 +240,12 @@
                     problem.code,
                     ResultCode::PartQuarantined | ResultCode::RequestQuarantined
                 );
+                let state = if is_quarantined {
+                    OwedState::Quarantine
+                } else {
+                    OwedState::Retry
+                };
+                self.enter(state, problem.to_string());
                 if !is_quarantined {
                     return Err(UNAVAILABLE_RETRY_DELAY);
                 }
@@ -246,6 +266,7 @@
     }
 
     async fn send(&mut self, call: &RelayCall, mut ticket: TargetTicket) -> SendOutcome {
+        self.enter(OwedState::Response, ticket.target.clone());
         let mut preempted = ticket.preempted.clone();
         let exchange = self.exchange(call, &mut ticket);
         let result = tokio::select! {
@@ -276,6 +297,7 @@
                     connected = failure.was_connected,
                     reason = %failure.reason,
                 );
+                self.enter(OwedState::Retry, failure.reason.clone());
                 self.context.caller.check_path(&ticket.target, &failure);
                 let is_preempted = failure.outcome == CallOutcome::Abandoned;
                 if !is_preempted {
@@ -357,6 +379,9 @@
                     let events = splitter.push(&chunk).map_err(failed)?;
                     if !events.is_empty() {
                         progress_at = Instant::now();
+                        if !has_started {
+                            self.enter(OwedState::Output, ticket.target.clone());
+                        }
                         has_started = true;
                         ticket.record_start();
                         self.version.clone_from(&ticket.version);
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -4,6 +4,7 @@
 use crate::heads::{HeadChanges, HeadProgress, HeadView};
 use crate::job_run::RunOutcome;
 use crate::metrics::JobMetrics;
+use crate::owed::{OwedItem, OwedLedger};
 use crate::run::RunContext;
 use crate::store::{HeadOutcome, JobStore, read_head};
 use crate::stored::{HEAD_TABLE, JobHead, JobItem, JobOwner};
@@ -90,6 +91,7 @@
     /// Reads of changes within [`UPDATE_RETENTION`], oldest first.
     recent: RefCell<VecDeque<RecentRead>>,
     pub heads: Rc<HeadView>,
+    pub owed: Rc<OwedLedger>,
     /// Version up to which other readers have sent the changes.
     sent_elsewhere: Cell<RowVersion>,
     /// What this VM has sent: the version up to which it is complete, and when nothing newer was stored.
@@ -128,6 +130,7 @@
             isolated_since: Cell::new(None),
             recent: RefCell::default(),
             heads,
+            owed: Rc::default(),
             sent_elsewhere: Cell::new(0),
             announced: Cell::new(None),
             reads_directly: Cell::new(false),
@@ -136,6 +139,7 @@
         actix_rt::spawn(Rc::clone(&inner).follow_feed());
         actix_rt::spawn(Rc::clone(&inner).take_over_jobs());
         actix_rt::spawn(Rc::clone(&inner).sweep());
+        actix_rt::spawn(Rc::clone(&inner).report_owed());
         JobService { inner }
     }
 
@@ -225,6 +229,13 @@
         heads.update(|progress| progress.confirm(version, at));
     }
 
+    /// The items that are owed and not at a target: those of the jobs that run on this VM, and those of jobs that nobody runs
+    /// as far as this VM knows.
+    #[must_use]
+    pub fn owed_items(&self) -> Vec<OwedItem> {
+        self.inner.owed_items()
+    }
+
     /// Number of jobs that run on this VM.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -259,6 +270,11 @@
 }
 
 impl JobInner {
+    /// Whether a job is being run by this VM.
+    pub fn is_running(&self, job: &JobId) -> bool {
+        self.running.borrow().contains_key(job)
+    }
+
     /// Records a head in the catalog and wakes waiting tasks if it is new.
     pub fn record(&self, job: &JobId, head: JobHead, version: RowVersion) {
         if self.jobs.borrow_mut().record(job, head, version) {
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod job_catalog;
 mod job_faults;
 mod missed_decisions;
+mod owed_items;
 mod support;
