Reassign orphaned jobs without waiting, and by further VMs

What callers saw: items of an accepted job that nobody runs.

Cause, two faults of the same loop: - The check for jobs to resume and reassign waited for all reassignments of the check before. While the store left one unanswered, a job that this VM was given was not run and further orphans were not seen. All orphans were written at a time. - Only the VM that is first by its own view reassigned a job. If it was heard and could not write to the store, did not know the job, or views differed, the job had no runner for as long as that lasted. Giving the job to the member with the highest score could also choose that VM.

Change: `takeover.rs`, moved out of `service.rs`. Every write is conditional on the version of the head.

`job_catalog::one_new_owner` takes the first rank where it took all, and also demands that the ranks of the VMs have neither gaps nor repetitions. The fake store can have faults for one VM, refuse changes only, and leave changes unanswered.

--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -20,6 +20,9 @@
 /// Delay of a late answer to a read.
 const SLOW_READ_DELAY: Duration = Duration::from_millis(500);
 
+/// Time after which a call ends that the store does not answer.
+const SILENCE: Duration = Duration::from_secs(5);
+
 /// What goes wrong with calls.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum RowsFault {
@@ -32,6 +35,10 @@
     LoseAnswers,
     /// Changes are neither done nor answered; [`MemoryRows::land`] does them later, if their conditions still hold.
     HoldChanges,
+    /// Changes are refused, and reads are answered.
+    RefuseChanges,
+    /// Changes are not done, and their callers learn nothing for 5 s.
+    SilentChanges,
     /// Reads are answered half a second late.
     SlowReads,
 }
@@ -44,7 +51,6 @@
     log: RefCell<Vec<PartitionRow>>,
     history_from: Cell<RowVersion>,
     version: Cell<RowVersion>,
-    fault: Cell<RowsFault>,
     held: RefCell<Vec<RowChange>>,
     changes: Cell<u64>,
     reads: Cell<u64>,
@@ -54,12 +60,22 @@
 #[derive(Clone, Default)]
 pub struct MemoryRows {
     state: Rc<RowsState>,
+    fault: Rc<Cell<RowsFault>>,
 }
 
 impl MemoryRows {
     /// Sets what goes wrong from now on.
     pub fn set_fault(&self, fault: RowsFault) {
-        self.state.fault.set(fault);
+        self.fault.set(fault);
+    }
+
+    /// Returns a handle to the same rows whose calls have faults of their own, such as those of one VM.
+    #[must_use]
+    pub fn with_own_fault(&self) -> MemoryRows {
+        MemoryRows {
+            state: Rc::clone(&self.state),
+            fault: Rc::default(),
+        }
     }
 
     /// Forgets the history: feeds that go on from before are told so.
@@ -140,14 +156,14 @@
     }
 
     fn check_refused(&self) -> Result<(), StoreError> {
-        if self.state.fault.get() == RowsFault::Refuse {
+        if self.fault.get() == RowsFault::Refuse {
             return Err(StoreError::Unavailable("refused by the test".to_owned()));
         }
         Ok(())
     }
 
     async fn wait_if_slow(&self) {
-        if self.state.fault.get() == RowsFault::SlowReads {
+        if self.fault.get() == RowsFault::SlowReads {
             sleep(SLOW_READ_DELAY).await;
         }
     }
@@ -181,7 +197,7 @@
         tokio::task::yield_now().await;
         self.check_refused()?;
         let lost = || StoreError::Unknown("lost by the test".to_owned());
-        match self.state.fault.get() {
+        match self.fault.get() {
             RowsFault::HoldChanges => {
                 self.state.held.borrow_mut().push(change);
                 Err(lost())
@@ -190,6 +206,13 @@
                 self.seed(&change);
                 Err(lost())
             }
+            RowsFault::RefuseChanges => {
+                Err(StoreError::Unavailable("refused by the test".to_owned()))
+            }
+            RowsFault::SilentChanges => {
+                sleep(SILENCE).await;
+                Err(lost())
+            }
             RowsFault::None | RowsFault::Refuse | RowsFault::SlowReads => Ok(self.apply(&change)),
         }
     }
--- a/crates/jobs/src/catalog.rs
+++ b/crates/jobs/src/catalog.rs
@@ -5,6 +5,7 @@
 use plantainmill_core::{DomainName, JobId, OrganisationId, VmId};
 use plantainmill_dispatch::rendezvous::{key_of, owner_of, score};
 use plantainmill_provider::RowVersion;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 /// Last known state of a job.
@@ -86,28 +87,47 @@
         open.filter(move |(id, known)| known.head.owner.as_ref() == Some(owner) && !is_running(id))
     }
 
-    /// Returns the open jobs without a live owner that `local_owner` has to reassign, with their new owners.
+    /// Returns the open jobs without a live owner that `local_owner` may have to reassign.
     #[must_use]
-    pub fn orphans(
-        &self,
-        local_owner: &JobOwner,
-        fleet: &FleetSnapshot,
-    ) -> Vec<(JobId, KnownJob, JobOwner)> {
+    pub fn orphans(&self, local_owner: &JobOwner, fleet: &FleetSnapshot) -> Vec<OrphanedJob> {
         let open = self.jobs.iter().filter(|(_, known)| known.head.is_open());
         let orphans = open.filter(|(_, known)| {
             let owner = known.head.owner.as_ref();
             owner.is_none_or(|owner| owner != local_owner && !fleet.live.contains(owner))
         });
         orphans
-            .filter(|(job, _)| fleet.is_responsible(job, local_owner))
             .filter_map(|(job, known)| {
-                let new_owner = fleet.new_owner_of(job)?.clone();
-                Some((job.clone(), known.clone(), new_owner))
+                let rank = fleet.takeover_rank(job, local_owner)?;
+                let new_owner = if rank == 0 {
+                    fleet.new_owner_of(job)?
+                } else {
+                    // The VMs before this one may not reach the store, and could be chosen as owners.
+                    local_owner
+                };
+                Some(OrphanedJob {
+                    job: job.clone(),
+                    known: known.clone(),
+                    rank,
+                    new_owner: new_owner.clone(),
+                })
             })
             .collect()
     }
 }
 
+/// An open job without a live owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OrphanedJob {
+    /// The job.
+    pub job: JobId,
+    /// Its last known state.
+    pub known: KnownJob,
+    /// Number of VMs that reassign the job before the local one.
+    pub rank: usize,
+    /// The VM that the local one assigns the job to.
+    pub new_owner: JobOwner,
+}
+
 /// The VMs that can run jobs, as one VM sees them. Determines who reassigns the jobs of a lost VM.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct FleetSnapshot {
@@ -135,6 +155,24 @@
         domain == Some(self.domain.as_str()) && reader == Some(local_owner.vm.as_str())
     }
 
+    /// Number of VMs that reassign `job` before `local_owner` does. `None` if `local_owner` never does.
+    ///
+    /// The order begins with the responsible VM, then goes through the readers and the other members of all domains, one of
+    /// each domain in turn. All VMs with the same view of the fleet derive the same order.
+    fn takeover_rank(&self, job: &JobId, local_owner: &JobOwner) -> Option<usize> {
+        let key = key_of(job);
+        let domains = self.domains.iter().map(CompactString::as_str);
+        let domain_rank = rank_of(domains, &self.domain, key)?;
+        let local_vm = local_owner.vm.as_str();
+        let readers = || self.readers.iter().map(CompactString::as_str);
+        let vm_rank = rank_of(readers(), local_vm, key).or_else(|| {
+            let members = self.members.iter().map(|member| member.vm.as_str());
+            let members = members.filter(|vm| !readers().any(|reader| reader == *vm));
+            Some(self.readers.len() + rank_of(members, local_vm, key)?)
+        })?;
+        Some(vm_rank * self.domains.len() + domain_rank)
+    }
+
     /// Selects the VM of the local domain that takes over an orphaned job.
     fn new_owner_of(&self, job: &JobId) -> Option<&JobOwner> {
         let key = key_of(job);
@@ -149,3 +187,11 @@
         self.readers.contains(&local_owner.vm)
     }
 }
+
+/// Position of `name` among `names` in descending order of their scores for `key`. `None` if it is not among them.
+fn rank_of<'a>(names: impl Iterator<Item = &'a str>, name: &str, key: u64) -> Option<usize> {
+    let order_of = |name: &str| (score(name, key), CompactString::from(name));
+    let mut names: Vec<&str> = names.collect();
+    names.sort_by_key(|name| Reverse(order_of(name)));
+    names.iter().position(|other| *other == name)
+}
--- a/crates/jobs/src/heads.rs
+++ b/crates/jobs/src/heads.rs
@@ -135,6 +135,12 @@
         !self.follows || self.age(now).is_none_or(|age| age >= DIRECT_READ_AGE)
     }
 
+    /// Whether this VM knows that its heads are recent.
+    #[must_use]
+    pub fn is_current(&self, now: Uptime) -> bool {
+        self.age(now).is_some_and(|age| age < CURRENT_AGE)
+    }
+
     /// Whether this VM may send items by what it knows: its heads are recent, or there is no way to read them.
     #[must_use]
     pub fn may_act(&self, now: Uptime) -> bool {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -19,8 +19,9 @@
 mod store;
 mod stored;
 mod sweep;
+mod takeover;
 
-pub use catalog::{FleetSnapshot, JobCatalog, KnownJob};
+pub use catalog::{FleetSnapshot, JobCatalog, KnownJob, OrphanedJob};
 pub use codec::{JobCall, JobCodec, ResultPage, Submission};
 pub use commit::{CommitQueue, CommitStep};
 pub use heads::{HeadChanges, HeadProgress};
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -1,6 +1,6 @@
 //! Tracks all jobs in the store and runs those assigned to this VM.
 
-use crate::catalog::{FleetSnapshot, JobCatalog, KnownJob};
+use crate::catalog::{FleetSnapshot, JobCatalog};
 use crate::heads::{HeadChanges, HeadProgress, HeadView};
 use crate::job_run::RunOutcome;
 use crate::metrics::JobMetrics;
@@ -8,7 +8,7 @@
 use crate::run::RunContext;
 use crate::store::{HeadOutcome, JobStore, read_head};
 use crate::stored::{HEAD_TABLE, JobHead, JobItem, JobOwner};
-use futures_util::future::join_all;
+use crate::takeover::TakeoverPlan;
 use plantainmill_core::{Clock, JobId, Uptime};
 use plantainmill_provider::{FeedRead, RowVersion, StoreError};
 use plantainmill_proxy::relay::RelayCaller;
@@ -32,15 +32,6 @@
 const DIRECT_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Delay before a failed store operation is retried.
 pub(crate) const STORE_RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Interval between checks for jobs that this VM has to resume or reassign.
-const TAKEOVER_INTERVAL: Duration = Duration::from_millis(400);
-/// Time after the start before jobs of other VMs are reassigned, so that live VMs have reported by then.
-const TAKEOVER_DELAY: Duration = Duration::from_millis(1_500);
-
-/// Time without any other VM before a VM takes the jobs of the others over. It is more likely that this VM is cut off, or was
-/// suspended, than that it is the only one left, and the others would take the jobs back.
-const ISOLATED_TAKEOVER_DELAY: Duration = Duration::from_secs(8);
-
 /// A head that was read from the store, with the version of its row. Readers of a domain send these to its other VMs.
 pub type HeadUpdate = (JobId, JobHead, RowVersion);
 
@@ -87,7 +78,10 @@
     running: RefCell<HashMap<JobId, watch::Sender<bool>>>,
     pub fleet: RefCell<FleetSnapshot>,
     /// Since when no other VM is heard, after some have been.
-    isolated_since: Cell<Option<Uptime>>,
+    pub isolated_since: Cell<Option<Uptime>>,
+    pub takeovers: RefCell<TakeoverPlan>,
+    /// Notified when the number of takeovers falls below its limit.
+    pub takeover_ended: Notify,
     /// Reads of changes within [`UPDATE_RETENTION`], oldest first.
     recent: RefCell<VecDeque<RecentRead>>,
     pub heads: Rc<HeadView>,
@@ -98,7 +92,7 @@
     announced: Cell<Option<(RowVersion, Uptime)>>,
     /// Whether the last read of the heads was made by a VM that is no reader.
     reads_directly: Cell<bool>,
-    stopping: Cell<bool>,
+    pub stopping: Cell<bool>,
 }
 
 /// Changes found by one read of the feed.
@@ -128,6 +122,8 @@
             running: RefCell::default(),
             fleet: RefCell::default(),
             isolated_since: Cell::new(None),
+            takeovers: RefCell::default(),
+            takeover_ended: Notify::new(),
             recent: RefCell::default(),
             heads,
             owed: Rc::default(),
@@ -411,75 +407,8 @@
         Ok(())
     }
 
-    /// Periodically resumes jobs assigned to this VM and reassigns jobs whose owner is gone.
-    async fn take_over_jobs(self: Rc<Self>) {
-        let started = self.parts.clock.uptime();
-        loop {
-            sleep(TAKEOVER_INTERVAL).await;
-            if self.stopping.get() {
-                return;
-            }
-            let may_take_over = self.parts.clock.uptime().saturating_sub(started) >= TAKEOVER_DELAY;
-            let local_owner = &self.parts.local_owner;
-            let (resumable, orphans) = {
-                let catalog = self.jobs.borrow();
-                let running = self.running.borrow();
-                let resumable = catalog.resumable(local_owner, |job| running.contains_key(job));
-                let resumable: Vec<HeadUpdate> = resumable
-                    .map(|(job, known)| (job.clone(), known.head.clone(), known.version))
-                    .collect();
-                let mut orphans = if may_take_over {
-                    catalog.orphans(local_owner, &self.fleet.borrow())
-                } else {
-                    Vec::new()
-                };
-                if self.is_isolated() {
-                    // Released jobs have no owner that could still be there.
-                    orphans.retain(|(_, known, _)| known.head.owner.is_none());
-                }
-                (resumable, orphans)
-            };
-            for (job, head, version) in resumable {
-                self.start_run(&job, head, version, None);
-            }
-            let reassignments = orphans.into_iter().map(|(job, known, new_owner)| {
-                let inner = Rc::clone(&self);
-                async move { inner.reassign(&job, known, new_owner).await }
-            });
-            join_all(reassignments).await;
-        }
-    }
-
-    /// Whether no other VM has been heard for a short time only.
-    fn is_isolated(&self) -> bool {
-        let now = self.parts.clock.uptime();
-        let isolated_since = self.isolated_since.get();
-        isolated_since.is_some_and(|since| now.saturating_sub(since) < ISOLATED_TAKEOVER_DELAY)
-    }
-
-    /// Assigns an orphaned job to `new_owner`, which may be this VM.
-    async fn reassign(self: &Rc<Self>, job: &JobId, known: KnownJob, new_owner: JobOwner) {
-        let from = known.head.owner.as_ref().map(|owner| owner.vm.clone());
-        let to = new_owner.vm.clone();
-        let mut reassigned = known.head;
-        reassigned.owner = Some(new_owner);
-        let store = &self.parts.store;
-        let listed = reassigned.listed;
-        match store
-            .write_head(job, known.version, &reassigned, listed, &[])
-            .await
-        {
-            Ok(HeadOutcome::Applied(version)) => {
-                tracing::info!(event = "job_reassigned", %job, from = from.as_deref(), %to, listed, version);
-                self.record_and_start(job, reassigned, version, None);
-            }
-            Ok(HeadOutcome::Conflict(Some((head, version)))) => self.record(job, head, version),
-            Ok(HeadOutcome::Conflict(None)) => self.jobs.borrow_mut().remove(job, RowVersion::MAX),
-            Err(error) => tracing::info!(event = "job_not_reassigned", %job, %error),
-        }
-    }
-
-    fn start_run(
+    /// Runs a job that is assigned to this VM, unless it runs already.
+    pub fn start_run(
         self: &Rc<Self>,
         job: &JobId,
         head: JobHead,
--- a/crates/jobs/tests/all/job_catalog.rs
+++ b/crates/jobs/tests/all/job_catalog.rs
@@ -3,7 +3,7 @@
 use crate::support::{head, owner};
 use plantainmill_core::JobId;
 use plantainmill_jobs::{FleetSnapshot, JobCatalog, JobOwner};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Guards against an older head that arrives late and replaces a newer one.
 #[test]
@@ -49,7 +49,7 @@
     }
 }
 
-/// Guards against orphaned jobs that no VM or several VMs reassign, and against an uneven spread over the new owners.
+/// Guards against orphaned jobs that no VM or several VMs reassign at a time, and against an uneven spread over the new owners.
 #[test]
 fn one_new_owner() {
     let mut catalog = JobCatalog::default();
@@ -59,18 +59,28 @@
         catalog.record(&JobId::from(format!("j{number}")), orphan, 1);
     }
     let mut new_owners = BTreeMap::new();
+    let mut ranks: BTreeMap<JobId, BTreeSet<usize>> = BTreeMap::new();
     for (domain, members) in [("a", ["a1", "a2", "a3"]), ("b", ["b1", "b2", "b3"])] {
         let fleet = fleet(domain, &members);
         for own in &members {
-            for (job, _, new_owner) in catalog.orphans(&owner(own, 5), &fleet) {
+            for orphan in catalog.orphans(&owner(own, 5), &fleet) {
+                ranks
+                    .entry(orphan.job.clone())
+                    .or_default()
+                    .insert(orphan.rank);
+                if orphan.rank > 0 {
+                    assert_eq!(orphan.new_owner.vm, *own);
+                    continue;
+                }
                 assert!(
-                    new_owners.insert(job, new_owner.vm).is_none(),
+                    new_owners.insert(orphan.job, orphan.new_owner.vm).is_none(),
                     "two VMs reassign the job"
                 );
             }
         }
     }
     assert_eq!(new_owners.len(), 60);
+    assert!(ranks.into_values().all(|ranks| ranks.into_iter().eq(0..6)));
     for name in ["a1", "a2", "a3", "b1", "b2", "b3"] {
         let count = new_owners
             .values()
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -5,5 +5,6 @@
 mod job_catalog;
 mod job_faults;
 mod missed_decisions;
+mod missing_runner;
 mod owed_items;
 mod support;
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -9,6 +9,7 @@
     FleetSnapshot, ItemState, JobHead, JobItem, JobMetrics, JobOwner, JobParts, JobService,
     JobSettings, JobStore, ListedResult, Submission,
 };
+use plantainmill_provider::PartitionStore;
 use plantainmill_proxy::relay::{HeaderNames, RelayCaller, RelayLimits};
 use plantainmill_routing::{
     CallerLimits, DocumentView, FleetDocument, JobRule, RouteKind, RouteRule, ServiceShare,
@@ -142,6 +143,16 @@
 
     /// Starts a VM with a fleet document and the shared target.
     pub fn vm(&self, name: &str, incarnation: u64) -> TestVm {
+        self.vm_with_store(name, incarnation, Rc::new(self.rows.clone()))
+    }
+
+    /// Starts a VM that reaches the store through `store`.
+    pub fn vm_with_store(
+        &self,
+        name: &str,
+        incarnation: u64,
+        store: Rc<dyn PartitionStore>,
+    ) -> TestVm {
         let clock = Arc::new(SystemClock);
         let dispatcher = SharedDispatcher::new(SharedParts {
             vm: name.into(),
@@ -177,7 +188,7 @@
         let own = owner(name, incarnation);
         let jobs = JobService::start(JobParts {
             local_owner: own.clone(),
-            store: JobStore::new(Rc::new(self.rows.clone())),
+            store: JobStore::new(store),
             caller,
             view,
             clock,
