Resume a job whose run has panicked

What callers saw: none was reported. A job whose run panics would count as running on its VM for good, so that neither it nor another VM ran it.

Cause: the entry in `running` was removed after the await of the run, which a panic skips.

Change: the entry is a guard that is dropped with the task. A job whose run has panicked is resumed after 1 s, and the panic is logged with the job.

--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -102,6 +102,23 @@
     heads: Vec<HeadUpdate>,
 }
 
+/// Entry of a job in [`JobInner::running`], which ends with the run, also if that panics.
+struct RunEntry {
+    inner: Rc<JobInner>,
+    job: JobId,
+}
+
+impl Drop for RunEntry {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            tracing::error!(event = "job_run_failed", job = %self.job, "its run has panicked");
+            self.inner.postpone_resumption(&self.job);
+        }
+        self.inner.running.borrow_mut().remove(&self.job);
+        self.inner.changed.notify_waiters();
+    }
+}
+
 impl JobService {
     /// Starts the service. Its tasks run on the current thread, which must run an actix runtime.
     #[must_use]
@@ -421,17 +438,18 @@
         }
         let (stop, stopped) = watch::channel(false);
         running.insert(job.clone(), stop);
-        let inner = Rc::clone(self);
-        let job = job.clone();
+        let run_entry = RunEntry {
+            inner: Rc::clone(self),
+            job: job.clone(),
+        };
         actix_rt::spawn(async move {
-            let end = inner.run_job(&job, head, version, items, stopped).await;
+            let RunEntry { inner, job } = &run_entry;
+            let end = inner.run_job(job, head, version, items, stopped).await;
             match end {
                 RunOutcome::Completed => tracing::info!(event = "job_done", %job),
                 RunOutcome::Lost => tracing::info!(event = "job_lost", %job),
-                RunOutcome::Released(head, version) => inner.release(&job, head, version).await,
+                RunOutcome::Released(head, version) => inner.release(job, head, version).await,
             }
-            inner.running.borrow_mut().remove(&job);
-            inner.changed.notify_waiters();
         });
     }
 
--- a/crates/jobs/src/takeover.rs
+++ b/crates/jobs/src/takeover.rs
@@ -28,6 +28,8 @@
 const REASSIGNMENT_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Maximum delay after a failed reassignment of a job by the responsible VM.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Delay before a job whose run has panicked is resumed.
+const FAILED_RUN_DELAY: Duration = Duration::from_secs(1);
 
 /// Time without any other VM before a VM takes the jobs of the others over. It is more likely that this VM is cut off, or was
 /// suspended, than that it is the only one left, and the others would take the jobs back.
@@ -44,12 +46,14 @@
     failures: u32,
 }
 
-/// The orphaned jobs and their reassignments.
+/// The orphaned jobs, their reassignments, and the failed runs of this VM.
 #[derive(Default)]
 pub(crate) struct TakeoverPlan {
     orphans: HashMap<JobId, OrphanState>,
     in_flight: HashSet<JobId>,
     checked_at: Uptime,
+    /// Jobs whose run has panicked here, and when.
+    failed_runs: HashMap<JobId, Uptime>,
 }
 
 impl TakeoverPlan {
@@ -119,6 +123,12 @@
             state.failures += 1;
         }
     }
+
+    /// Whether the run of a job has panicked a short time ago.
+    fn is_postponed(&self, job: &JobId, now: Uptime) -> bool {
+        let failed_at = self.failed_runs.get(job);
+        failed_at.is_some_and(|failed_at| now.saturating_sub(*failed_at) < FAILED_RUN_DELAY)
+    }
 }
 
 /// A reassignment that waits for the store, until it is dropped.
@@ -148,18 +158,21 @@
                 return;
             }
             let now = self.parts.clock.uptime();
-            self.resume_jobs();
+            self.resume_jobs(now);
             if now.saturating_sub(started) >= TAKEOVER_DELAY {
                 self.reassign_orphans(now);
             }
         }
     }
 
-    fn resume_jobs(self: &Rc<Self>) {
+    fn resume_jobs(self: &Rc<Self>, now: Uptime) {
         let resumable: Vec<HeadUpdate> = {
             let catalog = self.jobs.borrow();
-            let is_running = |job: &JobId| self.is_running(job);
-            let resumable = catalog.resumable(&self.parts.local_owner, is_running);
+            let mut plan = self.takeovers.borrow_mut();
+            plan.failed_runs
+                .retain(|_, failed_at| now.saturating_sub(*failed_at) < FAILED_RUN_DELAY);
+            let is_held = |job: &JobId| self.is_running(job) || plan.is_postponed(job, now);
+            let resumable = catalog.resumable(&self.parts.local_owner, is_held);
             resumable
                 .map(|(job, known)| (job.clone(), known.head.clone(), known.version))
                 .collect()
@@ -169,6 +182,13 @@
         }
     }
 
+    /// Delays the next run of a job whose run has panicked.
+    pub(crate) fn postpone_resumption(&self, job: &JobId) {
+        let now = self.parts.clock.uptime();
+        let mut plan = self.takeovers.borrow_mut();
+        plan.failed_runs.insert(job.clone(), now);
+    }
+
     fn reassign_orphans(self: &Rc<Self>, now: Uptime) {
         let local_owner = &self.parts.local_owner;
         let mut orphans = self
--- a/crates/jobs/tests/all/missing_runner.rs
+++ b/crates/jobs/tests/all/missing_runner.rs
@@ -1,10 +1,16 @@
-//! Jobs that no VM runs: one that waits for the store, and one whose new owner cannot write.
+//! Jobs that no VM runs: one that waits for the store, one whose new owner cannot write, and one whose run has failed.
 
 use crate::support::{TestCluster, TestVm, check_results, head, owner, submission};
+use futures_util::FutureExt as _;
 use plantainmill_core::JobId;
-use plantainmill_fakes::RowsFault;
+use plantainmill_fakes::{MemoryRows, RowsFault};
 use plantainmill_jobs::{FleetSnapshot, JobOwner, JobStore, OwedState};
+use plantainmill_provider::rows::TableName;
+use plantainmill_provider::{
+    ChangeOutcome, FeedRead, PartitionStore, PlatformFuture, RowChange, RowVersion, RowsRead,
+};
 use rstest::rstest;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -176,3 +182,55 @@
     let running: usize = vms.iter().map(|vm| vm.jobs.running()).sum();
     assert_eq!(running, 1);
 }
+
+/// Rows whose next read of items panics.
+struct FailingRows {
+    rows: MemoryRows,
+    fails_next: Cell<bool>,
+}
+
+impl PartitionStore for FailingRows {
+    fn read<'a>(
+        &'a self,
+        table: TableName,
+        part: &'a str,
+        from: &'a str,
+        until: &'a str,
+    ) -> PlatformFuture<'a, RowsRead> {
+        let fails = table == "job_items" && self.fails_next.replace(false);
+        async move {
+            assert!(!fails, "the run of the test fails");
+            self.rows.read(table, part, from, until).await
+        }
+        .boxed_local()
+    }
+
+    fn change(&self, change: RowChange) -> PlatformFuture<'_, ChangeOutcome> {
+        self.rows.change(change)
+    }
+
+    fn follow(
+        &self,
+        table: TableName,
+        after: RowVersion,
+        wait: Duration,
+    ) -> PlatformFuture<'_, FeedRead> {
+        self.rows.follow(table, after, wait)
+    }
+}
+
+/// Guards against a job that counts as running for good after its run has panicked.
+#[actix_rt::test]
+async fn failed_run() {
+    let cluster = TestCluster::start().await;
+    let rows = FailingRows {
+        rows: cluster.rows.clone(),
+        fails_next: Cell::new(true),
+    };
+    let vm = cluster.vm_with_store("vm", 1, Rc::new(rows));
+    vm.set_live_peers(&[]);
+    let job = JobId::from("j1");
+    store_job(&cluster, &job, 2, Some(vm.own.clone())).await;
+    actix_rt::time::sleep(SETTLING).await;
+    check_results(&vm.read_results(&job, 2).await, 2);
+}
