Run a job's items while its store operations wait

Callers saw items of accepted jobs that no target had and that were not listed, although targets were free.

The loop that runs a job read listed ids and paused after a failed write outside its select. Meanwhile its items were not polled. While reads failed and a newer head was known, the loop never got back to them: no item was sent or read on, a preempted one kept its connection, and a planned stop and the loss of the job were not heard. A planned stop also waited for a write without an answer, without an end.

The operation in flight (write, read of listed ids, pause) is one future that is polled beside the items, the stop signal and changes of heads. A write whose outcome is unknown keeps its positions, and results are still dropped by listed ids only. A stop waits for a write for half of the time for a planned stop, and then releases the job on condition of the last known version. Loading hears the loss of its job, and a job that the catalog has dropped is lost. A closed head ends the run without a read of its results, which may be removed by then. A conflict that leaves the head's version as it was is logged and retried after the pause.

--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -32,6 +32,10 @@
     LoseAnswers,
     /// Changes are neither done nor answered; [`MemoryRows::land`] does them later, if their conditions still hold.
     HoldChanges,
+    /// The next change takes effect and its answer is lost; then all calls are refused.
+    LoseThenRefuse,
+    /// The next change is neither done nor answered; the calls after it are served.
+    DropChange,
     /// Reads are answered half a second late.
     SlowReads,
 }
@@ -190,6 +194,15 @@
                 self.seed(&change);
                 Err(lost())
             }
+            RowsFault::LoseThenRefuse => {
+                self.seed(&change);
+                self.set_fault(RowsFault::Refuse);
+                Err(lost())
+            }
+            RowsFault::DropChange => {
+                self.set_fault(RowsFault::None);
+                std::future::pending().await
+            }
             RowsFault::None | RowsFault::Refuse | RowsFault::SlowReads => Ok(self.apply(&change)),
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -17,6 +17,7 @@
 mod run;
 mod service;
 mod store;
+mod store_step;
 mod stored;
 mod sweep;
 
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -7,3 +7,4 @@
 mod missed_decisions;
 mod owed_items;
 mod support;
+mod unpolled_items;
