Report malformed rows of a job instead of passing them over

A job whose items could not be decoded counted as one without items: it had no runs, and nothing said so. If fewer items were read than its head counts, only those were run. If a result could not be decoded, the read of listed ids went on without an end and without a pause, and callers got later results at wrong positions.

`JobStore::items` and `results` return `StoreError::Malformed`; `results` ends before the first result that is missing or malformed. Loading compares the items with the total of the head, and the read of listed ids is an error if there are fewer than the head lists.

--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -147,11 +147,11 @@
         Ok((heads, first_version.unwrap_or(0)))
     }
 
-    /// Reads the items of a job. Returns an empty list if they do not exist or are malformed.
+    /// Reads the items of a job. Returns an empty list if they do not exist.
     ///
     /// # Errors
     ///
-    /// Returns an error if the store does not respond.
+    /// Returns an error if the store does not respond, or the items cannot be decoded.
     pub async fn items(&self, job: &JobId) -> Result<Vec<JobItem>, StoreError> {
         let partition = partition_of(job);
         let from = items_key(job, 0);
@@ -160,15 +160,20 @@
             .rows
             .read(ITEM_TABLE, &partition, &from, &until)
             .await?;
+        if read.rows.is_empty() {
+            return Ok(Vec::new());
+        }
         let content = join_content(&read.rows);
-        Ok(decode(&content).unwrap_or_default())
+        let malformed = || StoreError::Malformed(format!("items of job {job}"));
+        decode(&content).ok_or_else(malformed)
     }
 
-    /// Reads the results from position `after` on, as many as one read of the store returns.
+    /// Reads the results from position `after` on, as many as one read of the store returns and up to the first one that
+    /// is missing or cannot be decoded.
     ///
     /// # Errors
     ///
-    /// Returns an error if the store does not respond.
+    /// Returns an error if the store does not respond, or there are results, but none at `after` that can be decoded.
     pub async fn results(&self, job: &JobId, after: u64) -> Result<Vec<ListedResult>, StoreError> {
         let partition = partition_of(job);
         let from = result_key(job, after, 0);
@@ -180,10 +185,19 @@
         let same_result = |first: &PartitionRow, next: &PartitionRow| {
             result_key_prefix(&first.key) == result_key_prefix(&next.key)
         };
-        let results = read.rows.chunk_by(same_result);
-        Ok(results
-            .filter_map(|rows| decode(&join_content(rows)))
-            .collect())
+        // Results after a missing one would be taken for those at other positions.
+        let results: Vec<ListedResult> = read
+            .rows
+            .chunk_by(same_result)
+            .zip(after..)
+            .take_while(|(rows, position)| rows[0].key == result_key(job, *position, 0))
+            .map_while(|(rows, _)| decode(&join_content(rows)))
+            .collect();
+        if results.is_empty() && !read.rows.is_empty() {
+            let reason = format!("result {after} of job {job}");
+            return Err(StoreError::Malformed(reason));
+        }
+        Ok(results)
     }
 
     /// Removes all rows of a job, the head last.
--- a/crates/jobs/src/store_step.rs
+++ b/crates/jobs/src/store_step.rs
@@ -49,7 +49,7 @@
 }
 
 impl JobInner {
-    /// Reads the items of a job and the ids of those already listed, retrying until the store responds.
+    /// Reads the items of a job and the ids of those already listed, retrying until the store returns all of them.
     pub(crate) async fn load(
         &self,
         job: &JobId,
@@ -58,8 +58,12 @@
         loop {
             let read = async {
                 let items = self.parts.store.items(job).await?;
+                if items.len() as u64 != head.total {
+                    let reason = format!("{} of {} items", items.len(), head.total);
+                    return Err(StoreError::Malformed(reason));
+                }
                 let results = self.read_listed_ids(job, 0, head.listed).await?;
-                Ok::<_, StoreError>((items, results))
+                Ok((items, results))
             };
             match read.await {
                 Ok(loaded) => return loaded,
@@ -77,12 +81,13 @@
         count: u64,
     ) -> Result<HashSet<ItemId>, StoreError> {
         let mut listed = HashSet::new();
-        while (listed.len() as u64) < count {
-            let position = first + listed.len() as u64;
+        let mut position = first;
+        while position < first + count {
             let results = self.parts.store.results(job, position).await?;
             if results.is_empty() {
-                break;
+                return Err(StoreError::Malformed(format!("no result {position}")));
             }
+            position += results.len() as u64;
             listed.extend(results.into_iter().map(|result| result.item));
         }
         Ok(listed)
--- a/crates/jobs/tests/all/unpolled_items.rs
+++ b/crates/jobs/tests/all/unpolled_items.rs
@@ -1,13 +1,17 @@
 //! Work of a job that needs no store and goes on while an operation of the job on the store is pending or fails.
 
 use crate::support::{TestCluster, TestVm, check_results, route, submission, ward};
+use bytes::Bytes;
 use plantainmill_core::{Clock as _, JobId, SystemClock};
 use plantainmill_dispatch::{
     CallOutcome, Dispatcher as _, TargetTicket, TicketRequest, TrafficClass,
 };
 use plantainmill_fakes::{RowsFault, TargetAct};
-use plantainmill_jobs::OwedState;
+use plantainmill_jobs::{JobItem, JobStore, OwedState, partition_of};
+use plantainmill_provider::{RowChange, StoreError};
 use plantainmill_routing::TargetEntry;
+use rstest::rstest;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Time within which an expected event occurs.
@@ -167,3 +171,93 @@
         ticket.finish(CallOutcome::Abandoned);
     }
 }
+
+/// Guards against a job whose items cannot be decoded and that counts as a job without items, so that it never runs, and
+/// against one of which only the items that were read are run.
+#[rstest]
+#[case::cut(|content: &Bytes| content.slice(..content.len() / 2))]
+#[case::fewer(|content: &Bytes| {
+    let mut items: Vec<JobItem> = ciborium::from_reader(content.as_ref()).expect("items");
+    items.pop();
+    let mut fewer = Vec::new();
+    ciborium::into_writer(&items, &mut fewer).expect("encoded");
+    fewer.into()
+})]
+#[actix_rt::test]
+async fn malformed_items(#[case] damage: fn(&Bytes) -> Bytes) {
+    let cluster = TestCluster::start().await;
+    let gone = cluster.vm("gone", 1);
+    gone.dispatcher.set_targets(std::iter::empty());
+    submit(&gone, 2).await;
+    gone.jobs.stop().await;
+    let items = cluster.rows.table("job_items");
+    let set_items = |content: Bytes| {
+        let change = RowChange::of(partition_of(&job()));
+        cluster
+            .rows
+            .seed(&change.put("job_items", &items[0].key, content));
+    };
+    set_items(damage(&items[0].value));
+    let vm = cluster.vm("vm", 1);
+    vm.set_live_peers(&[]);
+    let is_loading = || {
+        let owed = vm.jobs.owed_items();
+        owed.len() == 1 && owed[0].state == OwedState::Load
+    };
+    assert!(is_reached(is_loading).await, "{:?}", vm.jobs.owed_items());
+    actix_rt::time::sleep(Duration::from_millis(600)).await;
+    assert!(is_loading(), "{:?}", vm.jobs.owed_items());
+    assert_eq!(cluster.target.seen().len(), 0);
+    set_items(items[0].value.clone());
+    check_results(&vm.read_results(&job(), 2).await, 2);
+}
+
+/// Guards against a body that is said not to exist when the items of its job cannot be decoded.
+#[actix_rt::test]
+async fn malformed_body() {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.vm("vm", 1);
+    submit(&vm, 1).await;
+    let items = cluster.rows.table("job_items");
+    let change = RowChange::of(partition_of(&job()));
+    let change = change.put("job_items", &items[0].key, Bytes::from_static(b"x"));
+    cluster.rows.seed(&change);
+    let body = vm.jobs.item_body(&ward(), &job(), &"item0".into()).await;
+    let code = body.map_err(|problem| problem.code.http_status());
+    assert_eq!(code, Err(503));
+}
+
+/// Guards against reads of listed ids that go on without an end or a pause because one of the results cannot be decoded.
+#[actix_rt::test]
+async fn malformed_result() {
+    let cluster = TestCluster::start().await;
+    let gone = cluster.vm("gone", 1);
+    submit(&gone, 3).await;
+    assert_eq!(gone.read_results(&job(), 3).await.len(), 3);
+    let mut head = cluster.head_of(&job()).expect("a head");
+    (head.listed, head.owner) = (2, None);
+    let mut content = Vec::new();
+    ciborium::into_writer(&head, &mut content).expect("encoded");
+    let rows = cluster.rows.table("job_items");
+    let results: Vec<_> = rows.iter().filter(|row| row.key.contains("/r")).collect();
+    let change = RowChange::of(partition_of(&job()))
+        .put("jobs", &job(), content.into())
+        .put("job_items", &results[0].key, Bytes::from_static(b"x"))
+        .remove("job_items", &results[2].key);
+    cluster.rows.seed(&change);
+    let store = JobStore::new(Rc::new(cluster.rows.clone()));
+    let read = store.results(&job(), 0).await;
+    assert!(matches!(read, Err(StoreError::Malformed(_))), "{read:?}");
+    let vm = cluster.vm("vm", 1);
+    vm.set_live_peers(&[]);
+    assert!(is_reached(|| vm.jobs.running() == 1).await);
+    let (_, before) = cluster.rows.calls();
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let (_, after) = cluster.rows.calls();
+    assert!(after - before < 20, "{} reads", after - before);
+    assert_eq!(vm.jobs.owed_items()[0].state, OwedState::Load);
+    let change = RowChange::of(partition_of(&job()));
+    let change = change.put("job_items", &results[0].key, results[0].value.clone());
+    cluster.rows.seed(&change);
+    check_results(&vm.read_results(&job(), 3).await, 3);
+}
