Release a job by the newest head that its owner knows

A planned stop released a job by the head of its last write. If the answer to a write was lost and its results had not been read yet, that write conflicted and the job stayed with the stopped VM until it was missed.

The release uses the head of the catalog if it is newer, still conditional on its version. It clears no owner but this VM.

--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -121,10 +121,7 @@
             };
             tokio::select! {
                 biased;
-                () = release => {
-                    let (head, version) = queue.head();
-                    return RunOutcome::Released(head.clone(), version);
-                }
+                () = release => return self.stop_run(job, &queue),
                 result = result => {
                     step = match self.apply_step(job, &mut queue, &item_runs, result) {
                         NextStep::Run(step) => Some(step),
@@ -159,6 +156,19 @@
         }
     }
 
+    /// Returns the outcome of a planned stop. The release needs the newest head, but not which results it lists.
+    fn stop_run(&self, job: &JobId, queue: &CommitQueue) -> RunOutcome {
+        if self.has_lost_job(job) {
+            return RunOutcome::Lost;
+        }
+        let (head, version) = queue.head();
+        match self.newer_head(job, version) {
+            Some((newer, _)) if !newer.is_open() => RunOutcome::Completed,
+            Some((newer, version)) => RunOutcome::Released(newer, version),
+            None => RunOutcome::Released(head.clone(), version),
+        }
+    }
+
     /// Waits until this VM hears that it has lost the job.
     async fn wait_until_lost(&self, job: &JobId) {
         loop {
--- a/crates/jobs/src/store_step.rs
+++ b/crates/jobs/src/store_step.rs
@@ -210,7 +210,11 @@
     }
 
     /// Returns the head of the catalog if it is newer than `version`.
-    fn newer_head(&self, job: &JobId, version: RowVersion) -> Option<(JobHead, RowVersion)> {
+    pub(crate) fn newer_head(
+        &self,
+        job: &JobId,
+        version: RowVersion,
+    ) -> Option<(JobHead, RowVersion)> {
         let catalog = self.jobs.borrow();
         let known = catalog.get(job).filter(|known| known.version > version)?;
         Some((known.head.clone(), known.version))
--- a/crates/jobs/tests/all/unpolled_items.rs
+++ b/crates/jobs/tests/all/unpolled_items.rs
@@ -93,6 +93,22 @@
     assert_eq!(vm.jobs.running(), 0);
 }
 
+/// Guards against a job that is not released because its owner, at a planned stop, has been told a newer head and has not
+/// read which results it lists.
+#[actix_rt::test]
+async fn released_job() {
+    let cluster = TestCluster::start().await;
+    let vm = stalled_job(&cluster, 4, 2).await;
+    actix_rt::time::sleep(Duration::from_millis(600)).await;
+    cluster.rows.set_fault(RowsFault::None);
+    vm.jobs.stop().await;
+    let head = cluster.head_of(&job()).expect("a head");
+    assert_eq!((head.owner, head.listed), (None, 1));
+    let other = cluster.vm("other", 1);
+    other.set_live_peers(&[]);
+    check_results(&other.read_results(&job(), 4).await, 4);
+}
+
 /// Guards against a planned stop that waits for the answer to a write for ever, so that the job is not released.
 #[actix_rt::test]
 async fn silent_write() {
