--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -39,6 +39,10 @@
     RefuseChanges,
     /// Changes are not done, and their callers learn nothing for 5 s.
     SilentChanges,
+    /// The next change takes effect and its answer is lost; then all calls are refused.
+    LoseThenRefuse,
+    /// The next change is neither done nor answered; the calls after it are served.
+    DropChange,
     /// Reads are answered half a second late.
     SlowReads,
 }
@@ -213,6 +217,15 @@
                 sleep(SILENCE).await;
                 Err(lost())
             }
+            RowsFault::LoseThenRefuse => {
+                self.seed(&change);
+                self.set_fault(RowsFault::Refuse);
+                Err(lost())
+            }
+            RowsFault::DropChange => {
+                self.set_fault(RowsFault::None);
+                std::future::pending().await
+            }
             RowsFault::None | RowsFault::Refuse | RowsFault::SlowReads => Ok(self.apply(&change)),
         }
     }
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -8,3 +8,4 @@
 mod missing_runner;
 mod owed_items;
 mod support;
+mod unpolled_items;
