Read heads with bare line feeds, reject empty unframed answers

Callers of a route without streams got a 200 with an empty body, framed as whole and with the target's stamp, if the target closed after a head without a length. With lines that end in a line feed only, also a body that followed was dropped: the filter did not see the end of the head, and the HTTP client then read the answer as HTTP/1.1 without a body.

A head that is cut before its blank line never counted: it is a lost connection, at all cuts, closed or reset, with and without a length. So are a body shorter than its length and chunks without the last one.

Change: the filter ends a head where the HTTP client does. A success without a length and without any body counts as a lost connection, executed unknown, as it already did for streams; 204, 205 and answers to HEAD are exempt.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -18,4 +18,4 @@
 pub use memory::{MemoryPlatform, PlatformFault, StoreCounts};
 pub use platform_server::{PlatformOptions, PlatformServer, RunningPlatform};
 pub use rows::{MemoryRows, RowsFault};
-pub use stream_target::{SeenRequest, StreamTarget, TargetAct, TargetNames};
+pub use stream_target::{HeadCut, SeenRequest, StreamTarget, TargetAct, TargetNames};
--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -53,12 +53,74 @@
     EndlessEvent(u64),
     /// Sends a comment now and then, but no event after this one, until the caller closes.
     TrickleAfter(u64),
+    /// Runs the request and closes the connection in the middle of the head of its answer.
+    CutHead(HeadCut),
+    /// The same, with a connection that is reset.
+    ResetHead(HeadCut),
+    /// Answers with a length, and closes the connection in the middle of the body.
+    ShortBody,
+}
+
+/// Where the head of an answer ends early.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HeadCut {
+    /// In the middle of the status line.
+    InStatusLine,
+    /// After the status line.
+    StatusLine,
+    /// In the middle of a header.
+    InHeader,
+    /// After the first header.
+    Header,
+    /// After the last header that says nothing of the length.
+    BeforeLength,
+    /// In the middle of the length, which then is that of a shorter body.
+    InLength,
+    /// After the last header, before the blank line.
+    BeforeBlankLine,
+    /// Before the last byte of the blank line.
+    InBlankLine,
+    /// After the last header, in a head whose lines end with a line feed only.
+    LineFeeds,
+    /// After a blank line that ends with a line feed only, in a head without a length.
+    LineFeedEnd,
+}
+
+impl HeadCut {
+    /// The bytes of `head` up to the cut. `head` ends with the header of the length and a blank line.
+    fn cut(self, head: &str) -> String {
+        let line_end = |from: usize| {
+            head[from..]
+                .find("\r\n")
+                .map_or(head.len(), |end| from + end + 2)
+        };
+        let status_end = line_end(0);
+        let headers_end = head.len() - 2;
+        let length_start = head.rfind("content-length").unwrap_or(headers_end);
+        let end = match self {
+            HeadCut::InStatusLine => "HTTP/1.1 2".len(),
+            HeadCut::StatusLine => status_end,
+            HeadCut::InHeader => status_end + 4,
+            HeadCut::Header => line_end(status_end),
+            HeadCut::BeforeLength | HeadCut::LineFeedEnd => length_start,
+            HeadCut::InLength => headers_end - 3,
+            HeadCut::BeforeBlankLine | HeadCut::LineFeeds => headers_end,
+            HeadCut::InBlankLine => headers_end + 1,
+        };
+        match self {
+            HeadCut::LineFeeds => head[..end].replace('\r', ""),
+            HeadCut::LineFeedEnd => head[..end].replace('\r', "") + "\n",
+            _ => head[..end].to_owned(),
+        }
+    }
 }
 
 /// Bytes that an endless answer sends at a time.
 const ENDLESS_PART_BYTES: usize = 16 << 10;
 /// Interval between the comments of a stream without progress.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from a part of a head to the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(10);
 
 /// A request as the target saw it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -101,7 +163,8 @@
     acts: RefCell<VecDeque<TargetAct>>,
     default_act: Cell<TargetAct>,
     seen: RefCell<Vec<SeenRequest>>,
-    running: Cell<usize>,
+    /// Ids of the requests whose answers are being sent.
+    running: RefCell<Vec<String>>,
     /// A request with this text in a header crashes the target.
     crash_marker: RefCell<Option<String>>,
     /// Events that such a request gets before the crash.
@@ -130,7 +193,7 @@
                 acts: RefCell::default(),
                 default_act: Cell::default(),
                 seen: RefCell::default(),
-                running: Cell::new(0),
+                running: RefCell::default(),
                 crash_marker: RefCell::default(),
                 events_before_crash: Cell::new(0),
                 crash: Notify::new(),
@@ -205,15 +268,35 @@
     /// Requests whose answers are being sent.
     #[must_use]
     pub fn running(&self) -> usize {
-        self.state.running.get()
+        self.state.running.borrow().len()
+    }
+
+    /// Ids of the requests whose answers are being sent.
+    #[must_use]
+    pub fn running_ids(&self) -> Vec<String> {
+        self.state.running.borrow().clone()
     }
 }
 
-struct RunGuard<'a>(&'a Cell<usize>);
+struct RunGuard<'a> {
+    running: &'a RefCell<Vec<String>>,
+    id: String,
+}
+
+impl<'a> RunGuard<'a> {
+    fn start(running: &'a RefCell<Vec<String>>, id: &str) -> RunGuard<'a> {
+        running.borrow_mut().push(id.to_owned());
+        let id = id.to_owned();
+        RunGuard { running, id }
+    }
+}
 
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        let mut running = self.running.borrow_mut();
+        if let Some(position) = running.iter().position(|id| *id == self.id) {
+            running.swap_remove(position);
+        }
     }
 }
 
@@ -272,6 +355,13 @@
                     stream.write_all(head.as_bytes()).await?;
                 }
                 TargetAct::LoseAnswer => return Ok(()),
+                TargetAct::CutHead(_) | TargetAct::ResetHead(_) | TargetAct::ShortBody => {
+                    let body = self.events_after(last);
+                    let length = format!("content-length: {}\r\n", body.len());
+                    let framing = format!("content-type: text/event-stream\r\n{length}");
+                    let head = self.head(200, &id, "", &framing);
+                    return send_part(&mut stream, act, &head, &body).await;
+                }
                 TargetAct::EndlessHead => {
                     stream.write_all(b"HTTP/1.1 200 Any\r\nfiller: ").await?;
                     return send_endless(&mut stream, &[b'x'; ENDLESS_PART_BYTES]).await;
@@ -280,8 +370,7 @@
                     let refused = format!("{}: 1\r\n", self.names.not_executed);
                     let head = self.head(503, &id, &refused, "connection: close\r\n");
                     stream.write_all(head.as_bytes()).await?;
-                    self.running.set(self.running.get() + 1);
-                    let _running = RunGuard(&self.running);
+                    let _running = RunGuard::start(&self.running, &id);
                     return send_endless(&mut stream, &[b'x'; ENDLESS_PART_BYTES]).await;
                 }
                 TargetAct::ErrorText => {
@@ -306,8 +395,7 @@
                     if act == TargetAct::RepeatRefusal {
                         stream.write_all(last_refusal.as_bytes()).await?;
                     }
-                    self.running.set(self.running.get() + 1);
-                    let _running = RunGuard(&self.running);
+                    let _running = RunGuard::start(&self.running, &id);
                     if !self.send_events(&mut stream, &id, last, act).await? {
                         return Ok(());
                     }
@@ -339,6 +427,13 @@
         format!("HTTP/1.1 {status} Any\r\n{name}: {id}\r\n{stated}{extra}{framing}\r\n")
     }
 
+    /// The events after `last` as one body.
+    fn events_after(&self, last: u64) -> String {
+        let events = (last + 1..=self.events)
+            .map(|number| format!("id: {number}\ndata: piece {number}\n\n"));
+        events.collect()
+    }
+
     /// Sends the events after `last`. Says whether the connection may be used again.
     async fn send_events(
         &self,
@@ -407,6 +502,26 @@
     }
 }
 
+/// Sends the part of an answer that `act` leaves of it. The connection ends when it is dropped.
+async fn send_part(
+    stream: &mut TcpStream,
+    act: TargetAct,
+    head: &str,
+    body: &str,
+) -> io::Result<()> {
+    let part = match act {
+        TargetAct::CutHead(cut) | TargetAct::ResetHead(cut) => cut.cut(head),
+        _ => format!("{head}{}", &body[..body.len() / 2]),
+    };
+    stream.write_all(part.as_bytes()).await?;
+    if matches!(act, TargetAct::ResetHead(_)) {
+        // A reset discards what the caller has not read yet.
+        sleep(RESET_DELAY).await;
+        stream.set_zero_linger()?;
+    }
+    Ok(())
+}
+
 /// Sends `part` again and again. Ends with an error when the caller closes the connection.
 async fn send_endless(stream: &mut TcpStream, part: &[u8]) -> io::Result<()> {
     loop {
--- a/crates/proxy/src/head_filter.rs
+++ b/crates/proxy/src/head_filter.rs
@@ -11,7 +11,6 @@
 /// Start of a status line, and the offset of the digit that differs in HTTP/1.0.
 const HTTP_1_1: &[u8] = b"HTTP/1.1 ";
 const MINOR_VERSION_OFFSET: usize = 7;
-const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Buffers the head of a response until it is complete.
 #[derive(Debug, Default)]
@@ -90,15 +89,20 @@
     line.is_some_and(|line| line.ends_with(b" HTTP/1.1") && !line.starts_with(b"HEAD "))
 }
 
-/// Length of the head at the start of `content`, including its terminating blank line.
+/// Length of the head at the start of `content`, including its terminating blank line. As in `awc`, lines may end with a
+/// line feed only.
 fn head_length(content: &[u8]) -> Option<usize> {
     if !content.starts_with(HTTP_1_1) {
         return None;
     }
-    let end = content
-        .windows(HEAD_END.len())
-        .position(|bytes| bytes == HEAD_END)?;
-    Some(end + HEAD_END.len())
+    let mut start = 0;
+    for line in content.split_inclusive(|byte| *byte == b'\n') {
+        start += line.len();
+        if matches!(line, b"\n" | b"\r\n") {
+            return Some(start);
+        }
+    }
+    None
 }
 
 /// Whether the head is an interim response such as 100 or 103, which another head follows.
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -9,6 +9,7 @@
 use crate::limits::PATH_CONNECT_TIMEOUT;
 use crate::send_trace::SendTrace;
 use crate::transport::{TargetDialer, TcpDialer, client_with_dialer, strict_client};
+use awc::http::Method;
 use awc::http::header::HeaderMap;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -97,6 +98,22 @@
 }
 
 impl CallProgress {
+    /// Rejects a success without a length and without a body, because a target that stops after the head sends the same.
+    fn check_body(&self, response: &TargetResponse, body: &Bytes) -> Result<(), SendFailure> {
+        let has_body = self.call.method != Method::HEAD
+            && response.is_success()
+            && !matches!(response.status, 204 | 205);
+        if response.is_framed || !has_body || !body.is_empty() {
+            return Ok(());
+        }
+        let reason = "the answer without a length ended before its body";
+        Err(SendFailure::new(
+            Executed::Unknown,
+            CallOutcome::ConnectionLost,
+            reason,
+        ))
+    }
+
     fn new(call: RelayCall) -> CallProgress {
         CallProgress {
             call,
@@ -446,6 +463,7 @@
     ) -> Result<(TargetResponse, EventSplitter, Bytes, Option<u64>), SendFailure> {
         progress.check_status(response.status)?;
         let body = self.read_full_body(&mut response, until).await?;
+        progress.check_body(&response, &body)?;
         Ok((response, EventSplitter::default(), body, None))
     }
 
@@ -516,6 +534,7 @@
         let mut response = send.await?;
         let body = self.read_full_body(&mut response, until).await?;
         progress.check_status(response.status)?;
+        progress.check_body(&response, &body)?;
         Ok((response, body))
     }
 }
