Check in the soak test that owed items have a stated wait

An item that is accepted, not listed, and at no target for 5 s, beside a target that was free and a VM with a sound store link all that time, has to be named in a log line with what it waits for. A line for no runner, or for a slot while targets are free, is a violation, as is no line.

The other checks are as they were.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -326,16 +326,7 @@
                 ..request
             });
             if crashes {
-                let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
-                let head = self.head(200, &id, "", framing);
-                stream.write_all(head.as_bytes()).await?;
-                for number in last + 1..=last + self.events_before_crash.get() {
-                    let event = format!("id: {number}\ndata: piece {number}\n\n");
-                    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-                    stream.write_all(chunk.as_bytes()).await?;
-                }
-                self.crash.notify_waiters();
-                return Ok(());
+                return self.crash_during(&mut stream, &id, last).await;
             }
             match act {
                 TargetAct::Refuse => {
@@ -404,6 +395,20 @@
         }
     }
 
+    /// Begins an answer and ends all connections.
+    async fn crash_during(&self, stream: &mut TcpStream, id: &str, last: u64) -> io::Result<()> {
+        let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+        let head = self.head(200, id, "", framing);
+        stream.write_all(head.as_bytes()).await?;
+        for number in last + 1..=last + self.events_before_crash.get() {
+            let event = format!("id: {number}\ndata: piece {number}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            stream.write_all(chunk.as_bytes()).await?;
+        }
+        self.crash.notify_waiters();
+        Ok(())
+    }
+
     fn has_crash_marker(&self, request: &SeenRequest) -> bool {
         let marker = self.crash_marker.borrow();
         let mut values = request.headers.values();
--- a/crates/soak/src/caller_load.rs
+++ b/crates/soak/src/caller_load.rs
@@ -1,7 +1,7 @@
 //! The callers of a run: online requests, and batch jobs whose results are read repeatedly.
 
 use crate::records::{
-    JobRecord, RequestKind, RequestOutcome, RequestRecord, RunRecords, SharedRecords,
+    JobRecord, RequestKind, RequestOutcome, RequestRecord, ResultsRead, RunRecords, SharedRecords,
 };
 use crate::soak_fleet::SoakFleet;
 use awc::http::Method;
@@ -350,7 +350,9 @@
                 status: 200, body, ..
             } => match serde_json::from_str(&body) {
                 Ok(page) => self.with_job(job, |record, violations| {
-                    record_page(job, record, after, page, violations)
+                    let next = record_page(job, record, after, page, violations);
+                    record.reads.push(ResultsRead { sent_at, next });
+                    next
                 }),
                 Err(error) => self.with_job(job, |_, violations| {
                     violations.push(format!("job {job}: malformed page of results: {error}"));
--- a/crates/soak/src/guarantee_checks.rs
+++ b/crates/soak/src/guarantee_checks.rs
@@ -1,6 +1,7 @@
 //! Checks of the guarantees of the system on the records of a run.
 
 use crate::fault_plan::SoakProfile;
+use crate::owed_items::check_owed_items;
 use crate::records::{ExecutionRecord, RequestKind, RequestOutcome, RequestRecord, RunRecords};
 use crate::soak_fleet::KEY_WITHDRAWAL_TIME;
 use crate::target_fleet::EVENTS_PER_STREAM;
@@ -49,6 +50,7 @@
     violations.extend(check_versions(records));
     violations.extend(check_rate(records));
     violations.extend(check_jobs(records));
+    violations.extend(check_owed_items(records));
     if profile == SoakProfile::Planned {
         violations.extend(check_drain(records));
     }
--- a/crates/soak/src/link_proxy.rs
+++ b/crates/soak/src/link_proxy.rs
@@ -80,6 +80,12 @@
     pub fn set_mode(&self, mode: LinkMode) {
         self.mode.send_replace(mode);
     }
+
+    /// Whether the link forwards all data at once.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        *self.mode.borrow() == LinkMode::Open
+    }
 }
 
 async fn relay_connection(
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -80,6 +80,49 @@
     pub accepted_at: Option<Instant>,
     /// Results by position, as they were first read.
     pub results: BTreeMap<usize, JobResult>,
+    /// Reads of its results that succeeded.
+    pub reads: Vec<ResultsRead>,
+}
+
+/// A read of the results of a job.
+#[derive(Clone, Copy, Debug)]
+pub struct ResultsRead {
+    /// Time at which the caller sent it.
+    pub sent_at: Instant,
+    /// Position after the last result.
+    pub next: usize,
+}
+
+/// Targets and VMs at one time.
+#[derive(Clone, Debug)]
+pub struct FleetSample {
+    /// Time of the sample.
+    pub at: Instant,
+    /// Ids of the requests and items that a target runs.
+    pub running: Vec<String>,
+    /// Ids of the targets that are reachable, do not drain, and use less than half of their slots.
+    pub free_targets: Vec<String>,
+    /// Indexes of the VMs that run, with a sound link to the store.
+    pub sound_vms: Vec<usize>,
+}
+
+/// A line in which a VM states what an item waits for.
+#[derive(Clone, Debug)]
+pub struct OwedReport {
+    /// Time at which the line was read.
+    pub at: Instant,
+    /// Id of the VM.
+    pub vm: String,
+    /// Job of the item.
+    pub job: String,
+    /// The item; `None` for all items of a job.
+    pub item: Option<String>,
+    /// What the item waits for.
+    pub state: String,
+    /// Time without a target, in milliseconds, as far as the VM knows.
+    pub idle_ms: Option<u64>,
+    /// Number of targets that could run it, as far as the VM knows.
+    pub free_targets: Option<u64>,
 }
 
 /// Everything that callers and targets observed in a run.
@@ -95,6 +138,10 @@
     pub withdrawn_keys: HashMap<String, Instant>,
     /// Times at which the entries of targets were marked as draining, by target id.
     pub draining_targets: HashMap<String, Instant>,
+    /// Samples of targets and VMs, in order of time.
+    pub samples: Vec<FleetSample>,
+    /// Reports of items that wait, in the order in which they were read.
+    pub owed_reports: Vec<OwedReport>,
     /// Violations that were detected during the run.
     pub violations: Vec<String>,
 }
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -1,7 +1,8 @@
 //! The VMs of a run, with the proxies of their links.
 
 use crate::link_proxy::{LinkMode, LinkProxy};
-use crate::records::SharedRecords;
+use crate::owed_items::parse_owed_report;
+use crate::records::{OwedReport, SharedRecords};
 use crate::vm_process::VmProcess;
 use plantainmill_stand_in::{StoreServer, VmPlan, WireFault};
 use rustix::process::Signal;
@@ -54,6 +55,9 @@
     stopping_since: Cell<Option<Instant>>,
     restart_at: Cell<Option<Instant>>,
     restart_delay: Cell<Duration>,
+    /// Pauses in force.
+    pauses: Cell<u32>,
+    has_store_fault: Cell<bool>,
 }
 
 /// The VMs of a run. Clones share them.
@@ -167,7 +171,7 @@
         for vm in self.vms.iter() {
             vm.callers.set_mode(LinkMode::Open);
             vm.store_link.set_mode(LinkMode::Open);
-            vm.store.set_fault(WireFault::None);
+            vm.set_store_fault(WireFault::None);
             vm.process.borrow().signal(Signal::CONT)?;
             if vm.restart_at.get().is_some() {
                 vm.restart_at.set(Some(Instant::now()));
@@ -229,8 +233,10 @@
     /// Fails when the process cannot be signalled.
     pub async fn pause(&self, time: Duration) -> anyhow::Result<()> {
         self.process.borrow().signal(Signal::STOP)?;
+        self.pauses.set(self.pauses.get() + 1);
         sleep(time).await;
         self.process.borrow().signal(Signal::CONT)?;
+        self.pauses.set(self.pauses.get() - 1);
         if self.stopping_since.get().is_some() {
             self.stopping_since.set(Some(Instant::now()));
         }
@@ -260,6 +266,31 @@
         Ok(())
     }
 
+    /// Whether the VM runs, with a sound link to the store.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        let is_up = self.process.borrow().is_running()
+            && self.expected_exit.get() == ExpectedExit::None
+            && self.pauses.get() == 0;
+        is_up && self.store_link.is_open() && !self.has_store_fault.get()
+    }
+
+    /// Reads the new lines of the logs and returns the reports of items that wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a log cannot be read.
+    pub fn read_owed_reports(&self) -> std::io::Result<Vec<OwedReport>> {
+        let mut process = self.process.borrow_mut();
+        let lines = process.new_lines()?;
+        let now = Instant::now();
+        let vm = &process.plan.id;
+        let reports = lines
+            .iter()
+            .filter_map(|line| parse_owed_report(line, vm, now));
+        Ok(reports.collect())
+    }
+
     /// Sets the mode of the link to the store.
     pub fn set_store_mode(&self, mode: LinkMode) {
         self.store_link.set_mode(mode);
@@ -267,6 +298,7 @@
 
     /// Sets the fault of the store towards this VM.
     pub fn set_store_fault(&self, fault: WireFault) {
+        self.has_store_fault.set(fault != WireFault::None);
         self.store.set_fault(fault);
     }
 }
@@ -293,6 +325,8 @@
         stopping_since: Cell::new(None),
         restart_at: Cell::new(None),
         restart_delay: Cell::new(Duration::ZERO),
+        pauses: Cell::new(0),
+        has_store_fault: Cell::new(false),
         process: RefCell::new(VmProcess::start(program, folder, plan)?),
     })
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -4,7 +4,7 @@
 use crate::fault_plan::{PlannedFault, SoakFault, SoakProfile, draw_faults};
 use crate::guarantee_checks::{LIMITED_ORGANISATION, RATE_PER_S, check_guarantees};
 use crate::link_proxy::LinkMode;
-use crate::records::{RequestKind, RequestOutcome, SharedRecords};
+use crate::records::{FleetSample, RequestKind, RequestOutcome, SharedRecords};
 use crate::soak_fleet::SoakFleet;
 use crate::target_fleet::TargetFleet;
 use anyhow::ensure;
@@ -29,6 +29,8 @@
 const RESULTS_TIMEOUT: Duration = Duration::from_secs(18);
 /// Interval between checks of an awaited condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between samples of targets and VMs.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
 /// Requests sent to each VM to check its recovery.
 const RECOVERY_REQUESTS: usize = 10;
 /// Organisations: one without and one with a rate limit.
@@ -193,6 +195,7 @@
             }
         }
         actix_rt::spawn(self.load.clone().run_jobs(options.seed));
+        let samples = actix_rt::spawn(self.clone().record_samples());
         let faults = draw_faults(
             options.seed,
             options.profile,
@@ -214,10 +217,42 @@
         self.check_recovery().await;
         self.load.stop();
         self.read_all_jobs().await;
+        samples.abort();
         self.fleet.stop().await?;
         Ok(self.report(options.profile, faults.len()))
     }
 
+    /// Records the state of targets and VMs, and what VMs state about items that wait, until it is dropped.
+    async fn record_samples(self) {
+        loop {
+            self.record_sample();
+            sleep(SAMPLE_INTERVAL).await;
+        }
+    }
+
+    fn record_sample(&self) {
+        let (running, free_targets) = self.targets.sample();
+        let vms = self.fleet.vms.iter().enumerate();
+        let sound_vms = vms.filter(|(_, vm)| vm.is_sound());
+        let sample = FleetSample {
+            at: Instant::now(),
+            running,
+            free_targets,
+            sound_vms: sound_vms.map(|(position, _)| position).collect(),
+        };
+        let mut records = self.records.borrow_mut();
+        records.samples.push(sample);
+        for (position, vm) in self.fleet.vms.iter().enumerate() {
+            match vm.read_owed_reports() {
+                Ok(reports) => records.owed_reports.extend(reports),
+                Err(error) => {
+                    let line = format!("the soak test cannot read a log of VM {position}: {error}");
+                    records.violations.push(line);
+                }
+            }
+        }
+    }
+
     fn all_in_rotation(&self) -> bool {
         self.fleet.vms.iter().all(|vm| vm.in_rotation.get())
     }
--- a/crates/soak/src/target_fleet.rs
+++ b/crates/soak/src/target_fleet.rs
@@ -46,6 +46,14 @@
     }
 }
 
+impl RunningTarget {
+    /// Whether the target is reachable, serves, and uses less than half of its slots.
+    fn is_free(&self) -> bool {
+        let running = u32::try_from(self.target.running()).unwrap_or(u32::MAX);
+        !self.is_stopping.get() && self.proxy.is_open() && running < SLOTS_PER_TARGET / 2
+    }
+}
+
 /// The targets of a run. Clones share them.
 #[derive(Clone)]
 pub struct TargetFleet {
@@ -120,6 +128,17 @@
         self.current(position).target.clone()
     }
 
+    /// Ids of the requests and items that targets run, and ids of the free targets.
+    pub fn sample(&self) -> (Vec<String>, Vec<String>) {
+        let targets = self.targets.borrow();
+        let running = targets
+            .iter()
+            .flat_map(|target| target.target.running_ids());
+        let free = targets.iter().filter(|target| target.is_free());
+        let free = free.map(|target| target.id.clone());
+        (running.collect(), free.collect())
+    }
+
     /// Drains a target: marks its entry and its answers, lets it serve for `DRAIN_TIME`, then replaces it.
     pub async fn drain(&self, position: usize) -> anyhow::Result<()> {
         let target = self.current(position);
--- a/crates/soak/src/vm_process.rs
+++ b/crates/soak/src/vm_process.rs
@@ -5,6 +5,7 @@
 use plantainmill_stand_in::VmPlan;
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
+use std::io::Read as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
@@ -16,6 +17,27 @@
     folder: PathBuf,
     child: Option<Child>,
     start_count: u32,
+    logs: Vec<LogTail>,
+}
+
+/// A log of which a part has been read.
+struct LogTail {
+    file: File,
+    /// The start of a line whose end has not been written yet.
+    line_start: String,
+}
+
+impl LogTail {
+    /// Reads the lines that were written since the last call.
+    fn read_lines(&mut self) -> std::io::Result<Vec<String>> {
+        let mut read = Vec::new();
+        self.file.read_to_end(&mut read)?;
+        self.line_start.push_str(&String::from_utf8_lossy(&read));
+        let end = self.line_start.rfind('\n').map_or(0, |end| end + 1);
+        let rest = self.line_start.split_off(end);
+        let lines = std::mem::replace(&mut self.line_start, rest);
+        Ok(lines.lines().map(str::to_owned).collect())
+    }
 }
 
 impl VmProcess {
@@ -31,6 +53,7 @@
             folder: folder.to_owned(),
             child: None,
             start_count: 0,
+            logs: Vec::new(),
         };
         process.write_settings()?;
         process.restart()?;
@@ -62,6 +85,25 @@
         }
     }
 
+    /// Returns the lines written to the logs since the last call.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a log cannot be read.
+    pub fn new_lines(&mut self) -> std::io::Result<Vec<String>> {
+        let mut lines = Vec::new();
+        for log in &mut self.logs {
+            lines.extend(log.read_lines()?);
+        }
+        Ok(lines)
+    }
+
+    /// Whether the process has been started and its exit has not been seen.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
     fn settings_path(&self) -> PathBuf {
         self.folder.join(format!("{}.toml", self.plan.id))
     }
@@ -78,6 +120,10 @@
         self.start_count += 1;
         let log = File::create(self.log_path())?;
         let errors = log.try_clone()?;
+        self.logs.push(LogTail {
+            file: File::open(self.log_path())?,
+            line_start: String::new(),
+        });
         let child = Command::new(&self.program)
             .args(["--log-format", "json", "serve", "--platform"])
             .env(SETTINGS_VARIABLE, self.settings_path())
--- a/crates/soak/tests/guarantee_violations.rs
+++ b/crates/soak/tests/guarantee_violations.rs
@@ -56,6 +56,7 @@
         items: vec!["e1".to_owned(), "e2".to_owned()],
         accepted_at: Some(start),
         results: (0..).zip(results).collect(),
+        ..JobRecord::default()
     }
 }
 
