Forget a job whose head its owner finds removed

Callers saw nothing of it so far: heads are removed long after their job has closed. An owner whose write found no head kept the job in its catalog and resumed it at once, so that targets ran its items again and again. A read of changes that had both a head and its removal applied the removal first, and brought the job back.

missing_runner::removed_head failed before: the job still ran after 3 s, and with the first change alone its item ran twice. It passes with both: the owner forgets the job, and changes are applied in their order.

--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -405,9 +405,10 @@
                 self.heads.update(HeadProgress::record_lost_history);
             }
             FeedRead::Changes(rows, version) => {
-                let mut heads = Vec::new();
+                let mut heads: Vec<HeadUpdate> = Vec::new();
                 for row in rows {
                     if row.is_removed {
+                        heads.retain(|(job, _, _)| *job != row.key);
                         self.jobs.borrow_mut().remove(&row.key, row.version);
                     } else if let Some((head, row_version)) = read_head(&row) {
                         heads.push((row.key, head, row_version));
--- a/crates/jobs/src/store_step.rs
+++ b/crates/jobs/src/store_step.rs
@@ -163,7 +163,11 @@
                 self.record(job, head.clone(), version);
                 NextStep::Run(self.read_found(job, queue, head, version))
             }
-            StepResult::Written(_, Ok(HeadOutcome::Conflict(None))) => NextStep::Stop,
+            StepResult::Written(_, Ok(HeadOutcome::Conflict(None))) => {
+                // Kept in the catalog, the job would be resumed at once, without items.
+                self.jobs.borrow_mut().remove(job, RowVersion::MAX);
+                NextStep::Stop
+            }
             StepResult::Written(_, Err(error)) => {
                 // The queue writes the same results again: the failed write may still be applied, and other results at
                 // these positions would then be listed twice or lost.
--- a/crates/jobs/tests/all/missing_runner.rs
+++ b/crates/jobs/tests/all/missing_runner.rs
@@ -1,10 +1,10 @@
 //! Jobs that no VM runs: one that waits for the store, one whose new owner cannot write, and one whose run has failed.
 
-use crate::support::{TestCluster, TestVm, check_results, head, owner, submission};
+use crate::support::{TestCluster, TestVm, check_results, head, owner, route, submission, ward};
 use futures_util::FutureExt as _;
 use plantainmill_core::JobId;
 use plantainmill_fakes::{MemoryRows, RowsFault};
-use plantainmill_jobs::{FleetSnapshot, JobOwner, JobStore, OwedState};
+use plantainmill_jobs::{FleetSnapshot, JobOwner, JobStore, OwedState, partition_of};
 use plantainmill_provider::rows::TableName;
 use plantainmill_provider::{
     ChangeOutcome, FeedRead, PartitionStore, PlatformFuture, RowChange, RowVersion, RowsRead,
@@ -234,3 +234,29 @@
     actix_rt::time::sleep(SETTLING).await;
     check_results(&vm.read_results(&job, 2).await, 2);
 }
+
+/// Guards against a job whose head was removed, and whose items its owner runs again and again.
+#[actix_rt::test]
+async fn removed_head() {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.vm("vm", 1);
+    // Another VM reads the changes, so that this one learns of the removal by its write.
+    vm.jobs.set_fleet(FleetSnapshot {
+        live: vec![vm.own.clone()],
+        domains: vec!["a".into()],
+        readers: vec!["reader".into()],
+        domain: "a".into(),
+        members: vec![vm.own.clone()],
+    });
+    cluster.target.set_pause(Duration::from_millis(100));
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    vm.jobs
+        .submit(&ward(), &route(), &"j1".into(), &submission(1))
+        .await
+        .expect("accepted");
+    let removal = RowChange::of(partition_of("j1")).remove("jobs", "j1");
+    cluster.rows.seed(&removal);
+    actix_rt::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(vm.jobs.running(), 0);
+    assert_eq!(cluster.target.seen().len(), 1);
+}
