Give an item up when its retention ends while it waits

An item that waited for a slot or for recent heads was neither run nor given up after its retention: the retention was checked between attempts only, and neither wait has an end. Its job stayed open for good.

The retention now ends every wait before an attempt. That is safe while the heads are not known, since a result is listed only under the head that the owner knows. The counter job_expired_items and the log line item_expired tell of it.

--- a/crates/jobs/src/metrics.rs
+++ b/crates/jobs/src/metrics.rs
@@ -13,6 +13,7 @@
     owed_items: Gauge<u64>,
     owed_seconds: Gauge<f64>,
     replaced_heads: Counter<u64>,
+    expired_items: Counter<u64>,
 }
 
 impl JobMetrics {
@@ -46,6 +47,10 @@
                 "job_replaced_heads",
                 "Heads of own jobs that this VM had not written",
             ),
+            expired_items: counter(
+                "job_expired_items",
+                "Items whose retention ended while they waited to be sent",
+            ),
         }
     }
 
@@ -67,4 +72,8 @@
     pub(crate) fn count_replaced_head(&self) {
         self.replaced_heads.add(1, &[]);
     }
+
+    pub(crate) fn count_expired_item(&self) {
+        self.expired_items.add(1, &[]);
+    }
 }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -77,6 +77,12 @@
     refused_by: HashSet<TargetId>,
 }
 
+/// A request that may be sent, and the permission to send it to a target.
+struct ItemAttempt {
+    call: RelayCall,
+    ticket: TargetTicket,
+}
+
 /// Outcome of one attempt.
 enum SendOutcome {
     Succeeded,
@@ -123,25 +129,48 @@
 impl ItemRunner {
     async fn run(&mut self) -> ItemState {
         loop {
-            self.wait_for_heads().await;
-            if self.context.clock.uptime() >= self.job.expires_at {
+            let now = self.context.clock.uptime();
+            let remaining = self.job.expires_at.saturating_sub(now);
+            if remaining.is_zero() {
                 return ItemState::GivenUp;
             }
+            let attempt = match timeout(remaining, self.next_attempt()).await {
+                Ok(Some(attempt)) => attempt,
+                Ok(None) => return ItemState::GivenUp,
+                Err(_) => {
+                    self.context.metrics.count_expired_item();
+                    tracing::info!(event = "item_expired", item = %self.item.id, "its retention ended while it waited");
+                    return ItemState::GivenUp;
+                }
+            };
+            match self.send(&attempt.call, attempt.ticket).await {
+                SendOutcome::Succeeded => return ItemState::Succeeded,
+                SendOutcome::Unprocessable => return ItemState::GivenUp,
+                SendOutcome::Failed => {
+                    self.failures += 1;
+                    self.enter(OwedState::Retry, "the target failed");
+                    sleep(FAILURE_RETRY_DELAY).await;
+                }
+                SendOutcome::Interrupted => {}
+            }
+        }
+    }
+
+    /// Waits until the item may be sent. Returns `None` if it has to be given up.
+    async fn next_attempt(&mut self) -> Option<ItemAttempt> {
+        loop {
+            self.wait_for_heads().await;
             let Some(document) = self.context.view.load() else {
                 self.enter(OwedState::Document, "");
                 sleep(UNAVAILABLE_RETRY_DELAY).await;
                 continue;
             };
-            let Some(route) = document.find_route(&self.job.host, &self.item.path) else {
-                // The route of the job was removed from the fleet document.
-                return ItemState::GivenUp;
-            };
+            // Without a route, the one of the job was removed from the fleet document.
+            let route = document.find_route(&self.job.host, &self.item.path)?;
             if self.failures >= route.attempts.max(1) {
-                return ItemState::GivenUp;
+                return None;
             }
-            let Some(call) = self.build_call(route) else {
-                return ItemState::GivenUp;
-            };
+            let call = self.build_call(route)?;
             let ticket = match self.acquire(&call).await {
                 Ok(ticket) => ticket,
                 Err(delay) => {
@@ -149,20 +178,10 @@
                     continue;
                 }
             };
-            if !self.may_send(&document) {
-                ticket.finish(CallOutcome::Abandoned);
-                continue;
-            }
-            match self.send(&call, ticket).await {
-                SendOutcome::Succeeded => return ItemState::Succeeded,
-                SendOutcome::Unprocessable => return ItemState::GivenUp,
-                SendOutcome::Failed => {
-                    self.failures += 1;
-                    self.enter(OwedState::Retry, "the target failed");
-                    sleep(FAILURE_RETRY_DELAY).await;
-                }
-                SendOutcome::Interrupted => {}
+            if self.may_send(&document) {
+                return Some(ItemAttempt { call, ticket });
             }
+            ticket.finish(CallOutcome::Abandoned);
         }
     }
 
@@ -250,9 +269,7 @@
                     return Err(UNAVAILABLE_RETRY_DELAY);
                 }
                 let delay = problem.retry_after.unwrap_or(MAX_QUARANTINE_WAIT);
-                let now = self.context.clock.uptime();
-                let until_expiry = self.job.expires_at.saturating_sub(now);
-                Err(delay.min(MAX_QUARANTINE_WAIT).min(until_expiry))
+                Err(delay.min(MAX_QUARANTINE_WAIT))
             }
         }
     }
--- /dev/null
+++ b/crates/jobs/tests/all/endless_waits.rs
@@ -0,0 +1,69 @@
+//! Items that wait for what does not come: they are given up at the end of their retention.
+
+use crate::support::{TestCluster, TestVm, route, submission, ward};
+use plantainmill_core::JobId;
+use plantainmill_fakes::RowsFault;
+use plantainmill_jobs::{ItemState, OwedState};
+use plantainmill_routing::TargetEntry;
+use rstest::rstest;
+use std::time::Duration;
+
+/// Retention of a job whose items wait for a target.
+const SHORT_RETENTION: Duration = Duration::from_secs(1);
+
+fn job() -> JobId {
+    "j1".into()
+}
+
+async fn submit(vm: &TestVm, retention: Duration) {
+    let mut route = route();
+    if let Some(rule) = &mut route.job {
+        rule.completion = retention;
+        rule.retention = retention;
+    }
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    vm.jobs
+        .submit(&ward(), &route, &job(), &submission(1))
+        .await
+        .expect("accepted");
+}
+
+/// The entry as that of a target without any free slot.
+fn full(entry: TargetEntry) -> TargetEntry {
+    TargetEntry { slots: 0, ..entry }
+}
+
+/// Guards against an item that is neither run nor given up while it waits for a slot.
+#[rstest]
+#[case::no_target(&[])]
+#[case::no_slot(&["t1"])]
+#[actix_rt::test]
+async fn expired_slot_wait(#[case] full_targets: &[&str]) {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.vm("vm", 1);
+    let entries = full_targets.iter().map(|id| full(cluster.entry(id, "v1")));
+    let entries: Vec<TargetEntry> = entries.collect();
+    vm.dispatcher.set_targets(entries.iter());
+    submit(&vm, SHORT_RETENTION).await;
+    let results = vm.read_results(&job(), 1).await;
+    let states: Vec<ItemState> = results.iter().map(|result| result.state).collect();
+    assert_eq!(states, [ItemState::GivenUp]);
+}
+
+/// Guards against an item that is neither run nor given up while its VM does not know the heads.
+#[actix_rt::test]
+async fn expired_heads_wait() {
+    let cluster = TestCluster::start().await;
+    cluster.rows.set_fault(RowsFault::SlowReads);
+    let vm = cluster.vm("vm", 1);
+    submit(&vm, SHORT_RETENTION).await;
+    cluster.rows.set_fault(RowsFault::Refuse);
+    let mut states = Vec::new();
+    for _ in 0..100 {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        states.extend(vm.jobs.owed_items().iter().map(|item| item.state));
+        states.dedup();
+    }
+    assert_eq!(states, [OwedState::Heads, OwedState::Listing]);
+    assert_eq!(cluster.target.seen().len(), 0);
+}
