Bound the time for which a failed target is excluded

An item whose target had failed it waited for ever beside that target, free again, while the other ones of its service stayed full. A failed target is excluded from the next attempt only, but an attempt includes the wait for a slot, which had no end.

The new test failed before: with one free target that had cut the item's stream and a full one, no result came within 5 s. It passes now.

An item asks for a slot anew every 3 s, with its deadline and without exclusions.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -37,6 +37,8 @@
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Longest delay before the next attempt of an item that is quarantined, or has a quarantined prompt part. The quarantine may be lifted early.
 const MAX_QUARANTINE_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait for a slot under the exclusions of one attempt. After it, a target that has failed the item is better than none.
+const SLOT_WAIT_LIMIT: Duration = Duration::from_secs(3);
 /// Delay before the next attempt after a target failed.
 const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -247,7 +249,11 @@
         self.excluded.clear();
         let need = (call.service.clone(), call.version.clone());
         self.watch.enter_slot(&self.item.id, need);
-        match self.context.caller.dispatcher().acquire(request).await {
+        let acquired = self.context.caller.dispatcher().acquire(request);
+        let Ok(acquired) = timeout(SLOT_WAIT_LIMIT, acquired).await else {
+            return Err(Duration::ZERO);
+        };
+        match acquired {
             Ok(ticket) => Ok(ticket),
             Err(problem) => {
                 tracing::info!(event = "item_waits", item = %self.item.id, reason = %problem);
--- a/crates/jobs/tests/all/endless_waits.rs
+++ b/crates/jobs/tests/all/endless_waits.rs
@@ -1,8 +1,8 @@
-//! Items that wait for what does not come: they are given up at the end of their retention.
+//! Items that wait for what does not come: they are given up at the end of their retention, or run elsewhere.
 
-use crate::support::{TestCluster, TestVm, route, submission, ward};
+use crate::support::{TestCluster, TestVm, check_results, route, submission, ward};
 use plantainmill_core::JobId;
-use plantainmill_fakes::RowsFault;
+use plantainmill_fakes::{RowsFault, TargetAct};
 use plantainmill_jobs::{ItemState, OwedState};
 use plantainmill_routing::TargetEntry;
 use rstest::rstest;
@@ -33,6 +33,16 @@
     TargetEntry { slots: 0, ..entry }
 }
 
+/// Submits one item to a target of version v1, and waits until its output has begun.
+async fn begin_output(cluster: &TestCluster, vm: &TestVm) {
+    cluster.target.set_pause(Duration::from_millis(100));
+    cluster.target.plan([TargetAct::CutAfter(2)]);
+    submit(vm, Duration::from_mins(1)).await;
+    while cluster.target.running() == 0 {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Guards against an item that is neither run nor given up while it waits for a slot.
 #[rstest]
 #[case::no_target(&[])]
@@ -67,3 +77,14 @@
     assert_eq!(states, [OwedState::Heads, OwedState::Listing]);
     assert_eq!(cluster.target.seen().len(), 0);
 }
+
+/// Guards against an item that waits for ever beside the only free target, because that one has failed it once.
+#[actix_rt::test]
+async fn excluded_target() {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.vm("vm", 1);
+    begin_output(&cluster, &vm).await;
+    let entries = [cluster.entry("t1", "v1"), full(cluster.entry("t2", "v1"))];
+    vm.dispatcher.set_targets(entries.iter());
+    check_results(&vm.read_results(&job(), 1).await, 1);
+}
