Begin an item anew when the targets of its version fail or stay full

An item whose stream had begun at a version went on there as long as a target of that version was listed. If that target was dead, or full of others' requests, the item never ended, although targets of other versions were free.

The output is discarded when a target of another version is free and either no output has come for 1.6 s since the first failure, or the wait for a slot has reached its limit of 3 s. The counter job_restarted_items and the log line item_begun_anew give the reason.

--- a/crates/jobs/src/metrics.rs
+++ b/crates/jobs/src/metrics.rs
@@ -14,6 +14,7 @@
     owed_seconds: Gauge<f64>,
     replaced_heads: Counter<u64>,
     expired_items: Counter<u64>,
+    restarted_items: Counter<u64>,
 }
 
 impl JobMetrics {
@@ -51,6 +52,10 @@
                 "job_expired_items",
                 "Items whose retention ended while they waited to be sent",
             ),
+            restarted_items: counter(
+                "job_restarted_items",
+                "Items that began anew because targets of their version could not go on with them",
+            ),
         }
     }
 
@@ -76,4 +81,8 @@
     pub(crate) fn count_expired_item(&self) {
         self.expired_items.add(1, &[]);
     }
+
+    pub(crate) fn count_restarted_item(&self) {
+        self.restarted_items.add(1, &[]);
+    }
 }
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -39,6 +39,9 @@
 const MAX_QUARANTINE_WAIT: Duration = Duration::from_secs(2);
 /// Longest wait for a slot under the exclusions of one attempt. After it, a target that has failed the item is better than none.
 const SLOT_WAIT_LIMIT: Duration = Duration::from_secs(3);
+/// Time without output after the first failure of an item, from which other versions are tried: longer than an attempt at a
+/// target that falls silent. To begin anew costs a whole run.
+const VERSION_FAILURE_LIMIT: Duration = Duration::from_millis(1_600);
 /// Delay before the next attempt after a target failed.
 const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -73,6 +76,8 @@
     last_event: Option<u64>,
     /// Software version at which the stream began.
     version: Option<VersionName>,
+    /// Uptime of the first failure since the last event.
+    failing_since: Option<Uptime>,
     failures: u32,
     excluded: Vec<TargetId>,
     /// Targets that have refused the item.
@@ -111,6 +116,7 @@
         has_events: false,
         last_event: None,
         version: None,
+        failing_since: None,
         failures: 0,
         excluded: Vec::new(),
         refused_by: HashSet::new(),
@@ -172,7 +178,11 @@
             if self.failures >= route.attempts.max(1) {
                 return None;
             }
-            let call = self.build_call(route)?;
+            let mut call = self.build_call(route)?;
+            if self.is_version_failing() && self.has_other_version(&call) {
+                self.begin_anew("targets of its version fail");
+                call = self.build_call(route)?;
+            }
             let ticket = match self.acquire(&call).await {
                 Ok(ticket) => ticket,
                 Err(delay) => {
@@ -251,6 +261,9 @@
         self.watch.enter_slot(&self.item.id, need);
         let acquired = self.context.caller.dispatcher().acquire(request);
         let Ok(acquired) = timeout(SLOT_WAIT_LIMIT, acquired).await else {
+            if self.has_other_version(call) {
+                self.begin_anew("targets of its version are full");
+            }
             return Err(Duration::ZERO);
         };
         match acquired {
@@ -258,7 +271,7 @@
             Err(problem) => {
                 tracing::info!(event = "item_waits", item = %self.item.id, reason = %problem);
                 if problem.code == ResultCode::VersionGone {
-                    self.begin_anew();
+                    self.begin_anew("no target has its version");
                     return Err(Duration::ZERO);
                 }
                 let is_quarantined = matches!(
@@ -280,8 +293,32 @@
         }
     }
 
+    /// Whether no target of the version at which the stream began has sent output since it first failed the item.
+    fn is_version_failing(&self) -> bool {
+        let now = self.context.clock.uptime();
+        self.failing_since
+            .is_some_and(|since| now.saturating_sub(since) >= VERSION_FAILURE_LIMIT)
+    }
+
+    /// Whether the stream is bound to a version and a target of another one is free.
+    fn has_other_version(&self, call: &RelayCall) -> bool {
+        let dispatcher = self.context.caller.dispatcher();
+        let free = |version| dispatcher.free_targets(&call.service, version);
+        call.version.is_some() && free(None) > free(call.version.as_ref())
+    }
+
     /// Discards the output, because the stream cannot go on at the version at which it began.
-    fn begin_anew(&mut self) {
+    fn begin_anew(&mut self, reason: &'static str) {
+        self.context.metrics.count_restarted_item();
+        tracing::info!(
+            event = "item_begun_anew",
+            item = %self.item.id,
+            version = self.version.as_deref(),
+            last_event = self.last_event,
+            reason,
+        );
+        self.enter(OwedState::Retry, reason);
+        self.failing_since = None;
         self.output.clear();
         self.has_events = false;
         self.last_event = None;
@@ -324,6 +361,7 @@
                 self.context.caller.check_path(&ticket.target, &failure);
                 let is_preempted = failure.outcome == CallOutcome::Abandoned;
                 if !is_preempted {
+                    self.record_failure();
                     if failure.executed == Executed::No && failure.was_connected {
                         self.refused_by.insert(ticket.target.clone());
                     }
@@ -338,6 +376,11 @@
         }
     }
 
+    fn record_failure(&mut self) {
+        let now = self.context.clock.uptime();
+        self.failing_since.get_or_insert(now);
+    }
+
     async fn exchange(
         &mut self,
         call: &RelayCall,
@@ -374,6 +417,7 @@
             } else {
                 SendOutcome::Interrupted
             };
+            self.record_failure();
             return Ok((outcome, first_byte));
         }
         if !response.is_event_stream() {
@@ -408,6 +452,7 @@
                         has_started = true;
                         ticket.record_start();
                         self.version.clone_from(&ticket.version);
+                        self.failing_since = None;
                     }
                     check_order(&events, &mut self.last_event).map_err(failed)?;
                     for event in events {
--- a/crates/jobs/tests/all/endless_waits.rs
+++ b/crates/jobs/tests/all/endless_waits.rs
@@ -78,6 +78,52 @@
     assert_eq!(cluster.target.seen().len(), 0);
 }
 
+/// Guards against an item that never ends since only targets that fail have the version at which its output began.
+#[rstest]
+#[case::lost(TargetAct::LoseAnswer)]
+#[case::silent(TargetAct::SilentAfter(0))]
+#[case::unavailable(TargetAct::Fail(503))]
+#[actix_rt::test]
+async fn failing_version(#[case] act: TargetAct) {
+    let cluster = TestCluster::start().await;
+    let newer = TestCluster::start().await;
+    let vm = cluster.vm("vm", 1);
+    begin_output(&cluster, &vm).await;
+    cluster.target.set_default_act(act);
+    let entries = [cluster.entry("t1", "v1"), newer.entry("t2", "v2")];
+    vm.dispatcher.set_targets(entries.iter());
+    check_results(&vm.read_results(&job(), 1).await, 1);
+    let sends = newer.target.seen().len();
+    assert_eq!(sends, 1);
+}
+
+/// Guards against an item that never ends since the targets of the version at which its output began stay full.
+#[actix_rt::test]
+async fn full_version() {
+    let cluster = TestCluster::start().await;
+    let newer = TestCluster::start().await;
+    let vm = cluster.vm("vm", 1);
+    begin_output(&cluster, &vm).await;
+    let entries = [full(cluster.entry("t1", "v1")), newer.entry("t2", "v2")];
+    vm.dispatcher.set_targets(entries.iter());
+    check_results(&vm.read_results(&job(), 1).await, 1);
+    assert_eq!(newer.target.seen().len(), 1);
+}
+
+/// Guards against output that is discarded although its version has a target that runs the item.
+#[actix_rt::test]
+async fn kept_version() {
+    let cluster = TestCluster::start().await;
+    let newer = TestCluster::start().await;
+    let vm = cluster.vm("vm", 1);
+    begin_output(&cluster, &vm).await;
+    cluster.target.plan([TargetAct::LoseAnswer; 3]);
+    let entries = [cluster.entry("t1", "v1"), newer.entry("t2", "v2")];
+    vm.dispatcher.set_targets(entries.iter());
+    check_results(&vm.read_results(&job(), 1).await, 1);
+    assert_eq!(newer.target.seen().len(), 0);
+}
+
 /// Guards against an item that waits for ever beside the only free target, because that one has failed it once.
 #[actix_rt::test]
 async fn excluded_target() {
