Give batch requests the slot of a target with a single one

A target with one slot never got a batch request, since one slot of each target is left free. Items of a service or version that only such targets had waited until their retention ended.

The new test single_slot failed before: free_targets gave 0 instead of 1 for such a target, idle. It passes now.

The reserve never takes the last slot, as in the ticket policy already.

--- a/crates/dispatch/src/shared/batch.rs
+++ b/crates/dispatch/src/shared/batch.rs
@@ -71,7 +71,7 @@
             .iter()
             .map(|(id, target)| {
                 let used = target.own.total() + self.peers.at(id).total();
-                (target.entry.slots.saturating_sub(BATCH_RESERVE)).saturating_sub(used)
+                batch_slots(target).saturating_sub(used)
             })
             .sum();
         let sharers = 1 + self.peers.batch_waiting_vms();
@@ -106,5 +106,12 @@
 }
 
 fn has_batch_room(target: &LedgerTarget, peers: SlotUse) -> bool {
-    target.own.total() + peers.total() + BATCH_RESERVE < target.entry.slots
+    target.own.total() + peers.total() < batch_slots(target)
+}
+
+/// Number of requests at the target up to which batch calls are started.
+fn batch_slots(target: &LedgerTarget) -> u32 {
+    let slots = target.entry.slots;
+    // Otherwise a target with a single slot could never run batch calls.
+    slots.saturating_sub(BATCH_RESERVE).max(slots.min(1))
 }
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of dispatch, one module per feature.
 
+mod batch_waits;
 mod ejection;
 mod fairness;
 mod faults;
