Hold batch requests back only where online requests wait

A batch request waited, beside free slots of its service, for as long as online requests of this VM waited for another service: no batch request was granted while any online request waited. Under a lasting overload of one service, items of the others stood still.

The new test other_service failed before: with an idle target, no slot was granted in 5 s while online requests for a full service followed each other. It passes now.

Only targets that could serve a waiting online request are kept from batch requests, and their slots do not count in the budget.

--- a/crates/dispatch/src/shared/batch.rs
+++ b/crates/dispatch/src/shared/batch.rs
@@ -5,7 +5,8 @@
 use super::peers::SlotUse;
 use super::target::LedgerTarget;
 use crate::rendezvous::{key_of, score};
-use plantainmill_core::{ServiceName, Uptime, VersionName};
+use plantainmill_core::{ServiceName, TargetId, Uptime, VersionName};
+use std::collections::HashSet;
 use std::time::Duration;
 
 /// Slots of each target that batch calls leave free, so that online requests rarely wait for a preemption.
@@ -15,15 +16,16 @@
     pub(super) fn serve_batch(&mut self, now: Uptime, effects: &mut Vec<LedgerEffect>) {
         let is_paused = now < self.batch_paused_until;
         self.refuse_gone_versions(effects);
-        if self.batch.is_empty() || !self.online.is_empty() || is_paused {
+        if self.batch.is_empty() || is_paused {
             return;
         }
         // Requests past their deadline go after those that can still meet theirs.
         self.batch
             .sort_by_key(|waiting| (waiting.request.deadline <= now, waiting.request.deadline));
-        let mut budget = self.batch_budget();
+        let contested = self.contested_targets();
+        let mut budget = self.batch_budget(&contested);
         for next in std::mem::take(&mut self.batch) {
-            if budget == 0 || !self.grant_batch(&next, now, effects) {
+            if budget == 0 || !self.grant_batch(&next, &contested, now, effects) {
                 self.batch.push(next);
             } else {
                 budget -= 1;
@@ -31,6 +33,18 @@
         }
     }
 
+    /// Targets for which online requests of this VM wait. Batch requests get none of their slots.
+    fn contested_targets(&self) -> HashSet<TargetId> {
+        if self.online.is_empty() {
+            return HashSet::new();
+        }
+        let targets = self.targets.iter().filter(|(id, target)| {
+            let mut requests = self.online.iter().map(|waiting| &waiting.request);
+            requests.any(|request| target.serves(request) && !request.barred.contains(id))
+        });
+        targets.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Refuses requests whose stream began at a version that no target has any more. They have to begin anew.
     fn refuse_gone_versions(&mut self, effects: &mut Vec<LedgerEffect>) {
         let is_gone = |waiting: &WaitingRequest| {
@@ -63,12 +77,13 @@
         free.count()
     }
 
-    /// Number of batch requests that this VM may start now: the free slots divided by the VMs with waiting batch
-    /// requests.
-    fn batch_budget(&self) -> usize {
+    /// Number of batch requests that this VM may start now: the free slots that no online request waits for, divided by the VMs
+    /// with waiting batch requests.
+    fn batch_budget(&self, contested: &HashSet<TargetId>) -> usize {
         let free: u32 = self
             .targets
             .iter()
+            .filter(|(id, _)| !contested.contains(*id))
             .map(|(id, target)| {
                 let used = target.own.total() + self.peers.at(id).total();
                 batch_slots(target).saturating_sub(used)
@@ -81,6 +96,7 @@
     fn grant_batch(
         &mut self,
         waiting: &WaitingRequest,
+        contested: &HashSet<TargetId>,
         now: Uptime,
         effects: &mut Vec<LedgerEffect>,
     ) -> bool {
@@ -90,7 +106,8 @@
             .any(|target| target.serves(&waiting.request) && !target.backoff.is_backing_off(now));
         let candidates = self.candidates(&waiting.request, |target, peers| {
             let is_usable = !has_healthy || !target.backoff.is_backing_off(now);
-            (has_batch_room(target, peers) && is_usable).then_some(SlotState::Free)
+            let is_open = has_batch_room(target, peers) && !contested.contains(&target.entry.id);
+            (is_open && is_usable).then_some(SlotState::Free)
         });
         let order = CandidateOrder {
             prefix_hash: waiting.request.prefix_hash,
--- a/crates/dispatch/tests/all/batch_waits.rs
+++ b/crates/dispatch/tests/all/batch_waits.rs
@@ -92,6 +92,44 @@
     assert_eq!(granted_target(&mut ledger, |_, _| {}), None);
 }
 
+/// Guards against batch requests that wait for as long as online requests do for targets of another service.
+#[test]
+fn other_service() {
+    let mut ledger = ledger(&[entry("t1", "llm", 4), entry("t2", "other", 0)]);
+    let target = granted_target(&mut ledger, |ledger, now| {
+        if now % 40 == 0 {
+            for _ in 0..3 {
+                ledger.request(request(TrafficClass::Online, "other"), at(now));
+            }
+        }
+    });
+    assert_eq!(target.as_deref(), Some("t1"));
+}
+
+/// Guards against a batch request that takes a slot for which an online request of its service waits.
+#[test]
+fn same_service() {
+    let mut ledger = ledger(&[entry("t1", "llm", 4)]);
+    let load = PeerLoad {
+        slots: Vec::new(),
+        batch_waiting_vms: 0,
+        online_waiting_vms: 9,
+        busiest: None,
+    };
+    ledger.record_report(&LoadSource::Vm("peer".into()), load, at(0));
+    // With so many other waiting VMs, it is rarely this one's turn to fill a free slot.
+    let has_waited = (0..10).any(|turn| {
+        let now = at(turn * 50);
+        ledger.request(request(TrafficClass::Online, "llm"), now);
+        let (batch, _) = ledger.request(request(TrafficClass::Batch, "llm"), now);
+        let effects = ledger.tick(now);
+        let waits = ledger.waiting().0 > 0;
+        assert!(!waits || granted(&effects, batch).is_none());
+        waits
+    });
+    assert!(has_waited);
+}
+
 /// Guards against batch requests that are not granted since all targets have failed.
 #[test]
 fn failing_targets() {
