--- a/crates/jobs/src/metrics.rs
+++ b/crates/jobs/src/metrics.rs
@@ -13,6 +13,8 @@
     owed_items: Gauge<u64>,
     owed_seconds: Gauge<f64>,
     replaced_heads: Counter<u64>,
+    expired_items: Counter<u64>,
+    restarted_items: Counter<u64>,
 }
 
 impl JobMetrics {
@@ -46,6 +48,14 @@
                 "job_replaced_heads",
                 "Heads of own jobs that this VM had not written",
             ),
+            expired_items: counter(
+                "job_expired_items",
+                "Items whose retention ended while they waited to be sent",
+            ),
+            restarted_items: counter(
+                "job_restarted_items",
+                "Items that began anew because targets of their version could not go on with them",
+            ),
         }
     }
 
@@ -67,4 +77,12 @@
     pub(crate) fn count_replaced_head(&self) {
         self.replaced_heads.add(1, &[]);
     }
+
+    pub(crate) fn count_expired_item(&self) {
+        self.expired_items.add(1, &[]);
+    }
+
+    pub(crate) fn count_restarted_item(&self) {
+        self.restarted_items.add(1, &[]);
+    }
 }
