Keep an item's output while a target of its version is free

An item whose wait for a slot reached its limit began anew if targets of other versions were free as well as some of its own. It only has to wait its turn then, and a restart costs a whole run. It now begins anew only if no target of its version is free. The tests of endless_waits.rs pass as before.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -261,7 +261,9 @@
         self.watch.enter_slot(&self.item.id, need);
         let acquired = self.context.caller.dispatcher().acquire(request);
         let Ok(acquired) = timeout(SLOT_WAIT_LIMIT, acquired).await else {
-            if self.has_other_version(call) {
+            let dispatcher = self.context.caller.dispatcher();
+            let is_full = dispatcher.free_targets(&call.service, call.version.as_ref()) == 0;
+            if is_full && self.has_other_version(call) {
                 self.begin_anew("targets of its version are full");
             }
             return Err(Duration::ZERO);
