Pause and avoid a target that answers an item with a server error

An item was sent again at once, mostly to the same target, when the target answered with an error status other than 500 and no refusal.

A trial of failing_version printed 250 sends before the output was discarded; the test now allows 40, and passes.

Such a target is excluded from the next attempt, which starts after the delay that follows other failures.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -418,6 +418,10 @@
                 SendOutcome::Interrupted
             };
             self.record_failure();
+            if !is_item_failure {
+                self.excluded.push(ticket.target.clone());
+                sleep(FAILURE_RETRY_DELAY).await;
+            }
             return Ok((outcome, first_byte));
         }
         if !response.is_event_stream() {
--- a/crates/jobs/tests/all/endless_waits.rs
+++ b/crates/jobs/tests/all/endless_waits.rs
@@ -11,6 +11,9 @@
 /// Retention of a job whose items wait for a target.
 const SHORT_RETENTION: Duration = Duration::from_secs(1);
 
+/// Sends to a failing target before another version is tried, with a delay of 50 ms after each.
+const MAX_FAILED_SENDS: usize = 40;
+
 fn job() -> JobId {
     "j1".into()
 }
@@ -95,6 +98,7 @@
     check_results(&vm.read_results(&job(), 1).await, 1);
     let sends = newer.target.seen().len();
     assert_eq!(sends, 1);
+    assert!(cluster.target.seen().len() <= MAX_FAILED_SENDS);
 }
 
 /// Guards against an item that never ends since the targets of the version at which its output began stay full.
