--- a/crates/soak/tests/owed_items.rs
+++ b/crates/soak/tests/owed_items.rs
@@ -123,11 +123,11 @@
     assert!(!has_violation(&records));
 }
 
-/// Guards against reports that are not found in the logs of the VMs.
-#[test]
-fn parsed_line() {
-    let line = r#"{"timestamp":"t","level":"INFO","fields":{"event":"item_owed","job":"j1","item":"e1","count":1,
-        "state":"slot","reason":"v1","idle_ms":4001,"age_ms":3,"free_targets":2},"target":"jobs"}"#;
+/// Guards against reports that are not found in the logs of the VMs, with fields at the top or below.
+#[rstest]
+#[case::flat(r#"{"timestamp":"t","level":"INFO","event":"item_owed","job":"j1","item":"e1","state":"slot","idle_ms":"4001","free_targets":2}"#)]
+#[case::nested(r#"{"timestamp":"t","fields":{"event":"item_owed","job":"j1","item":"e1","state":"slot","idle_ms":4001,"free_targets":2}}"#)]
+fn parsed_line(#[case] line: &str) {
     let at = Instant::now();
     let report = parse_owed_report(line, "vm-0", at).expect("a report");
     assert_eq!((report.job.as_str(), report.state.as_str()), ("j1", "slot"));
@@ -136,5 +136,5 @@
         (report.idle_ms, report.free_targets),
         (Some(4_001), Some(2))
     );
-    assert!(parse_owed_report("{\"fields\":{}}", "vm-0", at).is_none());
+    assert!(parse_owed_report("{\"event\":\"started\"}", "vm-0", at).is_none());
 }
