Count no target that is at its limit as free, and forget removed jobs at once

An item whose version only targets at their limits have waited although others were free: the limits were not asked when its wait was judged, so that it did not begin anew, and its line told of free targets. A job that was loaded while its head was removed heard of it only at the next change. The reports of a large backlog were marked as made before the list was cut to its limit.

free_targets() leaves out targets that the limits exclude; JobInner::forget() wakes waiting tasks; an item is marked when its line is written.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -195,7 +195,13 @@
         true
     }
     /// Number of targets of the service that have `version` and room for a batch request, as far as the policy knows.
-    fn free_targets(&self, _service: &ServiceName, _version: Option<&VersionName>) -> usize {
+    /// Those in `barred` do not count.
+    fn free_targets(
+        &self,
+        _service: &ServiceName,
+        _version: Option<&VersionName>,
+        _barred: &[TargetId],
+    ) -> usize {
         0
     }
     /// Internal state of the policy, for the diagnostic dump.
--- a/crates/dispatch/src/limits/dispatcher.rs
+++ b/crates/dispatch/src/limits/dispatcher.rs
@@ -269,8 +269,18 @@
         self.inner.has_other_target(service, version, current)
     }
 
-    fn free_targets(&self, service: &ServiceName, version: Option<&VersionName>) -> usize {
-        self.inner.free_targets(service, version)
+    fn free_targets(
+        &self,
+        service: &ServiceName,
+        version: Option<&VersionName>,
+        barred: &[TargetId],
+    ) -> usize {
+        let now = self.limits.clock.uptime();
+        let ledger = self.limits.lock();
+        let mut unusable = ledger.exhausted(service, TrafficClass::Batch, now);
+        drop(ledger);
+        unusable.extend(barred.iter().cloned());
+        self.inner.free_targets(service, version, &unusable)
     }
 
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value> {
--- a/crates/dispatch/src/quarantine/dispatcher.rs
+++ b/crates/dispatch/src/quarantine/dispatcher.rs
@@ -327,8 +327,13 @@
         self.inner.has_other_target(service, version, current)
     }
 
-    fn free_targets(&self, service: &ServiceName, version: Option<&VersionName>) -> usize {
-        self.inner.free_targets(service, version)
+    fn free_targets(
+        &self,
+        service: &ServiceName,
+        version: Option<&VersionName>,
+        barred: &[TargetId],
+    ) -> usize {
+        self.inner.free_targets(service, version, barred)
     }
 
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value> {
--- a/crates/dispatch/src/shared/batch.rs
+++ b/crates/dispatch/src/shared/batch.rs
@@ -60,21 +60,20 @@
         }));
     }
 
-    /// Number of targets that have the service and version, room for a batch request, and no recent failure.
-    #[must_use]
-    pub fn free_targets(
-        &self,
-        service: &ServiceName,
-        version: Option<&VersionName>,
+    /// The targets that have the service and version, room for a batch request, and no recent failure.
+    pub fn free_targets<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        version: Option<&'a VersionName>,
         now: Uptime,
-    ) -> usize {
+    ) -> impl Iterator<Item = &'a TargetId> {
         let targets = self.targets.iter();
-        let free = targets.filter(|(id, target)| {
+        let free = targets.filter(move |(id, target)| {
             target.has_version(service, version)
                 && !target.backoff.is_backing_off(now)
                 && has_batch_room(target, self.peers.at(id))
         });
-        free.count()
+        free.map(|(id, _)| id)
     }
 
     /// Number of batch requests that this VM may start now: the free slots that no online request waits for, divided by the VMs
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -416,9 +416,16 @@
         state.ledger.has_other_target(service, version, current)
     }
 
-    fn free_targets(&self, service: &ServiceName, version: Option<&VersionName>) -> usize {
+    fn free_targets(
+        &self,
+        service: &ServiceName,
+        version: Option<&VersionName>,
+        barred: &[TargetId],
+    ) -> usize {
         let now = self.inner.clock.uptime();
-        self.inner.lock().ledger.free_targets(service, version, now)
+        let state = self.inner.lock();
+        let free = state.ledger.free_targets(service, version, now);
+        free.filter(|target| !barred.contains(target)).count()
     }
 
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value> {
--- a/crates/dispatch/tests/all/batch_waits.rs
+++ b/crates/dispatch/tests/all/batch_waits.rs
@@ -79,10 +79,10 @@
 #[test]
 fn single_slot() {
     let mut ledger = ledger(&[entry("t1", "llm", 1)]);
-    assert_eq!(ledger.free_targets(&"llm".into(), None, at(0)), 1);
+    assert_eq!(ledger.free_targets(&"llm".into(), None, at(0)).count(), 1);
     let target = granted_target(&mut ledger, |_, _| {});
     assert_eq!(target.as_deref(), Some("t1"));
-    assert_eq!(ledger.free_targets(&"llm".into(), None, at(0)), 0);
+    assert_eq!(ledger.free_targets(&"llm".into(), None, at(0)).count(), 0);
 }
 
 /// Guards against batch requests to a target without any slot.
--- a/crates/jobs/src/owed.rs
+++ b/crates/jobs/src/owed.rs
@@ -5,7 +5,8 @@
 use compact_str::CompactString;
 use plantainmill_core::{Clock, ItemId, JobId, ServiceName, Uptime, VersionName, VmId};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -210,7 +211,7 @@
         let dispatcher = self.parts.caller.dispatcher();
         let free_targets = |need: &Option<TargetNeed>| {
             let (service, version) = need.as_ref()?;
-            Some(dispatcher.free_targets(service, version.as_ref()))
+            Some(dispatcher.free_targets(service, version.as_ref(), &[]))
         };
         for (job, watch) in self.owed.watches.borrow().iter() {
             let items = watch.items.borrow();
@@ -275,7 +276,8 @@
                 free_targets: None,
             });
         }
-        since.retain(|job, _| owed.iter().any(|item| item.job == *job));
+        let jobs: HashSet<&JobId> = owed.iter().map(|item| &item.job).collect();
+        since.retain(|job, _| jobs.contains(job));
         owed
     }
 
@@ -285,19 +287,15 @@
             sleep(CHECK_INTERVAL).await;
             let mut owed = self.owed_items();
             record_metrics(&self.parts.metrics, &owed);
-            owed.retain(|item| item.idle >= REPORT_INTERVAL && self.is_report_due(item));
-            owed.sort_by_key(|item| std::cmp::Reverse(item.idle));
-            if owed.len() > MAX_REPORTS {
-                let count = owed.len() - MAX_REPORTS;
-                tracing::info!(event = "items_owed", count, "further items wait");
-                owed.truncate(MAX_REPORTS);
-            }
-            owed.iter().for_each(log_item);
+            owed.retain(|item| item.idle >= REPORT_INTERVAL);
+            owed.sort_by_key(|item| Reverse(item.idle));
+            let due = owed.iter().filter(|item| self.take_report(item));
+            due.take(MAX_REPORTS).for_each(log_item);
         }
     }
 
-    /// Whether an item was last reported an interval ago; then it counts as reported now.
-    fn is_report_due(&self, owed: &OwedItem) -> bool {
+    /// Whether an item was last reported an interval ago. It then counts as reported now.
+    fn take_report(&self, owed: &OwedItem) -> bool {
         let now = self.parts.clock.uptime();
         let is_due = |reported_at: &mut Uptime| {
             let is_due = now.saturating_sub(*reported_at) >= REPORT_INTERVAL;
@@ -340,8 +338,12 @@
         owner = owed.owner.as_deref(),
         state = owed.state.name(),
         reason = %owed.reason,
-        idle_ms = owed.idle.as_millis(),
-        age_ms = owed.age.as_millis(),
+        idle_ms = whole_millis(owed.idle),
+        age_ms = whole_millis(owed.age),
         free_targets = owed.free_targets,
     );
 }
+
+fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -262,7 +262,7 @@
         let acquired = self.context.caller.dispatcher().acquire(request);
         let Ok(acquired) = timeout(SLOT_WAIT_LIMIT, acquired).await else {
             let dispatcher = self.context.caller.dispatcher();
-            let is_full = dispatcher.free_targets(&call.service, call.version.as_ref()) == 0;
+            let is_full = dispatcher.free_targets(&call.service, call.version.as_ref(), &[]) == 0;
             if is_full && self.has_other_version(call) {
                 self.begin_anew("targets of its version are full");
             }
@@ -305,7 +305,7 @@
     /// Whether the stream is bound to a version and a target of another one is free.
     fn has_other_version(&self, call: &RelayCall) -> bool {
         let dispatcher = self.context.caller.dispatcher();
-        let free = |version| dispatcher.free_targets(&call.service, version);
+        let free = |version| dispatcher.free_targets(&call.service, version, &[]);
         call.version.is_some() && free(None) > free(call.version.as_ref())
     }
 
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -288,6 +288,12 @@
         self.running.borrow().contains_key(job)
     }
 
+    /// Removes a job whose head was removed from the store at `version`, and wakes waiting tasks.
+    pub fn forget(&self, job: &JobId, version: RowVersion) {
+        self.jobs.borrow_mut().remove(job, version);
+        self.changed.notify_waiters();
+    }
+
     /// Records a head in the catalog and wakes waiting tasks if it is new.
     pub fn record(&self, job: &JobId, head: JobHead, version: RowVersion) {
         if self.jobs.borrow_mut().record(job, head, version) {
@@ -409,7 +415,7 @@
                 for row in rows {
                     if row.is_removed {
                         heads.retain(|(job, _, _)| *job != row.key);
-                        self.jobs.borrow_mut().remove(&row.key, row.version);
+                        self.forget(&row.key, row.version);
                     } else if let Some((head, row_version)) = read_head(&row) {
                         heads.push((row.key, head, row_version));
                     }
--- a/crates/jobs/src/store_step.rs
+++ b/crates/jobs/src/store_step.rs
@@ -165,7 +165,7 @@
             }
             StepResult::Written(_, Ok(HeadOutcome::Conflict(None))) => {
                 // Kept in the catalog, the job would be resumed at once, without items.
-                self.jobs.borrow_mut().remove(job, RowVersion::MAX);
+                self.forget(job, RowVersion::MAX);
                 NextStep::Stop
             }
             StepResult::Written(_, Err(error)) => {
--- a/crates/jobs/src/takeover.rs
+++ b/crates/jobs/src/takeover.rs
@@ -253,7 +253,7 @@
                 self.record_and_start(job, reassigned, version, None);
             }
             Ok(HeadOutcome::Conflict(Some((head, version)))) => self.record(job, head, version),
-            Ok(HeadOutcome::Conflict(None)) => self.jobs.borrow_mut().remove(job, RowVersion::MAX),
+            Ok(HeadOutcome::Conflict(None)) => self.forget(job, RowVersion::MAX),
             Err(error) => {
                 tracing::info!(event = "job_not_reassigned", %job, rank, %error);
                 let now = self.parts.clock.uptime();
