Pass jobs on that a VM is given while it stops

Items of a job lay for as long as a VM took to stop: others count it as live until its process ends, and may give it a job, even the one that it has just released; a job submitted to it was accepted. It ran none of them, and a live owner's job is nobody's to take.

missing_runner::stopping_owner, case given_job, listed no result in 5 s before, and passes. The VM goes on checking: it gives jobs that it does not run, and orphans that it is the first to reassign, to the next VM in the order of the job, so that several VMs that stop do not pass a job back and forth. The rank of a VM is found without sorting, as each VM now computes it for each orphan.

--- a/crates/jobs/src/catalog.rs
+++ b/crates/jobs/src/catalog.rs
@@ -5,7 +5,6 @@
 use plantainmill_core::{DomainName, JobId, OrganisationId, VmId};
 use plantainmill_dispatch::rendezvous::{key_of, owner_of, score};
 use plantainmill_provider::RowVersion;
-use std::cmp::Reverse;
 use std::collections::HashMap;
 
 /// Last known state of a job.
@@ -181,6 +180,19 @@
             .max_by_key(|member| score(&member.vm, key))
     }
 
+    /// Selects the VM of the local domain that `local_owner` passes a job on to: the next one in the order of the job, so that
+    /// several VMs that stop do not pass it back and forth. `None` if there is no other.
+    #[must_use]
+    pub fn successor_of(&self, job: &JobId, local_owner: &JobOwner) -> Option<&JobOwner> {
+        let key = key_of(job);
+        let own = score(&local_owner.vm, key);
+        let others = self.members.iter().filter(|member| *member != local_owner);
+        others.max_by_key(|member| {
+            let score = score(&member.vm, key);
+            (score < own, score)
+        })
+    }
+
     /// Whether `local_owner` reads the change feed for its domain.
     #[must_use]
     pub fn is_reader(&self, local_owner: &JobOwner) -> bool {
@@ -190,8 +202,12 @@
 
 /// Position of `name` among `names` in descending order of their scores for `key`. `None` if it is not among them.
 fn rank_of<'a>(names: impl Iterator<Item = &'a str>, name: &str, key: u64) -> Option<usize> {
-    let order_of = |name: &str| (score(name, key), CompactString::from(name));
-    let mut names: Vec<&str> = names.collect();
-    names.sort_by_key(|name| Reverse(order_of(name)));
-    names.iter().position(|other| *other == name)
+    let own = (score(name, key), name);
+    let mut rank = 0;
+    let mut is_found = false;
+    for other in names {
+        is_found |= other == name;
+        rank += usize::from((score(other, key), other) > own);
+    }
+    is_found.then_some(rank)
 }
--- a/crates/jobs/src/takeover.rs
+++ b/crates/jobs/src/takeover.rs
@@ -148,23 +148,47 @@
 }
 
 impl JobInner {
-    /// Periodically resumes jobs assigned to this VM and reassigns jobs whose owner is gone. Waits for neither.
+    /// Periodically resumes jobs assigned to this VM and reassigns jobs whose owner is gone. Waits for neither. While the VM
+    /// stops, it passes the jobs on that it is given.
     pub(crate) async fn take_over_jobs(self: Rc<Self>) {
         let started = self.parts.clock.uptime();
         loop {
             // The interval ends early if a reassignment had to wait for another one.
             let _ = timeout(TAKEOVER_INTERVAL, self.takeover_ended.notified()).await;
-            if self.stopping.get() {
-                return;
-            }
             let now = self.parts.clock.uptime();
-            self.resume_jobs(now);
+            if !self.stopping.get() {
+                self.resume_jobs(now);
+            }
             if now.saturating_sub(started) >= TAKEOVER_DELAY {
                 self.reassign_orphans(now);
             }
         }
     }
 
+    /// The orphans that this VM reassigns while it stops: those that it is the first to reassign, and the jobs that it was
+    /// given and does not run. It takes none itself, though others count it as live until it has stopped.
+    fn orphans_at_stop(&self, orphans: Vec<OrphanedJob>) -> Vec<OrphanedJob> {
+        let local_owner = &self.parts.local_owner;
+        let catalog = self.jobs.borrow();
+        let fleet = self.fleet.borrow();
+        let given = catalog.resumable(local_owner, |job| self.is_running(job));
+        let given = given.map(|(job, known)| (job.clone(), known.clone()));
+        let first = orphans.into_iter().filter(|orphan| orphan.rank == 0);
+        let first = first.map(|orphan| (orphan.job, orphan.known));
+        given
+            .chain(first)
+            .filter_map(|(job, known)| {
+                let new_owner = fleet.successor_of(&job, local_owner)?.clone();
+                Some(OrphanedJob {
+                    job,
+                    known,
+                    rank: 0,
+                    new_owner,
+                })
+            })
+            .collect()
+    }
+
     fn resume_jobs(self: &Rc<Self>, now: Uptime) {
         let resumable: Vec<HeadUpdate> = {
             let catalog = self.jobs.borrow();
@@ -199,6 +223,9 @@
             // Released jobs have no owner that could still be there.
             orphans.retain(|orphan| orphan.known.head.owner.is_none());
         }
+        if self.stopping.get() {
+            orphans = self.orphans_at_stop(orphans);
+        }
         let is_current = self.heads.read(|progress| progress.is_current(now));
         let due = self
             .takeovers
--- a/crates/jobs/tests/all/missing_runner.rs
+++ b/crates/jobs/tests/all/missing_runner.rs
@@ -260,3 +260,28 @@
     assert_eq!(vm.jobs.running(), 0);
     assert_eq!(cluster.target.seen().len(), 1);
 }
+
+/// Guards against a job that is given to a VM which stops, and lies there until its process ends.
+#[rstest]
+#[case::given_job(true)]
+#[case::released_job(false)]
+#[actix_rt::test]
+async fn stopping_owner(#[case] is_given: bool) {
+    let cluster = TestCluster::start().await;
+    let vms = ["vm1", "vm2"].map(|name| cluster.vm(name, 1));
+    let fleet = fleet(&["a"], &vms.each_ref());
+    for vm in &vms {
+        vm.jobs.set_fleet(fleet.clone());
+    }
+    actix_rt::time::sleep(SETTLING).await;
+    let [stopping, other] = &vms;
+    stopping.jobs.stop().await;
+    let jobs: [JobId; 4] = ["j1", "j2", "j3", "j4"].map(JobId::from);
+    for job in &jobs {
+        let owner = is_given.then(|| stopping.own.clone());
+        store_job(&cluster, job, 1, owner).await;
+    }
+    for job in &jobs {
+        check_results(&other.read_results(job, 1).await, 1);
+    }
+}
