Begin an item anew only after two failed sends, and bound the cost of two checks

By reading, from a review: a single failure followed by a wait for a slot or a quarantine discarded an item's output, although healthy targets of its version were there; the check for targets that online requests wait for compared each of them with each target on every tick; the list of jobs without a runner looked at closed jobs too. The tests of plantainmill-jobs and of batch_waits.rs pass as before.

--- a/crates/dispatch/src/shared/batch.rs
+++ b/crates/dispatch/src/shared/batch.rs
@@ -4,6 +4,7 @@
 use super::ledger::{LedgerEffect, LoadLedger, RequestId, WaitingRequest};
 use super::peers::SlotUse;
 use super::target::LedgerTarget;
+use crate::dispatcher::TicketRequest;
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{ServiceName, TargetId, Uptime, VersionName};
 use std::collections::HashSet;
@@ -38,8 +39,19 @@
         if self.online.is_empty() {
             return HashSet::new();
         }
+        // Most waiting requests need the same targets.
+        let mut requests: Vec<&TicketRequest> = Vec::new();
+        for request in self.online.iter().map(|waiting| &waiting.request) {
+            let is_alike = |other: &&TicketRequest| {
+                (&other.service, &other.version, &other.barred)
+                    == (&request.service, &request.version, &request.barred)
+            };
+            if !requests.iter().any(is_alike) {
+                requests.push(request);
+            }
+        }
         let targets = self.targets.iter().filter(|(id, target)| {
-            let mut requests = self.online.iter().map(|waiting| &waiting.request);
+            let mut requests = requests.iter();
             requests.any(|request| target.serves(request) && !request.barred.contains(id))
         });
         targets.map(|(id, _)| id.clone()).collect()
--- a/crates/jobs/src/owed.rs
+++ b/crates/jobs/src/owed.rs
@@ -242,6 +242,9 @@
         let mut owed = Vec::new();
         for (job, known) in catalog.iter() {
             let head = &known.head;
+            if !head.is_open() {
+                continue;
+            }
             let is_local = head.owner.as_ref() == Some(&self.parts.local_owner);
             let has_live_owner = head
                 .owner
@@ -252,7 +255,7 @@
             } else {
                 has_live_owner
             };
-            if has_runner || !head.is_open() {
+            if has_runner {
                 continue;
             }
             let (known_at, _) = *since.entry(job.clone()).or_insert((now, now));
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -78,6 +78,8 @@
     version: Option<VersionName>,
     /// Uptime of the first failure since the last event.
     failing_since: Option<Uptime>,
+    /// Sends that failed since the last event.
+    failed_sends: u32,
     failures: u32,
     excluded: Vec<TargetId>,
     /// Targets that have refused the item.
@@ -117,6 +119,7 @@
         last_event: None,
         version: None,
         failing_since: None,
+        failed_sends: 0,
         failures: 0,
         excluded: Vec::new(),
         refused_by: HashSet::new(),
@@ -298,8 +301,11 @@
     /// Whether no target of the version at which the stream began has sent output since it first failed the item.
     fn is_version_failing(&self) -> bool {
         let now = self.context.clock.uptime();
-        self.failing_since
-            .is_some_and(|since| now.saturating_sub(since) >= VERSION_FAILURE_LIMIT)
+        let has_failed_long = self
+            .failing_since
+            .is_some_and(|since| now.saturating_sub(since) >= VERSION_FAILURE_LIMIT);
+        // A single failure and a wait for a slot say little about the other targets of the version.
+        has_failed_long && self.failed_sends > 1
     }
 
     /// Whether the stream is bound to a version and a target of another one is free.
@@ -321,6 +327,7 @@
         );
         self.enter(OwedState::Retry, reason);
         self.failing_since = None;
+        self.failed_sends = 0;
         self.output.clear();
         self.has_events = false;
         self.last_event = None;
@@ -381,6 +388,7 @@
     fn record_failure(&mut self) {
         let now = self.context.clock.uptime();
         self.failing_since.get_or_insert(now);
+        self.failed_sends += 1;
     }
 
     async fn exchange(
@@ -459,6 +467,7 @@
                         ticket.record_start();
                         self.version.clone_from(&ticket.version);
                         self.failing_since = None;
+                        self.failed_sends = 0;
                     }
                     check_order(&events, &mut self.last_event).map_err(failed)?;
                     for event in events {
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -445,6 +445,7 @@
         }
         let (stop, stopped) = watch::channel(false);
         running.insert(job.clone(), stop);
+        drop(running);
         let run_entry = RunEntry {
             inner: Rc::clone(self),
             job: job.clone(),
