Count free targets once for all owed items that need the same

By reading: each second a VM counted the free targets for each owed item, which at the target size is thousands of items times thousands of targets, and looked every job's owner up in the list of live VMs. The count is kept for each service and version during one look, and the live VMs are a set. Not measured; the tests of owed_items.rs and missing_runner.rs pass.

--- a/crates/jobs/src/owed.rs
+++ b/crates/jobs/src/owed.rs
@@ -3,7 +3,9 @@
 use crate::metrics::JobMetrics;
 use crate::service::JobInner;
 use compact_str::CompactString;
-use plantainmill_core::{Clock, ItemId, JobId, ServiceName, Uptime, VersionName, VmId};
+use plantainmill_core::{
+    Clock, Incarnation, ItemId, JobId, ServiceName, Uptime, VersionName, VmId,
+};
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
@@ -209,9 +211,16 @@
         let now = self.parts.clock.uptime();
         let mut owed = self.jobs_without_runner(now);
         let dispatcher = self.parts.caller.dispatcher();
-        let free_targets = |need: &Option<TargetNeed>| {
-            let (service, version) = need.as_ref()?;
-            Some(dispatcher.free_targets(service, version.as_ref(), &[]))
+        // Most items need the same targets.
+        let mut counts: HashMap<TargetNeed, usize> = HashMap::new();
+        let mut free_targets = |need: &TargetNeed| {
+            if let Some(count) = counts.get(need) {
+                return *count;
+            }
+            let (service, version) = need;
+            let count = dispatcher.free_targets(service, version.as_ref(), &[]);
+            counts.insert(need.clone(), count);
+            count
         };
         for (job, watch) in self.owed.watches.borrow().iter() {
             let items = watch.items.borrow();
@@ -227,7 +236,7 @@
                 reason: entry.reason.clone(),
                 idle: now.saturating_sub(entry.idle_since),
                 age: now.saturating_sub(entry.entered_at),
-                free_targets: free_targets(&entry.need),
+                free_targets: entry.need.as_ref().map(&mut free_targets),
             }));
         }
         owed
@@ -239,6 +248,11 @@
         let fleet = self.fleet.borrow();
         let watches = self.owed.watches.borrow();
         let mut since = self.owed.without_runner.borrow_mut();
+        let live: HashSet<(&VmId, Incarnation)> = fleet
+            .live
+            .iter()
+            .map(|owner| (&owner.vm, owner.incarnation))
+            .collect();
         let mut owed = Vec::new();
         for (job, known) in catalog.iter() {
             let head = &known.head;
@@ -249,7 +263,7 @@
             let has_live_owner = head
                 .owner
                 .as_ref()
-                .is_some_and(|owner| fleet.live.contains(owner));
+                .is_some_and(|owner| live.contains(&(&owner.vm, owner.incarnation)));
             let has_runner = if is_local {
                 watches.contains_key(job)
             } else {
