State how each response to a caller ends, and who ended it

response_cut names the request, its target, the cause and who ended the response (caller, deadline, target or VM), responses_cut counts the same; request_unanswered and requests_unanswered do so for requests that had no answer yet. Buffered responses get the line request_relayed, as streams have.

--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -58,6 +58,33 @@
     }
 }
 
+/// A request that has no answer yet. Dropping it before there is one records that the caller's connection is closed.
+struct RequestWatch<'a> {
+    state: &'a EdgeState,
+    id: Option<CompactString>,
+    path: CompactString,
+    arrived_at: Uptime,
+    is_answered: bool,
+}
+
+impl Drop for RequestWatch<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let elapsed = self.state.clock.uptime().saturating_sub(self.arrived_at);
+        let ended_by = if self.state.is_closing.get() { "vm" } else { "caller" };
+        self.state.metrics.count_unanswered(ended_by);
+        tracing::info!(
+            event = "request_unanswered",
+            request = self.id.as_deref().unwrap_or("-"),
+            path = %self.path,
+            ended_by,
+            elapsed_ms = elapsed.as_millis(),
+        );
+    }
+}
+
 /// Handles a request of a caller.
 pub(crate) async fn handle(
     request: HttpRequest,
@@ -74,6 +101,13 @@
         head,
         arrived_at,
     };
+    let mut watch = RequestWatch {
+        state: &state,
+        id: buffered.head.id.clone(),
+        path: buffered.request.path().into(),
+        arrived_at,
+        is_answered: false,
+    };
     let outcome = match read_body(&state, payload).await {
         Ok(body) => {
             buffered.body = body;
@@ -81,6 +115,7 @@
         }
         Err(problem) => Err(problem),
     };
+    watch.is_answered = true;
     match outcome {
         Ok(RequestOutcome::Relayed(response)) => {
             state.metrics.count_request(0);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -21,6 +21,7 @@
     store_failures: Counter<u64>,
     datagrams: Counter<u64>,
     forwarded: Counter<u64>,
+    unanswered: Counter<u64>,
 }
 
 impl EdgeMetrics {
@@ -46,6 +47,10 @@
                 .u64_counter("plantainmill_requests_forwarded")
                 .with_description("Requests of other VMs, by result")
                 .build(),
+            unanswered: meter
+                .u64_counter("plantainmill_requests_unanswered")
+                .with_description("Requests whose connection was closed before their answer")
+                .build(),
             registry,
             provider,
         })
@@ -93,6 +98,12 @@
         self.forwarded.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a request whose connection was closed before its answer, by who closed it.
+    pub fn count_unanswered(&self, ended_by: &'static str) {
+        self.unanswered
+            .add(1, &[KeyValue::new("ended_by", ended_by)]);
+    }
+
     /// Returns all metrics as Prometheus text.
     pub fn text(&self) -> String {
         let mut content = Vec::new();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -59,6 +59,8 @@
     /// Notified when this VM has read a changed document from the store, and when the targets have changed.
     pub update_notify: Notify,
     pub is_stopping: Cell<bool>,
+    /// The VM closes all connections, because its time to stop is over or no request is left.
+    pub is_closing: Cell<bool>,
     /// Readiness at the last check; only transitions are logged.
     pub was_ready: Cell<bool>,
     pub requests_in_flight: InFlightCounter,
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -169,6 +169,8 @@
             }
             sleep(POLL_INTERVAL).await;
         }
+        self.state.is_closing.set(true);
+        self.state.relay_caller.set_closing();
         self.close.send_replace(true);
         self.peers.announce_stop().await;
         tracing::info!(
@@ -235,7 +237,8 @@
     );
     let relay_caller = relay_caller
         .with_paths(paths.clone(), Rc::clone(&platform.dialer))
-        .with_recorder(Rc::new(streams.clone()));
+        .with_recorder(Rc::new(streams.clone()))
+        .with_meter(&metrics.meter(), METRIC_PREFIX);
     let jobs = JobService::start(JobParts {
         local_owner: JobOwner {
             vm: settings.vm.id.clone(),
@@ -274,6 +277,7 @@
         is_reader: Cell::new(true),
         update_notify: Notify::new(),
         is_stopping: Cell::new(false),
+        is_closing: Cell::new(false),
         was_ready: Cell::new(false),
         requests_in_flight: InFlightCounter::default(),
     })
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays routed requests: streams the response to the caller and fails over to another target where that is allowed.
 
 mod call;
+mod ending;
 mod events;
 mod exchange;
 mod forward;
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -1,6 +1,7 @@
 //! Selects a target for a request and opens its response.
 
 use super::call::{HeaderNames, RelayCall, RelayLimits};
+use super::ending::{CallFailure, CutCause, ResponseMeters, ResponseState, log_completed};
 use super::events::{EventSplitter, check_order};
 use super::exchange::{CallSend, SendFailure, TargetResponse, broken_body_outcome};
 use super::recorder::StreamRecorder;
@@ -14,6 +15,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use futures_util::stream::LocalBoxStream;
+use opentelemetry::metrics::Meter;
 use plantainmill_core::{Clock, Executed, PartList, Problem, ResultCode, TargetId, Uptime};
 use plantainmill_dispatch::{CallOutcome, Dispatcher, TargetTicket};
 use plantainmill_paths::TargetPaths;
@@ -55,6 +57,7 @@
     pub limits: RelayLimits,
     pub recorder: Option<Rc<dyn StreamRecorder>>,
     pub paths: Option<Rc<PathProbes>>,
+    pub meters: Rc<ResponseMeters>,
     /// Bytes of all responses that are being buffered.
     pub buffered_bytes: Cell<usize>,
 }
@@ -95,6 +98,7 @@
     pub sends: u32,
     /// Whether any target has executed the request, as far as is known.
     pub executed: Executed,
+    pub begun_at: Instant,
 }
 
 impl CallProgress {
@@ -121,6 +125,7 @@
             executions: 0,
             sends: 0,
             executed: Executed::No,
+            begun_at: Instant::now(),
         }
     }
 
@@ -157,25 +162,32 @@
         Ok(())
     }
 
-    /// Problem that ends a call without a response to pass on.
-    pub fn problem(&self, failure: &SendFailure) -> Problem {
+    /// How a call ends without a response to pass on.
+    fn failure(&self, failure: &SendFailure) -> CallFailure {
         let code = match (self.executed, failure.is_deadline) {
             (Executed::No, true) => ResultCode::QueueFull,
             (Executed::No, false) => ResultCode::TargetRefused,
             (_, true) => ResultCode::TargetTimeout,
             (_, false) => ResultCode::TargetFailed,
         };
-        Problem::new(code, failure.reason.clone())
+        let problem = Problem::new(code, failure.reason.clone())
             .with_executed(self.executed)
-            .with_retry_after(RELAY_RETRY_AFTER)
+            .with_retry_after(RELAY_RETRY_AFTER);
+        CallFailure {
+            problem,
+            cause: CutCause::from(failure),
+        }
     }
 
-    /// Problem that ends a call for which no slot is available.
-    pub fn no_slot_problem(&self, problem: Problem) -> Problem {
+    /// How a call ends for which no slot is available.
+    fn no_slot_failure(&self, problem: Problem) -> CallFailure {
+        let cause = CutCause::of_refusal(problem.code);
         if self.executed == Executed::No {
-            return problem;
+            return CallFailure { problem, cause };
         }
-        Problem::new(ResultCode::TargetFailed, problem.reason).with_executed(self.executed)
+        let problem =
+            Problem::new(ResultCode::TargetFailed, problem.reason).with_executed(self.executed);
+        CallFailure { problem, cause }
     }
 }
 
@@ -191,6 +203,19 @@
     pub progress_at: Instant,
 }
 
+impl StartedResponse {
+    /// The response as its log line names it.
+    pub fn state(&self) -> ResponseState<'_> {
+        ResponseState {
+            target: Some(&self.ticket.target),
+            version: self.ticket.version.as_deref(),
+            status: self.response.status,
+            last_event: self.last_event,
+            silence: Some(self.progress_at.elapsed()),
+        }
+    }
+}
+
 impl RelayCaller {
     /// Creates a relay that takes its tickets from `dispatcher`.
     #[must_use]
@@ -211,6 +236,7 @@
                 limits,
                 recorder: None,
                 paths: None,
+                meters: Rc::new(ResponseMeters::disabled()),
                 buffered_bytes: Cell::new(0),
             }),
         }
@@ -232,6 +258,17 @@
         })
     }
 
+    /// Counts responses that end early in an instrument whose name begins with `prefix`.
+    #[must_use]
+    pub fn with_meter(self, meter: &Meter, prefix: &str) -> RelayCaller {
+        self.rebuild(|shared| shared.meters = Rc::new(ResponseMeters::new(meter, prefix)))
+    }
+
+    /// States that this VM closes all connections from now on, so that responses that end early are not ended by callers.
+    pub fn set_closing(&self) {
+        self.shared.meters.set_closing();
+    }
+
     fn rebuild(self, change: impl FnOnce(&mut RelayShared)) -> RelayCaller {
         let shared = &self.shared;
         let mut rebuilt = RelayShared {
@@ -244,6 +281,7 @@
             limits: shared.limits,
             recorder: shared.recorder.clone(),
             paths: shared.paths.clone(),
+            meters: Rc::clone(&shared.meters),
             buffered_bytes: Cell::new(0),
         };
         change(&mut rebuilt);
@@ -276,7 +314,8 @@
             let started = if progress.call.is_resumable_start() {
                 self.start_recorded(&mut progress).await?
             } else {
-                self.start_stream(&mut progress, last_event).await?
+                let started = self.start_stream(&mut progress, last_event).await;
+                started.map_err(|failure| failure.problem)?
             };
             return Ok(RelayStream::response(self.clone(), progress, started));
         }
@@ -289,11 +328,13 @@
         progress: &mut CallProgress,
     ) -> Result<StartedResponse, Problem> {
         let Some(recorder) = &self.shared.recorder else {
-            return self.start_stream(progress, None).await;
+            let started = self.start_stream(progress, None).await;
+            return started.map_err(|failure| failure.problem);
         };
         let service = progress.call.service.clone();
         progress.call.version = recorder.preferred_version(&service);
-        let started = self.start_stream(progress, None).await?;
+        let started = self.start_stream(progress, None).await;
+        let started = started.map_err(|failure| failure.problem)?;
         let has_events = started.last_event.is_some();
         if let (true, Some(version)) = (has_events, &started.ticket.version) {
             let id = progress.call.id.clone();
@@ -309,9 +350,9 @@
         deadline.saturating_sub(self.shared.clock.uptime())
     }
 
-    async fn acquire(&self, progress: &CallProgress) -> Result<TargetTicket, Problem> {
+    async fn acquire(&self, progress: &CallProgress) -> Result<TargetTicket, CallFailure> {
         self.check_reachable()
-            .map_err(|problem| progress.no_slot_problem(problem))?;
+            .map_err(|problem| progress.no_slot_failure(problem))?;
         let request = progress.call.ticket_request(&progress.excluded);
         let until = Instant::now() + self.time_left(progress.call.deadline);
         let acquired = timeout_at(until, self.shared.dispatcher.acquire(request)).await;
@@ -320,7 +361,7 @@
             Err(problem.with_retry_after(RELAY_RETRY_AFTER))
         };
         let ticket = acquired.unwrap_or_else(|_| late());
-        ticket.map_err(|problem| progress.no_slot_problem(problem))
+        ticket.map_err(|problem| progress.no_slot_failure(problem))
     }
 
     /// Sends to one target after the other until `attempt` succeeds or no further send is allowed.
@@ -328,7 +369,7 @@
         &self,
         progress: &mut CallProgress,
         attempt: impl AsyncFn(&CallProgress, &TargetTicket) -> Result<T, SendFailure>,
-    ) -> Result<(T, TargetTicket), Problem> {
+    ) -> Result<(T, TargetTicket), CallFailure> {
         loop {
             let ticket = self.acquire(progress).await?;
             progress.sends += 1;
@@ -344,7 +385,7 @@
             self.check_path(&target, &failure);
             log_failure(&progress.call, (&target, version.as_deref()), &failure);
             if !progress.record_failure(&target, &failure, &self.shared.limits) {
-                return Err(progress.problem(&failure));
+                return Err(progress.failure(&failure));
             }
         }
     }
@@ -354,7 +395,7 @@
         &self,
         progress: &mut CallProgress,
         last_event: Option<u64>,
-    ) -> Result<StartedResponse, Problem> {
+    ) -> Result<StartedResponse, CallFailure> {
         let attempt = async |progress: &CallProgress, ticket: &TargetTicket| {
             self.read_first_events(progress, ticket, last_event).await
         };
@@ -504,8 +545,17 @@
         let attempt = async |progress: &CallProgress, ticket: &TargetTicket| {
             self.read_response(progress, ticket).await
         };
-        let ((response, body), ticket) = self.try_targets(progress, attempt).await?;
+        let opened = self.try_targets(progress, attempt).await;
+        let ((response, body), ticket) = opened.map_err(|failure| failure.problem)?;
         let first_byte = response.sent_at.elapsed();
+        let state = ResponseState {
+            target: Some(&ticket.target),
+            version: ticket.version.as_deref(),
+            status: response.status,
+            last_event: None,
+            silence: None,
+        };
+        log_completed(progress, state, first_byte);
         ticket.finish(CallOutcome::Completed { first_byte });
         Ok(RelayResponse {
             status: response.status,
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -1,6 +1,7 @@
 //! A stream that is passed on event by event and continues at another target when its target fails.
 
 use super::call::RelayCall;
+use super::ending::{CallFailure, CutCause, CutParty, ResponseState, log_completed};
 use super::events::{StreamEvent, check_order};
 use super::exchange::{SendFailure, broken_body_outcome};
 use super::open::{
@@ -8,7 +9,7 @@
 };
 use bytes::Bytes;
 use futures_util::{StreamExt as _, stream};
-use plantainmill_core::{Executed, Problem, ResultCode};
+use plantainmill_core::{Executed, Problem, ResultCode, TargetId};
 use plantainmill_dispatch::CallOutcome;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -20,6 +21,14 @@
     current: Option<StartedResponse>,
     /// Whether the body is a stream of events, of which only complete ones are passed on; other bodies pass unchanged.
     is_events: bool,
+    /// HTTP status that the caller has got.
+    status: u16,
+    /// Last event that the caller has got.
+    last_event: Option<u64>,
+    /// Target of the last response that was left.
+    left_target: Option<TargetId>,
+    /// The end of the response has been recorded.
+    has_ended: bool,
 }
 
 /// Result of reading from the current response.
@@ -43,8 +52,12 @@
         let relay = RelayStream {
             caller,
             progress,
+            last_event: started.last_event,
             current: Some(started),
             is_events,
+            status,
+            left_target: None,
+            has_ended: false,
         };
         let first = stream::iter((!first.is_empty()).then_some(Ok(first)));
         let rest = stream::unfold(relay, |mut relay| async move {
@@ -79,14 +92,36 @@
                 PartRead::Failed(failure) => failure,
             };
             match self.fail_over(failure).await {
-                Ok(Some(first)) if first.is_empty() => {}
-                Ok(Some(first)) => return Some(Ok(first)),
-                Ok(None) => return None,
-                Err(problem) => return Some(Err(problem)),
+                Ok(first) if first.is_empty() => {}
+                Ok(first) => return Some(Ok(first)),
+                Err(failure) => {
+                    self.record_cut(&failure);
+                    return Some(Err(failure.problem));
+                }
             }
         }
     }
 
+    /// The response as its log line names it, with the last target if there is none at present.
+    fn state(&self) -> ResponseState<'_> {
+        let current = self.current.as_ref();
+        let state = current.map(StartedResponse::state);
+        state.unwrap_or(ResponseState {
+            target: self.left_target.as_ref(),
+            version: self.progress.call.version.as_deref(),
+            status: self.status,
+            last_event: self.last_event,
+            silence: None,
+        })
+    }
+
+    fn record_cut(&mut self, failure: &CallFailure) {
+        self.has_ended = true;
+        let CallFailure { problem, cause } = failure;
+        let meters = &self.caller.shared.meters;
+        meters.record_cut(&self.progress, self.state(), *cause, &problem.reason);
+    }
+
     fn call(&self) -> &RelayCall {
         &self.progress.call
     }
@@ -94,8 +129,11 @@
     /// Closes the current response and releases its slot.
     fn finish(&mut self, failure: Option<CallOutcome>) {
         if let Some(started) = self.current.take() {
+            self.last_event = started.last_event;
+            self.left_target = Some(started.ticket.target.clone());
             if failure.is_none() {
-                log_completed(&self.progress, &started);
+                self.has_ended = true;
+                log_completed(&self.progress, started.state(), started.first_byte);
                 if let Some(recorder) = &self.caller.shared.recorder {
                     recorder.record_end(&self.progress.call.id);
                 }
@@ -188,7 +226,7 @@
     }
 
     /// Continues at another target and returns its first events, which are empty if the stream ends there.
-    async fn fail_over(&mut self, mut failure: SendFailure) -> Result<Option<Bytes>, Problem> {
+    async fn fail_over(&mut self, mut failure: SendFailure) -> Result<Bytes, CallFailure> {
         let last_event = self.current.as_ref().and_then(|started| started.last_event);
         let (target, version) = match &self.current {
             Some(started) => {
@@ -212,7 +250,9 @@
             } else {
                 ResultCode::AnswerInvalid
             };
-            return Err(Problem::new(code, failure.reason).with_executed(Executed::Yes));
+            let cause = CutCause::from(&failure);
+            let problem = Problem::new(code, failure.reason).with_executed(Executed::Yes);
+            return Err(CallFailure { problem, cause });
         }
         let started = self
             .caller
@@ -225,30 +265,25 @@
             );
             let outcome = CallOutcome::Abandoned;
             started.ticket.finish(outcome);
-            return Err(
-                Problem::new(ResultCode::AnswerInvalid, reason).with_executed(Executed::Yes)
-            );
+            let problem =
+                Problem::new(ResultCode::AnswerInvalid, reason).with_executed(Executed::Yes);
+            let cause = CutCause {
+                party: CutParty::Target,
+                name: "answer_invalid",
+            };
+            return Err(CallFailure { problem, cause });
         }
         let first = started.first.clone();
         self.current = Some(started);
-        Ok(Some(first))
+        Ok(first)
     }
 }
 
-/// Logs a request whose response was relayed completely.
-fn log_completed(progress: &CallProgress, started: &StartedResponse) {
-    let first_ms = started.first_byte.as_millis();
-    tracing::info!(
-        event = "request_relayed",
-        request = %progress.call.id,
-        organisation = progress.call.organisation.as_deref(),
-        service = %progress.call.service,
-        target = %started.ticket.target,
-        version = started.ticket.version.as_deref(),
-        resumed_after = progress.call.last_event,
-        status = started.response.status,
-        sends = progress.sends,
-        first_ms,
-        last_event = started.last_event,
-    );
+impl Drop for RelayStream {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            let meters = &self.caller.shared.meters;
+            meters.record_drop(&self.progress, self.state());
+        }
+    }
 }
