--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -73,7 +73,11 @@
             return;
         }
         let elapsed = self.state.clock.uptime().saturating_sub(self.arrived_at);
-        let ended_by = if self.state.is_closing.get() { "vm" } else { "caller" };
+        let ended_by = if self.state.is_closing.get() {
+            "vm"
+        } else {
+            "caller"
+        };
         self.state.metrics.count_unanswered(ended_by);
         tracing::info!(
             event = "request_unanswered",
