--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -1,7 +1,8 @@
 //! Selects a target for a request and opens its response.
 
 use super::call::{HeaderNames, RelayCall, RelayLimits};
-use super::ending::{CallFailure, ResponseMeters};
+use super::ending::{CallFailure, CutCause, ResponseMeters};
+use super::exchange::SendFailure;
 use super::progress::{CallProgress, RELAY_RETRY_AFTER, StartedResponse};
 use super::recorder::StreamRecorder;
 use super::send::PathProbes;
@@ -201,11 +202,12 @@
         request.barred.extend(current.cloned());
         let until = Instant::now() + self.time_left(progress.call.deadline);
         let acquired = timeout_at(until, self.shared.dispatcher.acquire(request)).await;
-        let late = || {
+        let Ok(ticket) = acquired else {
             let problem = Problem::new(ResultCode::QueueFull, "no target was free in time");
-            Err(problem.with_retry_after(RELAY_RETRY_AFTER))
+            let failure = progress.no_slot_failure(problem.with_retry_after(RELAY_RETRY_AFTER));
+            let cause = CutCause::from(&SendFailure::deadline());
+            return Err(CallFailure { cause, ..failure });
         };
-        let ticket = acquired.unwrap_or_else(|_| late());
         ticket.map_err(|problem| progress.no_slot_failure(problem))
     }
 }
