Soak: count the time of a body in chunks before a crossed close

Such a request is still reported if its VM states a cut, if a target ran it, or if it took longer than its body and 200 ms.

--- a/crates/soak/src/caller_load.rs
+++ b/crates/soak/src/caller_load.rs
@@ -39,6 +39,8 @@
 const BODY_PART: &str = "How is a heel darned? ";
 /// Number of parts of a body. Every other request sends them as chunks.
 const BODY_PARTS: usize = 4;
+/// Number of pauses between the parts.
+const BODY_PAUSES: u32 = 3;
 /// Unit of the pause between two chunks.
 const CHUNK_PAUSE_STEP: Duration = Duration::from_millis(20);
 /// Number of different pauses between chunks.
@@ -192,6 +194,7 @@
         {
             body.insert_str(0, resumption.received);
         }
+        let body_time = chunk_pause(number_of(&id)).unwrap_or_default() * BODY_PAUSES;
         self.records.borrow_mut().requests.push(RequestRecord {
             id,
             kind: profile.kind,
@@ -199,6 +202,7 @@
             vm,
             sent_at,
             ended_at: Instant::now(),
+            body_time,
             resumes: resumption.map(|resumption| resumption.first.to_owned()),
             outcome: outcome.0,
         });
@@ -219,8 +223,7 @@
     ) -> (RequestOutcome, String) {
         let address = self.fleet.vms[vm].callers.address;
         let received = RefCell::new(Vec::new());
-        let number = request.id.trim_start_matches(char::is_alphabetic).parse();
-        let number: u64 = number.unwrap_or(0);
+        let request_number = number_of(request.id);
         let sent = async {
             let mut request = client.request(Method::POST, address, request);
             if let Some(resumption) = resumption {
@@ -228,10 +231,9 @@
                     .insert_header(("resumes", resumption.first))
                     .insert_header(("last-event-id", resumption.last_event().to_string()));
             }
-            let response = if number.is_multiple_of(2) {
-                request.send_body(BODY_PART.repeat(BODY_PARTS)).await
-            } else {
-                request.send_stream(Box::pin(body_parts(number))).await
+            let response = match chunk_pause(request_number) {
+                None => request.send_body(BODY_PART.repeat(BODY_PARTS)).await,
+                Some(pause) => request.send_stream(Box::pin(body_chunks(pause))).await,
             };
             let mut response = response.map_err(|error| error.to_string())?;
             let executed = response.headers().get(EXECUTED_HEADER);
@@ -424,9 +426,19 @@
     text[..end].to_owned()
 }
 
-/// The body of a request, in parts that the client sends as chunks.
-fn body_parts(number: u64) -> impl Stream<Item = Result<Bytes, Infallible>> {
-    let pause = CHUNK_PAUSE_STEP * u32::try_from(number % CHUNK_PAUSES).unwrap_or(0);
+/// Number in the id of a request.
+fn number_of(id: &str) -> u64 {
+    let number = id.trim_start_matches(char::is_alphabetic);
+    number.parse().unwrap_or(0)
+}
+
+/// Pause between the chunks in which a request sends its body; `None` if it sends the body as a whole.
+fn chunk_pause(number: u64) -> Option<Duration> {
+    let steps = u32::try_from(number % CHUNK_PAUSES).unwrap_or(0);
+    (!number.is_multiple_of(2)).then(|| CHUNK_PAUSE_STEP * steps)
+}
+
+fn body_chunks(pause: Duration) -> impl Stream<Item = Result<Bytes, Infallible>> {
     stream::iter(0..BODY_PARTS).then(move |part| async move {
         if part > 0 {
             sleep(pause).await;
--- a/crates/soak/src/cut_responses.rs
+++ b/crates/soak/src/cut_responses.rs
@@ -73,7 +73,8 @@
         } if profile == SoakProfile::Silent => body.clone(),
         RequestOutcome::Completed { .. } => return None,
     };
-    let is_cut = executions > 0 || elapsed > CONNECT_FAILURE_TIME;
+    let is_cut =
+        executions > 0 || report.is_some() || elapsed > request.body_time + CONNECT_FAILURE_TIME;
     if !is_cut {
         return None;
     }
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Kinds of online requests.
@@ -46,6 +47,8 @@
     pub sent_at: Instant,
     /// Time at which the caller knew its outcome.
     pub ended_at: Instant,
+    /// Time for which the caller sends the body. A caller notices only after it that its connection was closed.
+    pub body_time: Duration,
     /// Id of the request whose stream this one takes up; `None` if it begins one.
     pub resumes: Option<String>,
     /// Response or error. The body of a request that takes a stream up begins with the events that its caller had before.
--- a/crates/soak/tests/cut_responses.rs
+++ b/crates/soak/tests/cut_responses.rs
@@ -30,6 +30,20 @@
     assert_eq!(report.as_deref(), expected);
 }
 
+/// Guards against a check that takes the time of a body in chunks for a cut, and against one that passes over what its VM states.
+#[rstest]
+#[case::crossed(400, false, None)]
+#[case::stated(400, true, Some("queue_full"))]
+#[case::too_long(700, false, Some("no line of the VM"))]
+fn slow_bodies(#[case] elapsed_ms: u64, #[case] is_stated: bool, #[case] line: Option<&str>) {
+    let mut records = cut_run(None, elapsed_ms, is_stated);
+    records.requests[0].body_time = Duration::from_millis(240);
+    records.executions.clear();
+    let violations = check_guarantees(&records, SoakProfile::Silent);
+    assert_eq!(violations.len(), usize::from(line.is_some()));
+    assert!(line.is_none_or(|line| violations[0].contains(line)));
+}
+
 fn cut_run(status: Option<u16>, elapsed_ms: u64, is_stated: bool) -> RunRecords {
     let start = Instant::now();
     let outcome = match status {
@@ -55,6 +69,7 @@
             vm: 0,
             sent_at: start,
             ended_at: start + Duration::from_millis(elapsed_ms),
+            body_time: Duration::ZERO,
             resumes: None,
             outcome,
         }],
--- a/crates/soak/tests/guarantee_violations.rs
+++ b/crates/soak/tests/guarantee_violations.rs
@@ -29,6 +29,7 @@
         vm: 0,
         sent_at: start,
         ended_at: start + Duration::from_millis(300),
+        body_time: Duration::ZERO,
         resumes: None,
         outcome,
     }
