Send single items with a quarantined prompt part before its quarantine ends

Callers saw an accepted job of which one item was neither listed nor at any target for 56 s, beside 18 free targets: LOST "an item is left lying" at 75.5 s, with item_owed lines that say quarantine. The item was sound. A part of its prompt that another item crashed targets with was in quarantine, for 2 minutes, which is longer than a job is kept; it may last 32 minutes. Only an answer to a call with the part ends that early, and none was sent.

Cause: a quarantine made for callers, who are rejected and may send something else, held items, which are owed.

An item with a quarantined part is now sent alone after 1 s, and after 2 s and then 4 s if one at this VM has cost a target; items under which targets were lost themselves wait 4 s longer. The first answer shows that the part is sound and ends the quarantine everywhere, also for callers. Such a loss does not lengthen the quarantine, and counts against the item itself.

--- a/crates/dispatch/src/quarantine/dispatcher.rs
+++ b/crates/dispatch/src/quarantine/dispatcher.rs
@@ -117,7 +117,7 @@
     fn check(&self, request: &RequestParts) -> Result<(), Problem> {
         let now = self.clock.uptime();
         let ledger = self.lock();
-        let checked = ledger.check(&request.parts, request.fingerprint, now);
+        let checked = ledger.check(&request.parts, request.fingerprint, request.class, now);
         checked.map_err(|rejection| {
             let class = match request.class {
                 TrafficClass::Online => "online",
--- a/crates/dispatch/src/quarantine/ledger.rs
+++ b/crates/dispatch/src/quarantine/ledger.rs
@@ -5,6 +5,7 @@
 use super::state::{
     CallParts, PartState, QuarantineChanges, QuarantineEvent, QuarantineRejection, SoundRecord,
 };
+use crate::dispatcher::TrafficClass;
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{PartId, RequestHash, Uptime, VmId};
 use std::collections::{HashMap, HashSet};
@@ -21,8 +22,11 @@
 const OTHERS_TO_QUARANTINE: u32 = 1;
 /// Duration of the first quarantine of a part; each further one lasts twice as long as the one before.
 const FIRST_QUARANTINE: Duration = Duration::from_mins(2);
-/// Delay of the first attempt of an item under which targets were lost; each further one is twice as long.
+/// Delay of the first attempt of an item under which targets were lost, or one part of which is quarantined; each further one
+/// is twice as long.
 const FIRST_ITEM_DELAY: Duration = Duration::from_secs(1);
+/// Longest delay between attempts of items with a quarantined part. Most of them are sound.
+const MAX_PART_ITEM_DELAY: Duration = Duration::from_secs(4);
 /// Longest quarantine.
 pub(super) const MAX_QUARANTINE: Duration = Duration::from_mins(32);
 /// The ends of a quarantine at the VMs are spread over this fraction of its duration, so that the first VM whose call
@@ -76,13 +80,20 @@
         &self,
         parts: &[PartId],
         fingerprint: Option<RequestHash>,
+        class: TrafficClass,
         now: Uptime,
     ) -> Result<(), QuarantineRejection> {
+        let has_losses = fingerprint.is_some_and(|key| self.suspects.contains_key(&key));
         let mut keys = parts.iter().chain(&fingerprint);
         let rejection = keys.find_map(|part| {
             let state = self.quarantined.get(part)?;
-            let retry_after = if now < state.own_until {
-                state.own_until.saturating_sub(now)
+            let mut open_from = state.open_from(class);
+            if has_losses && open_from < state.own_until {
+                // Others with the part are more likely to be sound.
+                open_from += MAX_PART_ITEM_DELAY;
+            }
+            let retry_after = if now < open_from {
+                open_from.saturating_sub(now)
             } else {
                 let since = state.trial_since?;
                 (now < since + TRIAL_TIMEOUT).then_some(TRIAL_RETRY_AFTER)?
@@ -181,7 +192,10 @@
         now: Uptime,
     ) -> Vec<QuarantineEvent> {
         let mut events = Vec::new();
-        if self.repeat_quarantine(parts, call, now, &mut events) {
+        let is_explained = self.repeat_quarantine(parts, call, now, &mut events);
+        let is_quarantined = |key: &RequestHash| self.quarantined.contains_key(key);
+        let is_item = call.class == TrafficClass::Batch;
+        if is_explained && (!is_item || call.fingerprint.iter().all(is_quarantined)) {
             return events;
         }
         let loss = LossRecord {
@@ -193,6 +207,8 @@
             recorded_at: now,
             is_known: false,
         };
+        // An item that was sent in spite of the quarantine of a part may be what crashes targets.
+        let parts = if is_explained { &[] } else { parts };
         let parts = parts.iter().map(|part| (*part, QuarantineKind::Part));
         let request = call.fingerprint.map(|key| (key, call.request_kind()));
         for suspect in parts.chain(request) {
@@ -222,6 +238,13 @@
             if call.sent_at >= state.own_until {
                 let (kind, level, last_sent) = (state.kind, state.level + 1, state.last_sent);
                 self.quarantine((*part, kind), level, last_sent, now, events);
+            } else if call.sent_at >= state.open_from(call.class) {
+                state.lost_items += 1;
+                let lost_items = state.lost_items;
+                let items_from = now + self.item_delay(*part, lost_items);
+                if let Some(state) = self.quarantined.get_mut(part) {
+                    state.items_from = items_from;
+                }
             }
         }
         is_explained
@@ -323,7 +346,9 @@
                 self.note_change(first);
             }
         }
-        state.own_until = state.until + self.own_delay(part, &state);
+        let duration = duration_of(state.kind, state.level);
+        state.own_until = state.until + self.own_delay(part, duration);
+        state.items_from = now + self.item_delay(part, state.lost_items);
         events.push(QuarantineEvent::Started {
             part,
             kind: state.kind,
@@ -335,11 +360,17 @@
         self.quarantined.insert(part, state);
     }
 
-    /// Delay by which the quarantine ends later at this VM than at the first one.
-    fn own_delay(&self, part: PartId, state: &PartState) -> Duration {
+    /// Delay of the next item with a quarantined part after so many of them have cost a target.
+    fn item_delay(&self, part: PartId, lost_items: u32) -> Duration {
+        let delay = duration_of(QuarantineKind::Item, lost_items).min(MAX_PART_ITEM_DELAY);
+        delay + self.own_delay(part, delay)
+    }
+
+    /// Time by which a wait of this `duration` ends later at this VM than at the first one.
+    fn own_delay(&self, part: PartId, duration: Duration) -> Duration {
         let share = score(&self.vm_key.to_string(), part) % 1_000;
         let share = u32::try_from(share).unwrap_or(0);
-        duration_of(state.kind, state.level) / SPREAD_DIVISOR * share / 1_000
+        duration / SPREAD_DIVISOR * share / 1_000
     }
 
     fn note_change(&mut self, part: PartId) {
--- a/crates/dispatch/src/quarantine/state.rs
+++ b/crates/dispatch/src/quarantine/state.rs
@@ -92,6 +92,10 @@
     pub until: Uptime,
     /// End at this VM.
     pub own_until: Uptime,
+    /// From when on this VM sends single items with the part.
+    pub items_from: Uptime,
+    /// Items with the part that cost a target at this VM in spite of the quarantine.
+    pub lost_items: u32,
     /// When the last lost call was sent.
     pub last_sent: Uptime,
     /// When this VM learned of the quarantine.
@@ -118,6 +122,8 @@
             level,
             until,
             own_until: until,
+            items_from: until,
+            lost_items: 0,
             last_sent,
             recorded_at: now,
             is_adopted: false,
@@ -127,6 +133,14 @@
         }
     }
 
+    /// From when on this VM sends single calls of `class`. Items are owed, and one that is sound shows that the part is.
+    pub fn open_from(&self, class: TrafficClass) -> Uptime {
+        match (self.kind, class) {
+            (QuarantineKind::Part, TrafficClass::Batch) => self.items_from.min(self.own_until),
+            _ => self.own_until,
+        }
+    }
+
     pub fn entry(&self, part: PartId, now: Uptime) -> QuarantineEntry {
         let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         QuarantineEntry {
--- a/crates/dispatch/tests/all/part_quarantine.rs
+++ b/crates/dispatch/tests/all/part_quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine of prompt parts over many VMs whose reports are late or lost, in virtual time.
 
 use crate::quarantine_fleet::{
-    CRASHING, FINGERPRINT_OFFSET, Fleet, LARGE, LATER_SENDS, SMALL, Shape,
+    CRASHING, FINGERPRINT_OFFSET, Fleet, LARGE, LATER_SENDS, SMALL, STREAM_TIME, Shape,
 };
 use plantainmill_dispatch::TrafficClass;
 use plantainmill_dispatch::notice::ReportScope;
@@ -11,6 +11,10 @@
 
 /// Loss from which the time to detect a part counts.
 const PART_LOSSES: usize = 5;
+/// VMs that own items with the crashing part.
+const ITEM_VMS: usize = 3;
+/// Items with the crashing part.
+const ITEMS: u64 = 20;
 
 /// Guards against a part under which targets crash that reaches further targets, from VMs that have seen none of the
 /// losses themselves, and against sound requests that are rejected for parts that they share with it.
@@ -143,7 +147,11 @@
         .ledgers
         .iter()
         .enumerate()
-        .find(|(_, ledger)| ledger.check(&[CRASHING], None, now).is_ok())
+        .find(|(_, ledger)| {
+            ledger
+                .check(&[CRASHING], None, TrafficClass::Online, now)
+                .is_ok()
+        })
         .expect("a VM on probation");
     let call = CallParts {
         parts: vec![CRASHING],
@@ -154,13 +162,56 @@
         class: TrafficClass::Online,
     };
     fleet.ledgers[vm].record_send(&call.parts, call.fingerprint, now);
-    let checked = fleet.ledgers[vm].check(&call.parts, call.fingerprint, now);
+    let checked = fleet.ledgers[vm].check(&call.parts, call.fingerprint, call.class, now);
     assert!(checked.is_err());
     let events = fleet.ledgers[vm].record_start(&call, now);
     assert_eq!(events, [QuarantineEvent::Lifted { part: CRASHING }]);
     fleet.run(Duration::from_secs(2), 0.0, 30.0);
     let rejecting = fleet.ledgers.iter();
-    let rejecting = rejecting.filter(|ledger| ledger.check(&[CRASHING], None, fleet.now).is_err());
+    let rejecting = rejecting.filter(|ledger| {
+        ledger
+            .check(&[CRASHING], None, TrafficClass::Online, fleet.now)
+            .is_err()
+    });
+    assert_eq!(rejecting.count(), 0);
+}
+
+/// Guards against items that are held for as long as a part of their prompts is quarantined, against items with such a part that
+/// cost a target at each VM again and again, and against a quarantine that outlasts an item which shows that the part is sound.
+#[rstest]
+fn items_in_quarantine(#[values(SMALL, LARGE)] shape: Shape, #[values(7, 1005)] seed: u64) {
+    let mut fleet = Fleet::new(shape, seed);
+    fleet.run(Duration::from_secs(3), 0.0, 30.0);
+    fleet.run(Duration::from_secs(10), 4.0, 30.0);
+    let pause = Duration::from_millis(100);
+    let mut number = 0;
+    let mut attempt = |fleet: &mut Fleet, time: Duration| {
+        let until = fleet.now + time;
+        while fleet.now < until {
+            for vm in 0..ITEM_VMS {
+                number += 1;
+                let (parts, fingerprint) =
+                    (vec![CRASHING], FINGERPRINT_OFFSET * 2 + number % ITEMS);
+                fleet.send_request(vm, parts, fingerprint, TrafficClass::Batch, 1);
+            }
+            fleet.run(pause, 0.0, 30.0);
+        }
+    };
+    let before = fleet.sends.len();
+    attempt(&mut fleet, Duration::from_mins(1));
+    // After 1 s, 2 s and 4 s, then every 4 s, at each VM.
+    let sends = fleet.sends.len() - before;
+    assert!(
+        (8..=ITEM_VMS * 17).contains(&sends),
+        "{sends} items in a minute"
+    );
+    fleet.crash_delay = STREAM_TIME * 10;
+    attempt(&mut fleet, Duration::from_secs(10));
+    let now = fleet.now;
+    let rejecting = fleet.ledgers.iter().filter(|ledger| {
+        let checked = ledger.check(&[CRASHING], None, TrafficClass::Online, now);
+        checked.is_err()
+    });
     assert_eq!(rejecting.count(), 0);
 }
 
--- a/crates/dispatch/tests/all/quarantine_fleet.rs
+++ b/crates/dispatch/tests/all/quarantine_fleet.rs
@@ -174,7 +174,7 @@
         self.send_request(vm, parts, fingerprint, TrafficClass::Online, attempts)
     }
 
-    fn send_request(
+    pub fn send_request(
         &mut self,
         vm: usize,
         parts: Vec<PartId>,
@@ -183,7 +183,8 @@
         attempts: u32,
     ) -> bool {
         let request = Some(fingerprint);
-        if self.ledgers[vm].check(&parts, request, self.now).is_err() {
+        let checked = self.ledgers[vm].check(&parts, request, class, self.now);
+        if checked.is_err() {
             return false;
         }
         let up: Vec<usize> = (0..self.targets.len())
--- a/crates/dispatch/tests/all/request_quarantine.rs
+++ b/crates/dispatch/tests/all/request_quarantine.rs
@@ -152,7 +152,8 @@
     }
     assert!(sound(&fleet), "not done after {waited:?}");
     let now = fleet.now;
-    let checked = fleet.ledgers[0].check(&SESSION, Some(CRASHING_REQUEST), now);
+    let checked =
+        fleet.ledgers[0].check(&SESSION, Some(CRASHING_REQUEST), fleet.crashing_class, now);
     assert_eq!(checked, Ok(()));
     assert_eq!(fleet.sound_rejections, 0);
 }
@@ -175,7 +176,7 @@
     repeat(&mut fleet, Duration::from_mins(5), pause, 30.0);
     let now = fleet.now;
     let rejecting = fleet.ledgers.iter().filter(|ledger| {
-        let checked = ledger.check(&SESSION, Some(CRASHING_REQUEST), now);
+        let checked = ledger.check(&SESSION, Some(CRASHING_REQUEST), fleet.crashing_class, now);
         checked.is_err()
     });
     assert_eq!(rejecting.count(), 0);
