--- a/crates/dispatch/src/quarantine/ledger.rs
+++ b/crates/dispatch/src/quarantine/ledger.rs
@@ -71,7 +71,8 @@
         }
     }
 
-    /// Checks whether a request with `parts` and the hash `fingerprint` may be sent.
+    /// Checks whether a request with `parts` and the hash `fingerprint` may be sent. Single batch items may be sent before the
+    /// quarantine of a part ends.
     ///
     /// # Errors
     ///
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -26,7 +26,7 @@
 /// Interval between checks of how long a request has been at two targets.
 const OVERLAP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay before another target is asked for again after none was available, or one failed.
-pub(super) const MOVE_RETRY_DELAY: Duration = Duration::from_millis(150);
+pub(super) const HANDOVER_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Lag of a timer from which the VM itself has stood still, so that it cannot tell whether its targets were silent.
 const MAX_TIMER_LAG: Duration = Duration::from_millis(100);
 
@@ -202,7 +202,7 @@
             if is_delayed(silent_at) {
                 continue;
             }
-            silence = MOVE_RETRY_DELAY;
+            silence = HANDOVER_RETRY_DELAY;
             if !self.has_other_target(&call, &target) {
                 continue;
             }
@@ -393,6 +393,6 @@
         last_event,
         first_byte,
         progress_at: Instant::now(),
-        next_move_at: None,
+        next_handover_at: None,
     }
 }
--- a/crates/proxy/src/relay/progress.rs
+++ b/crates/proxy/src/relay/progress.rs
@@ -107,7 +107,7 @@
     /// When the last complete event arrived.
     pub progress_at: Instant,
     /// When another target may be asked for next, if one has been asked for since the last event.
-    pub next_move_at: Option<Instant>,
+    pub next_handover_at: Option<Instant>,
 }
 
 impl StartedResponse {
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -1,7 +1,7 @@
 //! A stream that is passed on event by event and continues at another target when its target fails.
 
 use super::attempt::{
-    MOVE_RETRY_DELAY, RaceEnd, is_delayed, race_successor, start_response, withdraw_attempt,
+    HANDOVER_RETRY_DELAY, RaceEnd, is_delayed, race_successor, start_response, withdraw_attempt,
 };
 use super::call::RelayCall;
 use super::ending::{CallFailure, CutCause, ResponseState, log_completed};
@@ -40,7 +40,7 @@
     End,
     Failed(SendFailure),
     /// Another target took the request, and began to continue the stream or failed.
-    Moved(Box<Result<StartedResponse, CallFailure>>),
+    HandedOver(Box<Result<StartedResponse, CallFailure>>),
 }
 
 impl RelayStream {
@@ -84,7 +84,7 @@
                 self.finish(None);
                 return None;
             }
-            let moved = match self.read_part().await {
+            let handed_over = match self.read_part().await {
                 PartRead::Events(events) if events.is_empty() => continue,
                 PartRead::Events(events) => {
                     let bytes = events.iter().map(|event| &event.bytes);
@@ -95,9 +95,9 @@
                     return None;
                 }
                 PartRead::Failed(failure) => self.fail_over(failure).await,
-                PartRead::Moved(moved) => *moved,
+                PartRead::HandedOver(handed_over) => *handed_over,
             };
-            let started = match moved {
+            let started = match handed_over {
                 Ok(started) => self.current.insert(started),
                 Err(failure) => {
                     self.record_cut(&failure);
@@ -157,6 +157,7 @@
         self.call().may_repeat && self.progress.executions < self.call().max_executions
     }
 
+    /// Whether the stream may go on at another target than the current one.
     fn has_other_target(&self) -> bool {
         self.current.as_ref().is_none_or(|started| {
             let current = &started.ticket.target;
@@ -172,7 +173,7 @@
         let silent_at = started.progress_at + self.call().event_gap.max(min_gap);
         Some(
             started
-                .next_move_at
+                .next_handover_at
                 .map_or(silent_at, |at| silent_at.max(at)),
         )
     }
@@ -193,22 +194,22 @@
         match timeout_at(silent_at, started.read_until(deadline)).await {
             Ok(part) => part,
             Err(_) if is_delayed(silent_at) || !self.has_other_target() => {
-                self.delay_move(self.call().event_gap);
+                self.delay_handover(self.call().event_gap);
                 PartRead::Events(Vec::new())
             }
-            Err(_) => self.move_on(deadline).await,
+            Err(_) => self.hand_over(deadline).await,
         }
     }
 
     /// Waits before another target is asked for, unless an event arrives.
-    fn delay_move(&mut self, delay: Duration) {
+    fn delay_handover(&mut self, delay: Duration) {
         if let Some(started) = &mut self.current {
-            started.next_move_at = Some(Instant::now() + delay);
+            started.next_handover_at = Some(Instant::now() + delay);
         }
     }
 
     /// Goes on at another target as soon as one takes the request. Until then, the current one may go on.
-    async fn move_on(&mut self, deadline: Instant) -> PartRead {
+    async fn hand_over(&mut self, deadline: Instant) -> PartRead {
         let Some(started) = &mut self.current else {
             return PartRead::End;
         };
@@ -220,7 +221,7 @@
             ticket = caller.acquire(&self.progress, Some(&target)) => ticket,
         };
         let Ok(ticket) = ticket else {
-            self.delay_move(MOVE_RETRY_DELAY);
+            self.delay_handover(HANDOVER_RETRY_DELAY);
             return PartRead::Events(Vec::new());
         };
         let last_event = started.last_event;
@@ -229,7 +230,7 @@
         let mut race = race_successor(started.read_until(deadline), &mut successor).await;
         let mut events = Vec::new();
         if let RaceEnd::Current(PartRead::Events(late_events)) = race {
-            // A target that has stood still is more likely to do so again than the other one.
+            // The current target may stand still again, so the other one gets the rest of the overlap to answer.
             events = late_events;
             race = race_successor(pending(), &mut successor).await;
         }
@@ -242,7 +243,7 @@
             RaceEnd::Successor(Err(failure)) => {
                 caller.fail_attempt(&mut self.progress, successor, &failure);
                 if events.is_empty() {
-                    self.delay_move(MOVE_RETRY_DELAY);
+                    self.delay_handover(HANDOVER_RETRY_DELAY);
                 }
                 return PartRead::Events(events);
             }
@@ -253,18 +254,18 @@
             RaceEnd::Successor(Ok(first_events)) => (silent, Some(first_events)),
             RaceEnd::OverlapPassed => (silent, None),
         };
-        // Its late events are not passed on.
+        // The late events are not passed on: the successor repeats them.
         started.last_event = last_event;
-        self.leave(failure);
+        self.abandon_current(failure);
         let started = match first_events {
             Some(first_events) => Ok(start_response(&mut self.progress, successor, first_events)),
             None => caller.follow_attempt(&mut self.progress, successor).await,
         };
-        PartRead::Moved(Box::new(started))
+        PartRead::HandedOver(Box::new(started))
     }
 
     /// Closes the current response because of a failure and returns it, with the path that it took.
-    fn leave(&mut self, mut failure: SendFailure) -> SendFailure {
+    fn abandon_current(&mut self, mut failure: SendFailure) -> SendFailure {
         let Some(started) = &self.current else {
             return failure;
         };
@@ -284,7 +285,7 @@
     async fn fail_over(&mut self, failure: SendFailure) -> Result<StartedResponse, CallFailure> {
         let last_event = self.current.as_ref().and_then(|started| started.last_event);
         let may_fail_over = self.may_fail_over() && !failure.is_deadline;
-        let failure = self.leave(failure);
+        let failure = self.abandon_current(failure);
         if !may_fail_over {
             let code = if failure.is_deadline {
                 ResultCode::TargetTimeout
@@ -318,7 +319,7 @@
                         continue;
                     }
                     self.progress_at = Instant::now();
-                    self.next_move_at = None;
+                    self.next_handover_at = None;
                     return match check_order(&events, &mut self.last_event) {
                         Ok(()) => PartRead::Events(events),
                         Err(reason) => failed(reason),
