Wait longer for a slot for a request that may have run

All links were blocked for a moment. The first target was left 200 ms after the second one had been sent the request; when the links opened, the second one refused, and no slot came free within 75 ms, a quarter of the objective. That wait is short so that a caller can try another VM, but this caller cannot be told that its request did not run.

Such a request now waits 0.9 s for a slot, as a stream that has begun does. late_refusal failed before with the same answer and passes.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -25,7 +25,9 @@
     Skip(u64),
     /// Says that it did not run the request.
     Refuse,
-    /// The same, without the id of the request.
+    /// The same, after this time.
+    LateRefusal(Duration),
+    /// The same as `Refuse`, without the id of the request.
     RefuseWithoutId,
     /// Writes the last refusal on the connection once more, if there was one, and then runs the request and answers.
     RepeatRefusal,
@@ -332,7 +334,10 @@
             self.seen.borrow_mut().push(SeenRequest {
                 ran: !matches!(
                     act,
-                    TargetAct::Refuse | TargetAct::RefuseWithoutId | TargetAct::EndlessRefusal
+                    TargetAct::Refuse
+                        | TargetAct::LateRefusal(_)
+                        | TargetAct::RefuseWithoutId
+                        | TargetAct::EndlessRefusal
                 ),
                 ..request
             });
@@ -340,7 +345,10 @@
                 return self.crash_during(&mut stream, &id, last).await;
             }
             match act {
-                TargetAct::Refuse => {
+                TargetAct::Refuse | TargetAct::LateRefusal(_) => {
+                    if let TargetAct::LateRefusal(delay) = act {
+                        sleep(delay).await;
+                    }
                     let refused = format!("{}: 1\r\n", self.names.not_executed);
                     let head = self.head(503, &id, &refused, "content-length: 0\r\n");
                     stream.write_all(head.as_bytes()).await?;
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -11,9 +11,9 @@
 use plantainmill_dispatch::{TicketRequest, TrafficClass};
 use std::time::Duration;
 
-/// Longest wait of a stream that has begun for a slot at another target. Callers abandon a stream after two seconds without
-/// an event.
-const CONTINUATION_WAIT: Duration = Duration::from_millis(900);
+/// Longest wait for a slot at another target of a stream that has begun, or of a request that may have run. Callers abandon a
+/// stream after two seconds without an event.
+pub(super) const CONTINUATION_WAIT: Duration = Duration::from_millis(900);
 
 /// Names of the headers that are exchanged between VMs and targets.
 #[derive(Clone, Debug)]
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -1,6 +1,6 @@
 //! Selects a target for a request and opens its response.
 
-use super::call::{HeaderNames, RelayCall, RelayLimits};
+use super::call::{CONTINUATION_WAIT, HeaderNames, RelayCall, RelayLimits};
 use super::ending::{CallFailure, CutCause, ResponseMeters};
 use super::exchange::SendFailure;
 use super::progress::{CallProgress, RELAY_RETRY_AFTER, StartedResponse};
@@ -200,6 +200,10 @@
             .map_err(|problem| progress.no_slot_failure(problem))?;
         let mut request = progress.call.ticket_request(&progress.excluded);
         request.barred.extend(current.cloned());
+        if progress.executed != Executed::No {
+            // Its caller could not be told that it did not run.
+            request.wait_limit = request.wait_limit.max(Some(CONTINUATION_WAIT));
+        }
         let until = Instant::now() + self.time_left(progress.call.deadline);
         let acquired = timeout_at(until, self.shared.dispatcher.acquire(request)).await;
         let Ok(ticket) = acquired else {
--- a/crates/proxy/tests/kept_streams.rs
+++ b/crates/proxy/tests/kept_streams.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 use plantainmill_core::{Clock as _, SystemClock, TargetId};
-use plantainmill_dispatch::{Dispatcher as _, TargetTicket};
+use plantainmill_dispatch::{Dispatcher as _, TargetTicket, TicketRequest};
 use plantainmill_fakes::{StreamTarget, TargetAct};
 use plantainmill_proxy::relay::RelayCall;
 use plantainmill_routing::TargetEntry;
@@ -70,17 +70,22 @@
     });
 }
 
+/// Another request, which waits for a slot and goes before those that begin.
+fn rival_request() -> TicketRequest {
+    TicketRequest {
+        version: Some("v1".into()),
+        wait_limit: Some(Duration::from_secs(4)),
+        ..patient("rival").ticket_request(&[])
+    }
+}
+
 /// Lets another request wait for each slot that a target frees.
 fn keep_waiting(fleet: &Fleet) {
     let dispatcher = fleet.dispatcher.clone();
     actix_rt::spawn(async move {
         let mut tickets = Vec::new();
         loop {
-            let mut request = patient("rival").ticket_request(&[]);
-            request.priority = 0;
-            request.version = Some("v1".into());
-            request.wait_limit = Some(Duration::from_secs(4));
-            match dispatcher.acquire(request).await {
+            match dispatcher.acquire(rival_request()).await {
                 Ok(ticket) => tickets.push(ticket),
                 Err(_) => actix_rt::time::sleep(Duration::from_millis(5)).await,
             }
@@ -235,3 +240,31 @@
     assert_eq!(response.expect("a response"), (all_events(), None));
     assert_eq!(fleet.sends(), 1);
 }
+
+/// Guards against a request that fails, although its caller cannot be told that it did not run, because the target that it was
+/// sent to next refuses it late and no slot is free at that moment.
+#[actix_rt::test]
+async fn late_refusal() {
+    let fleet = Fleet::start(2).await;
+    set_slots(&fleet, [4, 0]);
+    keep_ticking(&fleet);
+    fleet.targets[0].plan([TargetAct::SilentAfter(0)]);
+    fleet.targets[1].plan([TargetAct::LateRefusal(PAUSE * 4)]);
+    let stream = read_response(&fleet, patient("r1"));
+    let full_meanwhile = async {
+        actix_rt::time::sleep(PAUSE / 5).await;
+        set_slots(&fleet, [4, 4]);
+        // The first target has been left by then, and the backoff from it is over.
+        actix_rt::time::sleep(PAUSE * 14 / 5).await;
+        let elsewhere = fill(&fleet, "t0", "t1").await;
+        let here = fill(&fleet, "t1", "t0").await;
+        // Takes the place that the refusal frees.
+        let rival = fleet.dispatcher.acquire(rival_request());
+        let rival = tokio::time::timeout(PAUSE * 2, rival).await;
+        actix_rt::time::sleep(PAUSE).await;
+        drop((elsewhere, here));
+        rival.expect("a place in time").expect("a place")
+    };
+    let (response, _rival) = tokio::join!(stream, full_meanwhile);
+    assert_eq!(response.expect("a response"), (all_events(), None));
+}
