--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -346,13 +346,7 @@
             }
             match act {
                 TargetAct::Refuse | TargetAct::LateRefusal(_) => {
-                    if let TargetAct::LateRefusal(delay) = act {
-                        sleep(delay).await;
-                    }
-                    let refused = format!("{}: 1\r\n", self.names.not_executed);
-                    let head = self.head(503, &id, &refused, "content-length: 0\r\n");
-                    stream.write_all(head.as_bytes()).await?;
-                    last_refusal = head;
+                    last_refusal = self.refuse(&mut stream, &id, act).await?;
                 }
                 TargetAct::RefuseWithoutId => {
                     let refused = format!("{}: 1\r\n", self.names.not_executed);
@@ -414,6 +408,17 @@
         }
     }
 
+    /// Refuses a request, and returns what it has sent.
+    async fn refuse(&self, stream: &mut TcpStream, id: &str, act: TargetAct) -> io::Result<String> {
+        if let TargetAct::LateRefusal(delay) = act {
+            sleep(delay).await;
+        }
+        let refused = format!("{}: 1\r\n", self.names.not_executed);
+        let head = self.head(503, id, &refused, "content-length: 0\r\n");
+        stream.write_all(head.as_bytes()).await?;
+        Ok(head)
+    }
+
     /// Begins an answer and ends all connections.
     async fn crash_during(&self, stream: &mut TcpStream, id: &str, last: u64) -> io::Result<()> {
         let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
