--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 //! for model engines and plain services.
 
 pub mod engine;
+pub mod head_cut;
 pub mod listener;
 pub mod memory;
 pub mod platform_server;
@@ -15,7 +16,8 @@
     EngineCounts, EngineFault, EngineKind, EngineOptions, EngineServer, FaultKind, RecordedRequest,
     RunOutcome, RunningEngine,
 };
+pub use head_cut::HeadCut;
 pub use memory::{MemoryPlatform, PlatformFault, StoreCounts};
 pub use platform_server::{PlatformOptions, PlatformServer, RunningPlatform};
 pub use rows::{MemoryRows, RowsFault};
-pub use stream_target::{HeadCut, SeenRequest, StreamTarget, TargetAct, TargetNames};
+pub use stream_target::{SeenRequest, StreamTarget, TargetAct, TargetNames};
