Log lines that tell whose refusal a VM believes or sends

Callers had a promise that a request did not run, and it ran. The lines of a refusal named the target, but neither the connection on which it came nor how often that had carried the request's id, so a copied refusal could not be told from one of the present send.

Change: each connection has a number and remembers the ids of the requests that it has carried. send_failed, item_interrupted and the new send_refused, forward_refused and call_failed name connection and count. No decision changes.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -364,6 +364,10 @@
                     outcome = ?failure.outcome,
                     last_event = self.last_event,
                     connected = failure.was_connected,
+                    forwarder = failure.forwarder.map(tracing::field::display),
+                    connection = failure.connection.map(|used| used.connection),
+                    id_sends = failure.connection.map(|used| used.id_sends),
+                    executed = failure.executed.as_str(),
                     reason = %failure.reason,
                 );
                 self.enter(OwedState::Retry, failure.reason.clone());
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -61,6 +61,7 @@
     let request_id = new_id("");
     let request = build_request(context, ticket.address, &request_id)?;
     let sent_at = Instant::now();
+    mark.trace.start(request_id.as_bytes(), None);
     mark.set(Executed::Unknown);
     let exchange = request.send_body(context.request.body.clone());
     let sent = mark.trace.observe(exchange).await;
@@ -74,7 +75,17 @@
     check_echo(&head, &request_id)?;
     let limit = header_text(&head.headers, LIMIT_HEADER);
     ticket.record_limit(limit.and_then(|limit| limit.trim().parse().ok()));
-    check_refusal(&head, mark)?;
+    check_refusal(&head, mark).inspect_err(|failure| {
+        let used = mark.trace.connection();
+        tracing::info!(
+            event = "send_refused",
+            request = %request_id,
+            target = %ticket.target,
+            connection = used.map(|used| used.connection),
+            id_sends = used.map(|used| used.id_sends),
+            reason = %failure.reason,
+        );
+    })?;
     mark.set(Executed::Yes);
     check_length(&head, context)?;
     head.payload = response.boxed_local();
--- a/crates/proxy/src/head_filter.rs
+++ b/crates/proxy/src/head_filter.rs
@@ -25,14 +25,17 @@
 }
 
 impl HeadFilter {
-    /// Observes bytes written to the connection. A request starts the buffering of its response's head.
-    pub fn observe_write(&mut self, written: &[u8]) {
-        if matches!(self, HeadFilter::PassThrough) && starts_request(written) {
+    /// Observes bytes written to the connection and returns whether a request starts with them. A request whose response may
+    /// have a body starts the buffering of the response's head.
+    pub fn observe_write(&mut self, written: &[u8]) -> bool {
+        let is_start = matches!(self, HeadFilter::PassThrough) && starts_request(written);
+        if is_start && !written.starts_with(b"HEAD ") {
             *self = HeadFilter::Buffering {
                 buffered: BytesMut::new(),
                 start: 0,
             };
         }
+        is_start
     }
 
     /// Whether bytes that are read must be passed to [`HeadFilter::push`].
@@ -83,10 +86,10 @@
     }
 }
 
-/// Whether `written` starts with the request line of a request whose response may have a body.
+/// Whether `written` starts with a request line.
 fn starts_request(written: &[u8]) -> bool {
     let line = written.split(|byte| *byte == b'\r').next();
-    line.is_some_and(|line| line.ends_with(b" HTTP/1.1") && !line.starts_with(b"HEAD "))
+    line.is_some_and(|line| line.ends_with(b" HTTP/1.1"))
 }
 
 /// Length of the head at the start of `content`, including its terminating blank line. As in `awc`, lines may end with a
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 mod records;
 mod response_stream;
 mod send_trace;
+mod sent_requests;
 mod transport;
 
 pub use caller::{BufferedResponse, StreamingResponse, TargetCaller, TargetRequest};
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -3,6 +3,7 @@
 use super::call::RelayCall;
 use super::open::RelayCaller;
 use crate::send_trace::SendTrace;
+use crate::sent_requests::ConnectionUse;
 use actix_web::error::ParseError;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::Uri;
@@ -43,6 +44,8 @@
     pub is_silent: bool,
     /// VM that was asked to forward the request; `None` for a direct send.
     pub forwarder: Option<SocketAddr>,
+    /// Connection on which the request was written; `None` if it was not, or if that is not known.
+    pub connection: Option<ConnectionUse>,
     /// Reason for the log.
     pub reason: String,
 }
@@ -57,6 +60,7 @@
             was_connected: true,
             is_silent: false,
             forwarder: None,
+            connection: None,
             reason: reason.into(),
         }
     }
@@ -81,6 +85,7 @@
             executed,
             was_connected: !trace.is_connecting(),
             forwarder: trace.forwarder(),
+            connection: trace.connection(),
             ..self
         }
     }
@@ -183,7 +188,7 @@
         &self,
         send: CallSend<'_>,
     ) -> Result<TargetResponse, SendFailure> {
-        send.trace.start(None);
+        send.trace.start(send.call.id.as_bytes(), None);
         let shared = &self.shared;
         let request = if send.is_repeat {
             // On the connection of the first send, the target may write its refusal once more.
@@ -276,16 +281,13 @@
             if is_own {
                 actix_rt::spawn(drain_body(response));
                 let reason = format!("the target refused with status {status}");
-                return Err(SendFailure::new(Executed::No, outcome, reason));
+                return Err(SendFailure::new(Executed::No, outcome, reason).at(send.trace));
             }
         }
         if echo.is_none_or(|echo| echo.as_bytes() != call.id.as_bytes()) {
             let reason = "the answer belongs to another request";
-            return Err(SendFailure::new(
-                Executed::Unknown,
-                CallOutcome::Failed,
-                reason,
-            ));
+            let failure = SendFailure::new(Executed::Unknown, CallOutcome::Failed, reason);
+            return Err(failure.at(send.trace));
         }
         Ok(TargetResponse {
             status,
--- a/crates/proxy/src/relay/forward.rs
+++ b/crates/proxy/src/relay/forward.rs
@@ -10,7 +10,7 @@
 use super::open::RelayCaller;
 use crate::send_trace::SendTrace;
 use awc::error::PayloadError;
-use awc::http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
+use awc::http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use awc::http::{Method, Uri};
 use bytes::Bytes;
 use futures_util::{StreamExt as _, stream};
@@ -166,7 +166,7 @@
         forwarder: SocketAddr,
         send: CallSend<'_>,
     ) -> Result<Result<TargetResponse, ForwardResult>, SendFailure> {
-        send.trace.start(Some(forwarder));
+        send.trace.start(send.call.id.as_bytes(), Some(forwarder));
         let client = &self.shared.peer_client;
         let request = self.build_request(client, send, forwarder)?;
         let mut request = request.insert_header((FORWARD_HEADER, send.ticket.target.as_str()));
@@ -232,8 +232,11 @@
         } else {
             self.shared.client.request(request.method, uri)
         };
-        *forwarded.headers_mut() = request.headers;
         let trace = SendTrace::default();
+        let id = request.headers.get(&self.header_names().request_id);
+        let id = id.map(HeaderValue::as_bytes).unwrap_or_default().to_vec();
+        trace.start(&id, None);
+        *forwarded.headers_mut() = request.headers;
         let forwarded = forwarded.address(address).no_decompress();
         let exchange = trace.observe(forwarded.send_body(request.body));
         let sent = timeout(FORWARD_IDLE_TIMEOUT, exchange).await;
@@ -256,6 +259,18 @@
             Err(_) => return Err(ForwardVerdict::Failed),
         };
         let headers = response.headers();
+        if headers.contains_key(&self.header_names().not_executed)
+            || response.status().as_u16() == MISDIRECTED_REQUEST
+        {
+            tracing::info!(
+                event = "forward_refused",
+                request = %String::from_utf8_lossy(&id),
+                %target,
+                connection = trace.connection().map(|used| used.connection),
+                id_sends = trace.connection().map(|used| used.id_sends),
+                status = response.status().as_u16(),
+            );
+        }
         let is_framed =
             headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
         Ok(ForwardAnswer {
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -152,14 +152,16 @@
         if progress.call.is_stream {
             let last_event = progress.call.last_event;
             let started = if progress.call.is_resumable_start() {
-                self.start_recorded(&mut progress).await?
+                self.start_recorded(&mut progress).await
             } else {
                 let started = self.start_stream(&mut progress, last_event).await;
-                started.map_err(|failure| failure.problem)?
+                started.map_err(|failure| failure.problem)
             };
+            let started = started.inspect_err(|problem| progress.log_end(problem))?;
             return Ok(RelayStream::response(self.clone(), progress, started));
         }
-        self.open_buffered(&mut progress).await
+        let opened = self.open_buffered(&mut progress).await;
+        opened.inspect_err(|problem| progress.log_end(problem))
     }
 
     /// Opens a stream that its caller may take up later, and has its version remembered before the first event is passed on.
--- a/crates/proxy/src/relay/progress.rs
+++ b/crates/proxy/src/relay/progress.rs
@@ -67,6 +67,23 @@
         self.call.may_repeat && self.executions + 1 < self.call.max_executions
     }
 
+    /// States what the answer of a call without a response rests on, if the call has been sent.
+    pub fn log_end(&self, problem: &Problem) {
+        if self.sends == 0 {
+            return;
+        }
+        tracing::info!(
+            event = "call_failed",
+            request = %self.call.id,
+            target = self.excluded.last().map(TargetId::as_str),
+            sends = self.sends,
+            executions = self.executions,
+            executed = problem.executed.as_str(),
+            code = problem.code.name(),
+            reason = %problem.reason,
+        );
+    }
+
     /// How a call ends without a response to pass on.
     pub fn failure(&self, failure: &SendFailure) -> CallFailure {
         let code = match (self.executed, failure.is_deadline) {
@@ -139,6 +156,9 @@
         executed = failure.executed.as_str(),
         outcome = ?failure.outcome,
         connected = failure.was_connected,
+        forwarder = failure.forwarder.map(tracing::field::display),
+        connection = failure.connection.map(|used| used.connection),
+        id_sends = failure.connection.map(|used| used.id_sends),
         reason = %failure.reason,
     );
 }
--- a/crates/proxy/src/send_trace.rs
+++ b/crates/proxy/src/send_trace.rs
@@ -1,5 +1,6 @@
 //! How far a send has got, and which way it takes.
 
+use crate::sent_requests::{ConnectionUse, RequestKey, SentRequests, request_key};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,6 +25,8 @@
     phase: Rc<Cell<ConnectPhase>>,
     sent_at: Rc<Cell<Option<Instant>>>,
     forwarder: Rc<Cell<Option<SocketAddr>>>,
+    request: Rc<Cell<RequestKey>>,
+    connection: Rc<Cell<Option<ConnectionUse>>>,
 }
 
 impl SendTrace {
@@ -48,10 +51,18 @@
         self.forwarder.get()
     }
 
-    /// Starts a send to the target itself, or to the VM that is to forward it.
-    pub(crate) fn start(&self, forwarder: Option<SocketAddr>) {
+    /// The connection on which the request was written; `None` before.
+    #[must_use]
+    pub fn connection(&self) -> Option<ConnectionUse> {
+        self.connection.get()
+    }
+
+    /// Starts a send of the request `id` to the target itself, or to the VM that is to forward it.
+    pub(crate) fn start(&self, id: &[u8], forwarder: Option<SocketAddr>) {
         self.enter(ConnectPhase::Kept);
         self.forwarder.set(forwarder);
+        self.request.set(request_key(id));
+        self.connection.set(None);
     }
 
     fn enter(&self, phase: ConnectPhase) {
@@ -80,4 +91,14 @@
         }
         connected
     }
+
+    /// Records that the request of the current send is written to the connection that has carried `sent`.
+    pub(crate) fn record_write(sent: &mut SentRequests) {
+        // Requests outside of an observed send are not recorded.
+        let _ = CURRENT_SEND.try_with(|trace| {
+            if trace.connection.get().is_none() {
+                trace.connection.set(Some(sent.record(trace.request.get())));
+            }
+        });
+    }
 }
--- a/crates/proxy/src/transport.rs
+++ b/crates/proxy/src/transport.rs
@@ -3,6 +3,7 @@
 use crate::head_filter::HeadFilter;
 use crate::limits::CONNECT_TIMEOUT;
 use crate::send_trace::SendTrace;
+use crate::sent_requests::SentRequests;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
@@ -77,6 +78,7 @@
 pub(crate) struct StrictStream {
     inner: TcpStream,
     head: HeadFilter,
+    sent: SentRequests,
 }
 
 impl AsyncRead for StrictStream {
@@ -118,7 +120,9 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.head.observe_write(buffer);
+        if self.head.observe_write(buffer) {
+            SendTrace::record_write(&mut self.sent);
+        }
         Pin::new(&mut self.inner).poll_write(context, buffer)
     }
 
@@ -186,6 +190,7 @@
     let stream = StrictStream {
         inner: inner.map_err(ConnectError::Io)?,
         head: HeadFilter::default(),
+        sent: SentRequests::new(),
     };
     Ok(Connection::new(info.request().clone(), stream))
 }
