Send the id of a request once on a connection

Callers had two runs of a request that may run once, answered 200, or a 503 with "executed: no" for a request that ran.

Cause: a response names its request by the id, and a target may write the copy of a refusal later. Whether an id had been on a connection before was known to the call, by the id of the target. The same target under another id, another call with the same id, an item whose run begins anew, and a request that several VMs forward through one share the connection without that knowledge. The class: a fact of one owner kept by another, and looked up by a name that both share.

Change: the connection remembers the ids that it has carried. The pool reads from an idle connection before it gives it to a send; that read fails if the connection has carried the id of the send, and the pool takes another one. The sets of targets that refused a call or an item, and the client for their second sends, are gone. A VM of the release before is still asked to forward on a connection of its own, by the header that it knows; the header no longer reaches the target.

--- a/crates/edge/src/forwarding.rs
+++ b/crates/edge/src/forwarding.rs
@@ -21,7 +21,6 @@
     let path = request.uri().path_and_query();
     let forwarded = ForwardRequest {
         target,
-        is_repeat: request.headers().contains_key(REPEAT_HEADER),
         method: request.method().clone(),
         path: path.map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
         headers: end_to_end_headers(request.headers()),
@@ -74,8 +73,10 @@
 /// The headers without those of the connection and of the forwarding.
 fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     let hop_by_hop = hop_by_hop_headers(headers);
-    let is_kept =
-        |name: &HeaderName| !hop_by_hop.contains(name.as_str()) && name.as_str() != FORWARD_HEADER;
+    let is_kept = |name: &HeaderName| {
+        !hop_by_hop.contains(name.as_str())
+            && ![FORWARD_HEADER, REPEAT_HEADER].contains(&name.as_str())
+    };
     let mut kept = HeaderMap::new();
     for (name, value) in headers.iter().filter(|(name, _)| is_kept(name)) {
         kept.append(name.clone(), value.clone());
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -18,7 +18,6 @@
     broken_body_outcome, check_order,
 };
 use plantainmill_routing::{DocumentView, FleetDocument, RouteRule};
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,8 +81,6 @@
     failed_sends: u32,
     failures: u32,
     excluded: Vec<TargetId>,
-    /// Targets that have refused the item.
-    refused_by: HashSet<TargetId>,
 }
 
 /// A request that may be sent, and the permission to send it to a target.
@@ -122,7 +119,6 @@
         failed_sends: 0,
         failures: 0,
         excluded: Vec::new(),
-        refused_by: HashSet::new(),
     };
     let state = runner.run().await;
     runner.enter(OwedState::Listing, "");
@@ -375,9 +371,6 @@
                 let is_preempted = failure.outcome == CallOutcome::Abandoned;
                 if !is_preempted {
                     self.record_failure();
-                    if failure.executed == Executed::No && failure.was_connected {
-                        self.refused_by.insert(ticket.target.clone());
-                    }
                     self.excluded.push(ticket.target.clone());
                 }
                 ticket.finish(failure.outcome);
@@ -409,7 +402,6 @@
             ticket,
             last_event: self.last_event,
             until: Instant::now() + remaining,
-            is_repeat: self.refused_by.contains(&ticket.target),
             trace: &trace,
         });
         let opened = timeout(IDLE_TIMEOUT, send).await;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod relay;
 
 mod body;
+mod connection_log;
 mod context;
 mod exchange;
 mod head_filter;
@@ -20,7 +21,6 @@
 mod records;
 mod response_stream;
 mod send_trace;
-mod sent_requests;
 mod transport;
 
 pub use caller::{BufferedResponse, StreamingResponse, TargetCaller, TargetRequest};
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -13,8 +13,8 @@
 mod send;
 mod stream;
 
+pub use crate::connection_log::{ConnectionId, ConnectionUse};
 pub use crate::send_trace::SendTrace;
-pub use crate::sent_requests::{ConnectionId, ConnectionUse};
 pub use call::{HeaderNames, RelayCall, RelayLimits};
 pub use events::{EventSplitter, StreamEvent, check_order};
 pub use exchange::{CallSend, SendFailure, TargetResponse, broken_body_outcome};
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -44,8 +44,6 @@
     ticket: TargetTicket,
     last_event: Option<u64>,
     until: Instant,
-    /// The target has refused the request before.
-    is_repeat: bool,
     /// Another target may execute the request if this one fails.
     may_fail_over: bool,
     /// The response has to be a stream that continues the one of which the caller has the beginning.
@@ -133,7 +131,6 @@
             ticket: ticket.share(),
             last_event,
             until: Instant::now() + self.time_left(progress.call.deadline),
-            is_repeat: progress.excluded.contains(&ticket.target),
             may_fail_over: progress.may_fail_over(),
             must_continue: progress.has_begun,
             trace: trace.clone(),
@@ -269,7 +266,6 @@
             ticket: &parts.ticket,
             last_event: parts.last_event,
             until: parts.until,
-            is_repeat: parts.is_repeat,
             trace,
         });
         let late = |_| SendFailure::deadline().at(trace);
--- a/crates/proxy/src/relay/buffered.rs
+++ b/crates/proxy/src/relay/buffered.rs
@@ -113,7 +113,6 @@
             ticket,
             last_event: call.last_event,
             until,
-            is_repeat: progress.excluded.contains(&ticket.target),
             trace: &trace,
         });
         let mut response = send.await?;
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -2,8 +2,8 @@
 
 use super::call::RelayCall;
 use super::open::RelayCaller;
+use crate::connection_log::ConnectionUse;
 use crate::send_trace::SendTrace;
-use crate::sent_requests::ConnectionUse;
 use actix_web::error::ParseError;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::Uri;
@@ -170,8 +170,6 @@
     pub last_event: Option<u64>,
     /// When the send is given up.
     pub until: Instant,
-    /// The target has refused the request before.
-    pub is_repeat: bool,
     /// Where the progress is recorded.
     pub trace: &'a SendTrace,
 }
@@ -189,14 +187,7 @@
         send: CallSend<'_>,
     ) -> Result<TargetResponse, SendFailure> {
         send.trace.start(send.call.id.as_bytes(), None);
-        let shared = &self.shared;
-        let request = if send.is_repeat {
-            // On the connection of the first send, the target may write its refusal once more.
-            let request = self.build_request(&shared.fresh_client, send, send.ticket.address)?;
-            request.force_close()
-        } else {
-            self.build_request(&shared.client, send, send.ticket.address)?
-        };
+        let request = self.build_request(&self.shared.client, send, send.ticket.address)?;
         let sent_at = Instant::now();
         let response = send_request(request, send).await?;
         let headers = response.headers();
--- a/crates/proxy/src/relay/forward.rs
+++ b/crates/proxy/src/relay/forward.rs
@@ -23,7 +23,7 @@
 
 /// On a request, the target that it is for; on a response, where it comes from: a [`ForwardVerdict`].
 pub const FORWARD_HEADER: &str = "plantainmill-forward";
-/// Present on a request that its target has refused before.
+/// Has a VM of the release before send the request on a connection of its own. This release sends no id twice on a connection.
 pub const REPEAT_HEADER: &str = "plantainmill-forward-repeat";
 /// Addresses of VMs in other failure domains, on the response of a VM that does not forward the request.
 const REFERRAL_HEADER: &str = "plantainmill-forward-peers";
@@ -89,8 +89,6 @@
 pub struct ForwardRequest {
     /// Target that it is for.
     pub target: TargetId,
-    /// The target has refused it before.
-    pub is_repeat: bool,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -169,10 +167,9 @@
         send.trace.start(send.call.id.as_bytes(), Some(forwarder));
         let client = &self.shared.peer_client;
         let request = self.build_request(client, send, forwarder)?;
-        let mut request = request.insert_header((FORWARD_HEADER, send.ticket.target.as_str()));
-        if send.is_repeat {
-            request = request.insert_header((REPEAT_HEADER, "1"));
-        }
+        let request = request
+            .insert_header((FORWARD_HEADER, send.ticket.target.as_str()))
+            .insert_header((REPEAT_HEADER, "1"));
         let sent_at = Instant::now();
         let response = send_request(request, send).await?;
         let headers = response.headers();
@@ -226,12 +223,7 @@
         let address = paths.address_of(target).ok_or(ForwardVerdict::Declined)?;
         let uri = Uri::try_from(format!("http://{address}{}", request.path))
             .map_err(|_| ForwardVerdict::Declined)?;
-        let mut forwarded = if request.is_repeat {
-            let client = &self.shared.fresh_client;
-            client.request(request.method, uri).force_close()
-        } else {
-            self.shared.client.request(request.method, uri)
-        };
+        let mut forwarded = self.shared.client.request(request.method, uri);
         let trace = SendTrace::default();
         let id = request.headers.get(&self.header_names().request_id);
         let id = id.map(HeaderValue::as_bytes).unwrap_or_default().to_vec();
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -41,8 +41,6 @@
 pub(super) struct RelayShared {
     /// Client for targets.
     pub client: awc::Client,
-    /// Client for targets that opens a connection for each request.
-    pub fresh_client: awc::Client,
     /// Client for VMs that forward requests.
     pub peer_client: awc::Client,
     pub dispatcher: Arc<dyn Dispatcher>,
@@ -68,7 +66,6 @@
         RelayCaller {
             shared: Rc::new(RelayShared {
                 client: strict_client(),
-                fresh_client: strict_client(),
                 peer_client: client_with_dialer(Rc::new(TcpDialer), PATH_CONNECT_TIMEOUT),
                 dispatcher,
                 clock,
@@ -93,7 +90,6 @@
     pub fn with_paths(self, paths: TargetPaths, dialer: Rc<dyn TargetDialer>) -> RelayCaller {
         self.rebuild(|shared| {
             shared.client = client_with_dialer(Rc::clone(&dialer), PATH_CONNECT_TIMEOUT);
-            shared.fresh_client = client_with_dialer(Rc::clone(&dialer), PATH_CONNECT_TIMEOUT);
             shared.paths = Some(Rc::new(PathProbes::new(paths, dialer)));
         })
     }
@@ -113,7 +109,6 @@
         let shared = &self.shared;
         let mut rebuilt = RelayShared {
             client: shared.client.clone(),
-            fresh_client: shared.fresh_client.clone(),
             peer_client: shared.peer_client.clone(),
             dispatcher: Arc::clone(&shared.dispatcher),
             clock: Arc::clone(&shared.clock),
--- a/crates/proxy/src/send_trace.rs
+++ b/crates/proxy/src/send_trace.rs
@@ -1,7 +1,7 @@
 //! How far a send has got, and which way it takes.
 
-use crate::sent_requests::{ConnectionUse, RequestKey, SentRequests, request_key};
-use std::cell::Cell;
+use crate::connection_log::{ConnectionLog, ConnectionUse, RequestKey, request_key};
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::time::Instant;
@@ -26,7 +26,7 @@
     sent_at: Rc<Cell<Option<Instant>>>,
     forwarder: Rc<Cell<Option<SocketAddr>>>,
     request: Rc<Cell<RequestKey>>,
-    connection: Rc<Cell<Option<ConnectionUse>>>,
+    connection: Rc<RefCell<Option<Rc<ConnectionLog>>>>,
 }
 
 impl SendTrace {
@@ -54,7 +54,9 @@
     /// The connection on which the request was written; `None` before.
     #[must_use]
     pub fn connection(&self) -> Option<ConnectionUse> {
-        self.connection.get()
+        let connection = self.connection.borrow();
+        let usage = |log: &Rc<ConnectionLog>| log.usage(self.request.get());
+        connection.as_ref().map(usage)
     }
 
     /// Starts a send of the request `id` to the target itself, or to the VM that is to forward it.
@@ -62,7 +64,7 @@
         self.enter(ConnectPhase::Kept);
         self.forwarder.set(forwarder);
         self.request.set(request_key(id));
-        self.connection.set(None);
+        self.connection.take();
     }
 
     fn enter(&self, phase: ConnectPhase) {
@@ -92,12 +94,23 @@
         connected
     }
 
-    /// Records that the request of the current send is written to the connection that has carried `sent`.
-    pub(crate) fn record_write(sent: &mut SentRequests) {
+    /// Request of the current send that has not been written to a connection yet.
+    pub(crate) fn unsent_request() -> Option<RequestKey> {
+        let unsent = |trace: &SendTrace| {
+            let is_unsent = trace.connection.borrow().is_none();
+            is_unsent.then(|| trace.request.get())
+        };
+        CURRENT_SEND.try_with(unsent).ok().flatten()
+    }
+
+    /// Records that the request of the current send is written to a connection.
+    pub(crate) fn record_write(log: &Rc<ConnectionLog>) {
         // Requests outside of an observed send are not recorded.
         let _ = CURRENT_SEND.try_with(|trace| {
-            if trace.connection.get().is_none() {
-                trace.connection.set(Some(sent.record(trace.request.get())));
+            let mut connection = trace.connection.borrow_mut();
+            if connection.is_none() {
+                log.record(trace.request.get());
+                *connection = Some(Rc::clone(log));
             }
         });
     }
--- a/crates/proxy/src/transport.rs
+++ b/crates/proxy/src/transport.rs
@@ -1,9 +1,9 @@
 //! Per-thread HTTP client whose connections report truncation as an error.
 
+use crate::connection_log::ConnectionLog;
 use crate::head_filter::HeadFilter;
 use crate::limits::CONNECT_TIMEOUT;
 use crate::send_trace::SendTrace;
-use crate::sent_requests::SentRequests;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
@@ -70,7 +70,7 @@
     }
 }
 
-/// A connection that reports its end as an error.
+/// A connection that reports its end as an error, and that carries the id of a request once.
 ///
 /// `awc` treats the end of a connection as the end of the body, even for a chunked body without a last chunk. Therefore
 /// the end is always reported as an error, and a reader of a body without a length treats that error as its end.
@@ -78,7 +78,7 @@
 pub(crate) struct StrictStream {
     inner: TcpStream,
     head: HeadFilter,
-    sent: SentRequests,
+    log: Rc<ConnectionLog>,
 }
 
 impl AsyncRead for StrictStream {
@@ -87,6 +87,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        // The pool reads from an idle connection before it gives it to a send, and drops it on an error.
+        if SendTrace::unsent_request().is_some_and(|key| !self.log.may_carry(key)) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         loop {
             if let Some(taken) = self.head.take(buffer.remaining()) {
                 buffer.put_slice(&taken);
@@ -121,7 +125,7 @@
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
         if self.head.observe_write(buffer) {
-            SendTrace::record_write(&mut self.sent);
+            SendTrace::record_write(&self.log);
         }
         Pin::new(&mut self.inner).poll_write(context, buffer)
     }
@@ -190,7 +194,7 @@
     let stream = StrictStream {
         inner: inner.map_err(ConnectError::Io)?,
         head: HeadFilter::default(),
-        sent: SentRequests::new(),
+        log: Rc::new(ConnectionLog::new()),
     };
     Ok(Connection::new(info.request().clone(), stream))
 }
