Retire a connection after a refusal or a response to another request

Callers of a request that may run once had a 502 although it ran: the copy of the refusal of another request came on the kept connection in place of its answer.

Cause: after a refusal, the connection went on to the next request. The id kept the copy from counting, but the answer behind it was lost, and a response without a body had put the connection back into the pool by then.

Change: the connection remembers that it is not to be used again, and the pool drops it at the next send. The same after a response with the id of another request, which shows that the order of responses is lost.

Evidence: copied_refusals::next_request failed in both cases ("the answer belongs to another request") and passes now. Tests of proxy pass.

--- a/crates/proxy/src/connection_log.rs
+++ b/crates/proxy/src/connection_log.rs
@@ -3,7 +3,7 @@
 //! A response names its request by the id. That tells which send it answers only if the connection has carried the id once: a target
 //! may write the response to an earlier send once more.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::sync::atomic::{AtomicU64, Ordering};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -36,6 +36,7 @@
 pub(crate) struct ConnectionLog {
     id: ConnectionId,
     keys: RefCell<Vec<RequestKey>>,
+    is_retired: Cell<bool>,
 }
 
 impl ConnectionLog {
@@ -43,13 +44,14 @@
         ConnectionLog {
             id: NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed),
             keys: RefCell::default(),
+            is_retired: Cell::new(false),
         }
     }
 
     /// Whether a response on this connection would tell by its id whether it answers the next send of the request.
     pub fn may_carry(&self, key: RequestKey) -> bool {
         let keys = self.keys.borrow();
-        keys.len() < MAX_REQUESTS && !keys.contains(&key)
+        !self.is_retired.get() && keys.len() < MAX_REQUESTS && !keys.contains(&key)
     }
 
     /// Records that the request is written to the connection.
@@ -57,6 +59,11 @@
         self.keys.borrow_mut().push(key);
     }
 
+    /// Has no further request sent on the connection.
+    pub fn retire(&self) {
+        self.is_retired.set(true);
+    }
+
     /// How the connection has been used for the request.
     pub fn usage(&self, key: RequestKey) -> ConnectionUse {
         let keys = self.keys.borrow();
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -72,10 +72,11 @@
         payload: futures_util::stream::empty().boxed_local(),
         first_byte: sent_at.elapsed(),
     };
-    check_echo(&head, &request_id)?;
+    check_echo(&head, &request_id).inspect_err(|_| mark.trace.retire_connection())?;
     let limit = header_text(&head.headers, LIMIT_HEADER);
     ticket.record_limit(limit.and_then(|limit| limit.trim().parse().ok()));
     check_refusal(&head, mark).inspect_err(|failure| {
+        mark.trace.retire_connection();
         let used = mark.trace.connection();
         tracing::info!(
             event = "send_refused",
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -258,6 +258,7 @@
             ticket.record_leaving();
         }
         if headers.contains_key(&names.not_executed) || status == MISDIRECTED_REQUEST {
+            send.trace.retire_connection();
             let outcome = if status == MISDIRECTED_REQUEST {
                 CallOutcome::Failed
             } else {
@@ -276,6 +277,7 @@
             }
         }
         if echo.is_none_or(|echo| echo.as_bytes() != call.id.as_bytes()) {
+            send.trace.retire_connection();
             let reason = "the answer belongs to another request";
             let failure = SendFailure::new(Executed::Unknown, CallOutcome::Failed, reason);
             return Err(failure.at(send.trace));
--- a/crates/proxy/src/relay/forward.rs
+++ b/crates/proxy/src/relay/forward.rs
@@ -254,6 +254,7 @@
         if headers.contains_key(&self.header_names().not_executed)
             || response.status().as_u16() == MISDIRECTED_REQUEST
         {
+            trace.retire_connection();
             tracing::info!(
                 event = "forward_refused",
                 request = %String::from_utf8_lossy(&id),
--- a/crates/proxy/src/send_trace.rs
+++ b/crates/proxy/src/send_trace.rs
@@ -59,6 +59,13 @@
         connection.as_ref().map(usage)
     }
 
+    /// Has no further request sent on the connection, because a response to an earlier one may still come on it.
+    pub(crate) fn retire_connection(&self) {
+        if let Some(connection) = &*self.connection.borrow() {
+            connection.retire();
+        }
+    }
+
     /// Starts a send of the request `id` to the target itself, or to the VM that is to forward it.
     pub(crate) fn start(&self, id: &[u8], forwarder: Option<SocketAddr>) {
         self.enter(ConnectPhase::Kept);
--- a/crates/proxy/tests/copied_refusals.rs
+++ b/crates/proxy/tests/copied_refusals.rs
@@ -6,7 +6,7 @@
 use plantainmill_fakes::{StreamTarget, TargetAct};
 use plantainmill_proxy::relay::RelayCall;
 use plantainmill_routing::TargetEntry;
-use relay_fleet::{Fleet, NAMES, call, entry, read_response};
+use relay_fleet::{Fleet, NAMES, all_events, call, entry, read_response};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -55,6 +55,28 @@
     }
 }
 
+/// Guards against a request that fails although it runs once: the copy of the refusal of another request arrives in place of its
+/// answer.
+#[rstest]
+#[case::stream(true)]
+#[case::buffered(false)]
+#[actix_rt::test]
+async fn next_request(#[case] is_stream: bool) {
+    let fleet = Fleet::with_sends(1, 1).await;
+    let target = &fleet.targets[0];
+    target.plan([TargetAct::Refuse, TargetAct::RepeatRefusal]);
+    let other = RelayCall {
+        id: "r2".into(),
+        ..single_run(is_stream)
+    };
+    let refused = read_response(&fleet, other).await;
+    assert!(refused.is_err_and(|problem| problem.executed == Executed::No));
+    tokio::time::sleep(BACKOFF_TIME).await;
+    let answered = read_response(&fleet, single_run(is_stream)).await;
+    assert_eq!(runs(target), 1);
+    assert_eq!(answered, Ok((all_events(), None)));
+}
+
 /// Guards against the promise that a request did not run, although it runs: the copy of the refusal of an earlier call with the
 /// same id counts as the refusal of this one.
 #[rstest]
