Count an answer of a forwarding VM without a verdict as a send

Callers of a request that may run once could have it run more than once while its VM had lost its paths: an answer of another VM without the header that states its origin counted as "declined", so that the request went to the next VM.

Cause: absence of a statement was read as the statement that nothing was sent.

Change: only a verdict states that nothing was sent.

Evidence: forwarded_sends::missing_verdict failed in both cases before: eight sends of a request that may run once. It passes now.

--- a/crates/proxy/src/relay/forward.rs
+++ b/crates/proxy/src/relay/forward.rs
@@ -184,8 +184,7 @@
                 paths.add_referrals(&read_referrals(headers));
                 return Ok(Err(ForwardResult::Isolated));
             }
-            // A VM of an older release answers that it knows no such path.
-            Some(ForwardVerdict::Declined) | None => return Ok(Err(ForwardResult::Declined)),
+            Some(ForwardVerdict::Declined) => return Ok(Err(ForwardResult::Declined)),
             Some(ForwardVerdict::Leaving) => {
                 send.ticket.record_leaving();
                 let reason = "the target leaves, by the other VM";
@@ -201,6 +200,12 @@
             Some(ForwardVerdict::Failed) => {
                 return fail(CallOutcome::Failed, "no valid answer at the other VM");
             }
+            // Only a verdict states that nothing was sent.
+            None => {
+                send.trace.retire_connection();
+                paths.record_forward(forwarder, ForwardResult::Silent);
+                return fail(CallOutcome::Failed, "the other VM does not state a verdict");
+            }
         };
         let mut response = self.check_response(send, response, is_framed, sent_at)?;
         response.headers.remove(FORWARD_HEADER);
--- /dev/null
+++ b/crates/proxy/tests/forwarded_sends.rs
@@ -0,0 +1,104 @@
+//! Requests that go through other VMs, and those that this VM forwards.
+
+mod relay_fleet;
+
+use actix_rt::net::TcpStream;
+use awc::http::Method;
+use awc::http::header::{HeaderMap, HeaderName, HeaderValue};
+use futures_util::future::LocalBoxFuture;
+use futures_util::{FutureExt as _, StreamExt as _};
+use opentelemetry::metrics::MeterProvider as _;
+use opentelemetry::metrics::noop::NoopMeterProvider;
+use plantainmill_core::{Executed, SystemClock};
+use plantainmill_fakes::{StreamTarget, TargetAct};
+use plantainmill_paths::{Forwarder, ForwarderPlace, TargetPaths};
+use plantainmill_proxy::relay::{ForwardRequest, RelayCall};
+use plantainmill_proxy::{TargetDialer, TcpDialer};
+use relay_fleet::{EVENTS, Fleet, NAMES, call, read_response};
+use rstest::rstest;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Reaches nothing.
+struct RefusingDialer;
+
+impl TargetDialer for RefusingDialer {
+    fn dial(&self, _: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>> {
+        async { Err(io::ErrorKind::ConnectionRefused.into()) }.boxed_local()
+    }
+}
+
+/// A fleet whose caller has these VMs as forwarders.
+async fn connected_fleet(dialer: Rc<dyn TargetDialer>, forwarders: &[StreamTarget]) -> Fleet {
+    let mut fleet = Fleet::start(1).await;
+    let meter = NoopMeterProvider::new().meter("test");
+    let paths = TargetPaths::new(&"vm".into(), Arc::new(SystemClock), &meter, "");
+    paths.set_targets(fleet.entries().map(|entry| (entry.id, entry.address)));
+    let forwarders = forwarders.iter().map(|vm| Forwarder {
+        address: vm.address,
+        place: ForwarderPlace::Local,
+    });
+    paths.set_forwarders(forwarders);
+    fleet.caller = fleet.caller.with_paths(paths, dialer);
+    fleet
+}
+
+/// Has the VM forward the request `id`, and returns the status and the id of the answer, which it reads to its end.
+async fn forward(fleet: &Fleet, id: &str) -> (u16, String) {
+    let name = HeaderName::from_static(NAMES.request_id);
+    let value = HeaderValue::from_str(id).expect("an id");
+    let request = ForwardRequest {
+        target: "t0".into(),
+        method: Method::POST,
+        path: "/ask/1".to_owned(),
+        headers: HeaderMap::from_iter([(name, value)]),
+        body: "question".into(),
+    };
+    let forwarded = fleet.caller.forward(request).await;
+    let answer = forwarded.ok().expect("an answer of the target");
+    let echo = answer.headers.get(NAMES.request_id).expect("an id");
+    let echo = echo.to_str().expect("a text").to_owned();
+    let _: Vec<_> = answer.body.collect().await;
+    (answer.status, echo)
+}
+
+/// Guards against a request that runs twice because a VM that may have sent it answers without saying so.
+#[rstest]
+#[case::stream(true)]
+#[case::buffered(false)]
+#[actix_rt::test]
+async fn missing_verdict(#[case] is_stream: bool) {
+    let vms = [
+        StreamTarget::start(NAMES, EVENTS).await.expect("a port"),
+        StreamTarget::start(NAMES, EVENTS).await.expect("a port"),
+    ];
+    vms.iter().for_each(|vm| vm.plan([TargetAct::Fail(500)]));
+    let fleet = connected_fleet(Rc::new(RefusingDialer), &vms).await;
+    let call = RelayCall {
+        is_stream,
+        ..call(false)
+    };
+    let answered = read_response(&fleet, call).await;
+    assert_eq!(vms.iter().map(|vm| vm.seen().len()).sum::<usize>(), 1);
+    let problem = answered.expect_err("no answer of the target");
+    assert_eq!(problem.executed, Executed::Unknown, "{}", problem.reason);
+}
+
+/// Guards against a request of two VMs that one VM forwards on the same connection, so that the copy of the first refusal
+/// counts for both.
+#[actix_rt::test]
+async fn shared_forwarder() {
+    let fleet = connected_fleet(Rc::new(TcpDialer), &[]).await;
+    fleet.targets[0].plan([
+        TargetAct::Refuse,
+        TargetAct::RepeatRefusal,
+        TargetAct::RepeatRefusal,
+    ]);
+    let mut statuses = Vec::new();
+    for _ in 0..3 {
+        statuses.push(forward(&fleet, "r1").await.0);
+    }
+    assert_eq!(statuses, [503, 200, 200]);
+}
