Retire a connection on which a forwarded request got a response to another

Callers had a 502 for a request that another VM forwarded and that its target ran: the answer was that of the request before it.

Cause: the VM that asked saw the foreign id and retired its connection to the VM that forwards. That one kept its connection to the target, on which the order of responses was lost, for the next request.

Change: the VM that forwards compares the id too. The fake target can copy a failure, and pauses after a copied answer.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -30,7 +30,8 @@
     LateRefusal(Duration),
     /// The same as `Refuse`, without the id of the request.
     RefuseWithoutId,
-    /// Writes the last refusal on the connection once more, if there was one, and then runs the request and answers.
+    /// Writes the last refusal or failure on the connection once more, if there was one, and then runs the request and answers.
+    /// Pauses in between.
     RepeatRefusal,
     /// Ran the request and fails with this status.
     Fail(u16),
@@ -302,8 +303,8 @@
                     last_refusal = head;
                 }
                 TargetAct::Fail(status) => {
-                    let head = self.head(status, &id, "", "content-length: 0\r\n");
-                    stream.write_all(head.as_bytes()).await?;
+                    last_refusal = self.head(status, &id, "", "content-length: 0\r\n");
+                    stream.write_all(last_refusal.as_bytes()).await?;
                 }
                 TargetAct::LoseAnswer => return Ok(()),
                 TargetAct::CutHead(_) | TargetAct::ResetHead(_) | TargetAct::ShortBody => {
@@ -345,6 +346,7 @@
                 _ => {
                     if act == TargetAct::RepeatRefusal {
                         stream.write_all(last_refusal.as_bytes()).await?;
+                        sleep(self.pause.get()).await;
                     }
                     let _running = RunGuard::start(&self.running, &id);
                     if !self.send_events(&mut stream, &id, last, act).await? {
--- a/crates/proxy/src/relay/forward.rs
+++ b/crates/proxy/src/relay/forward.rs
@@ -256,7 +256,12 @@
             Err(_) => return Err(ForwardVerdict::Failed),
         };
         let headers = response.headers();
-        if headers.contains_key(&self.header_names().not_executed)
+        let names = self.header_names();
+        let echo = headers.get(&names.request_id);
+        if echo.is_none_or(|echo| echo.as_bytes() != id) {
+            trace.retire_connection();
+        }
+        if headers.contains_key(&names.not_executed)
             || response.status().as_u16() == MISDIRECTED_REQUEST
         {
             trace.retire_connection();
--- a/crates/proxy/tests/forwarded_sends.rs
+++ b/crates/proxy/tests/forwarded_sends.rs
@@ -20,6 +20,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Time from a copied answer to the answer that was due.
+const ANSWER_DELAY: Duration = Duration::from_millis(50);
 
 /// Reaches nothing.
 struct RefusingDialer;
@@ -102,3 +106,15 @@
     }
     assert_eq!(statuses, [503, 200, 200]);
 }
+
+/// Guards against answers that a VM returns for the requests before them, once its target has written one too many.
+#[actix_rt::test]
+async fn shifted_answers() {
+    let fleet = connected_fleet(Rc::new(TcpDialer), &[]).await;
+    let target = &fleet.targets[0];
+    target.set_pause(ANSWER_DELAY);
+    target.plan([TargetAct::Fail(500), TargetAct::RepeatRefusal]);
+    assert_eq!(forward(&fleet, "r1").await, (500, "r1".to_owned()));
+    assert_eq!(forward(&fleet, "r2").await, (500, "r1".to_owned()));
+    assert_eq!(forward(&fleet, "r3").await, (200, "r3".to_owned()));
+}
