Tests of items whose connection carries a copied answer

Owners of jobs had items given up too early, or run more than once: the copy of a 500 counted as another failed attempt, that of a 422 for an item of another job with the same id as its own, and that of a refusal for the run after a job was taken back.

These tests show it for items: a copied 500, 422 and 503 counts for no other send.

--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of batch jobs.
 
 mod commit_order;
+mod copied_answers;
 mod endless_waits;
 mod head_progress;
 mod job_catalog;
