--- a/crates/proxy/tests/forwarded_sends.rs
+++ b/crates/proxy/tests/forwarded_sends.rs
@@ -60,8 +60,9 @@
         headers: HeaderMap::from_iter([(name, value)]),
         body: "question".into(),
     };
-    let forwarded = fleet.caller.forward(request).await;
-    let answer = forwarded.ok().expect("an answer of the target");
+    let Ok(answer) = fleet.caller.forward(request).await else {
+        panic!("there is an answer of the target");
+    };
     let echo = answer.headers.get(NAMES.request_id).expect("an id");
     let echo = echo.to_str().expect("a text").to_owned();
     let _: Vec<_> = answer.body.collect().await;
@@ -78,7 +79,9 @@
         StreamTarget::start(NAMES, EVENTS).await.expect("a port"),
         StreamTarget::start(NAMES, EVENTS).await.expect("a port"),
     ];
-    vms.iter().for_each(|vm| vm.plan([TargetAct::Fail(500)]));
+    for vm in &vms {
+        vm.plan([TargetAct::Fail(500)]);
+    }
     let fleet = connected_fleet(Rc::new(RefusingDialer), &vms).await;
     let call = RelayCall {
         is_stream,
