Fail a request to a target that is not written within an observed send

A request written outside of SendTrace::observe was not recorded by its connection, which could then carry an id twice without knowing it.

Change: connections for targets and forwarding VMs fail such a request. The public strict_client, whose users check nothing of the kind, goes on as before; the relay no longer uses it.

--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -7,8 +7,8 @@
 use super::recorder::StreamRecorder;
 use super::send::PathProbes;
 use super::stream::RelayStream;
-use crate::limits::PATH_CONNECT_TIMEOUT;
-use crate::transport::{TargetDialer, TcpDialer, client_with_dialer, strict_client};
+use crate::limits::{CONNECT_TIMEOUT, PATH_CONNECT_TIMEOUT};
+use crate::transport::{TargetDialer, TcpDialer, client_with_dialer};
 use awc::http::header::HeaderMap;
 use bytes::Bytes;
 use futures_util::stream::LocalBoxStream;
@@ -65,7 +65,7 @@
     ) -> RelayCaller {
         RelayCaller {
             shared: Rc::new(RelayShared {
-                client: strict_client(),
+                client: client_with_dialer(Rc::new(TcpDialer), CONNECT_TIMEOUT),
                 peer_client: client_with_dialer(Rc::new(TcpDialer), PATH_CONNECT_TIMEOUT),
                 dispatcher,
                 clock,
--- a/crates/proxy/src/send_trace.rs
+++ b/crates/proxy/src/send_trace.rs
@@ -110,15 +110,15 @@
         CURRENT_SEND.try_with(unsent).ok().flatten()
     }
 
-    /// Records that the request of the current send is written to a connection.
-    pub(crate) fn record_write(log: &Rc<ConnectionLog>) {
-        // Requests outside of an observed send are not recorded.
-        let _ = CURRENT_SEND.try_with(|trace| {
+    /// Records that the request of the current send is written to a connection, and returns whether there is such a send.
+    pub(crate) fn record_write(log: &Rc<ConnectionLog>) -> bool {
+        let recorded = CURRENT_SEND.try_with(|trace| {
             let mut connection = trace.connection.borrow_mut();
             if connection.is_none() {
                 log.record(trace.request.get());
                 *connection = Some(Rc::clone(log));
             }
         });
+        recorded.is_ok()
     }
 }
--- a/crates/proxy/src/transport.rs
+++ b/crates/proxy/src/transport.rs
@@ -79,6 +79,8 @@
     inner: TcpStream,
     head: HeadFilter,
     log: Rc<ConnectionLog>,
+    /// Requests are written only within an observed send, which has them recorded.
+    is_observed: bool,
 }
 
 impl AsyncRead for StrictStream {
@@ -124,8 +126,12 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if self.head.observe_write(buffer) {
-            SendTrace::record_write(&self.log);
+        if self.head.observe_write(buffer)
+            && !SendTrace::record_write(&self.log)
+            && self.is_observed
+        {
+            let reason = "a request outside of an observed send";
+            return Poll::Ready(Err(io::Error::other(reason)));
         }
         Pin::new(&mut self.inner).poll_write(context, buffer)
     }
@@ -150,7 +156,7 @@
 }
 
 thread_local! {
-    static CLIENT: awc::Client = strict_client();
+    static CLIENT: awc::Client = client_with_dialer(Rc::new(TcpDialer), CONNECT_TIMEOUT);
 }
 
 /// Client of this thread. Connections are pooled per thread because `awc` clients are not `Send`.
@@ -158,19 +164,29 @@
     CLIENT.with(Clone::clone)
 }
 
-/// Creates a client that fails a response with an error when its connection ends.
+/// Creates a client that fails a response with an error when its connection ends. It does not know what its connections have
+/// carried.
 #[must_use]
 pub fn strict_client() -> awc::Client {
-    client_with_dialer(Rc::new(TcpDialer), CONNECT_TIMEOUT)
+    build_client(Rc::new(TcpDialer), CONNECT_TIMEOUT, false)
 }
 
-/// Creates a client as [`strict_client`] does, with connections from `dialer` in a pool of its own.
+/// Creates a client as [`strict_client`] does, with connections from `dialer` in a pool of its own. They carry an id once, and
+/// fail a request that is not sent within [`SendTrace::observe`].
 #[must_use]
 pub(crate) fn client_with_dialer(
     dialer: Rc<dyn TargetDialer>,
     connect_timeout: Duration,
 ) -> awc::Client {
-    let connect = fn_service(move |info| connect(info, Rc::clone(&dialer)));
+    build_client(dialer, connect_timeout, true)
+}
+
+fn build_client(
+    dialer: Rc<dyn TargetDialer>,
+    connect_timeout: Duration,
+    is_observed: bool,
+) -> awc::Client {
+    let connect = fn_service(move |info| connect(info, Rc::clone(&dialer), is_observed));
     let connector = awc::Connector::new()
         .connector(connect)
         .timeout(connect_timeout)
@@ -188,6 +204,7 @@
 async fn connect(
     info: ConnectInfo<Uri>,
     dialer: Rc<dyn TargetDialer>,
+    is_observed: bool,
 ) -> Result<Connection<Uri, StrictStream>, ConnectError> {
     let address = info.addrs().next().ok_or(ConnectError::NoRecords)?;
     let inner = SendTrace::record_connect(dialer.dial(address)).await;
@@ -195,6 +212,7 @@
         inner: inner.map_err(ConnectError::Io)?,
         head: HeadFilter::default(),
         log: Rc::new(ConnectionLog::new()),
+        is_observed,
     };
     Ok(Connection::new(info.request().clone(), stream))
 }
