Fail a target's 408, 429 or 503 that does not state that it did not run the request

Callers saw: a target's 408, 429 or 503 as the answer to a request that the target had run. These statuses promise that the request has not run and never will, so the caller sends it again; one that may run once ran twice.

Cause: the relay looked at 5xx only, and only where another target may run the request. Everything else was passed on, also without the header by which a target states that it did not run it.

Change: check_status, through which all responses go that are passed on, takes such a status as a failure of a target that may have run the request: it is sent to another target where that is allowed, and ends as 502 without the headers of the target otherwise. The lines send_failed, call_failed and request_ended name it.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -123,6 +123,12 @@
     }
 }
 
+/// Whether a response with this HTTP status tells the caller that its request has not run and never will.
+#[must_use]
+pub fn promises_no_run(http_status: u16) -> bool {
+    matches!(http_status, 408 | 421 | 429 | 503)
+}
+
 /// The content of `docs/result-codes.md`. A test checks that the committed page is up to date.
 #[must_use]
 pub fn markdown_page() -> String {
--- a/crates/proxy/src/relay/buffered.rs
+++ b/crates/proxy/src/relay/buffered.rs
@@ -9,6 +9,7 @@
 use awc::http::Method;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
+use plantainmill_core::code::promises_no_run;
 use plantainmill_core::{Executed, Problem};
 use plantainmill_dispatch::{CallOutcome, TargetTicket};
 use std::rc::Rc;
@@ -149,9 +150,10 @@
     }
 }
 
-/// Turns a server error into a failure if another target may execute the request; otherwise it is passed on.
+/// Turns a server error into a failure if another target may execute the request; otherwise it is passed on. A status that
+/// promises that the request has not run is always a failure, because the target does not state that.
 pub(super) fn check_status(status: u16, may_fail_over: bool) -> Result<(), SendFailure> {
-    if status >= 500 && may_fail_over {
+    if promises_no_run(status) || (status >= 500 && may_fail_over) {
         let reason = format!("the target failed with status {status}");
         return Err(SendFailure::new(Executed::Yes, CallOutcome::Failed, reason));
     }
