Promise that a request has not run only where executed is no

Callers saw: the status of a problem was that of its code, whatever its executed said. A 429 or 503 promises that the request has not run and never will; a problem with such a code and executed yes or unknown broke that. By reading, it could be had from store_unknown (503, executed unknown) of a change, a batch or an idempotency key. The failure of record_start of a stream is not one: its only recorder fails with target_failed, which is 502.

Cause: the border took the status from the code alone.

Change: Problem::http_status, which all borders use, is 502 instead of a status that would promise what is not true, and there is no Retry-After then.

--- a/crates/core/src/problem.rs
+++ b/crates/core/src/problem.rs
@@ -1,11 +1,14 @@
 //! The error type that is reported to callers and operators.
 
-use crate::code::ResultCode;
+use crate::code::{ResultCode, promises_no_run};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::time::Duration;
 
+/// HTTP status instead of one that would promise that a request has not run.
+const NO_PROMISE_STATUS: u16 = 502;
+
 /// Whether the request was executed by a target.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -33,7 +36,7 @@
 /// A failed request: result code, invalid field, reason, and whether a target executed the request.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub struct Problem {
-    /// Kind of failure; determines the HTTP status.
+    /// Kind of failure.
     pub code: ResultCode,
     /// Input that caused the failure, such as `organisations.kandy.rate` or `line 7`.
     pub field: Option<CompactString>,
@@ -78,6 +81,28 @@
         self.retry_after = Some(delay);
         self
     }
+
+    /// HTTP status of the response: that of the code, or 502 if that would promise that the request has not run and it may
+    /// have.
+    #[must_use]
+    pub fn http_status(&self) -> u16 {
+        if self.breaks_promise() {
+            NO_PROMISE_STATUS
+        } else {
+            self.code.http_status()
+        }
+    }
+
+    /// Delay for the `Retry-After` header of the response.
+    #[must_use]
+    pub fn retry_delay(&self) -> Option<Duration> {
+        self.retry_after.filter(|_| !self.breaks_promise())
+    }
+
+    /// Whether the status of the code would promise what is not true.
+    fn breaks_promise(&self) -> bool {
+        self.executed != Executed::No && promises_no_run(self.code.http_status())
+    }
 }
 
 impl fmt::Display for Problem {
--- a/crates/core/src/response.rs
+++ b/crates/core/src/response.rs
@@ -43,7 +43,7 @@
         let envelope = ErrorEnvelope {
             error: ErrorBody {
                 message: &self.reason,
-                kind: error_kind(self.code.http_status()),
+                kind: error_kind(self.http_status()),
                 param: self.field.as_deref(),
                 code: self.code.name(),
                 result: self.code.number(),
@@ -56,7 +56,7 @@
 
 impl ResponseError for Problem {
     fn status_code(&self) -> StatusCode {
-        StatusCode::from_u16(self.code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+        StatusCode::from_u16(self.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
     }
 
     fn error_response(&self) -> HttpResponse {
@@ -65,7 +65,7 @@
             .content_type("application/json")
             .insert_header((RESULT_HEADER, self.code.number().to_string()))
             .insert_header((EXECUTED_HEADER, self.executed.as_str()));
-        if let Some(delay) = self.retry_after {
+        if let Some(delay) = self.retry_delay() {
             // Retry-After has whole seconds; rounded up because an earlier retry would be refused again.
             let seconds = delay.as_millis().div_ceil(1_000).max(1);
             builder.insert_header((RETRY_AFTER, seconds.to_string()));
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -71,7 +71,7 @@
     request_id: &str,
     problem: &Problem,
 ) -> HttpResponse {
-    let status = StatusCode::from_u16(problem.code.http_status());
+    let status = StatusCode::from_u16(problem.http_status());
     let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut builder = HttpResponse::build(status);
     builder
