Own interface: fail a target's 408, 421, 429 or 503 instead of passing it on

Callers saw: a target's 429 or 503 without the header that states that it did not run the request, with executed yes beside it, on the last try or on the only one of a call that may not be repeated; also again from the record of an idempotency key. OpenAI clients repeat after these statuses.

Cause: finish_failed and the records hand the target's response to the gateway, which passed it on with any status.

Change: the gateway takes such a response as target_failed (502, executed yes). The record of an idempotency key keeps what the target said.

--- a/crates/gateway/src/completions.rs
+++ b/crates/gateway/src/completions.rs
@@ -56,15 +56,10 @@
     if fields.stream {
         let streaming = state.caller.stream(target_request).await?;
         let view = state.parts.view.clone();
-        return Ok(response::streaming(
-            streaming,
-            call.key_owner,
-            view,
-            call.in_flight,
-        ));
+        return response::streaming(streaming, call.key_owner, view, call.in_flight);
     }
     let buffered = state.caller.call(target_request).await?;
-    Ok(response::buffered(buffered))
+    response::buffered(buffered)
 }
 
 fn parse_fields(body: &[u8]) -> Result<CompletionFields<'_>, Problem> {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -1,14 +1,15 @@
 //! Responses to callers.
 
-use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
 use actix_web::web::Bytes;
+use actix_web::{HttpResponse, HttpResponseBuilder};
 use compact_str::CompactString;
 use futures_util::StreamExt as _;
 use futures_util::stream::LocalBoxStream;
 use plantainmill_admission::KeyOwner;
 use plantainmill_config::ConfigView;
 use plantainmill_core::InFlightGuard;
+use plantainmill_core::code::promises_no_run;
 use plantainmill_core::response::{EXECUTED_HEADER, RESULT_HEADER};
 use plantainmill_core::{Executed, Problem, ResultCode};
 use plantainmill_proxy::{BufferedResponse, StreamingResponse};
@@ -17,34 +18,46 @@
 const RESULT_OK: &str = "0";
 
 /// Forwards a response that was read completely.
-#[must_use]
-pub fn buffered(response: BufferedResponse) -> HttpResponse {
-    let mut builder = response_builder(response.status, &response.headers);
-    builder.body(response.body)
+///
+/// # Errors
+///
+/// Fails if its status promises that the request has not run.
+pub fn buffered(response: BufferedResponse) -> Result<HttpResponse, Problem> {
+    let mut builder = response_builder(response.status, &response.headers)?;
+    Ok(builder.body(response.body))
 }
 
 /// Forwards a response as it arrives. The stream ends with an error event when the target's stream fails, or when the
 /// caller's key is withdrawn in the meantime.
-#[must_use]
+///
+/// # Errors
+///
+/// Fails if its status promises that the request has not run.
 pub fn streaming(
     response: StreamingResponse,
     key_owner: Option<KeyOwner>,
     view: ConfigView,
     in_flight: InFlightGuard,
-) -> HttpResponse {
-    let mut builder = response_builder(response.status, &response.headers);
+) -> Result<HttpResponse, Problem> {
+    let mut builder = response_builder(response.status, &response.headers)?;
     let guarded = guard_stream(response.chunks, key_owner, view);
     let events = guarded.map(move |chunk| {
         let _held = &in_flight;
         Ok::<Bytes, actix_web::Error>(chunk.unwrap_or_else(|problem| error_event(&problem)))
     });
-    builder.streaming(events)
+    Ok(builder.streaming(events))
 }
 
+/// Begins a response of a target, which has run the request: one that states otherwise never gets here.
 fn response_builder(
     status: u16,
     headers: &[(CompactString, CompactString)],
-) -> actix_web::HttpResponseBuilder {
+) -> Result<HttpResponseBuilder, Problem> {
+    if promises_no_run(status) {
+        let reason = format!("the target answered with status {status}");
+        let problem = Problem::new(ResultCode::TargetFailed, reason);
+        return Err(problem.with_executed(Executed::Yes));
+    }
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
     for (name, value) in headers {
@@ -52,7 +65,7 @@
     }
     builder.insert_header((RESULT_HEADER, RESULT_OK));
     builder.insert_header((EXECUTED_HEADER, Executed::Yes.as_str()));
-    builder
+    Ok(builder)
 }
 
 /// The event that ends an incomplete stream.
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -27,5 +27,5 @@
     };
     let target_request = call.target_request(&name, &request, path, body);
     let buffered = state.caller.call(target_request).await?;
-    Ok(response::buffered(buffered))
+    response::buffered(buffered)
 }
