Say that the end of a job may be stored where the store's answer was lost

Callers saw: 503 store_unavailable, "nothing was written", for the end of a job of which the answer of the store was lost, although the end may be stored, or was. 503 promises that the call has not taken effect and never will.

Cause: the failure of the write was reported like that of a read; and after a lost answer, the refusal of a later try decided.

Evidence: job_faults::unconfirmed_end failed before (store_unavailable).

Change: such an end fails with store_late (504), as a submission does. The paths of a submission hold by reading: a refusal by the store is 503 only while no write has been sent without an answer, and is store_late after one.

--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -157,10 +157,12 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the store does not confirm the write in time. The call is idempotent.
+    /// Returns an error if the store does not confirm the write in time. Only with the code `store_late` may the job have
+    /// been ended.
     pub async fn end(&self, organisation: &OrganisationId, job: &JobId) -> Result<(), Problem> {
         let inner = &self.inner;
         let deadline = Instant::now() + WRITE_TIMEOUT;
+        let mut may_be_stored = false;
         loop {
             let ended = timeout_at(deadline, inner.write_end(organisation, job)).await;
             match ended {
@@ -170,8 +172,14 @@
                 Ok(Err(problem)) if problem.code == ResultCode::UnknownBatch => {
                     return Err(problem);
                 }
-                Ok(Err(problem)) if Instant::now() + RETRY_WAIT >= deadline => return Err(problem),
                 Ok(Err(problem)) => {
+                    may_be_stored |= problem.code == ResultCode::StoreLate;
+                    if Instant::now() + RETRY_WAIT >= deadline {
+                        if may_be_stored {
+                            return Err(Problem::new(ResultCode::StoreLate, problem.reason));
+                        }
+                        return Err(problem);
+                    }
                     tracing::info!(event = "job_end_repeated", %job, reason = %problem);
                     sleep(RETRY_WAIT).await;
                 }
@@ -270,7 +278,7 @@
         let outcome = store
             .write_head(job, version, &head, head.listed, &[])
             .await;
-        match outcome.map_err(|error| store_problem(&error))? {
+        match outcome.map_err(|error| write_problem(&error))? {
             HeadOutcome::Applied(version) => {
                 tracing::info!(event = "job_ended", %job, listed = head.listed, version);
                 self.record(job, head, version);
@@ -315,7 +323,15 @@
     Err(Problem::new(ResultCode::UnknownBatch, "no such job"))
 }
 
-/// Error response for a read or an idempotent write that the store did not complete.
+/// Error response for a write that the store did not complete.
+fn write_problem(error: &StoreError) -> Problem {
+    match error {
+        StoreError::Unavailable(_) => store_problem(error),
+        _ => Problem::new(ResultCode::StoreLate, error.to_string()),
+    }
+}
+
+/// Error response for a read, or for a write that had no effect.
 fn store_problem(error: &StoreError) -> Problem {
     Problem::new(ResultCode::StoreUnavailable, error.to_string())
         .with_retry_after(STORE_RETRY_AFTER)
--- a/crates/jobs/tests/all/job_faults.rs
+++ b/crates/jobs/tests/all/job_faults.rs
@@ -224,6 +224,24 @@
     assert!(read("ward").await.is_ok());
 }
 
+/// Guards against an end that may be stored and whose caller is told that nothing was written.
+#[actix_rt::test]
+async fn unconfirmed_end() {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.vm("vm1", 1);
+    cluster.target.set_pause(Duration::from_secs(30));
+    vm.jobs
+        .submit(&ward(), &route(), &job(), &submission(3))
+        .await
+        .expect("accepted");
+    cluster.rows.set_fault(RowsFault::LoseThenRefuse);
+    let ended = vm.jobs.end(&ward(), &job()).await;
+    assert_eq!(
+        ended.map_err(|problem| problem.code),
+        Err(ResultCode::StoreLate)
+    );
+}
+
 /// Guards against a large body that cannot be read back, and against a body for an unknown item.
 #[actix_rt::test]
 async fn item_body() {
