Own interface: log whose request a problem answers

Operators saw: no line for a request that the own interface refuses or fails.

Cause: request_ended was written at the edge alone.

Evidence: problem_log::problem_lines checks the lines of a handler's problem and of one before the handler, and that a served request has none. The function is new, so the test could not run before.

Change: a layer of the callers' listener logs request_ended with path, organisation, peer, code, executed and reason.

--- a/crates/gateway/src/online.rs
+++ b/crates/gateway/src/online.rs
@@ -2,10 +2,11 @@
 
 use crate::identity::{admit, admit_address, identify};
 use crate::state::{GatewayParts, GatewayState};
-use actix_web::HttpRequest;
 use actix_web::web::Bytes;
+use actix_web::{HttpMessage as _, HttpRequest};
 use compact_str::{CompactString, ToCompactString};
 use plantainmill_admission::KeyOwner;
+use plantainmill_batch::Caller;
 use plantainmill_config::ServiceSpec;
 use plantainmill_core::InFlightGuard;
 use plantainmill_core::{Problem, ResultCode, Uptime};
@@ -84,6 +85,10 @@
     } else {
         Some(identify(request, parts)?)
     };
+    if let Some(key_owner) = &key_owner {
+        let organisation = key_owner.organisation.clone();
+        request.extensions_mut().insert(Caller { organisation });
+    }
     let Some(service) = service else {
         let reason = format!("there is no service {name:?}");
         return Err(Problem::new(ResultCode::UnknownService, reason).with_field("model"));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod dump;
 pub mod node;
+pub mod problem_log;
 
 mod events;
 mod listeners;
--- a/crates/node/src/listeners.rs
+++ b/crates/node/src/listeners.rs
@@ -1,5 +1,6 @@
 //! The listeners of a VM for callers, operators and the mesh, and the HTTP servers on them.
 
+use crate::problem_log::log_problems;
 use actix_web::dev::ServerHandle;
 use actix_web::middleware::{DefaultHeaders, from_fn};
 use actix_web::{App, HttpServer, web};
@@ -96,6 +97,7 @@
                 .wrap(from_fn(plantainmill_gateway::batches::authenticate))
                 .configure(plantainmill_batch::routes::configure);
             App::new()
+                .wrap(from_fn(log_problems))
                 .wrap(DefaultHeaders::new().add(("server", "plantainmill")))
                 .app_data(web::Data::new(GatewayState::new(parts.clone())))
                 .app_data(web::Data::new(batch.clone()))
