Match a response to its request before its limit counts

VMs could forget the limit of a target: a response of another request, or the 421 of another instance at the target's address, that names no limit ended it, and other VMs were told.

Cause: limit and leaving were read from a response before its id was compared. The same class as the copied refusals: a response was taken for one of this send by where it came, not by whose it is.

Change: the id comes first, and a 421 names neither limit nor leaving. A refusal through another VM no longer retires the connection to that VM, which retires its own to the target.

Evidence: copied_refusals::foreign_limit failed for another request and another instance. copied_failure checks that an id goes out once on a connection, where nothing retires it: without that rule it alone fails, in both cases; without retirement next_request and shifted_answers fail. renamed_target and repeated_id now ask for the whole answer.

--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -249,38 +249,42 @@
         let names = self.header_names();
         let status = response.status().as_u16();
         let headers = response.headers().clone();
-        let echo = headers.get(&names.request_id);
-        let limit = headers.get(&names.target_limit);
-        let limit = limit.and_then(|limit| limit.to_str().ok()?.trim().parse().ok());
-        ticket.record_limit(limit);
+        let is_misdirected = status == MISDIRECTED_REQUEST;
+        let is_refusal = headers.contains_key(&names.not_executed) || is_misdirected;
+        // A refusal that names no request can only be of this one if nothing was sent on the connection before.
+        let is_first = send.trace.forwarder().is_none() && send.trace.has_connected();
+        let is_own = headers.get(&names.request_id).map_or_else(
+            || is_refusal && is_first,
+            |echo| echo.as_bytes() == call.id.as_bytes(),
+        );
+        if !is_own {
+            send.trace.retire_connection();
+            let reason = "the answer belongs to another request";
+            let failure = SendFailure::new(Executed::Unknown, CallOutcome::Failed, reason);
+            return Err(failure.at(send.trace));
+        }
         // An instance that the request is not for does not speak for the target.
-        if headers.contains_key(&names.target_leaving) && status != MISDIRECTED_REQUEST {
-            ticket.record_leaving();
+        if !is_misdirected {
+            let limit = headers.get(&names.target_limit);
+            let limit = limit.and_then(|limit| limit.to_str().ok()?.trim().parse().ok());
+            ticket.record_limit(limit);
+            if headers.contains_key(&names.target_leaving) {
+                ticket.record_leaving();
+            }
         }
-        if headers.contains_key(&names.not_executed) || status == MISDIRECTED_REQUEST {
-            send.trace.retire_connection();
-            let outcome = if status == MISDIRECTED_REQUEST {
+        if is_refusal {
+            // A VM that forwards retires its own connection to the target.
+            if send.trace.forwarder().is_none() {
+                send.trace.retire_connection();
+            }
+            let outcome = if is_misdirected {
                 CallOutcome::Failed
             } else {
                 CallOutcome::Rejected
             };
-            // A refusal of another request says nothing about this one. One that names none can only be of this one if nothing
-            // was sent on the connection before.
-            let is_own = echo.map_or_else(
-                || send.trace.forwarder().is_none() && send.trace.has_connected(),
-                |echo| echo.as_bytes() == call.id.as_bytes(),
-            );
-            if is_own {
-                actix_rt::spawn(drain_body(response));
-                let reason = format!("the target refused with status {status}");
-                return Err(SendFailure::new(Executed::No, outcome, reason).at(send.trace));
-            }
-        }
-        if echo.is_none_or(|echo| echo.as_bytes() != call.id.as_bytes()) {
-            send.trace.retire_connection();
-            let reason = "the answer belongs to another request";
-            let failure = SendFailure::new(Executed::Unknown, CallOutcome::Failed, reason);
-            return Err(failure.at(send.trace));
+            actix_rt::spawn(drain_body(response));
+            let reason = format!("the target refused with status {status}");
+            return Err(SendFailure::new(Executed::No, outcome, reason).at(send.trace));
         }
         Ok(TargetResponse {
             status,
