Drop the response of a refusal unread

A connection is not used again after a refusal, so nothing is gained by reading the rest of its body, which kept a channel to a full target for up to 1 s. relay::endless_refusal still passes.

--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -24,11 +24,6 @@
 /// The deadline sent to a target is earlier by this margin, so that the target stops before the relay gives up.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
 
-/// Largest body of a refusal in bytes that is read so that its connection can be used again.
-const MAX_DRAIN_BYTES: usize = 64 << 10;
-/// Longest time for which the body of a refusal is read.
-const MAX_DRAIN_TIME: Duration = Duration::from_secs(1);
-
 /// Why a send has no response to pass on.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SendFailure {
@@ -282,7 +277,6 @@
             } else {
                 CallOutcome::Rejected
             };
-            actix_rt::spawn(drain_body(response));
             let reason = format!("the target refused with status {status}");
             return Err(SendFailure::new(Executed::No, outcome, reason).at(send.trace));
         }
@@ -297,19 +291,6 @@
     }
 }
 
-/// Reads the short body of a refusal to its end, which keeps the connection reusable. A body that does not end is dropped
-/// with its connection.
-async fn drain_body(mut response: SentResponse) {
-    let until = Instant::now() + MAX_DRAIN_TIME;
-    let mut size = 0;
-    while let Ok(Some(Ok(part))) = timeout_at(until, response.next()).await {
-        size += part.len();
-        if size > MAX_DRAIN_BYTES {
-            return;
-        }
-    }
-}
-
 /// Body of a response as it arrives.
 pub(super) type ResponsePayload = LocalBoxStream<'static, Result<Bytes, PayloadError>>;
 /// Response of a request that was sent.
