Do not ask other VMs to forward a body that they reject

A VM without a path answered 502, may have run, for a request of over 4 MiB that no VM had sent: the HTTP server of the VM that was asked rejects such a body before the request reaches the forwarding, and an answer without a verdict counts as a send.

Change: such a request is not offered to other VMs, and its caller hears that it did not run.

Evidence: forwarded_sends::large_body fails without the check.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -6,7 +6,7 @@
 use plantainmill_admission::RateLimiter as _;
 use plantainmill_core::encode_cbor;
 use plantainmill_dispatch::Dispatcher as _;
-use plantainmill_proxy::relay::FORWARD_HEADER;
+use plantainmill_proxy::relay::{FORWARD_HEADER, MAX_FORWARD_BYTES};
 use serde::Serialize;
 use std::rc::Rc;
 
@@ -21,7 +21,7 @@
 /// Path of the metrics, as Prometheus text.
 const METRICS_PATH: &str = "/metrics";
 /// Largest request body in bytes. A forwarded store call fits: the store accepts changes of up to 1 MB.
-pub(crate) const REQUEST_LIMIT_BYTES: usize = 4 << 20;
+pub(crate) const REQUEST_LIMIT_BYTES: usize = MAX_FORWARD_BYTES;
 
 /// Handles a request of another VM or an operator.
 pub(crate) async fn handle(
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -18,6 +18,8 @@
 pub use call::{HeaderNames, RelayCall, RelayLimits};
 pub use events::{EventSplitter, StreamEvent, check_order};
 pub use exchange::{CallSend, SendFailure, TargetResponse, broken_body_outcome};
-pub use forward::{FORWARD_HEADER, ForwardAnswer, ForwardRequest, ForwardVerdict, REPEAT_HEADER};
+pub use forward::{
+    FORWARD_HEADER, ForwardAnswer, ForwardRequest, ForwardVerdict, MAX_FORWARD_BYTES, REPEAT_HEADER,
+};
 pub use open::{RelayCaller, RelayResponse};
 pub use recorder::StreamRecorder;
--- a/crates/proxy/src/relay/forward.rs
+++ b/crates/proxy/src/relay/forward.rs
@@ -23,10 +23,13 @@
 
 /// On a request, the target that it is for; on a response, where it comes from: a [`ForwardVerdict`].
 pub const FORWARD_HEADER: &str = "plantainmill-forward";
-/// Has a VM of the release before send the request on a connection of its own. This release sends no id twice on a connection.
+/// Tells a VM of the previous release to use a separate connection for the request. This release sends no id twice on a
+/// connection, with or without the header.
 pub const REPEAT_HEADER: &str = "plantainmill-forward-repeat";
 /// Addresses of VMs in other failure domains, on the response of a VM that does not forward the request.
 const REFERRAL_HEADER: &str = "plantainmill-forward-peers";
+/// Largest body in bytes of a request that a VM forwards.
+pub const MAX_FORWARD_BYTES: usize = 4 << 20;
 /// Largest number of VMs that are asked to forward one request.
 const MAX_FORWARDERS: usize = 5;
 /// Time that a target may take for the head of its response, or between two parts of it. It only ends what the VM that asked
@@ -128,6 +131,10 @@
         send: CallSend<'_>,
         direct: Option<SendFailure>,
     ) -> Result<TargetResponse, SendFailure> {
+        if send.call.body.len() > MAX_FORWARD_BYTES {
+            let reason = "no path to the target, and the body is too large for other VMs";
+            return Err(direct.unwrap_or_else(|| SendFailure::unreachable(reason)));
+        }
         let mut asked: Vec<SocketAddr> = Vec::new();
         let mut has_only_isolated = true;
         while asked.len() < MAX_FORWARDERS {
--- a/crates/proxy/tests/forwarded_sends.rs
+++ b/crates/proxy/tests/forwarded_sends.rs
@@ -12,7 +12,7 @@
 use plantainmill_core::{Executed, SystemClock};
 use plantainmill_fakes::{StreamTarget, TargetAct};
 use plantainmill_paths::{Forwarder, ForwarderPlace, TargetPaths};
-use plantainmill_proxy::relay::{ForwardRequest, RelayCall};
+use plantainmill_proxy::relay::{ForwardRequest, MAX_FORWARD_BYTES, RelayCall};
 use plantainmill_proxy::{TargetDialer, TcpDialer};
 use relay_fleet::{EVENTS, Fleet, NAMES, call, read_response};
 use rstest::rstest;
@@ -93,6 +93,20 @@
     assert_eq!(problem.executed, Executed::Unknown, "{}", problem.reason);
 }
 
+/// Guards against a request that counts as sent because other VMs reject its body.
+#[actix_rt::test]
+async fn large_body() {
+    let vms = [StreamTarget::start(NAMES, EVENTS).await.expect("a port")];
+    let fleet = connected_fleet(Rc::new(RefusingDialer), &vms).await;
+    let call = RelayCall {
+        body: vec![b'x'; MAX_FORWARD_BYTES + 1].into(),
+        ..call(false)
+    };
+    let problem = read_response(&fleet, call).await.expect_err("no path");
+    assert_eq!(problem.executed, Executed::No, "{}", problem.reason);
+    assert!(vms[0].seen().is_empty());
+}
+
 /// Guards against a request of two VMs that one VM forwards on the same connection, so that the copy of the first refusal
 /// counts for both.
 #[actix_rt::test]
