Name connection and forwarder of failures after the head

The lines of a send whose body or status failed named neither, and the path of the target was probed where another VM had forwarded the request. An interim head that the own interface takes for a response retires its connection. Comments say what the pool does.

--- a/crates/proxy/src/connection_log.rs
+++ b/crates/proxy/src/connection_log.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Whether a response on this connection would tell by its id whether it answers the next send of the request.
+    /// Whether the request may be sent on the connection: a response would then tell by its id whether it answers this send.
     pub fn may_carry(&self, key: RequestKey) -> bool {
         let keys = self.keys.borrow();
         !self.is_retired.get() && keys.len() < MAX_REQUESTS && !keys.contains(&key)
@@ -59,7 +59,7 @@
         self.keys.borrow_mut().push(key);
     }
 
-    /// Has no further request sent on the connection.
+    /// Excludes the connection from further sends.
     pub fn retire(&self) {
         self.is_retired.set(true);
     }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -88,7 +88,7 @@
         );
     })?;
     mark.set(Executed::Yes);
-    check_length(&head, context)?;
+    check_length(&head, context).inspect_err(|_| mark.trace.retire_connection())?;
     head.payload = response.boxed_local();
     Ok(head)
 }
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -271,7 +271,8 @@
         let late = |_| SendFailure::deadline().at(trace);
         let mut response = timeout_at(parts.until, send).await.map_err(late)??;
         if !response.is_success() || !response.is_event_stream() {
-            return self.read_error_response(parts, response).await;
+            let read = self.read_error_response(parts, response).await;
+            return read.map_err(|failure| failure.at(trace));
         }
         let mut splitter = EventSplitter::default();
         loop {
--- a/crates/proxy/src/relay/buffered.rs
+++ b/crates/proxy/src/relay/buffered.rs
@@ -117,9 +117,15 @@
             trace: &trace,
         });
         let mut response = send.await?;
-        let body = self.read_full_body(&mut response, until).await?;
-        check_status(response.status, progress.may_fail_over())?;
-        check_body(call, &response, &body)?;
+        let read = async {
+            let body = self.read_full_body(&mut response, until).await?;
+            check_status(response.status, progress.may_fail_over())?;
+            check_body(call, &response, &body)?;
+            Ok(body)
+        };
+        let body = read
+            .await
+            .map_err(|failure: SendFailure| failure.at(&trace))?;
         Ok((response, body))
     }
 
--- a/crates/proxy/src/send_trace.rs
+++ b/crates/proxy/src/send_trace.rs
@@ -59,7 +59,7 @@
         connection.as_ref().map(usage)
     }
 
-    /// Has no further request sent on the connection, because a response to an earlier one may still come on it.
+    /// Excludes the connection from further sends, because a response to an earlier one may still arrive on it.
     pub(crate) fn retire_connection(&self) {
         if let Some(connection) = &*self.connection.borrow() {
             connection.retire();
@@ -101,7 +101,7 @@
         connected
     }
 
-    /// Request of the current send that has not been written to a connection yet.
+    /// Request of the current send, while the pool chooses a connection for it; `None` once it is written, and outside of a send.
     pub(crate) fn unsent_request() -> Option<RequestKey> {
         let unsent = |trace: &SendTrace| {
             let is_unsent = trace.connection.borrow().is_none();
