Fake target: copies of refusals, late

A target may write a refusal once more when the next response is due. The fake could copy only its last refusal, right before the next response, and only when planned.

Change: CopyRefusal copies one refusal while the connection is idle, once the next request or the one after it has been read, or behind the next response, once or more. set_refusals does so for all refusals, at random from a seed, beside a capacity. restart_as ends all connections and refuses requests for another instance with 421. The reading of requests, the list of running ones, and responses without their end are moved, unchanged.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,7 +9,10 @@
 pub mod listener;
 pub mod memory;
 pub mod platform_server;
+pub mod refusal_copies;
 pub mod rows;
+mod run_guard;
+pub mod seen_request;
 pub mod stream_target;
 
 pub use engine::{
@@ -19,5 +22,7 @@
 pub use head_cut::HeadCut;
 pub use memory::{MemoryPlatform, PlatformFault, StoreCounts};
 pub use platform_server::{PlatformOptions, PlatformServer, RunningPlatform};
+pub use refusal_copies::{CopyTiming, RefusalCopy, RefusalMode};
 pub use rows::{MemoryRows, RowsFault};
-pub use stream_target::{SeenRequest, StreamTarget, TargetAct, TargetNames};
+pub use seen_request::SeenRequest;
+pub use stream_target::{StreamTarget, TargetAct, TargetNames};
--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -1,8 +1,11 @@
 //! A target that answers with streams of numbered events, with the faults of real ones.
 
 use crate::head_cut::HeadCut;
+use crate::refusal_copies::{CopyQueue, RefusalCopy, RefusalDraw, RefusalMode};
+use crate::run_guard::RunGuard;
+use crate::seen_request::{SeenRequest, read_request};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,10 +29,14 @@
     Skip(u64),
     /// Says that it did not run the request.
     Refuse,
-    /// The same, after this time.
+    /// The same, with this status.
+    RefuseWith(u16),
+    /// The same as `Refuse`, after this time.
     LateRefusal(Duration),
     /// The same as `Refuse`, without the id of the request.
     RefuseWithoutId,
+    /// Refuses with this status, and writes the refusal once more later.
+    CopyRefusal(u16, RefusalCopy),
     /// Writes the last refusal or failure on the connection once more, if there was one, and then runs the request and answers.
     /// Pauses in between.
     RepeatRefusal,
@@ -65,6 +72,21 @@
     ShortBody,
 }
 
+impl TargetAct {
+    /// Whether the response says that the request did not run.
+    fn is_refusal(self) -> bool {
+        matches!(
+            self,
+            TargetAct::Refuse
+                | TargetAct::LateRefusal(_)
+                | TargetAct::RefuseWithoutId
+                | TargetAct::RefuseWith(_)
+                | TargetAct::CopyRefusal(..)
+                | TargetAct::EndlessRefusal
+        )
+    }
+}
+
 /// Bytes that an endless answer sends at a time.
 const ENDLESS_PART_BYTES: usize = 16 << 10;
 /// Interval between the comments of a stream without progress.
@@ -72,19 +94,6 @@
 /// Time from a part of a head to the reset of its connection.
 const RESET_DELAY: Duration = Duration::from_millis(10);
 
-/// A request as the target saw it.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct SeenRequest {
-    /// Method and path.
-    pub line: String,
-    /// Headers, names in lower case.
-    pub headers: HashMap<String, String>,
-    /// Body.
-    pub body: Vec<u8>,
-    /// The target ran it: its answer does not say otherwise.
-    pub ran: bool,
-}
-
 /// Names of the headers that the target knows.
 #[derive(Clone, Copy, Debug)]
 pub struct TargetNames {
@@ -126,6 +135,9 @@
     is_leaving: Cell<bool>,
     /// Requests that run at a time; further ones are refused.
     capacity: Cell<usize>,
+    refusals: RefCell<RefusalDraw>,
+    /// Header that names the instance that a request is for, and the instance that the target is.
+    instance: RefCell<Option<(&'static str, String)>>,
 }
 
 impl StreamTarget {
@@ -152,6 +164,8 @@
                 limit: Cell::new(None),
                 is_leaving: Cell::new(false),
                 capacity: Cell::new(usize::MAX),
+                refusals: RefCell::new(RefusalDraw::new(RefusalMode::default())),
+                instance: RefCell::default(),
             }),
         };
         let state = Rc::clone(&target.state);
@@ -211,6 +225,17 @@
         self.state.capacity.set(capacity);
     }
 
+    /// Sets which requests are refused, and whether refusals are copied.
+    pub fn set_refusals(&self, mode: RefusalMode) {
+        self.state.refusals.replace(RefusalDraw::new(mode));
+    }
+
+    /// Begins a new life as the instance `id`: ends all connections, and refuses requests whose `header` names another one.
+    pub fn restart_as(&self, header: &'static str, id: &str) {
+        self.state.instance.replace(Some((header, id.to_owned())));
+        self.state.crash.notify_waiters();
+    }
+
     /// Requests seen so far.
     #[must_use]
     pub fn seen(&self) -> Vec<SeenRequest> {
@@ -236,36 +261,24 @@
     }
 }
 
-struct RunGuard<'a> {
-    running: &'a RefCell<Vec<String>>,
-    id: String,
-}
-
-impl<'a> RunGuard<'a> {
-    fn start(running: &'a RefCell<Vec<String>>, id: &str) -> RunGuard<'a> {
-        running.borrow_mut().push(id.to_owned());
-        let id = id.to_owned();
-        RunGuard { running, id }
-    }
-}
-
-impl Drop for RunGuard<'_> {
-    fn drop(&mut self) {
-        let mut running = self.running.borrow_mut();
-        if let Some(position) = running.iter().position(|id| *id == self.id) {
-            running.swap_remove(position);
-        }
-    }
-}
-
 impl TargetState {
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut buffer = Vec::new();
         let mut last_refusal = String::new();
+        let mut copies = CopyQueue::default();
         loop {
-            let Some(request) = read_request(&mut stream, &mut buffer).await? else {
+            let request = tokio::select! {
+                request = read_request(&mut stream, &mut buffer) => request?,
+                copy = copies.take_idle() => {
+                    stream.write_all(copy.as_bytes()).await?;
+                    continue;
+                }
+            };
+            let Some(request) = request else {
                 return Ok(());
             };
+            let copy = copies.take_before_answer();
+            stream.write_all(copy.as_bytes()).await?;
             let id = request
                 .headers
                 .get(self.names.request_id)
@@ -273,28 +286,28 @@
                 .unwrap_or_default();
             let last = request.headers.get("last-event-id");
             let last = last.and_then(|last| last.parse().ok()).unwrap_or(0);
-            let planned = self.acts.borrow_mut().pop_front();
-            let mut act = planned.unwrap_or_else(|| self.default_act.get());
-            if self.running.borrow().len() >= self.capacity.get() {
-                act = TargetAct::Refuse;
-            }
+            let act = self.next_act(&request);
             let crashes = self.has_crash_marker(&request);
             self.seen.borrow_mut().push(SeenRequest {
-                ran: !matches!(
-                    act,
-                    TargetAct::Refuse
-                        | TargetAct::LateRefusal(_)
-                        | TargetAct::RefuseWithoutId
-                        | TargetAct::EndlessRefusal
-                ),
+                ran: !act.is_refusal(),
                 ..request
             });
             if crashes {
                 return self.crash_during(&mut stream, &id, last).await;
             }
             match act {
-                TargetAct::Refuse | TargetAct::LateRefusal(_) => {
+                TargetAct::Refuse
+                | TargetAct::LateRefusal(_)
+                | TargetAct::RefuseWith(_)
+                | TargetAct::CopyRefusal(..) => {
                     last_refusal = self.refuse(&mut stream, &id, act).await?;
+                    let copy = match act {
+                        TargetAct::CopyRefusal(_, copy) => Some(copy),
+                        _ => self.refusals.borrow_mut().draw_copy(),
+                    };
+                    if let Some(copy) = copy {
+                        copies.add(&last_refusal, copy);
+                    }
                 }
                 TargetAct::RefuseWithoutId => {
                     let refused = format!("{}: 1\r\n", self.names.not_executed);
@@ -307,23 +320,13 @@
                     stream.write_all(last_refusal.as_bytes()).await?;
                 }
                 TargetAct::LoseAnswer => return Ok(()),
-                TargetAct::CutHead(_) | TargetAct::ResetHead(_) | TargetAct::ShortBody => {
-                    let body = self.events_after(last);
-                    let length = format!("content-length: {}\r\n", body.len());
-                    let framing = format!("content-type: text/event-stream\r\n{length}");
-                    let head = self.head(200, &id, "", &framing);
-                    return send_part(&mut stream, act, &head, &body).await;
-                }
-                TargetAct::EndlessHead => {
-                    stream.write_all(b"HTTP/1.1 200 Any\r\nfiller: ").await?;
-                    return send_endless(&mut stream, &[b'x'; ENDLESS_PART_BYTES]).await;
-                }
-                TargetAct::EndlessRefusal => {
-                    let refused = format!("{}: 1\r\n", self.names.not_executed);
-                    let head = self.head(503, &id, &refused, "connection: close\r\n");
-                    stream.write_all(head.as_bytes()).await?;
-                    let _running = RunGuard::start(&self.running, &id);
-                    return send_endless(&mut stream, &[b'x'; ENDLESS_PART_BYTES]).await;
+                TargetAct::CutHead(_)
+                | TargetAct::ResetHead(_)
+                | TargetAct::ShortBody
+                | TargetAct::EndlessHead
+                | TargetAct::EndlessBody
+                | TargetAct::EndlessRefusal => {
+                    return self.send_unfinished(&mut stream, &id, last, act).await;
                 }
                 TargetAct::ErrorText => {
                     let text = "data: out of memory\n\n";
@@ -335,11 +338,6 @@
                     stream.write_all(head.as_bytes()).await?;
                     stream.write_all(text.as_bytes()).await?;
                 }
-                TargetAct::EndlessBody => {
-                    let head = self.head(500, &id, "", "connection: close\r\n");
-                    stream.write_all(head.as_bytes()).await?;
-                    return send_endless(&mut stream, &[b'x'; ENDLESS_PART_BYTES]).await;
-                }
                 TargetAct::CrossAnswer => {
                     self.send_events(&mut stream, "another", last, act).await?;
                 }
@@ -352,22 +350,84 @@
                     if !self.send_events(&mut stream, &id, last, act).await? {
                         return Ok(());
                     }
+                    let copy = copies.take_behind_answer();
+                    stream.write_all(copy.as_bytes()).await?;
                 }
             }
         }
     }
 
+    /// Sends a response without its end.
+    async fn send_unfinished(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        last: u64,
+        act: TargetAct,
+    ) -> io::Result<()> {
+        let filler = vec![b'x'; ENDLESS_PART_BYTES];
+        match act {
+            TargetAct::EndlessHead => {
+                stream.write_all(b"HTTP/1.1 200 Any\r\nfiller: ").await?;
+                send_endless(stream, &filler).await
+            }
+            TargetAct::EndlessBody => {
+                let head = self.head(500, id, "", "connection: close\r\n");
+                stream.write_all(head.as_bytes()).await?;
+                send_endless(stream, &filler).await
+            }
+            TargetAct::EndlessRefusal => {
+                let refused = format!("{}: 1\r\n", self.names.not_executed);
+                let head = self.head(503, id, &refused, "connection: close\r\n");
+                stream.write_all(head.as_bytes()).await?;
+                let _running = RunGuard::start(&self.running, id);
+                send_endless(stream, &filler).await
+            }
+            _ => {
+                let body = self.events_after(last);
+                let length = format!("content-length: {}\r\n", body.len());
+                let framing = format!("content-type: text/event-stream\r\n{length}");
+                let head = self.head(200, id, "", &framing);
+                send_part(stream, act, &head, &body).await
+            }
+        }
+    }
+
     /// Refuses a request, and returns what it has sent.
     async fn refuse(&self, stream: &mut TcpStream, id: &str, act: TargetAct) -> io::Result<String> {
         if let TargetAct::LateRefusal(delay) = act {
             sleep(delay).await;
         }
+        let status = match act {
+            TargetAct::RefuseWith(status) | TargetAct::CopyRefusal(status, _) => status,
+            _ => 503,
+        };
         let refused = format!("{}: 1\r\n", self.names.not_executed);
-        let head = self.head(503, id, &refused, "content-length: 0\r\n");
+        let head = self.head(status, id, &refused, "content-length: 0\r\n");
         stream.write_all(head.as_bytes()).await?;
         Ok(head)
     }
 
+    /// What happens to a request: what is planned, unless the target is another instance or has no room.
+    fn next_act(&self, request: &SeenRequest) -> TargetAct {
+        let planned = self.acts.borrow_mut().pop_front();
+        let instance = self.instance.borrow();
+        let is_misdirected = instance.as_ref().is_some_and(|(header, id)| {
+            let expected = request.headers.get(*header);
+            expected.is_some_and(|expected| expected != id)
+        });
+        if is_misdirected {
+            return TargetAct::RefuseWith(421);
+        }
+        if self.running.borrow().len() >= self.capacity.get() {
+            return TargetAct::RefuseWith(self.refusals.borrow_mut().draw_status());
+        }
+        planned.unwrap_or_else(|| {
+            let refused = self.refusals.borrow_mut().draw_refusal();
+            refused.map_or_else(|| self.default_act.get(), TargetAct::RefuseWith)
+        })
+    }
+
     /// Begins an answer and ends all connections.
     async fn crash_during(&self, stream: &mut TcpStream, id: &str, last: u64) -> io::Result<()> {
         let framing = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
@@ -521,40 +581,3 @@
         stream.write_all(part).await?;
     }
 }
-
-/// Reads one request; none at the end of the connection.
-async fn read_request(
-    stream: &mut TcpStream,
-    buffer: &mut Vec<u8>,
-) -> io::Result<Option<SeenRequest>> {
-    let head_end = loop {
-        if let Some(end) = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
-            break end;
-        }
-        if stream.read_buf(buffer).await? == 0 {
-            return Ok(None);
-        }
-    };
-    let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
-    let mut lines = head.split("\r\n");
-    let mut request = SeenRequest {
-        line: lines.next().unwrap_or_default().to_owned(),
-        ..SeenRequest::default()
-    };
-    for (name, value) in lines.filter_map(|line| line.split_once(':')) {
-        request
-            .headers
-            .insert(name.to_ascii_lowercase(), value.trim().to_owned());
-    }
-    let length = request.headers.get("content-length");
-    let length: usize = length.and_then(|length| length.parse().ok()).unwrap_or(0);
-    let body_start = head_end + 4;
-    while buffer.len() < body_start + length {
-        if stream.read_buf(buffer).await? == 0 {
-            return Ok(None);
-        }
-    }
-    request.body = buffer[body_start..body_start + length].to_vec();
-    buffer.drain(..body_start + length);
-    Ok(Some(request))
-}
