Soak: targets that copy refusals and restart at their address

Users saw requests run that a refusal said would not, and requests that may run once run twice. The soak's targets refused, but never copied a refusal, had one id for each address, and took requests that were addressed to another instance.

Change: seeds from 1000 on (Refusing) have few slots, refusals with 429 and 503, a copy of each refusal at a random time, restarts at the address under a new id with both ids listed (421), and closed links from one VM to all targets, so that others forward, beside the faults of troubled runs at twice the rate. Each VM has links of its own to the targets: its store server names their addresses. Checks: a promise by 408 or 421 or in front of an incomplete body counts; a request that may run once is counted over all targets, with or without a record of its caller; a log line with id_sends above 1 is a violation. Each has a violated record in guarantee_violations.

--- a/crates/soak/src/caller_load.rs
+++ b/crates/soak/src/caller_load.rs
@@ -35,6 +35,8 @@
 const SUBMIT_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Time after acceptance from which every VM must know a job.
 const JOB_VISIBILITY_TIME: Duration = Duration::from_secs(1);
+/// Statuses that promise that the request is not executed.
+const REFUSAL_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Part of the body of a request.
 const BODY_PART: &str = "How is a heel darned? ";
 /// Number of parts of a body. Every other request sends them as chunks.
@@ -185,12 +187,12 @@
             key: &key,
         };
         let sent_at = Instant::now();
-        let mut outcome = self
+        let mut sent = self
             .send_resuming(client, vm, &request, resumption.as_ref())
             .await;
-        let is_served = matches!(outcome.0, RequestOutcome::Completed { status: 200, .. });
+        let is_served = matches!(sent.outcome, RequestOutcome::Completed { status: 200, .. });
         if let (Some(resumption), RequestOutcome::Completed { body, .. }) =
-            (&resumption, &mut outcome.0)
+            (&resumption, &mut sent.outcome)
         {
             body.insert_str(0, resumption.received);
         }
@@ -204,25 +206,27 @@
             ended_at: Instant::now(),
             body_time,
             resumes: resumption.map(|resumption| resumption.first.to_owned()),
-            outcome: outcome.0,
+            has_promise: sent.has_promise,
+            outcome: sent.outcome,
         });
         let events = match profile.kind {
-            RequestKind::Stream => outcome.1,
+            RequestKind::Stream => sent.events,
             RequestKind::NonIdempotent => String::new(),
         };
         (is_served, events)
     }
 
-    /// Sends an online request. Returns the outcome, and the whole events of a response that was cut.
+    /// Sends an online request.
     async fn send_resuming(
         &self,
         client: &CallerClient,
         vm: usize,
         request: &CallerRequest<'_>,
         resumption: Option<&Resumption<'_>>,
-    ) -> (RequestOutcome, String) {
+    ) -> AttemptOutcome {
         let address = self.fleet.vms[vm].callers.address;
         let received = RefCell::new(Vec::new());
+        let has_promise = Cell::new(false);
         let request_number = number_of(request.id);
         let sent = async {
             let mut request = client.request(Method::POST, address, request);
@@ -239,6 +243,8 @@
             let executed = response.headers().get(EXECUTED_HEADER);
             let reports_not_executed =
                 executed.is_some_and(|executed| executed.as_bytes() == b"no");
+            let is_refusal = REFUSAL_STATUSES.contains(&response.status().as_u16());
+            has_promise.set(reports_not_executed || is_refusal);
             while let Some(part) = response.next().await {
                 let part = part.map_err(|error| error.to_string())?;
                 received.borrow_mut().extend_from_slice(&part);
@@ -257,7 +263,11 @@
             RequestOutcome::Failed(_) => whole_events(&received.borrow()),
             RequestOutcome::Completed { .. } => String::new(),
         };
-        (outcome, events)
+        AttemptOutcome {
+            outcome,
+            has_promise: has_promise.get(),
+            events,
+        }
     }
 
     async fn send(
@@ -405,6 +415,15 @@
     }
 }
 
+/// What a caller knows of one attempt.
+struct AttemptOutcome {
+    outcome: RequestOutcome,
+    /// Whether the head of the response promises that the request is not executed.
+    has_promise: bool,
+    /// Whole events of a response that was cut.
+    events: String,
+}
+
 /// A stream that a caller takes up.
 struct Resumption<'a> {
     /// Id of the attempt that brought the first event.
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -1,7 +1,7 @@
 //! Random faults, determined by a seed.
 
 use crate::link_proxy::LinkMode;
-use plantainmill_fakes::TargetAct;
+use plantainmill_fakes::{CopyTiming, RefusalCopy, TargetAct};
 use plantainmill_stand_in::WireFault;
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -10,6 +10,12 @@
 
 /// Mean time between the starts of faults. Most faults last longer, so they overlap.
 const FAULT_INTERVAL: Duration = Duration::from_millis(700);
+/// Mean time between the starts of faults where targets refuse.
+const REFUSING_FAULT_INTERVAL: Duration = Duration::from_millis(350);
+/// First seed whose targets refuse and copy their refusals.
+const FIRST_REFUSING_SEED: u64 = 1_000;
+/// Requests in a hundred that a refusing target refuses.
+const REFUSED_PERCENT: Range<u32> = 20..80;
 /// Duration of a fault. The longest exceeds every timeout of a VM.
 const FAULT_DURATION_MS: Range<u64> = 100..5_000;
 /// Pause between two events of a target that pauses. The longest exceeds the silence after which a request goes on elsewhere.
@@ -29,14 +35,17 @@
     Silent,
     /// Planned work and failures.
     Troubled,
+    /// The same, with targets that have few slots, refuse, restart at their address, and write each refusal once more later.
+    Refusing,
 }
 
 impl SoakProfile {
-    /// Returns the profile of a seed: every multiple of four has planned work only, and every other even seed silent targets as
-    /// well.
+    /// Returns the profile of a seed: from 1000 on, targets refuse. Of the others, every multiple of four has planned work only,
+    /// and every other even seed silent targets as well.
     #[must_use]
     pub fn of_seed(seed: u64) -> SoakProfile {
         match seed % 4 {
+            _ if seed >= FIRST_REFUSING_SEED => SoakProfile::Refusing,
             0 => SoakProfile::Planned,
             2 => SoakProfile::Silent,
             _ => SoakProfile::Troubled,
@@ -46,7 +55,14 @@
     /// Whether VMs and targets end only as planned, so that no response may be cut.
     #[must_use]
     pub fn forbids_cuts(self) -> bool {
-        self != SoakProfile::Troubled
+        matches!(self, SoakProfile::Planned | SoakProfile::Silent)
+    }
+
+    fn fault_interval(self) -> Duration {
+        match self {
+            SoakProfile::Refusing => REFUSING_FAULT_INTERVAL,
+            _ => FAULT_INTERVAL,
+        }
     }
 }
 
@@ -87,6 +103,12 @@
     AllTargetLinks,
     /// Resets all connections of a target, later removes its entry and starts another one.
     CrashTarget(usize),
+    /// Restarts a target at its address under another id. Both ids stay listed for a while.
+    RestartTarget(usize),
+    /// Closes the links from a VM to all targets, so that other VMs forward its requests.
+    VmTargetLinks(usize),
+    /// Makes a target refuse this many of a hundred requests.
+    RefuseRequests(usize, u32),
 }
 
 /// A fault with its time and duration.
@@ -109,7 +131,7 @@
     target_count: usize,
 ) -> Vec<PlannedFault> {
     let mut random = SmallRng::seed_from_u64(seed);
-    let count = run_time.as_millis() / FAULT_INTERVAL.as_millis();
+    let count = run_time.as_millis() / profile.fault_interval().as_millis();
     let mut faults: Vec<PlannedFault> = (0..count)
         .map(|_| PlannedFault {
             start: run_time.mul_f64(random.random()),
@@ -143,6 +165,10 @@
     let kind_count = match profile {
         SoakProfile::Planned => 4,
         SoakProfile::Silent => return draw_silence(random, vm, target),
+        SoakProfile::Refusing => match random.random_range(0..2) {
+            0 => return draw_refusals(random, vm, target),
+            _ => 15,
+        },
         SoakProfile::Troubled => 15,
     };
     match random.random_range(0..kind_count) {
@@ -181,6 +207,25 @@
     }
 }
 
+fn draw_refusals(random: &mut SmallRng, vm: usize, target: usize) -> SoakFault {
+    match random.random_range(0..10) {
+        0..=3 => SoakFault::RestartTarget(target),
+        4 | 5 => SoakFault::RefuseRequests(target, random.random_range(REFUSED_PERCENT)),
+        6 | 7 => SoakFault::VmTargetLinks(vm),
+        8 => {
+            let pause = random.random_range(TARGET_PAUSE_MS);
+            SoakFault::TargetPause(target, Duration::from_millis(pause))
+        }
+        _ => {
+            let copy = RefusalCopy {
+                timing: CopyTiming::NextRequest,
+                count: 1,
+            };
+            SoakFault::TargetActs(target, TargetAct::CopyRefusal(421, copy))
+        }
+    }
+}
+
 fn draw_link_mode(random: &mut SmallRng) -> LinkMode {
     match random.random_range(0..5) {
         0 => LinkMode::Slow(Duration::from_millis(random.random_range(LINK_DELAY_MS))),
--- a/crates/soak/src/guarantee_checks.rs
+++ b/crates/soak/src/guarantee_checks.rs
@@ -38,12 +38,12 @@
             .map_or(&[][..], Vec::as_slice);
         [
             check_refused(request, executions),
-            check_single_execution(request, executions),
             check_stream(request),
             check_key(request, executions, records),
         ]
     });
     let mut violations: Vec<String> = requests.flatten().collect();
+    violations.extend(check_single_executions(records, &executions));
     violations.extend(check_cuts(records, &executions, profile));
     violations.extend(records.violations.iter().cloned());
     violations.extend(check_versions(records));
@@ -58,35 +58,47 @@
 
 /// A refused request was not executed.
 fn check_refused(request: &RequestRecord, executions: &[&ExecutionRecord]) -> Option<String> {
-    let RequestOutcome::Completed {
-        status,
-        reports_not_executed,
-        ..
-    } = &request.outcome
-    else {
-        return None;
+    let (is_refused, outcome) = match &request.outcome {
+        RequestOutcome::Completed {
+            status,
+            reports_not_executed,
+            ..
+        } => {
+            let is_refusal = matches!(status, 401 | 403 | 404 | 408 | 413 | 421 | 429 | 503);
+            let is_refused = *reports_not_executed || is_refusal;
+            (is_refused, format!("status {status}"))
+        }
+        RequestOutcome::Failed(reason) => (false, format!("an incomplete response, {reason}")),
     };
-    let is_refused = *reports_not_executed || matches!(status, 401 | 403 | 404 | 413 | 429 | 503);
-    (is_refused && !executions.is_empty()).then(|| {
+    let is_executed = !executions.is_empty();
+    (is_executed && (is_refused || request.has_promise)).then(|| {
         format!(
-            "{}: refused with status {status}, but executed at {}",
+            "{}: refused with {outcome}, but executed at {}",
             request.id, executions[0].target
         )
     })
 }
 
-/// A request that is not idempotent was executed at most once.
-fn check_single_execution(
-    request: &RequestRecord,
-    executions: &[&ExecutionRecord],
-) -> Option<String> {
-    (request.kind == RequestKind::NonIdempotent && executions.len() > 1).then(|| {
+/// A request that is not idempotent was executed at most once, whether or not its caller knows how it ended.
+fn check_single_executions(
+    records: &RunRecords,
+    executions: &HashMap<&str, Vec<&ExecutionRecord>>,
+) -> Vec<String> {
+    let requests = records.requests.iter();
+    let once = requests.filter(|request| request.kind == RequestKind::NonIdempotent);
+    let once: HashSet<&str> = once.map(|request| request.id.as_str()).collect();
+    let repeated = executions.iter().filter(|(id, executions)| {
+        let may_repeat = executions.iter().all(|execution| execution.may_repeat);
+        executions.len() > 1 && (!may_repeat || once.contains(*id))
+    });
+    let violations = repeated.map(|(id, executions)| {
         let targets: Vec<&str> = executions
             .iter()
             .map(|execution| execution.target.as_str())
             .collect();
-        format!("{}: executed at {}", request.id, targets.join(" and "))
-    })
+        format!("{id}: executed at {}", targets.join(" and "))
+    });
+    violations.collect()
 }
 
 /// A stream that ended cleanly has each event once and in order.
--- a/crates/soak/src/link_proxy.rs
+++ b/crates/soak/src/link_proxy.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// Size of the copy buffer.
 const BUFFER_BYTES: usize = 16 << 10;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
 
 /// Behaviour of a link.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -23,6 +25,8 @@
     Slow(Duration),
     /// Resets all open and new connections.
     Reset,
+    /// Resets all open connections, and does not accept new ones.
+    Closed,
     /// Blocks data from the caller.
     HoldCalls,
     /// Blocks data to the caller.
@@ -37,7 +41,7 @@
             LinkMode::Silent => true,
             LinkMode::HoldCalls => direction == Direction::Request,
             LinkMode::HoldAnswers => direction == Direction::Response,
-            LinkMode::Open | LinkMode::Slow(_) | LinkMode::Reset => false,
+            LinkMode::Open | LinkMode::Slow(_) | LinkMode::Reset | LinkMode::Closed => false,
         }
     }
 }
@@ -69,8 +73,8 @@
         };
         let mode = Rc::clone(&proxy.mode);
         actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                actix_rt::spawn(relay_connection(stream, upstream, mode.subscribe()));
+            if let Err(error) = accept_connections(listener, upstream, &mode).await {
+                eprintln!("a link has ended: {error}");
             }
         });
         Ok(proxy)
@@ -88,6 +92,38 @@
     }
 }
 
+async fn accept_connections(
+    mut listener: TcpListener,
+    upstream: SocketAddr,
+    mode: &watch::Sender<LinkMode>,
+) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let mut changes = mode.subscribe();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let (stream, _) = accepted?;
+                actix_rt::spawn(relay_connection(stream, upstream, mode.subscribe()));
+                continue;
+            }
+            _ = changes.wait_for(|mode| *mode == LinkMode::Closed) => {}
+        }
+        drop(listener);
+        // Bound without listening: connections are refused, and no other socket gets the port.
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        if changes
+            .wait_for(|mode| *mode != LinkMode::Closed)
+            .await
+            .is_err()
+        {
+            return Ok(());
+        }
+        listener = socket.listen(BACKLOG)?;
+    }
+}
+
 async fn relay_connection(
     mut caller: TcpStream,
     upstream: SocketAddr,
@@ -111,7 +147,7 @@
             // The connection closes when either direction ends: no client or server here uses half-closed connections.
             outcome = copy_data(caller_read, target_write, mode.clone(), Direction::Request) => outcome,
             outcome = copy_data(target_read, caller_write, mode, Direction::Response) => outcome,
-            _ = reset_mode.wait_for(|mode| *mode == LinkMode::Reset) => {
+            _ = reset_mode.wait_for(|mode| matches!(mode, LinkMode::Reset | LinkMode::Closed)) => {
                 Err(io::ErrorKind::ConnectionReset.into())
             }
         }
@@ -156,7 +192,9 @@
 ) -> io::Result<Duration> {
     let unblocked = mode.wait_for(|mode| !mode.blocks(direction)).await;
     match unblocked.map(|mode| *mode) {
-        Ok(LinkMode::Reset) | Err(_) => Err(io::ErrorKind::ConnectionReset.into()),
+        Ok(LinkMode::Reset | LinkMode::Closed) | Err(_) => {
+            Err(io::ErrorKind::ConnectionReset.into())
+        }
         Ok(LinkMode::Slow(delay)) => Ok(delay),
         Ok(_) => Ok(Duration::ZERO),
     }
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -51,6 +51,8 @@
     pub body_time: Duration,
     /// Id of the request whose stream this one takes up; `None` if it begins one.
     pub resumes: Option<String>,
+    /// Whether the head of the response, even of an incomplete one, promises that the request is not executed.
+    pub has_promise: bool,
     /// Response or error. The body of a request that takes a stream up begins with the events that its caller had before.
     pub outcome: RequestOutcome,
 }
@@ -60,6 +62,8 @@
 pub struct ExecutionRecord {
     /// Id of the request or item, from its header.
     pub id: String,
+    /// Whether it may be executed more than once, by its path.
+    pub may_repeat: bool,
     /// Organisation, from the header that the VM sets.
     pub organisation: String,
     /// Id of the target.
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -4,6 +4,7 @@
 use crate::link_proxy::{LinkMode, LinkProxy};
 use crate::owed_items::parse_owed_report;
 use crate::records::{CutReport, OwedReport, SharedRecords};
+use crate::repeated_ids::parse_repeated_id;
 use crate::vm_process::VmProcess;
 use plantainmill_stand_in::{StoreServer, VmPlan, WireFault};
 use rustix::process::Signal;
@@ -70,7 +71,7 @@
 }
 
 impl SoakFleet {
-    /// Starts `count` VMs that share the rows of `store`. The loopback addresses of the VMs depend on `seed`.
+    /// Starts a VM for each of `stores`, which share their rows. The loopback addresses of the VMs depend on `seed`.
     ///
     /// # Errors
     ///
@@ -78,21 +79,21 @@
     pub async fn start(
         program: &Path,
         folder: &Path,
-        store: &StoreServer,
+        stores: &[StoreServer],
         records: SharedRecords,
         seed: u64,
-        count: usize,
     ) -> anyhow::Result<SoakFleet> {
         let mut vms = Vec::new();
-        for number in 0..count {
-            vms.push(start_vm(program, folder, store, vm_address(seed, number), number).await?);
+        for (number, store) in stores.iter().enumerate() {
+            let address = vm_address(seed, number);
+            vms.push(start_vm(program, folder, store.clone(), address, number).await?);
         }
         let fleet = SoakFleet {
             vms: Rc::new(vms),
             records,
         };
         actix_rt::spawn(fleet.clone().supervise());
-        for position in 0..count {
+        for position in 0..stores.len() {
             actix_rt::spawn(fleet.clone().probe_readiness(position));
         }
         Ok(fleet)
@@ -276,12 +277,16 @@
         is_up && self.store_link.is_open() && !self.has_store_fault.get()
     }
 
-    /// Reads the new lines of the logs and returns the reports of items that wait, and of requests that ended early.
+    /// Reads the new lines of the logs and returns the reports of items that wait, and of requests that ended early. Records each
+    /// line of a connection that has carried an id more than once.
     ///
     /// # Errors
     ///
     /// Fails when a log cannot be read.
-    pub fn read_reports(&self) -> std::io::Result<(Vec<OwedReport>, Vec<CutReport>)> {
+    pub fn read_reports(
+        &self,
+        violations: &mut Vec<String>,
+    ) -> std::io::Result<(Vec<OwedReport>, Vec<CutReport>)> {
         let mut process = self.process.borrow_mut();
         let lines = process.new_lines()?;
         let now = Instant::now();
@@ -290,6 +295,8 @@
             .iter()
             .filter_map(|line| parse_owed_report(line, vm, now));
         let cuts = lines.iter().filter_map(|line| parse_cut_report(line, vm));
+        let repeated = lines.iter().filter_map(|line| parse_repeated_id(line, vm));
+        violations.extend(repeated);
         Ok((owed.collect(), cuts.collect()))
     }
 
@@ -308,11 +315,10 @@
 async fn start_vm(
     program: &Path,
     folder: &Path,
-    store: &StoreServer,
+    store: StoreServer,
     address: IpAddr,
     number: usize,
 ) -> anyhow::Result<SoakVm> {
-    let store = StoreServer::with_rows(store.rows.clone()).await;
     let store_link = LinkProxy::start(store.address).await?;
     let id = format!("vm-{number}");
     let key_ms = u64::try_from(KEY_WITHDRAWAL_TIME.as_millis())?;
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -43,6 +43,21 @@
     (2, caller(RequestKind::Stream, 0, 100, true)),
 ];
 
+/// The same where targets refuse: more requests that must not be repeated.
+const REFUSED_CALLERS: [(usize, CallerProfile); 4] = [
+    (6, caller(RequestKind::Stream, 0, 200, false)),
+    (14, caller(RequestKind::NonIdempotent, 0, 100, false)),
+    (2, caller(RequestKind::Stream, 1, 60, false)),
+    (2, caller(RequestKind::Stream, 0, 100, true)),
+];
+
+fn callers(profile: SoakProfile) -> [(usize, CallerProfile); 4] {
+    match profile {
+        SoakProfile::Refusing => REFUSED_CALLERS,
+        _ => CALLERS,
+    }
+}
+
 const fn caller(
     kind: RequestKind,
     organisation: usize,
@@ -124,20 +139,26 @@
         .map(|organisation| vec![format!("{organisation}-1")])
         .collect();
     operator.write_document(&fleet_plan(1, &keys));
+    let mut stores = Vec::new();
+    for _ in 0..VM_COUNT {
+        stores.push(StoreServer::with_rows(store.rows.clone()).await);
+    }
+    let stores: Rc<[StoreServer]> = stores.into();
     let targets = TargetFleet::start(
         operator.clone(),
         Rc::clone(&records),
+        Rc::clone(&stores),
         TARGET_COUNT,
         options.profile,
+        options.seed,
     )
     .await?;
     let fleet = SoakFleet::start(
         &options.program,
         &options.folder,
-        &store,
+        &stores,
         Rc::clone(&records),
         options.seed,
-        VM_COUNT,
     )
     .await?;
     let load = CallerLoad::new(fleet.clone(), Rc::clone(&records), keys);
@@ -216,7 +237,7 @@
             .await;
         ensure!(is_ready, "not all VMs are ready within the start timeout");
         let mut seed = options.seed;
-        for (count, profile) in CALLERS {
+        for (count, profile) in callers(options.profile) {
             for _ in 0..count {
                 seed = seed.wrapping_add(1);
                 actix_rt::spawn(self.load.clone().run_requests(profile, seed));
@@ -238,6 +259,7 @@
         let results = futures_util::future::join_all(injections).await;
         results.into_iter().collect::<anyhow::Result<()>>()?;
         self.fleet.end_faults()?;
+        self.targets.end_copies();
         self.set_target_links(LinkMode::Open);
         sleep(RECOVERY_TIME).await;
         self.check_recovery().await;
@@ -269,7 +291,7 @@
         let mut records = self.records.borrow_mut();
         records.samples.push(sample);
         for (position, vm) in self.fleet.vms.iter().enumerate() {
-            match vm.read_reports() {
+            match vm.read_reports(&mut records.violations) {
                 Ok((owed, cuts)) => {
                     records.owed_reports.extend(owed);
                     records.cut_reports.extend(cuts);
@@ -361,6 +383,15 @@
             SoakFault::DropHistory => self.store.rows.drop_history(),
             SoakFault::TargetActs(target, act) => self.targets.target(target).plan([act]),
             SoakFault::CrashTarget(target) => self.targets.crash(target).await?,
+            SoakFault::VmTargetLinks(vm) => {
+                self.targets.set_vm_mode(vm, LinkMode::Closed);
+                sleep(duration).await;
+                self.targets.set_vm_mode(vm, LinkMode::Open);
+            }
+            SoakFault::RestartTarget(target) => self.targets.restart(target, duration).await,
+            SoakFault::RefuseRequests(target, percent) => {
+                self.targets.refuse(target, percent, duration).await;
+            }
         }
         Ok(())
     }
--- a/crates/soak/src/target_fleet.rs
+++ b/crates/soak/src/target_fleet.rs
@@ -3,8 +3,8 @@
 use crate::fault_plan::SoakProfile;
 use crate::link_proxy::{LinkMode, LinkProxy};
 use crate::records::{ExecutionRecord, SharedRecords};
-use plantainmill_fakes::{SeenRequest, StreamTarget};
-use plantainmill_stand_in::{Operator, TARGET_NAMES, TargetPlan};
+use plantainmill_fakes::{RefusalMode, SeenRequest, StreamTarget};
+use plantainmill_stand_in::{INSTANCE_HEADER, Operator, StoreServer, TARGET_NAMES, TargetPlan};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,18 +32,39 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 struct RunningTarget {
-    id: String,
+    /// Changes when the target restarts at its address.
+    id: RefCell<String>,
     version: &'static str,
     target: StreamTarget,
-    proxy: LinkProxy,
+    /// Links from each VM.
+    links: Vec<LinkProxy>,
     slots: u32,
     is_stopping: Cell<bool>,
+    refusals: Cell<RefusalMode>,
 }
 
 impl RunningTarget {
+    fn id(&self) -> String {
+        self.id.borrow().clone()
+    }
+
+    fn set_mode(&self, mode: LinkMode) {
+        for link in &self.links {
+            link.set_mode(mode);
+        }
+    }
+
+    /// Changes how the target refuses requests.
+    fn change_refusals(&self, change: impl FnOnce(&mut RefusalMode)) {
+        let mut mode = self.refusals.get();
+        change(&mut mode);
+        self.refusals.set(mode);
+        self.target.set_refusals(mode);
+    }
+
     fn plan(&self, draining: bool) -> TargetPlan {
         TargetPlan {
-            address: self.proxy.address,
+            address: self.target.address,
             slots: self.slots,
             draining,
             version: self.version,
@@ -56,7 +77,9 @@
     /// Whether the target is reachable, serves, and uses less than half of its slots.
     fn is_free(&self) -> bool {
         let running = u32::try_from(self.target.running()).unwrap_or(u32::MAX);
-        !self.is_stopping.get() && self.proxy.is_open() && running < self.slots / 2
+        !self.is_stopping.get()
+            && self.links.iter().all(LinkProxy::is_open)
+            && running < self.slots / 2
     }
 }
 
@@ -65,10 +88,14 @@
 pub struct TargetFleet {
     operator: Operator,
     records: SharedRecords,
+    /// Store servers of the VMs, which name the addresses of the links.
+    stores: Rc<[StoreServer]>,
     /// The current target at each index.
     targets: Rc<RefCell<Vec<Rc<RunningTarget>>>>,
     start_count: Rc<Cell<u64>>,
     slots: u32,
+    /// Refusals of targets that start.
+    refusals: Rc<Cell<RefusalMode>>,
 }
 
 impl TargetFleet {
@@ -80,19 +107,27 @@
     pub async fn start(
         operator: Operator,
         records: SharedRecords,
+        stores: Rc<[StoreServer]>,
         count: usize,
         profile: SoakProfile,
+        seed: u64,
     ) -> anyhow::Result<TargetFleet> {
         let slots = match profile {
-            SoakProfile::Silent => SCARCE_SLOTS,
+            SoakProfile::Silent | SoakProfile::Refusing => SCARCE_SLOTS,
             SoakProfile::Planned | SoakProfile::Troubled => SLOTS_PER_TARGET,
         };
         let fleet = TargetFleet {
             operator,
             records,
+            stores,
             targets: Rc::default(),
             start_count: Rc::default(),
             slots,
+            refusals: Rc::new(Cell::new(RefusalMode {
+                seed,
+                refused_percent: 0,
+                has_copies: profile == SoakProfile::Refusing,
+            })),
         };
         for _ in 0..count {
             let target = fleet.start_target().await?;
@@ -107,18 +142,31 @@
         let target = StreamTarget::start(TARGET_NAMES, EVENTS_PER_STREAM).await?;
         target.set_pause(EVENT_INTERVAL);
         target.set_capacity(usize::try_from(self.slots).unwrap_or(usize::MAX) + TARGET_QUEUE);
-        let proxy = LinkProxy::start(target.address).await?;
+        let mut links = Vec::new();
+        for store in self.stores.iter() {
+            let link = LinkProxy::start(target.address).await?;
+            store.set_link(target.address, link.address);
+            links.push(link);
+        }
         let release = usize::try_from(number / TARGETS_PER_VERSION).unwrap_or(0);
+        let refusals = RefusalMode {
+            seed: self.refusals.get().seed.wrapping_add(number),
+            ..self.refusals.get()
+        };
+        target.set_refusals(refusals);
+        let id = format!("i-{number}");
+        target.restart_as(INSTANCE_HEADER, &id);
         let running = Rc::new(RunningTarget {
-            id: format!("i-{number}"),
+            id: RefCell::new(id),
             version: VERSIONS[release % VERSIONS.len()],
             target,
-            proxy,
+            links,
             slots: self.slots,
             is_stopping: Cell::new(false),
+            refusals: Cell::new(refusals),
         });
         self.operator
-            .write_target(&running.id, &running.plan(false));
+            .write_target(&running.id(), &running.plan(false));
         actix_rt::spawn(record_requests(
             Rc::clone(&running),
             Rc::clone(&self.records),
@@ -134,7 +182,16 @@
     pub fn set_mode(&self, position: usize, mode: LinkMode) {
         let target = self.current(position);
         if !target.is_stopping.get() {
-            target.proxy.set_mode(mode);
+            target.set_mode(mode);
+        }
+    }
+
+    /// Sets the mode of the links from a VM to all targets.
+    pub fn set_vm_mode(&self, vm: usize, mode: LinkMode) {
+        for target in self.targets.borrow().iter() {
+            if !target.is_stopping.get() {
+                target.links[vm].set_mode(mode);
+            }
         }
     }
 
@@ -150,7 +207,7 @@
             .iter()
             .flat_map(|target| target.target.running_ids());
         let free = targets.iter().filter(|target| target.is_free());
-        let free = free.map(|target| target.id.clone());
+        let free = free.map(|target| target.id());
         (running.collect(), free.collect())
     }
 
@@ -160,18 +217,18 @@
         if target.is_stopping.replace(true) {
             return Ok(());
         }
-        target.proxy.set_mode(LinkMode::Open);
+        target.set_mode(LinkMode::Open);
         target.target.set_leaving(true);
-        self.operator.write_target(&target.id, &target.plan(true));
+        let id = target.id();
+        self.operator.write_target(&id, &target.plan(true));
         let draining_at = Instant::now();
-        let id = target.id.clone();
         self.records
             .borrow_mut()
             .draining_targets
-            .insert(id, draining_at);
+            .insert(id.clone(), draining_at);
         sleep(DRAIN_TIME).await;
-        self.operator.remove_target(&target.id);
-        target.proxy.set_mode(LinkMode::Reset);
+        self.operator.remove_target(&id);
+        target.set_mode(LinkMode::Reset);
         self.replace(position).await
     }
 
@@ -189,12 +246,45 @@
         if target.is_stopping.replace(true) {
             return Ok(());
         }
-        target.proxy.set_mode(LinkMode::Reset);
+        target.set_mode(LinkMode::Reset);
         sleep(ENTRY_EXPIRY_TIME).await;
-        self.operator.remove_target(&target.id);
+        self.operator.remove_target(&target.id());
         self.replace(position).await
     }
 
+    /// Restarts a target at its address as a new instance. The entry of the instance before stays for `lag`.
+    pub async fn restart(&self, position: usize, lag: Duration) {
+        let target = self.current(position);
+        if target.is_stopping.get() {
+            return;
+        }
+        let number = self.start_count.get();
+        self.start_count.set(number + 1);
+        let id = format!("i-{number}");
+        target.target.restart_as(INSTANCE_HEADER, &id);
+        let old_id = target.id.replace(id);
+        self.operator
+            .write_target(&target.id(), &target.plan(false));
+        sleep(lag).await;
+        self.operator.remove_target(&old_id);
+    }
+
+    /// Makes a target refuse `percent` of its requests for `time`.
+    pub async fn refuse(&self, position: usize, percent: u32, time: Duration) {
+        let target = self.current(position);
+        target.change_refusals(|mode| mode.refused_percent = percent);
+        sleep(time).await;
+        target.change_refusals(|mode| mode.refused_percent = 0);
+    }
+
+    /// Ends the copies of refusals at all targets.
+    pub fn end_copies(&self) {
+        self.refusals.set(RefusalMode::default());
+        for target in self.targets.borrow().iter() {
+            target.change_refusals(|mode| mode.has_copies = false);
+        }
+    }
+
     async fn replace(&self, position: usize) -> anyhow::Result<()> {
         let target = self.start_target().await?;
         self.targets.borrow_mut()[position] = target;
@@ -221,8 +311,9 @@
     let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
     ExecutionRecord {
         id: header(TARGET_NAMES.request_id),
+        may_repeat: !request.line.contains(&format!(" {}", Operator::ONCE_PATH)),
         organisation: header(plantainmill_stand_in::ORGANISATION_HEADER),
-        target: target.id.clone(),
+        target: target.id(),
         version: target.version.to_owned(),
         resumed_after: header("last-event-id").parse().unwrap_or(0),
         seen_at,
--- a/crates/soak/tests/cut_responses.rs
+++ b/crates/soak/tests/cut_responses.rs
@@ -71,10 +71,12 @@
             ended_at: start + Duration::from_millis(elapsed_ms),
             body_time: Duration::ZERO,
             resumes: None,
+            has_promise: false,
             outcome,
         }],
         executions: vec![ExecutionRecord {
             id: "a1".to_owned(),
+            may_repeat: true,
             organisation: "ward".to_owned(),
             target: "i-1".to_owned(),
             version: "v1".to_owned(),
--- a/crates/soak/tests/guarantee_violations.rs
+++ b/crates/soak/tests/guarantee_violations.rs
@@ -3,7 +3,7 @@
 use plantainmill_soak::records::{
     ExecutionRecord, JobRecord, RequestKind, RequestOutcome, RequestRecord, RunRecords,
 };
-use plantainmill_soak::{JobResult, SoakProfile, check_guarantees};
+use plantainmill_soak::{JobResult, SoakProfile, check_guarantees, parse_repeated_id};
 use rstest::rstest;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -31,6 +31,7 @@
         ended_at: start + Duration::from_millis(300),
         body_time: Duration::ZERO,
         resumes: None,
+        has_promise: false,
         outcome,
     }
 }
@@ -38,6 +39,7 @@
 fn execution_at(target: &str, seen_at: Instant) -> ExecutionRecord {
     ExecutionRecord {
         id: "a1".to_owned(),
+        may_repeat: true,
         organisation: "small".to_owned(),
         target: target.to_owned(),
         version: "v1".to_owned(),
@@ -80,6 +82,26 @@
     records.requests[0].kind = RequestKind::NonIdempotent;
     records.executions.push(execution_at("i-2", start));
 }, "executed at i-1 and i-2")]
+#[case::refused_by_timeout(|records: &mut RunRecords, start: Instant| records.requests = vec![request(start, completed(408, ""))], "refused with status 408")]
+#[case::refused_as_misdirected(|records: &mut RunRecords, start: Instant| records.requests = vec![request(start, completed(421, ""))], "refused with status 421")]
+#[case::refused_incompletely(|records: &mut RunRecords, start: Instant| {
+    records.requests = vec![RequestRecord {
+        has_promise: true,
+        ..request(start, RequestOutcome::Failed("closed".to_owned()))
+    }];
+}, "refused with an incomplete response")]
+#[case::refused_before_execution(|records: &mut RunRecords, start: Instant| {
+    records.requests = vec![request(start, completed(503, ""))];
+    records.executions = vec![execution_at("i-1", start + Duration::from_secs(2))];
+}, "refused")]
+#[case::executed_without_record(|records: &mut RunRecords, start: Instant| {
+    let execution = |target| ExecutionRecord {
+        id: "a2".to_owned(),
+        may_repeat: false,
+        ..execution_at(target, start)
+    };
+    records.executions.extend([execution("i-1"), execution("i-2")]);
+}, "a2: executed at i-1 and i-2")]
 #[case::joined_inside(|records: &mut RunRecords, start: Instant| {
     records.executions.push(ExecutionRecord {
         version: "v2".to_owned(),
@@ -137,3 +159,13 @@
         "{violations:?}"
     );
 }
+
+/// Guards against a check of the logs that finds no line, or takes the usual one for a violation.
+#[rstest]
+#[case::once("1", false)]
+#[case::twice("2", true)]
+#[case::unsent("null", false)]
+fn repeated_ids(#[case] id_sends: &str, #[case] is_violation: bool) {
+    let line = format!(r#"{{"event":"send_failed","request":"a1","id_sends":{id_sends}}}"#);
+    assert_eq!(parse_repeated_id(&line, "vm-1").is_some(), is_violation);
+}
--- a/crates/soak/tests/link_ends.rs
+++ b/crates/soak/tests/link_ends.rs
@@ -41,3 +41,23 @@
         ),
     }
 }
+
+/// Guards against a closed link whose connects succeed, for which a VM would not ask another one, and one that stays closed.
+#[actix_rt::test]
+async fn closed_link() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let proxy = LinkProxy::start(listener.local_addr().expect("an address"));
+    let proxy = proxy.await.expect("a proxy");
+    let mut caller = TcpStream::connect(proxy.address).await.expect("a link");
+    let _target = listener.accept().await.expect("a connection");
+    proxy.set_mode(LinkMode::Closed);
+    let cut = caller.read(&mut [0]).await.expect_err("a reset");
+    assert_eq!(cut.kind(), ErrorKind::ConnectionReset);
+    let refused = TcpStream::connect(proxy.address).await;
+    let refused = refused.expect_err("no connection");
+    assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+    proxy.set_mode(LinkMode::Open);
+    while TcpStream::connect(proxy.address).await.is_err() {
+        tokio::task::yield_now().await;
+    }
+}
--- a/crates/soak/tests/owed_items.rs
+++ b/crates/soak/tests/owed_items.rs
@@ -85,6 +85,7 @@
 fn execution(seen_at: Instant, executed: bool) -> ExecutionRecord {
     ExecutionRecord {
         id: "e1".to_owned(),
+        may_repeat: true,
         organisation: "ward".to_owned(),
         target: "i-1".to_owned(),
         version: "v1".to_owned(),
