--- a/crates/proxy/tests/copied_refusals.rs
+++ b/crates/proxy/tests/copied_refusals.rs
@@ -60,28 +60,34 @@
     assert_eq!(answered, Ok((all_events(), None)));
 }
 
-/// Guards against a request that fails although it runs once: the copy of the refusal of another request arrives in place of its
-/// answer.
-#[rstest]
-#[case::stream(true)]
-#[case::buffered(false)]
-#[actix_rt::test]
-async fn next_request(#[case] is_stream: bool) {
+/// Sends a request that may run once to a target that has refused another call with the id `refused`, and writes the copy of that
+/// refusal before its answer.
+async fn check_after_refusal(refused: &str, is_stream: bool) {
     let fleet = Fleet::with_sends(1, 1).await;
     let target = &fleet.targets[0];
     target.plan([TargetAct::Refuse, TargetAct::RepeatRefusal]);
     let other = RelayCall {
-        id: "r2".into(),
+        id: refused.into(),
         ..single_run(is_stream)
     };
-    let refused = read_response(&fleet, other).await;
-    assert!(refused.is_err_and(|problem| problem.executed == Executed::No));
+    let ended = read_response(&fleet, other).await;
+    assert!(ended.is_err_and(|problem| problem.executed == Executed::No));
     tokio::time::sleep(BACKOFF_TIME).await;
     let answered = read_response(&fleet, single_run(is_stream)).await;
     assert_eq!(runs(target), 1);
     assert_eq!(answered, Ok((all_events(), None)));
 }
 
+/// Guards against a request that fails although it runs once: the copy of the refusal of another request arrives in place of its
+/// answer.
+#[rstest]
+#[case::stream(true)]
+#[case::buffered(false)]
+#[actix_rt::test]
+async fn next_request(#[case] is_stream: bool) {
+    check_after_refusal("r2", is_stream).await;
+}
+
 /// Guards against the promise that a request did not run, although it runs: the copy of the refusal of an earlier call with the
 /// same id counts as the refusal of this one.
 #[rstest]
@@ -89,15 +95,7 @@
 #[case::buffered(false)]
 #[actix_rt::test]
 async fn repeated_id(#[case] is_stream: bool) {
-    let fleet = Fleet::with_sends(1, 1).await;
-    let target = &fleet.targets[0];
-    target.plan([TargetAct::Refuse, TargetAct::RepeatRefusal]);
-    let refused = read_response(&fleet, single_run(is_stream)).await;
-    assert!(refused.is_err_and(|problem| problem.executed == Executed::No));
-    tokio::time::sleep(BACKOFF_TIME).await;
-    let answered = read_response(&fleet, single_run(is_stream)).await;
-    assert_eq!(runs(target), 1);
-    assert_eq!(answered, Ok((all_events(), None)));
+    check_after_refusal("r1", is_stream).await;
 }
 
 /// Guards against the copy of a failure that counts for a later call with the same id: the connection of a failure is kept.
