Registry followed by its feed, with whole reads as proof

Cause: each reader read the whole table of targets every 600 ms; 3,000 targets are 1.4 MB each time. Change: RegistryFollower (routing) decides between table and feed. Up to 100 targets the table is read every 600 ms as before, without the feed. Above that the feed gives the changes, and a read proves the list after 1.7 s at most (1.1 s after the proof of another VM with the same list, so that the readers of a domain take turns). A feed that transfers more rows than the table has between two reads is not used for 30 s. Entries that the feed removes count as gone after 600 ms, so that a mass expiry still starts RENEWAL_GRACE. Limits on the age of the list grow with the interval. An unchanged list no longer rebuilds dispatch, limits, paths and versions.

--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -10,8 +10,10 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// Age of the document or targets from which VMs other than the readers of the domain are queried, too.
+/// Age of the document from which VMs other than the readers of the domain are queried, too.
 const EXTENDED_QUERY_AGE: Duration = Duration::from_millis(1_200);
+/// Age of the targets, beyond the interval between the readers' proofs, from which those VMs are queried.
+const EXTENDED_QUERY_MARGIN: Duration = Duration::from_millis(600);
 /// Interval between age queries.
 const AGE_QUERY_INTERVAL: Duration = Duration::from_millis(400);
 /// VMs queried per interval when the document or targets are old or the store does not respond.
@@ -31,10 +33,9 @@
             self.pending_queries
                 .borrow_mut()
                 .retain(|_, queried_at| now.saturating_sub(*queried_at) < AGE_QUERY_TIMEOUT);
-            let ages = [self.state.document_age(), self.state.targets_age()];
-            let is_old = ages
-                .iter()
-                .any(|age| age.is_none_or(|age| age >= EXTENDED_QUERY_AGE));
+            let document_age = self.state.document_age();
+            let has_old_document = document_age.is_none_or(|age| age >= EXTENDED_QUERY_AGE);
+            let is_old = has_old_document || self.state.has_old_targets(EXTENDED_QUERY_MARGIN);
             let needs_more_peers = is_old || self.state.rows.is_failing();
             let sources = self
                 .directory
@@ -83,11 +84,7 @@
 
     pub(crate) fn confirm_targets(&self, fingerprint: u64, at: Uptime) {
         if fingerprint == self.state.targets.borrow().fingerprint() {
-            let confirmed_at = self.state.targets_confirmed_at.get();
-            self.state
-                .targets_confirmed_at
-                .set(confirmed_at.max(Some(at)));
-            self.state.streams.confirm_targets(at);
+            self.state.confirm_targets(at);
         }
     }
 
@@ -122,7 +119,9 @@
             });
         }
         let is_different = targets_fingerprint != self.state.targets.borrow().fingerprint();
-        let is_newer = self.state.targets_age().is_none_or(|age| targets_age < age);
+        // A reader whose own reads succeed knows changes from the feed that another one may not have heard of.
+        let may_fetch = !self.state.is_reader.get() || self.state.has_old_targets(Duration::ZERO);
+        let is_newer = may_fetch && self.state.targets_age().is_none_or(|age| targets_age < age);
         if is_different && is_newer && !self.is_fetching_targets.replace(true) {
             let exchange = Rc::clone(self);
             actix_rt::spawn(async move {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -13,7 +13,9 @@
 use plantainmill_jobs::JobService;
 use plantainmill_paths::TargetPaths;
 use plantainmill_proxy::relay::RelayCaller;
-use plantainmill_routing::{DocumentView, TargetEntry, TargetRegistry};
+use plantainmill_routing::{
+    DocumentView, TargetChanges, TargetEntry, TargetRegistry, proof_interval,
+};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -78,26 +80,61 @@
         Some(self.clock.uptime().saturating_sub(targets_confirmed_at))
     }
 
+    /// Returns whether the targets are older than the readers' proofs make them, by more than `margin`.
+    pub fn has_old_targets(&self, margin: Duration) -> bool {
+        let limit = proof_interval(self.targets.borrow().len()) + margin;
+        self.targets_age().is_none_or(|age| age >= limit)
+    }
+
     /// Replaces the targets with those read from the registry at `read_at`.
     pub fn apply_targets(&self, entries: Vec<TargetEntry>, read_at: Uptime) {
-        self.update_targets(read_at, |targets, now| targets.apply(entries, now));
+        self.update_targets(Some(read_at), |targets, now| targets.apply(entries, now));
     }
 
-    /// Replaces the targets with those that another VM knew at `read_at`.
-    pub fn adopt_targets(&self, entries: Vec<TargetEntry>, read_at: Uptime) {
-        self.update_targets(read_at, |targets, now| targets.adopt(entries, now));
+    /// Applies changes that the registry's feed reported. They do not prove that nothing else has changed.
+    pub fn apply_target_feed(&self, changes: TargetChanges) {
+        self.update_targets(None, |targets, now| targets.apply_feed(changes, now));
     }
 
-    /// Replaces the targets with those of `read_at`, unless more recent ones are known.
-    fn update_targets(&self, read_at: Uptime, change: impl FnOnce(&mut TargetRegistry, Uptime)) {
-        if self.targets_confirmed_at.get() > Some(read_at) {
-            return;
+    /// Drops the missing targets that count as gone by now.
+    pub fn expire_targets(&self) {
+        self.update_targets(None, TargetRegistry::expire);
+    }
+
+    /// Replaces the targets with those that another VM knew at `read_at`, unless more recent ones are known.
+    pub fn adopt_targets(&self, entries: Vec<TargetEntry>, read_at: Uptime) {
+        if self.targets_confirmed_at.get() <= Some(read_at) {
+            self.update_targets(Some(read_at), |targets, now| {
+                targets.adopt(entries, None, now)
+            });
         }
-        self.targets_confirmed_at.set(Some(read_at));
+    }
+
+    /// Records that the targets matched the registry at `at`.
+    pub fn confirm_targets(&self, at: Uptime) {
+        let confirmed_at = self.targets_confirmed_at.get();
+        self.targets_confirmed_at.set(confirmed_at.max(Some(at)));
+        self.streams.confirm_targets(at);
+    }
+
+    /// Changes the targets, which matched the registry at `read_at`, and passes them on to the parts that use them if
+    /// they differ.
+    fn update_targets(
+        &self,
+        read_at: Option<Uptime>,
+        change: impl FnOnce(&mut TargetRegistry, Uptime) -> TargetChanges,
+    ) {
         let now = self.clock.uptime();
         let mut targets = self.targets.borrow_mut();
-        let before = targets.fingerprint();
-        change(&mut targets, now);
+        let changes = change(&mut targets, now);
+        if changes.is_empty() {
+            if let Some(read_at) = read_at {
+                self.confirm_targets(read_at);
+            }
+            return;
+        }
+        let confirmed_at = self.targets_confirmed_at.get().max(read_at);
+        self.targets_confirmed_at.set(confirmed_at);
         self.dispatcher.set_targets(targets.usable(now));
         let limited = targets.usable(now).map(|entry| LimitedTarget {
             id: entry.id.clone(),
@@ -110,10 +147,9 @@
         self.paths
             .set_targets(addresses.map(|entry| (entry.id.clone(), entry.address)));
         let versions = entries.iter().map(|entry| (&entry.service, &entry.version));
-        self.streams.set_targets(versions, read_at);
-        if targets.fingerprint() != before {
-            self.update_notify.notify_one();
-        }
+        self.streams
+            .set_targets(versions, confirmed_at.unwrap_or(now));
+        self.update_notify.notify_one();
     }
 
     /// Returns whether the document is recent enough to verify keys: a key that it lists cannot have been withdrawn for
--- a/crates/edge/src/store_poll.rs
+++ b/crates/edge/src/store_poll.rs
@@ -1,29 +1,35 @@
-//! Polls the store for the document and the targets. A reader does so for its failure domain; any other VM does so only
+//! Reads the document and the targets from the store. A reader does so for its failure domain; any other VM does so only
 //! while the readers do not provide recent data.
 
 use crate::state::EdgeState;
 use plantainmill_provider::StoreError;
-use plantainmill_routing::{DocumentRead, DocumentRevision, DocumentSource, TargetSource};
+use plantainmill_routing::{
+    DocumentRead, DocumentRevision, DocumentSource, FollowerStep, RegistryFollower, TargetFeed,
+    TargetSource,
+};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Interval between reads of the document. A change takes effect within this interval plus one store response.
 const DOCUMENT_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval between reads of the targets. A draining target gets no more requests after this interval plus one store
-/// response.
-const TARGET_INTERVAL: Duration = Duration::from_millis(600);
 /// Delay after a failed read. Short, because readiness depends on the next successful read.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout of a read. A slow store takes several hundred milliseconds.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Age of the document or targets from which a VM reads the store itself: the readers have been queried twice by then.
+/// Age of the document from which a VM reads the store itself: the readers have been queried twice by then.
 const DIRECT_READ_AGE: Duration = Duration::from_millis(1_400);
+/// Age of the targets, beyond the interval between the readers' proofs, from which a VM reads the store itself.
+const DIRECT_READ_MARGIN: Duration = Duration::from_millis(800);
+/// Timeout of a feed call, beyond the time for which the store may hold it.
+const FEED_MARGIN: Duration = Duration::from_millis(500);
 
 /// Returns whether this VM reads the store at present.
 fn reads_store(state: &EdgeState) -> bool {
-    let is_stale = |age: Option<Duration>| age.is_none_or(|age| age >= DIRECT_READ_AGE);
-    state.is_reader.get() || is_stale(state.document_age()) || is_stale(state.targets_age())
+    let document_age = state.document_age();
+    let has_old_document = document_age.is_none_or(|age| age >= DIRECT_READ_AGE);
+    state.is_reader.get() || has_old_document || state.has_old_targets(DIRECT_READ_MARGIN)
 }
 
 /// Polls the document until the VM ends.
@@ -39,7 +45,7 @@
         }
         let sent_at = state.clock.uptime();
         let read = timeout(READ_TIMEOUT, source.read_document(revision)).await;
-        let read = read.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into())));
+        let read = read.unwrap_or_else(|_| Err(unanswered()));
         let pause = match read {
             Ok(read) => {
                 state.rows.record_call(true);
@@ -70,34 +76,80 @@
     }
 }
 
-/// Polls the registered targets until the VM ends.
-pub(crate) async fn poll_targets(state: Rc<EdgeState>, source: Rc<dyn TargetSource>) {
+/// Follows the registered targets until the VM ends.
+pub(crate) async fn follow_targets(state: Rc<EdgeState>, source: Rc<dyn TargetSource>) {
+    let mut follower = RegistryFollower::new(xxh3_64(state.settings.vm.id.as_bytes()));
     let mut is_unreachable = false;
+    let mut has_lost_feed = false;
     loop {
+        state.expire_targets();
         if !reads_store(&state) {
+            follower.reset();
             sleep(RETRY_INTERVAL).await;
             continue;
         }
-        let sent_at = state.clock.uptime();
-        let read = timeout(READ_TIMEOUT, source.read_targets()).await;
-        let read = read.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into())));
-        let pause = match read {
-            Ok(entries) => {
-                log_store_regained(&mut is_unreachable, "targets");
-                state.apply_targets(entries, sent_at);
-                TARGET_INTERVAL
+        let confirmed_at = state.targets_confirmed_at.get();
+        match follower.next_step(confirmed_at, state.clock.uptime()) {
+            FollowerStep::Wait(pause) => sleep(pause.min(RETRY_INTERVAL)).await,
+            FollowerStep::Read => {
+                read_targets(&state, &*source, &mut follower, &mut is_unreachable).await;
             }
-            Err(error) => {
-                state.metrics.count_store_failure("targets");
-                log_store_lost(&mut is_unreachable, "targets", &error);
-                state.targets.borrow_mut().record_read_failure();
-                RETRY_INTERVAL
+            FollowerStep::Follow { after, wait } => {
+                let read = timeout(wait + FEED_MARGIN, source.follow_targets(after, wait)).await;
+                let read = read.unwrap_or_else(|_| Err(unanswered()));
+                let now = state.clock.uptime();
+                match read {
+                    Ok(TargetFeed::Changes(rows)) => {
+                        log_store_regained(&mut has_lost_feed, "target_feed");
+                        state.apply_target_feed(follower.record_feed(rows, now));
+                    }
+                    Ok(TargetFeed::HistoryLost) => follower.record_feed_failure(now),
+                    Err(error) => {
+                        state.metrics.count_store_failure("target_feed");
+                        log_store_lost(&mut has_lost_feed, "target_feed", &error);
+                        follower.record_feed_failure(now);
+                    }
+                }
             }
-        };
-        sleep(pause).await;
+        }
     }
 }
 
+/// Reads all registered targets.
+async fn read_targets(
+    state: &EdgeState,
+    source: &dyn TargetSource,
+    follower: &mut RegistryFollower,
+    is_unreachable: &mut bool,
+) {
+    let sent_at = state.clock.uptime();
+    let former = state.targets.borrow().fingerprint();
+    let read = timeout(READ_TIMEOUT, source.read_targets()).await;
+    match read.unwrap_or_else(|_| Err(unanswered())) {
+        Ok(rows) => {
+            log_store_regained(is_unreachable, "targets");
+            let is_overtaken = state.targets_confirmed_at.get() > Some(sent_at)
+                && state.targets.borrow().fingerprint() != former;
+            if is_overtaken {
+                // A peer has handed over a more recent list meanwhile.
+                follower.record_read_failure(state.clock.uptime());
+            } else {
+                state.apply_targets(follower.record_read(rows, sent_at), sent_at);
+            }
+        }
+        Err(error) => {
+            state.metrics.count_store_failure("targets");
+            log_store_lost(is_unreachable, "targets", &error);
+            state.targets.borrow_mut().record_read_failure();
+            follower.record_read_failure(state.clock.uptime());
+        }
+    }
+}
+
+fn unanswered() -> StoreError {
+    StoreError::Unknown("no answer in time".into())
+}
+
 fn log_store_lost(is_unreachable: &mut bool, read: &'static str, error: &StoreError) {
     if !std::mem::replace(is_unreachable, true) {
         tracing::warn!(event = "store_lost", read, %error);
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -11,7 +11,7 @@
 use crate::proxied_rows::ProxiedRows;
 use crate::settings::EdgeSettings;
 use crate::state::EdgeState;
-use crate::store_poll::{poll_document, poll_targets};
+use crate::store_poll::{follow_targets, poll_document};
 use crate::stream_records::StreamRecords;
 use anyhow::Context as _;
 use plantainmill_admission::SharedLimiter;
@@ -111,7 +111,7 @@
             listen::serve(metrics, shared_state, signals, control::metrics).await?;
         }
         actix_rt::spawn(poll_document(Rc::clone(&state), platform.document));
-        actix_rt::spawn(poll_targets(Rc::clone(&state), platform.targets));
+        actix_rt::spawn(follow_targets(Rc::clone(&state), platform.targets));
         actix_rt::spawn(state.streams.clone().maintain());
         actix_rt::spawn(keep_quarantines(
             state.quarantine.clone(),
--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -104,6 +104,12 @@
         (self.state.changes.get(), self.state.reads.get())
     }
 
+    /// Version of the last change.
+    #[must_use]
+    pub fn version(&self) -> RowVersion {
+        self.state.version.get()
+    }
+
     /// All rows of a table.
     #[must_use]
     pub fn table(&self, table: &str) -> Vec<PartitionRow> {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,8 @@
 //! last known to be the latest one.
 
 pub mod document;
+pub mod follower;
+pub mod history;
 pub mod registry;
 pub mod source;
 pub mod versions;
@@ -12,7 +14,9 @@
 pub use document::{
     CallerLimits, FleetDocument, JobRule, OrganisationRule, RouteKind, RouteRule, ServiceShare,
 };
-pub use registry::{TargetEntry, TargetRegistry};
-pub use source::{DocumentRead, DocumentRevision, DocumentSource, TargetSource};
+pub use follower::{FollowerStep, RegistryFollower, TargetRow, TargetRows, proof_interval};
+pub use history::TargetHistory;
+pub use registry::{TargetChanges, TargetEntry, TargetRegistry};
+pub use source::{DocumentRead, DocumentRevision, DocumentSource, TargetFeed, TargetSource};
 pub use versions::VersionLedger;
 pub use view::DocumentView;
--- a/crates/routing/src/source.rs
+++ b/crates/routing/src/source.rs
@@ -1,8 +1,9 @@
 //! Interfaces to the sources of the fleet document and of the registered targets.
 
 use crate::document::FleetDocument;
-use crate::registry::TargetEntry;
-use plantainmill_provider::PlatformFuture;
+use crate::follower::TargetRows;
+use plantainmill_provider::{PlatformFuture, RowVersion};
+use std::time::Duration;
 
 /// Identifies a revision of the stored document; zero stands for no document.
 pub type DocumentRevision = u64;
@@ -25,8 +26,21 @@
     fn read_document(&self, known: DocumentRevision) -> PlatformFuture<'_, DocumentRead>;
 }
 
+/// Result of reading the feed of the registered targets.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TargetFeed {
+    /// The changed rows.
+    Changes(TargetRows),
+    /// The source no longer has all changes; the whole table has to be read.
+    HistoryLost,
+}
+
 /// Source of the registered targets.
 pub trait TargetSource {
-    /// Reads all registered targets. Entries that do not describe a usable target are omitted.
-    fn read_targets(&self) -> PlatformFuture<'_, Vec<TargetEntry>>;
+    /// Reads all registered targets.
+    fn read_targets(&self) -> PlatformFuture<'_, TargetRows>;
+
+    /// Reads the changes after version `after`; waits up to `wait` if there are none. No changes are no proof that
+    /// nothing has changed.
+    fn follow_targets(&self, after: RowVersion, wait: Duration) -> PlatformFuture<'_, TargetFeed>;
 }
--- a/crates/routing/src/versions.rs
+++ b/crates/routing/src/versions.rs
@@ -98,20 +98,9 @@
         targets: impl Iterator<Item = (&'a ServiceName, &'a VersionName)>,
         now: Uptime,
     ) {
-        if self.updated_at.is_some_and(|updated_at| now < updated_at) {
+        if !self.begin_view(now) {
             return;
         }
-        let has_gap = self
-            .updated_at
-            .is_some_and(|updated_at| now.saturating_sub(updated_at) >= VIEW_VALIDITY);
-        if has_gap {
-            // Versions may have come and gone unseen.
-            for known in self.services.values_mut() {
-                known.known_since = now;
-                known.changed_at = now;
-            }
-        }
-        self.updated_at = Some(now);
         let mut listed: BTreeMap<ServiceName, BTreeMap<VersionName, usize>> = BTreeMap::new();
         for (service, version) in targets {
             let versions = listed.entry(service.clone()).or_default();
@@ -130,30 +119,53 @@
                 known.last_listed.insert(version.clone(), now);
             }
             known.listed = listed;
-            let retention = self.retention;
+        }
+        self.forget_versions(now);
+    }
+
+    /// Records that there is a view of the targets as of `now`. Returns false if a more recent one is known.
+    fn begin_view(&mut self, now: Uptime) -> bool {
+        if self.updated_at.is_some_and(|updated_at| now < updated_at) {
+            return false;
+        }
+        let has_gap = self
+            .updated_at
+            .is_some_and(|updated_at| now.saturating_sub(updated_at) >= VIEW_VALIDITY);
+        if has_gap {
+            // Versions may have come and gone unseen.
+            for known in self.services.values_mut() {
+                known.known_since = now;
+                known.changed_at = now;
+            }
+        }
+        self.updated_at = Some(now);
+        true
+    }
+
+    /// Forgets the versions that no stream under way can have.
+    fn forget_versions(&mut self, now: Uptime) {
+        let retention = self.retention;
+        self.services.retain(|_, known| {
             known
                 .last_listed
                 .retain(|_, last_listed| now.saturating_sub(*last_listed) < retention);
-        }
-        let is_remembered =
-            |known: &ServiceVersions| !known.last_listed.is_empty() || !known.listed.is_empty();
-        self.services.retain(|_, known| is_remembered(known));
+            !known.last_listed.is_empty() || !known.listed.is_empty()
+        });
     }
 
     /// Records that the registry still had the listed targets at `now`.
     pub fn confirm_targets(&mut self, now: Uptime) {
-        let listed: Vec<(ServiceName, VersionName)> = self
-            .services
-            .iter()
-            .flat_map(|(service, known)| {
-                let versions = known.listed.iter();
-                versions.flat_map(|(version, count)| {
-                    std::iter::repeat_n((service.clone(), version.clone()), *count)
-                })
-            })
-            .collect();
-        let targets = listed.iter().map(|(service, version)| (service, version));
-        self.set_targets(targets, now);
+        if !self.begin_view(now) {
+            return;
+        }
+        for known in self.services.values_mut() {
+            for version in known.listed.keys() {
+                if let Some(last_listed) = known.last_listed.get_mut(version) {
+                    *last_listed = now;
+                }
+            }
+        }
+        self.forget_versions(now);
     }
 
     /// Records the base version of a service, or that none is stored, as read from the store at `read_at`.
--- a/crates/routing/tests/all/target_registry.rs
+++ b/crates/routing/tests/all/target_registry.rs
@@ -1,9 +1,9 @@
 //! Tests of which targets may get new requests.
 
-use plantainmill_routing::{TargetEntry, TargetRegistry};
+use plantainmill_routing::{TargetChanges, TargetEntry, TargetRegistry};
 use std::time::Duration;
 
-fn entry(id: &str, port: u16) -> TargetEntry {
+pub(crate) fn entry(id: &str, port: u16) -> TargetEntry {
     TargetEntry {
         id: id.into(),
         service: "llm".into(),
@@ -16,17 +16,17 @@
     }
 }
 
-fn fleet(count: u16) -> Vec<TargetEntry> {
+pub(crate) fn fleet(count: u16) -> Vec<TargetEntry> {
     (0..count)
         .map(|number| entry(&format!("t{number}"), number))
         .collect()
 }
 
-fn usable(registry: &TargetRegistry, now: Duration) -> usize {
+pub(crate) fn usable(registry: &TargetRegistry, now: Duration) -> usize {
     registry.usable(now).count()
 }
 
-const fn at(millis: u64) -> Duration {
+pub(crate) const fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -109,7 +109,7 @@
     let mut registry = TargetRegistry::default();
     registry.apply(fleet(10), at(0));
     registry.record_read_failure();
-    registry.adopt(fleet(9), at(1_000));
+    registry.adopt(fleet(9), None, at(1_000));
     assert_eq!(usable(&registry, at(1_000)), 9);
     assert_eq!(registry.entries().len(), 9);
 }
@@ -128,3 +128,59 @@
     assert_ne!(fingerprint(fleet(3)), fingerprint(fleet(4)));
     assert_ne!(fingerprint(fleet(3)), fingerprint(draining));
 }
+
+pub(crate) fn removal(ids: &[&str]) -> TargetChanges {
+    TargetChanges {
+        changed: Vec::new(),
+        removed: ids.iter().map(|id| (*id).into()).collect(),
+    }
+}
+
+/// Guards against a target whose row the feed reports as removed and that gets requests for longer than with reads of the
+/// table every 600 ms.
+#[test]
+fn removed_row() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(fleet(10), at(0));
+    registry.apply_feed(removal(&["t3"]), at(100));
+    assert_eq!(usable(&registry, at(100)), 10);
+    assert_eq!(usable(&registry, at(700)), 9);
+    assert_eq!(registry.expire(at(700)).removed, ["t3"]);
+}
+
+/// Guards against dropping all targets when their entries expire one by one in the feed, and against removed targets
+/// that stay after the grace period.
+#[test]
+fn single_expiries() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(fleet(10), at(0));
+    for number in 0..8 {
+        registry.apply_feed(removal(&[&format!("t{number}")]), at(100 * number));
+        registry.expire(at(100 * number));
+    }
+    assert_eq!(usable(&registry, at(2_300)), 10);
+    registry.apply_feed(
+        TargetChanges {
+            changed: fleet(5),
+            removed: Vec::new(),
+        },
+        at(2_300),
+    );
+    registry.expire(at(2_800));
+    assert_eq!(usable(&registry, at(2_800)), 7);
+}
+
+/// Guards against requests to a removed target whose address another target already uses.
+#[test]
+fn reused_feed_address() {
+    let mut registry = TargetRegistry::default();
+    registry.apply(fleet(10), at(0));
+    registry.apply_feed(removal(&["t3"]), at(100));
+    let changes = TargetChanges {
+        changed: vec![entry("new", 3)],
+        removed: Vec::new(),
+    };
+    let applied = registry.apply_feed(changes, at(200));
+    assert_eq!(applied.removed, ["t3"]);
+    assert_eq!(usable(&registry, at(200)), 10);
+}
