Changes of the target list between VMs instead of whole lists

Cause: a VM fetched the whole list from a reader whenever the fingerprints differed, 0.5 MB at 3,000 targets. An age answer says whether its sender has this path, so VMs of older releases ask and are asked for /targets as before. A receiver keeps the fingerprint that the sender names. Counters: target_lists_sent and target_list_bytes by kind.

--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -1,8 +1,10 @@
 //! Queries for the age of the peers' document and targets, and updates from peers that have newer ones.
 
-use crate::control::{DOCUMENT_PATH, TARGETS_PATH};
+use crate::control::{BASE_PARAMETER, DOCUMENT_PATH, TARGET_CHANGES_PATH};
 use crate::message::PeerMessage;
 use crate::peer_exchange::PeerExchange;
+use crate::target_list::{TargetListAnswer, TargetListContent};
+use anyhow::anyhow;
 use plantainmill_core::Uptime;
 use plantainmill_routing::{FleetDocument, TargetEntry};
 use std::net::SocketAddr;
@@ -79,6 +81,7 @@
             reaches_store: self.state.is_reader.get() && !self.state.rows.is_failing(),
             control: self.own_row.control,
             jobs: self.state.jobs.announced(),
+            sends_target_changes: true,
         })
     }
 
@@ -88,57 +91,94 @@
         }
     }
 
-    /// Fetches the peer's document or targets if they are newer than those of this VM.
-    pub(crate) fn fetch_newer(
+    /// Fetches the peer's document if it is newer than that of this VM.
+    pub(crate) fn fetch_document(self: &Rc<Self>, version: u64, control: SocketAddr) {
+        if version <= self.state.view.version() {
+            return;
+        }
+        let state = Rc::clone(&self.state);
+        actix_rt::spawn(async move {
+            let sent_at = state.clock.uptime();
+            let read: anyhow::Result<(FleetDocument, Duration)> =
+                state.peer_client.read(control, DOCUMENT_PATH).await;
+            match read {
+                Ok((document, age)) => {
+                    let version = document.version;
+                    if state
+                        .view
+                        .replace_if_newer(document, sent_at.saturating_sub(age))
+                    {
+                        tracing::info!(event = "document_changed", version, from = %control);
+                    }
+                }
+                Err(error) => {
+                    tracing::info!(event = "document_not_read", from = %control, %error);
+                }
+            }
+        });
+    }
+
+    /// Fetches the peer's targets from `path` if they are newer than those of this VM and differ from them.
+    pub(crate) fn fetch_targets(
         self: &Rc<Self>,
-        version: u64,
-        targets_fingerprint: u64,
-        targets_age: Duration,
+        fingerprint: u64,
+        age: Duration,
         control: SocketAddr,
+        path: &'static str,
     ) {
-        if version > self.state.view.version() {
-            let state = Rc::clone(&self.state);
-            actix_rt::spawn(async move {
-                let sent_at = state.clock.uptime();
-                let read: anyhow::Result<(FleetDocument, Duration)> =
-                    state.peer_client.read(control, DOCUMENT_PATH).await;
-                match read {
-                    Ok((document, age)) => {
-                        let version = document.version;
-                        if state
-                            .view
-                            .replace_if_newer(document, sent_at.saturating_sub(age))
-                        {
-                            tracing::info!(event = "document_changed", version, from = %control);
-                        }
-                    }
-                    Err(error) => {
-                        tracing::info!(event = "document_not_read", from = %control, %error);
-                    }
-                }
-            });
-        }
-        let is_different = targets_fingerprint != self.state.targets.borrow().fingerprint();
         // A reader whose own reads succeed knows changes from the feed that another one may not have heard of.
-        let may_fetch = !self.state.is_reader.get() || self.state.has_old_targets(Duration::ZERO);
-        let is_newer = may_fetch && self.state.targets_age().is_none_or(|age| targets_age < age);
-        if is_different && is_newer && !self.is_fetching_targets.replace(true) {
-            let exchange = Rc::clone(self);
-            actix_rt::spawn(async move {
-                let sent_at = exchange.now();
-                let read: anyhow::Result<(Vec<TargetEntry>, Duration)> =
-                    exchange.state.peer_client.read(control, TARGETS_PATH).await;
-                exchange.is_fetching_targets.set(false);
-                match read {
-                    Ok((entries, age)) => {
-                        let read_at = sent_at.saturating_sub(age);
-                        exchange.state.adopt_targets(entries, read_at);
-                    }
-                    Err(error) => {
-                        tracing::info!(event = "targets_not_read", from = %control, %error);
-                    }
-                }
-            });
+        let is_served = self.state.is_reader.get() && !self.state.has_old_targets(Duration::ZERO);
+        let is_newer = self.state.targets_age().is_none_or(|own_age| age < own_age);
+        let known = self.state.targets.borrow().fingerprint();
+        if is_served || !is_newer || fingerprint == known || self.is_fetching_targets.replace(true)
+        {
+            return;
+        }
+        let exchange = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let read = exchange.read_targets(control, path, known).await;
+            exchange.is_fetching_targets.set(false);
+            if let Err(error) = read {
+                tracing::info!(event = "targets_not_read", from = %control, %error);
+            }
+        });
+    }
+
+    /// Reads the targets of a peer. The list of this VM has the fingerprint `known` now.
+    async fn read_targets(
+        &self,
+        control: SocketAddr,
+        path: &'static str,
+        known: u64,
+    ) -> anyhow::Result<()> {
+        let sent_at = self.now();
+        let client = &self.state.peer_client;
+        let update = if path == TARGET_CHANGES_PATH {
+            let call = match self.state.targets_age() {
+                Some(_) => format!("{path}?{BASE_PARAMETER}={known}"),
+                None => path.to_owned(),
+            };
+            let answer: TargetListAnswer = client.read(control, &call).await?;
+            let update = answer.into_update();
+            update.ok_or_else(|| anyhow!("malformed list of targets"))?
+        } else {
+            let (entries, age): (Vec<TargetEntry>, Duration) = client.read(control, path).await?;
+            self.state
+                .adopt_targets(entries, None, known, sent_at.saturating_sub(age));
+            return Ok(());
+        };
+        let read_at = sent_at.saturating_sub(update.age);
+        match update.content {
+            TargetListContent::Whole(entries) => {
+                let fingerprint = Some(update.fingerprint);
+                self.state
+                    .adopt_targets(entries, fingerprint, known, read_at);
+            }
+            TargetListContent::Changes(base, changes) => {
+                self.state
+                    .adopt_target_changes(base, changes, update.fingerprint, read_at);
+            }
         }
+        Ok(())
     }
 }
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::forwarding;
 use crate::state::EdgeState;
+use crate::target_list::TargetListAnswer;
 use actix_web::{HttpRequest, HttpResponse, web};
 use plantainmill_admission::RateLimiter as _;
 use plantainmill_core::encode_cbor;
@@ -12,8 +13,12 @@
 
 /// Path of the document in force.
 pub(crate) const DOCUMENT_PATH: &str = "/document";
-/// Path of the targets.
+/// Path of the whole list of targets, for VMs of older releases.
 pub(crate) const TARGETS_PATH: &str = "/targets";
+/// Path of the changes of the targets since a list that the query names, or the whole list.
+pub(crate) const TARGET_CHANGES_PATH: &str = "/targets/changes";
+/// Query parameter of [`TARGET_CHANGES_PATH`]: fingerprint of the list that the caller has.
+pub(crate) const BASE_PARAMETER: &str = "base";
 /// Path of store calls on behalf of a peer that cannot reach the store.
 pub(crate) const ROWS_PATH: &str = "/rows";
 /// Path of the state dump, in JSON.
@@ -40,6 +45,7 @@
         },
         DOCUMENT_PATH => document(&state),
         TARGETS_PATH => targets(&state),
+        TARGET_CHANGES_PATH => target_changes(&state, request.query_string()),
         STATE_PATH => HttpResponse::Ok().json(dump(&state).await),
         METRICS_PATH => metrics(state).await,
         _ => HttpResponse::NotFound().finish(),
@@ -64,7 +70,28 @@
     let Some(age) = state.targets_age() else {
         return HttpResponse::ServiceUnavailable().finish();
     };
-    cbor_response(&(state.targets.borrow().entries(), age))
+    let content = encode_cbor(&(state.targets.borrow().entries(), age));
+    state.metrics.count_target_list("former", content.len());
+    HttpResponse::Ok().body(content)
+}
+
+fn target_changes(state: &EdgeState, query: &str) -> HttpResponse {
+    let Some(age) = state.targets_age() else {
+        return HttpResponse::ServiceUnavailable().finish();
+    };
+    let base = query.split_once('=');
+    let base = base.filter(|(name, _)| *name == BASE_PARAMETER);
+    let base = base.and_then(|(_, base)| base.parse().ok());
+    let (targets, history) = (state.targets.borrow(), state.target_history.borrow());
+    let answer = TargetListAnswer::new(&targets, &history, base, age);
+    let kind = if answer.is_whole() {
+        "whole"
+    } else {
+        "changes"
+    };
+    let content = encode_cbor(&answer);
+    state.metrics.count_target_list(kind, content.len());
+    HttpResponse::Ok().body(content)
 }
 
 fn cbor_response(value: &impl Serialize) -> HttpResponse {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod state;
 mod store_poll;
 mod stream_records;
+mod target_list;
 mod vm;
 
 pub use codec::{RequestCodec, RequestHead};
@@ -31,4 +32,5 @@
 pub use peer_directory::{PeerDirectory, ReportRoute};
 pub use report_relay::{ReportRelay, split_updates};
 pub use settings::{BoundSettings, EdgeSettings, ListenSettings, VmSettings};
+pub use target_list::{TargetListAnswer, TargetListContent, TargetListUpdate};
 pub use vm::{EdgePlatform, EdgeVm};
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -150,6 +150,9 @@
         /// Older releases leave it out.
         #[serde(default)]
         jobs: Option<(RowVersion, Duration)>,
+        /// The peer answers with the changes of a list of targets that it is told. Older releases leave it out.
+        #[serde(default)]
+        sends_target_changes: bool,
     },
 }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -22,6 +22,8 @@
     datagrams: Counter<u64>,
     forwarded: Counter<u64>,
     unanswered: Counter<u64>,
+    target_lists: Counter<u64>,
+    target_list_bytes: Counter<u64>,
 }
 
 impl EdgeMetrics {
@@ -51,6 +53,14 @@
                 .u64_counter("plantainmill_requests_unanswered")
                 .with_description("Requests whose connection was closed before their answer")
                 .build(),
+            target_lists: meter
+                .u64_counter("plantainmill_target_lists_sent")
+                .with_description("Target lists sent to other VMs: whole ones, changes, or whole ones of the former kind")
+                .build(),
+            target_list_bytes: meter
+                .u64_counter("plantainmill_target_list_bytes")
+                .with_description("Bytes of the target lists sent to other VMs, by kind")
+                .build(),
             registry,
             provider,
         })
@@ -104,6 +114,14 @@
             .add(1, &[KeyValue::new("ended_by", ended_by)]);
     }
 
+    /// Counts a target list of this size in bytes that was sent to another VM, by its kind.
+    pub fn count_target_list(&self, kind: &'static str, size: usize) {
+        let labels = [KeyValue::new("kind", kind)];
+        self.target_lists.add(1, &labels);
+        let size = u64::try_from(size).unwrap_or(u64::MAX);
+        self.target_list_bytes.add(size, &labels);
+    }
+
     /// Returns all metrics as Prometheus text.
     pub fn text(&self) -> String {
         let mut content = Vec::new();
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -1,5 +1,6 @@
 //! Message exchange between VMs: sends and receives the datagrams and hands them to the parts that they concern.
 
+use crate::control::{TARGET_CHANGES_PATH, TARGETS_PATH};
 use crate::message::{PeerMessage, VmRow};
 use crate::peer_directory::PeerDirectory;
 use crate::report_relay::ReportRelay;
@@ -172,6 +173,7 @@
                 reaches_store,
                 control,
                 jobs,
+                sends_target_changes,
             } => {
                 self.state.rows.record_proxy(control, reaches_store);
                 let queried_at = self.pending_queries.borrow_mut().remove(&nonce);
@@ -188,7 +190,13 @@
                     }
                 }
                 if queried_at.is_some() || nonce == 0 {
-                    self.fetch_newer(version, targets_stamp, targets_age, control);
+                    self.fetch_document(version, control);
+                    let path = if sends_target_changes {
+                        TARGET_CHANGES_PATH
+                    } else {
+                        TARGETS_PATH
+                    };
+                    self.fetch_targets(targets_stamp, targets_age, control, path);
                 }
             }
         }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -14,7 +14,7 @@
 use plantainmill_paths::TargetPaths;
 use plantainmill_proxy::relay::RelayCaller;
 use plantainmill_routing::{
-    DocumentView, TargetChanges, TargetEntry, TargetRegistry, proof_interval,
+    DocumentView, TargetChanges, TargetEntry, TargetHistory, TargetRegistry, proof_interval,
 };
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -54,6 +54,8 @@
     pub metrics: EdgeMetrics,
     /// Targets, as read from the store or fetched from a peer.
     pub targets: RefCell<TargetRegistry>,
+    /// Recent changes of the targets, for other VMs.
+    pub target_history: RefCell<TargetHistory>,
     /// Latest time at which the targets were known to match the registry.
     pub targets_confirmed_at: Cell<Option<Uptime>>,
     /// Whether this VM reads the store for its failure domain.
@@ -101,11 +103,38 @@
         self.update_targets(None, TargetRegistry::expire);
     }
 
-    /// Replaces the targets with those that another VM knew at `read_at`, unless more recent ones are known.
-    pub fn adopt_targets(&self, entries: Vec<TargetEntry>, read_at: Uptime) {
-        if self.targets_confirmed_at.get() <= Some(read_at) {
+    /// Replaces the targets with those that another VM knew at `read_at`, and their fingerprint, if it named one. When they
+    /// were asked for, those of this VM had the fingerprint `former`, and were older; if they have changed since, the more
+    /// recent ones stay.
+    pub fn adopt_targets(
+        &self,
+        entries: Vec<TargetEntry>,
+        fingerprint: Option<u64>,
+        former: u64,
+        read_at: Uptime,
+    ) {
+        let is_unchanged = self.targets.borrow().fingerprint() == former;
+        if is_unchanged || self.targets_confirmed_at.get() <= Some(read_at) {
             self.update_targets(Some(read_at), |targets, now| {
-                targets.adopt(entries, None, now)
+                targets.adopt(entries, fingerprint, now)
+            });
+        }
+    }
+
+    /// Applies what another VM says has changed since the list with the fingerprint `base`; it has the one with
+    /// `fingerprint`, and knew at `read_at` that it matched the registry. Without effect if this VM has another list than
+    /// `base` by now: the next query fetches again.
+    pub fn adopt_target_changes(
+        &self,
+        base: u64,
+        changes: TargetChanges,
+        fingerprint: u64,
+        read_at: Uptime,
+    ) {
+        if self.targets.borrow().fingerprint() == base {
+            self.update_targets(Some(read_at), |targets, _| {
+                let applied = targets.adopt_changes(base, changes, fingerprint);
+                applied.unwrap_or_default()
             });
         }
     }
@@ -126,7 +155,12 @@
     ) {
         let now = self.clock.uptime();
         let mut targets = self.targets.borrow_mut();
+        let before = targets.fingerprint();
         let changes = change(&mut targets, now);
+        if targets.fingerprint() != before {
+            let mut history = self.target_history.borrow_mut();
+            history.record(before, &changes, targets.fingerprint());
+        }
         if changes.is_empty() {
             if let Some(read_at) = read_at {
                 self.confirm_targets(read_at);
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -273,6 +273,7 @@
         peer_client,
         metrics,
         targets: RefCell::default(),
+        target_history: RefCell::default(),
         targets_confirmed_at: Cell::new(None),
         is_reader: Cell::new(true),
         update_notify: Notify::new(),
--- a/crates/edge/tests/all/former_release.rs
+++ b/crates/edge/tests/all/former_release.rs
@@ -47,6 +47,7 @@
         reaches_store: true,
         control: control(),
         jobs,
+        sends_target_changes: false,
     }
 }
 
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod relay_fleet;
 mod report_relay;
 mod support;
+mod target_lists;
