Evacuation of a failure domain at an operator's request

Cause: an operator's request that nothing new is sent to the targets of a failure domain is not read, so they go on getting requests and items. Change: where the settings have [bounds] evacuate_ms, the conditional change by which the document is polled also names the versions of the requests. VMs that do not read the store get them with the age answers; the newest store version wins, and the age of the document proves both. Targets of evacuated domains are left out of the usable ones as draining targets are; a VM that is asked to forward to one declines, since a statement that it leaves would outlast the evacuation. Requests are served no longer than the evacuation bound after the last proof.

--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -78,6 +78,7 @@
             reaches_store: self.state.is_reader.get() && !self.state.rows.is_failing(),
             control: self.own_row.control,
             jobs: self.state.jobs.announced(),
+            evacuations: self.state.view.evacuation_report(self.now()),
         })
     }
 
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -80,6 +80,7 @@
         "in_flight": state.requests_in_flight.in_flight(),
         "document_version": state.view.version(),
         "document_age_ms": state.document_age().map(|age| age.as_millis()),
+        "evacuated_domains": state.view.evacuated_domains(),
         "dispatch": state.dispatcher.dump().await,
         "quarantine": state.quarantine.dump(),
         "versions": state.streams.dump(),
--- a/crates/edge/src/forwarding.rs
+++ b/crates/edge/src/forwarding.rs
@@ -29,6 +29,8 @@
     let target = forwarded.target.clone();
     let result = match state.dispatcher.usable_since(&target) {
         _ if state.is_stopping.get() => Err(ForwardVerdict::Declined),
+        // An evacuated target may be used again later, so this VM does not state that it leaves.
+        None if state.targets.borrow().is_evacuated(&target) => Err(ForwardVerdict::Declined),
         None if state.paths.address_of(&target).is_some() => Err(ForwardVerdict::Leaving),
         None => Err(ForwardVerdict::Declined),
         Some(born) => {
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -8,6 +8,7 @@
 use plantainmill_dispatch::shared::{LeavingReport, PeerLoad};
 use plantainmill_jobs::{HeadChanges, HeadUpdate, JobOwner};
 use plantainmill_provider::RowVersion;
+use plantainmill_routing::EvacuationReport;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -150,6 +151,9 @@
         /// Older releases leave it out.
         #[serde(default)]
         jobs: Option<(RowVersion, Duration)>,
+        /// Evacuated failure domains, with an age of their own. Older releases leave it out.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        evacuations: Option<EvacuationReport>,
     },
 }
 
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -172,9 +172,13 @@
                 reaches_store,
                 control,
                 jobs,
+                evacuations,
             } => {
                 self.state.rows.record_proxy(control, reaches_store);
                 let queried_at = self.pending_queries.borrow_mut().remove(&nonce);
+                if let Some(report) = evacuations {
+                    self.state.record_evacuation_report(report, queried_at);
+                }
                 if let Some(queried_at) = queried_at {
                     // The ages held at some time after the query was sent, so counting them from the query is
                     // conservative.
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -25,6 +25,8 @@
 const DEFAULT_RESULT_RETENTION_SECONDS: f64 = 120.0;
 /// Valid values of bounds that are given in seconds: from a tenth of a second to more than a week.
 const BOUND_SECONDS_RANGE: RangeInclusive<f64> = 0.1..=1e6;
+/// Valid values of the evacuation bound, in milliseconds. Zero stands for a deployment without evacuations.
+const EVACUATION_MS_RANGE: RangeInclusive<f64> = 0.0..=3_600_000.0;
 
 /// Settings of a VM. Unknown fields are reported but do not prevent a start, so that a newer platform can add fields.
 #[derive(Clone, Debug)]
@@ -87,6 +89,19 @@
     pub stop_timeout: Duration,
     /// Retention of a job's results, counted from its submission.
     pub result_retention: Duration,
+    /// Time within which an operator's request to evacuate a failure domain takes effect. Where it is absent, such
+    /// requests are not read.
+    pub evacuation: Option<Duration>,
+}
+
+impl BoundSettings {
+    /// Largest age of the document, and of the evacuated failure domains where they are read, at which requests are
+    /// served.
+    #[must_use]
+    pub fn document_validity(&self) -> Duration {
+        let evacuation = self.evacuation.unwrap_or(Duration::MAX);
+        self.key_validity.min(evacuation)
+    }
 }
 
 impl EdgeSettings {
@@ -210,6 +225,7 @@
         &KEY_VALIDITY_MS_RANGE,
         Some(DEFAULT_KEY_VALIDITY_MS),
     );
+    let evacuate_ms = reader.decimal(&mut section, "evacuate_ms", &EVACUATION_MS_RANGE, Some(0.0));
     let bounds = BoundSettings {
         key_validity: Duration::from_secs_f64(key_ms / 1_000.0),
         stop_timeout: read_seconds(reader, &mut section, "stop_s", DEFAULT_STOP_TIMEOUT_SECONDS),
@@ -219,6 +235,7 @@
             "results_s",
             DEFAULT_RESULT_RETENTION_SECONDS,
         ),
+        evacuation: (evacuate_ms > 0.0).then(|| Duration::from_secs_f64(evacuate_ms / 1_000.0)),
     };
     reader.end_section(&section);
     bounds
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -13,7 +13,9 @@
 use plantainmill_jobs::JobService;
 use plantainmill_paths::TargetPaths;
 use plantainmill_proxy::relay::RelayCaller;
-use plantainmill_routing::{DocumentView, TargetEntry, TargetRegistry};
+use plantainmill_routing::{
+    DocumentView, EvacuationEvent, EvacuationReport, EvacuationState, TargetEntry, TargetRegistry,
+};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -98,13 +100,7 @@
         let mut targets = self.targets.borrow_mut();
         let before = targets.fingerprint();
         change(&mut targets, now);
-        self.dispatcher.set_targets(targets.usable(now));
-        let limited = targets.usable(now).map(|entry| LimitedTarget {
-            id: entry.id.clone(),
-            service: entry.service.clone(),
-            domain: entry.domain.clone(),
-        });
-        self.limits.set_targets(limited);
+        self.publish_targets(&targets, now);
         let entries = targets.entries();
         let addresses = entries.iter();
         self.paths
@@ -116,14 +112,57 @@
         }
     }
 
+    /// Hands the targets that accept new requests to dispatch.
+    fn publish_targets(&self, targets: &TargetRegistry, now: Uptime) {
+        self.dispatcher.set_targets(targets.usable(now));
+        let limited = targets.usable(now).map(|entry| LimitedTarget {
+            id: entry.id.clone(),
+            service: entry.service.clone(),
+            domain: entry.domain.clone(),
+        });
+        self.limits.set_targets(limited);
+    }
+
+    /// Records evacuated failure domains that this VM has read from the store at `read_at`.
+    pub fn record_evacuations(&self, read: EvacuationState, read_at: Uptime) {
+        let now = self.clock.uptime();
+        let events = self.view.record_evacuations(read, read_at, now);
+        self.apply_evacuations(&events, now);
+        if !events.is_empty() {
+            self.update_notify.notify_one();
+        }
+    }
+
+    /// Records evacuated failure domains that another VM reports, and for which this one asked at `asked_at`.
+    pub fn record_evacuation_report(&self, report: EvacuationReport, asked_at: Option<Uptime>) {
+        let now = self.clock.uptime();
+        let events = self.view.record_evacuation_report(report, asked_at, now);
+        self.apply_evacuations(&events, now);
+    }
+
+    fn apply_evacuations(&self, events: &[EvacuationEvent], now: Uptime) {
+        if events.is_empty() {
+            return;
+        }
+        let age_ms = self.view.age(now).map(|age| age.as_millis());
+        for event in events {
+            let (domain, version) = (&event.domain, event.version);
+            if event.is_begin {
+                tracing::info!(event = "evacuation_began", %domain, version, age_ms);
+            } else {
+                tracing::info!(event = "evacuation_ended", %domain, version, age_ms);
+            }
+        }
+        let mut targets = self.targets.borrow_mut();
+        targets.set_evacuated(self.view.evacuated_domains());
+        self.publish_targets(&targets, now);
+    }
+
     /// Returns whether the document is recent enough to verify keys: a key that it lists cannot have been withdrawn for
-    /// longer than the key validity.
+    /// longer than the key validity, nor an evacuation requested for longer than its bound.
     pub fn can_verify_keys(&self) -> bool {
-        let limit = self
-            .bounds
-            .get()
-            .key_validity
-            .saturating_sub(CLOCK_DRIFT_MARGIN);
+        let limit = self.bounds.get().document_validity();
+        let limit = limit.saturating_sub(CLOCK_DRIFT_MARGIN);
         self.document_age().is_some_and(|age| age < limit)
     }
 
@@ -145,7 +184,8 @@
 
     /// Returns whether the balancer should route callers to this VM.
     pub fn is_ready(&self) -> bool {
-        let limit = self.bounds.get().key_validity.mul_f64(READY_AGE_FRACTION);
+        let limit = self.bounds.get().document_validity();
+        let limit = limit.mul_f64(READY_AGE_FRACTION);
         let is_fresh = self.document_age().is_some_and(|age| age < limit);
         let has_targets = self.targets_confirmed_at.get().is_some() && !self.paths.is_unreachable();
         is_fresh && has_targets && !self.is_stopping.get()
--- a/crates/edge/src/store_poll.rs
+++ b/crates/edge/src/store_poll.rs
@@ -2,8 +2,12 @@
 //! while the readers do not provide recent data.
 
 use crate::state::EdgeState;
-use plantainmill_provider::StoreError;
-use plantainmill_routing::{DocumentRead, DocumentRevision, DocumentSource, TargetSource};
+use plantainmill_core::{DomainName, Uptime};
+use plantainmill_provider::{RowVersion, StoreError};
+use plantainmill_routing::{
+    DocumentRead, DocumentRevision, DocumentSource, EvacuationState, FleetRead, TargetSource,
+};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -26,11 +30,69 @@
     state.is_reader.get() || is_stale(state.document_age()) || is_stale(state.targets_age())
 }
 
+/// Reads of the document, and of evacuated failure domains where operators can request evacuations.
+struct DocumentReads {
+    source: Rc<dyn DocumentSource>,
+    /// Revision of the last document read.
+    revision: DocumentRevision,
+    /// What was last read of evacuations, if they are read.
+    evacuations: Option<EvacuationReads>,
+}
+
+/// What was last read of evacuations.
+struct EvacuationReads {
+    state: EvacuationState,
+    /// Versions of the requests by failure domain, which the next read expects; zero stands for no request.
+    requests: BTreeMap<DomainName, RowVersion>,
+}
+
+impl DocumentReads {
+    fn new(state: &EdgeState, source: Rc<dyn DocumentSource>) -> DocumentReads {
+        let domains = state.settings.regions.keys();
+        let evacuations = state.settings.bounds.evacuation.map(|_| EvacuationReads {
+            state: EvacuationState::default(),
+            requests: domains.map(|domain| (domain.clone(), 0)).collect(),
+        });
+        DocumentReads {
+            source,
+            revision: 0,
+            evacuations,
+        }
+    }
+
+    /// Reads the document, and records the evacuated failure domains. They apply even if the document cannot be decoded.
+    async fn read(
+        &mut self,
+        state: &EdgeState,
+        sent_at: Uptime,
+    ) -> Result<DocumentRead, StoreError> {
+        let silence = || StoreError::Unknown("no answer in time".into());
+        let Some(evacuations) = &mut self.evacuations else {
+            let read = timeout(READ_TIMEOUT, self.source.read_document(self.revision)).await;
+            return read.unwrap_or_else(|_| Err(silence()));
+        };
+        let read = self.source.read_fleet(self.revision, &evacuations.requests);
+        let read = timeout(READ_TIMEOUT, read).await;
+        let FleetRead {
+            document,
+            evacuations: changed,
+        } = read.unwrap_or_else(|_| Err(silence()))?;
+        if let Some(changed) = changed {
+            for (domain, version) in &mut evacuations.requests {
+                *version = changed.domains.get(domain).copied().unwrap_or(0);
+            }
+            evacuations.state = changed;
+        }
+        state.record_evacuations(evacuations.state.clone(), sent_at);
+        document
+    }
+}
+
 /// Polls the document until the VM ends.
 pub(crate) async fn poll_document(state: Rc<EdgeState>, source: Rc<dyn DocumentSource>) {
     let mut is_unreachable = false;
-    // The last document read: its revision in the store, and the version that it contains.
-    let mut revision: DocumentRevision = 0;
+    let mut reads = DocumentReads::new(&state, source);
+    // Version that the last document read contains.
     let mut known_version = 0;
     loop {
         if !reads_store(&state) {
@@ -38,9 +100,7 @@
             continue;
         }
         let sent_at = state.clock.uptime();
-        let read = timeout(READ_TIMEOUT, source.read_document(revision)).await;
-        let read = read.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into())));
-        let pause = match read {
+        let pause = match reads.read(&state, sent_at).await {
             Ok(read) => {
                 state.rows.record_call(true);
                 log_store_regained(&mut is_unreachable, "document");
@@ -48,7 +108,7 @@
                     DocumentRead::Missing => {}
                     DocumentRead::Unchanged => state.view.confirm(known_version, sent_at),
                     DocumentRead::Changed(document, changed_revision) => {
-                        revision = changed_revision;
+                        reads.revision = changed_revision;
                         known_version = document.version;
                         if state.view.replace_if_newer(*document, sent_at) {
                             let version = known_version;
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -134,7 +134,8 @@
         let needs_start = settings.vm != current.vm
             || settings.regions != current.regions
             || settings.listen != current.listen
-            || settings.store != current.store;
+            || settings.store != current.store
+            || settings.bounds.evacuation.is_some() != current.bounds.evacuation.is_some();
         let changed = self.state.bounds.replace(settings.bounds) != settings.bounds;
         tracing::info!(event = "settings_reloaded", changed, needs_start);
     }
@@ -186,7 +187,10 @@
     clock: Arc<dyn Clock>,
     incarnation: Incarnation,
 ) -> anyhow::Result<EdgeState> {
-    let view = DocumentView::default();
+    let view = match settings.bounds.evacuation {
+        Some(_) => DocumentView::with_evacuations(),
+        None => DocumentView::default(),
+    };
     let dispatcher = SharedDispatcher::new(SharedParts {
         vm: settings.vm.id.clone(),
         domain: settings.vm.domain.clone(),
@@ -215,6 +219,16 @@
         &metrics.meter(),
         METRIC_PREFIX,
     );
+    let observed = view.clone();
+    let meter = metrics.meter();
+    let gauge = meter.u64_observable_gauge(format!("{METRIC_PREFIX}evacuated_domains"));
+    gauge
+        .with_description("Failure domains whose targets get nothing new")
+        .with_callback(move |observer| {
+            let count = observed.evacuated_domains().len();
+            observer.observe(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+        })
+        .build();
     let paths = TargetPaths::new(
         &settings.vm.id,
         Arc::clone(&clock),
--- a/crates/edge/tests/all/edge_settings.rs
+++ b/crates/edge/tests/all/edge_settings.rs
@@ -57,6 +57,8 @@
 #[case("key_ms = 5000", "key_ms = -1", 20, "bounds.key_ms")]
 #[case("key_ms = 5000", "key_ms = \"5000\"", 20, "bounds.key_ms")]
 #[case("stop_s = 8", "stop_s = nan", 21, "bounds.stop_s")]
+#[case("results_s = 120", "evacuate_ms = -1", 22, "bounds.evacuate_ms")]
+#[case("results_s = 120", "evacuate_ms = \"5000\"", 22, "bounds.evacuate_ms")]
 #[case("10.1.0.21:9464", "9464", 16, "listen.metrics")]
 #[case("10.200.1.7:8688", "store.example", 18, "store.address")]
 #[case("[store]", "[others]", 1, "store.address")]
@@ -84,4 +86,16 @@
     assert_eq!(settings.bounds.key_validity, Duration::from_secs(5));
     assert_eq!(settings.bounds.stop_timeout, Duration::from_secs(8));
     assert_eq!(settings.bounds.result_retention, Duration::from_mins(2));
+    assert_eq!(settings.bounds.evacuation, None);
+    assert_eq!(settings.bounds.document_validity(), Duration::from_secs(5));
+}
+
+/// Guards against evacuations that are not read, and against requests served by an older state than their bound allows.
+#[test]
+fn evacuation_bound() {
+    let text = SETTINGS.replace("results_s = 120", "evacuate_ms = 2500");
+    let settings = EdgeSettings::parse("settings.toml", &text).expect("settings");
+    let bound = Duration::from_millis(2_500);
+    assert_eq!(settings.bounds.evacuation, Some(bound));
+    assert_eq!(settings.bounds.document_validity(), bound);
 }
--- a/crates/edge/tests/all/former_release.rs
+++ b/crates/edge/tests/all/former_release.rs
@@ -4,6 +4,7 @@
 use plantainmill_core::{Incarnation, VmId, encode_cbor};
 use plantainmill_edge::{PeerMessage, VmRow};
 use plantainmill_jobs::{HeadChanges, HeadUpdate};
+use plantainmill_routing::{EvacuationReport, EvacuationState};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -47,6 +48,7 @@
         reaches_store: true,
         control: control(),
         jobs,
+        evacuations: None,
     }
 }
 
@@ -73,7 +75,21 @@
     assert_eq!(PeerMessage::decode(&encoded), Some(age_message(None)));
     let message = age_message(Some((40, AGE)));
     assert_eq!(PeerMessage::decode(&message.encode()), Some(message));
-    let message = age_message(Some((40, AGE)));
+    let mut message = age_message(Some((40, AGE)));
+    if let PeerMessage::Age { evacuations, .. } = &mut message {
+        *evacuations = Some(EvacuationReport {
+            state: EvacuationState {
+                version: 31,
+                domains: [("b".into(), 30)].into(),
+            },
+            age: Some(AGE),
+            revoked: [("a".into(), (20, AGE))].into(),
+        });
+    }
+    assert_eq!(
+        PeerMessage::decode(&message.encode()),
+        Some(message.clone())
+    );
     assert_eq!(read_former(&message), Some(former_age()));
 }
 
--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -98,6 +98,12 @@
             .count()
     }
 
+    /// Latest transaction of the store.
+    #[must_use]
+    pub fn version(&self) -> RowVersion {
+        self.state.version.get()
+    }
+
     /// Calls that changed rows, and calls that read them.
     #[must_use]
     pub fn calls(&self) -> (u64, u64) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! last known to be the latest one.
 
 pub mod document;
+pub mod evacuation;
 pub mod registry;
 pub mod source;
 pub mod versions;
@@ -12,7 +13,8 @@
 pub use document::{
     CallerLimits, FleetDocument, JobRule, OrganisationRule, RouteKind, RouteRule, ServiceShare,
 };
+pub use evacuation::{EvacuationEvent, EvacuationLedger, EvacuationReport, EvacuationState};
 pub use registry::{TargetEntry, TargetRegistry};
-pub use source::{DocumentRead, DocumentRevision, DocumentSource, TargetSource};
+pub use source::{DocumentRead, DocumentRevision, DocumentSource, FleetRead, TargetSource};
 pub use versions::VersionLedger;
 pub use view::DocumentView;
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use plantainmill_core::{DomainName, ServiceName, TargetId, Uptime};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::hash::{Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -50,6 +50,8 @@
     /// Before this time, a live target may not have renewed its entry yet.
     renewal_deadline: Uptime,
     read_failed: bool,
+    /// Failure domains whose targets get nothing new.
+    evacuated: BTreeSet<DomainName>,
 }
 
 impl TargetRegistry {
@@ -110,13 +112,25 @@
         }
     }
 
+    /// Replaces the evacuated failure domains, whose targets get nothing new.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<DomainName>) {
+        self.evacuated = domains;
+    }
+
+    /// Whether `target` is in an evacuated failure domain.
+    #[must_use]
+    pub fn is_evacuated(&self, target: &TargetId) -> bool {
+        let known = self.targets.get(target);
+        known.is_some_and(|known| self.evacuated.contains(&known.entry.domain))
+    }
+
     /// The targets that accept new requests at `now`.
     pub fn usable(&self, now: Uptime) -> impl Iterator<Item = &TargetEntry> {
         self.targets
             .values()
             .filter(move |known| known.gone_at.is_none_or(|gone_at| now < gone_at))
             .map(|known| &known.entry)
-            .filter(|entry| !entry.draining)
+            .filter(|entry| !entry.draining && !self.evacuated.contains(&entry.domain))
     }
 
     /// Hash of all entries, for detecting differences between VMs.
--- a/crates/routing/src/source.rs
+++ b/crates/routing/src/source.rs
@@ -1,8 +1,11 @@
 //! Interfaces to the sources of the fleet document and of the registered targets.
 
 use crate::document::FleetDocument;
+use crate::evacuation::EvacuationState;
 use crate::registry::TargetEntry;
-use plantainmill_provider::PlatformFuture;
+use plantainmill_core::DomainName;
+use plantainmill_provider::{PlatformFuture, RowVersion, StoreError};
+use std::collections::BTreeMap;
 
 /// Identifies a revision of the stored document; zero stands for no document.
 pub type DocumentRevision = u64;
@@ -18,11 +21,29 @@
     Changed(Box<FleetDocument>, DocumentRevision),
 }
 
+/// Result of reading the document together with the evacuated failure domains.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetRead {
+    /// The document, or why it cannot be decoded. The evacuated failure domains are valid all the same.
+    pub document: Result<DocumentRead, StoreError>,
+    /// Evacuated failure domains; absent if they are as the caller knows them.
+    pub evacuations: Option<EvacuationState>,
+}
+
 /// Source of the fleet document.
 pub trait DocumentSource {
     /// Reads the latest document unless its revision is `known`; zero always reads it. A large document need not be
     /// transferred again only to show that it is unchanged.
     fn read_document(&self, known: DocumentRevision) -> PlatformFuture<'_, DocumentRead>;
+
+    /// Reads the latest document unless its revision is `known`, together with the requests to evacuate the failure
+    /// domains in `requests`, whose known versions are given; zero stands for no request. Takes one call of the store
+    /// while nothing has changed.
+    fn read_fleet<'a>(
+        &'a self,
+        known: DocumentRevision,
+        requests: &'a BTreeMap<DomainName, RowVersion>,
+    ) -> PlatformFuture<'a, FleetRead>;
 }
 
 /// Source of the registered targets.
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -1,7 +1,9 @@
-//! The current document of this VM, and when it was last known to be the latest one.
+//! The current document of this VM with the evacuated failure domains, and when both were last known to be the latest.
 
 use crate::document::FleetDocument;
-use plantainmill_core::Uptime;
+use crate::evacuation::{EvacuationEvent, EvacuationLedger, EvacuationReport, EvacuationState};
+use plantainmill_core::{DomainName, Uptime};
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -16,9 +18,23 @@
     document: Option<Arc<FleetDocument>>,
     /// When the current document was last known to be the latest one of its source.
     confirmed_at: Option<Uptime>,
+    /// Evacuated failure domains, in deployments where operators can request evacuations.
+    evacuations: Option<EvacuationLedger>,
 }
 
 impl DocumentView {
+    /// A view that also knows evacuated failure domains. Its age is that of the older of both.
+    #[must_use]
+    pub fn with_evacuations() -> DocumentView {
+        let state = ViewState {
+            evacuations: Some(EvacuationLedger::default()),
+            ..ViewState::default()
+        };
+        DocumentView {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, ViewState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -67,10 +83,59 @@
         }
     }
 
-    /// Time since the current document was last known to be the latest one; `None` before the first document.
+    /// Time since the current document, and the evacuated failure domains where they are known, were last known to be
+    /// the latest; `None` before the first document.
     #[must_use]
     pub fn age(&self, now: Uptime) -> Option<Duration> {
-        let confirmed_at = self.lock().confirmed_at?;
-        Some(now.saturating_sub(confirmed_at))
+        let state = self.lock();
+        let age = now.saturating_sub(state.confirmed_at?);
+        match &state.evacuations {
+            Some(evacuations) => Some(age.max(evacuations.age(now)?)),
+            None => Some(age),
+        }
+    }
+
+    /// Records evacuated failure domains that this VM has read, and that were the latest at `confirmed_at`.
+    pub fn record_evacuations(
+        &self,
+        read: EvacuationState,
+        confirmed_at: Uptime,
+        now: Uptime,
+    ) -> Vec<EvacuationEvent> {
+        let mut state = self.lock();
+        let evacuations = state.evacuations.as_mut();
+        evacuations.map_or_else(Vec::new, |evacuations| {
+            evacuations.record(read, Some(confirmed_at), now)
+        })
+    }
+
+    /// Records evacuated failure domains that another VM reports, as [`EvacuationLedger::record_report`].
+    pub fn record_evacuation_report(
+        &self,
+        report: EvacuationReport,
+        asked_at: Option<Uptime>,
+        now: Uptime,
+    ) -> Vec<EvacuationEvent> {
+        let mut state = self.lock();
+        let evacuations = state.evacuations.as_mut();
+        evacuations.map_or_else(Vec::new, |evacuations| {
+            evacuations.record_report(report, asked_at, now)
+        })
+    }
+
+    /// Report on evacuations for other VMs; `None` where there are none, and before the first read.
+    #[must_use]
+    pub fn evacuation_report(&self, now: Uptime) -> Option<EvacuationReport> {
+        self.lock().evacuations.as_ref()?.report(now)
+    }
+
+    /// Evacuated failure domains.
+    #[must_use]
+    pub fn evacuated_domains(&self) -> BTreeSet<DomainName> {
+        let state = self.lock();
+        let evacuations = state.evacuations.iter();
+        evacuations
+            .flat_map(|evacuations| evacuations.domains().cloned())
+            .collect()
     }
 }
--- a/crates/soak/src/target_fleet.rs
+++ b/crates/soak/src/target_fleet.rs
@@ -69,6 +69,7 @@
             draining,
             version: self.version,
             born: 0,
+            domain: "a",
         }
     }
 }
