--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -82,6 +82,7 @@
             control: self.own_row.control,
             jobs: self.state.jobs.announced(),
             sends_target_changes: true,
+            evacuations: self.state.view.evacuation_report(self.now()),
         })
     }
 
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -8,6 +8,7 @@
 use plantainmill_dispatch::shared::{LeavingReport, PeerLoad};
 use plantainmill_jobs::{HeadChanges, HeadUpdate, JobOwner};
 use plantainmill_provider::RowVersion;
+use plantainmill_routing::EvacuationReport;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -153,6 +154,9 @@
         /// The peer answers with the changes of a list of targets that it is told. Older releases leave it out.
         #[serde(default)]
         sends_target_changes: bool,
+        /// Evacuated failure domains, with an age of their own. Older releases leave it out.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        evacuations: Option<EvacuationReport>,
     },
 }
 
--- a/crates/fakes/src/rows.rs
+++ b/crates/fakes/src/rows.rs
@@ -98,16 +98,16 @@
             .count()
     }
 
-    /// Calls that changed rows, and calls that read them.
+    /// Latest transaction of the store.
     #[must_use]
-    pub fn calls(&self) -> (u64, u64) {
-        (self.state.changes.get(), self.state.reads.get())
+    pub fn version(&self) -> RowVersion {
+        self.state.version.get()
     }
 
-    /// Version of the last change.
+    /// Calls that changed rows, and calls that read them.
     #[must_use]
-    pub fn version(&self) -> RowVersion {
-        self.state.version.get()
+    pub fn calls(&self) -> (u64, u64) {
+        (self.state.changes.get(), self.state.reads.get())
     }
 
     /// All rows of a table.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! last known to be the latest one.
 
 pub mod document;
+pub mod evacuation;
 pub mod follower;
 pub mod history;
 pub mod registry;
@@ -14,9 +15,12 @@
 pub use document::{
     CallerLimits, FleetDocument, JobRule, OrganisationRule, RouteKind, RouteRule, ServiceShare,
 };
+pub use evacuation::{EvacuationEvent, EvacuationLedger, EvacuationReport, EvacuationState};
 pub use follower::{FollowerStep, RegistryFollower, TargetRow, TargetRows, proof_interval};
 pub use history::TargetHistory;
 pub use registry::{TargetChanges, TargetEntry, TargetRegistry};
-pub use source::{DocumentRead, DocumentRevision, DocumentSource, TargetFeed, TargetSource};
+pub use source::{
+    DocumentRead, DocumentRevision, DocumentSource, FleetRead, TargetFeed, TargetSource,
+};
 pub use versions::VersionLedger;
 pub use view::DocumentView;
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -10,7 +10,7 @@
 use plantainmill_core::{DomainName, ServiceName, TargetId, Uptime};
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::hash::{Hash as _, Hasher as _};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -97,6 +97,8 @@
     read_failed: bool,
     /// Fingerprint of the entries as they are, once it has been asked for or named by the VM that they come from.
     fingerprint: Cell<Option<u64>>,
+    /// Failure domains whose targets get nothing new.
+    evacuated: BTreeSet<DomainName>,
 }
 
 impl TargetRegistry {
@@ -288,13 +290,25 @@
         }
     }
 
+    /// Replaces the evacuated failure domains, whose targets get nothing new.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<DomainName>) {
+        self.evacuated = domains;
+    }
+
+    /// Whether `target` is in an evacuated failure domain.
+    #[must_use]
+    pub fn is_evacuated(&self, target: &TargetId) -> bool {
+        let known = self.targets.get(target);
+        known.is_some_and(|known| self.evacuated.contains(&known.entry.domain))
+    }
+
     /// The targets that accept new requests at `now`.
     pub fn usable(&self, now: Uptime) -> impl Iterator<Item = &TargetEntry> {
         self.targets
             .values()
             .filter(move |known| known.missing.is_none_or(|missing| now < missing.gone_at))
             .map(|known| &known.entry)
-            .filter(|entry| !entry.draining)
+            .filter(|entry| !entry.draining && !self.evacuated.contains(&entry.domain))
     }
 
     /// Hash of all entries, for detecting differences between VMs. It is computed once for each state of the entries.
