Hedged streams within a budget that operators set

Cause: a request whose target is slow waits for it until it counts as silent, 0.6 s or twice its objective. Change: HedgePolicy decides by the route's first responses and a budget earned by own sends; the relay sends the request to a second target with an idle slot and uses the first response. Off unless the settings name a percentage.

--- a/crates/dispatch/benches/decisions.rs
+++ b/crates/dispatch/benches/decisions.rs
@@ -72,6 +72,7 @@
         excluded: Vec::new(),
         body_bytes: 2_000,
         is_retry: false,
+        needs_idle_slot: false,
     }
 }
 
--- a/crates/dispatch/examples/dispatch_comparison/simulation.rs
+++ b/crates/dispatch/examples/dispatch_comparison/simulation.rs
@@ -199,6 +199,7 @@
             excluded: Vec::new(),
             body_bytes: 2_000,
             is_retry: false,
+            needs_idle_slot: false,
         };
         if online && self.measured(self.now) {
             self.metrics.offered[organisation] += 1.0;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -53,6 +53,8 @@
     pub body_bytes: usize,
     /// The request is a retry and counts against the retry budget.
     pub is_retry: bool,
+    /// The request is only sent while the service has slots to spare, and never waits, preempts or queues at a target.
+    pub needs_idle_slot: bool,
 }
 
 /// Becomes true when a batch request is preempted and its call has to end.
--- a/crates/dispatch/src/limits/dispatcher.rs
+++ b/crates/dispatch/src/limits/dispatcher.rs
@@ -173,7 +173,13 @@
         LimitDispatcher { inner, limits }
     }
 
-    async fn acquire_limited(&self, request: TicketRequest) -> Result<TargetTicket, Problem> {
+    async fn acquire_limited(&self, mut request: TicketRequest) -> Result<TargetTicket, Problem> {
+        if request.needs_idle_slot {
+            // What a limit allows is left to requests that are sent once.
+            let limited = self.limits.lock().limited_targets(&request.service);
+            request.barred.extend(limited);
+            return self.inner.acquire(request).await;
+        }
         let mut returned = 0;
         loop {
             let service = &request.service;
--- a/crates/dispatch/src/limits/ledger.rs
+++ b/crates/dispatch/src/limits/ledger.rs
@@ -234,6 +234,12 @@
         self.limited(service, |limit| limit.rate.is_some() && !limit.is_full(now))
     }
 
+    /// Targets of `service` that have a limit.
+    #[must_use]
+    pub fn limited_targets(&self, service: &ServiceName) -> Vec<TargetId> {
+        self.limited(service, |limit| limit.rate.is_some())
+    }
+
     fn limited(
         &self,
         service: &ServiceName,
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -27,6 +27,9 @@
 const TURN_SPREAD: u64 = 2;
 /// Length of a turn: after it, peers have received a report of who filled a slot.
 const TURN_LENGTH: Duration = Duration::from_millis(50);
+/// Fraction of a service's slots that online requests may use while it counts as having slots to spare. Above it, a request
+/// that is sent twice takes slots that others soon wait for.
+const MAX_SPARE_USE: f64 = 0.75;
 /// Longest wait of an online request for a slot, unless the request sets a limit.
 const DEFAULT_ONLINE_WAIT: Duration = Duration::from_millis(100);
 /// Shortest delay before a refused request is retried: about the duration of short requests, after which slots are
@@ -193,11 +196,13 @@
         let mut effects = Vec::new();
         match waiting.request.class {
             TrafficClass::Online => {
-                if !self.has_target(&waiting.request) {
+                let is_spare =
+                    !waiting.request.needs_idle_slot || self.has_spare_slots(&waiting.request);
+                if !is_spare || !self.has_target(&waiting.request) {
                     effects.push(LedgerEffect::Refuse {
                         number,
                         retry_after: MIN_RETRY_AFTER,
-                        no_target: true,
+                        no_target: is_spare,
                     });
                     return (number, effects);
                 }
@@ -211,6 +216,21 @@
         (number, effects)
     }
 
+    /// Whether the targets that can serve the request have slots to spare: no VM has a request that waits for one, and online
+    /// requests use no more than [`MAX_SPARE_USE`] of them.
+    fn has_spare_slots(&self, request: &TicketRequest) -> bool {
+        if !self.online.is_empty() || self.peers.online_waiting_vms() > 0 {
+            return false;
+        }
+        let serving = self.targets.iter();
+        let serving = serving.filter(|(_, target)| target.serves(request));
+        let (slots, used) = serving.fold((0, 0), |(slots, used), (id, target)| {
+            let online = target.own.online + self.peers.at(id).online;
+            (slots + target.entry.slots, used + online)
+        });
+        f64::from(used) <= f64::from(slots) * MAX_SPARE_USE
+    }
+
     pub(super) fn has_target(&self, request: &TicketRequest) -> bool {
         let mut targets = self.targets.values();
         targets.any(|target| target.serves(request))
@@ -433,6 +453,9 @@
         let candidates = self.candidates(request, |target, peers| {
             let has_turn = released == Some(&target.entry.id) || self.has_turn(target, now);
             let state = online_state(target, peers, is_dominant, now)?;
+            if request.needs_idle_slot && state != SlotState::Free {
+                return None;
+            }
             let is_spared = request.spared.contains(&target.entry.id);
             let state = match state {
                 SlotState::Free if is_spared => SlotState::Spared,
--- a/crates/dispatch/tests/all/batch_waits.rs
+++ b/crates/dispatch/tests/all/batch_waits.rs
@@ -52,6 +52,7 @@
         excluded: Vec::new(),
         body_bytes: 0,
         is_retry: false,
+        needs_idle_slot: false,
     }
 }
 
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -58,6 +58,7 @@
         excluded: Vec::new(),
         body_bytes: 0,
         is_retry: false,
+        needs_idle_slot: false,
     }
 }
 
--- a/crates/dispatch/tests/all/support.rs
+++ b/crates/dispatch/tests/all/support.rs
@@ -68,6 +68,7 @@
         excluded: Vec::new(),
         body_bytes: 1_000,
         is_retry: false,
+        needs_idle_slot: false,
     }
 }
 
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -271,6 +271,7 @@
         rule.priority
     });
     Ok(RelayCall {
+        route: route.name.clone(),
         service,
         organisation,
         priority: organisation_priority.unwrap_or(route.priority),
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use plantainmill_core::{DomainName, RegionName, VmId};
+use plantainmill_proxy::relay::HedgeSettings;
 use plantainmill_settings::reader::{SettingsSection, read_file};
 use plantainmill_settings::{SettingsProblem, SettingsReader};
 use std::collections::HashMap;
@@ -26,6 +27,9 @@
 /// Valid values of bounds that are given in seconds: from a tenth of a second to more than a week.
 const BOUND_SECONDS_RANGE: RangeInclusive<f64> = 0.1..=1e6;
 
+/// Valid shares of additional sends, in percent of all sends.
+const HEDGE_PERCENT_RANGE: RangeInclusive<f64> = 0.0..=100.0;
+
 /// Settings of a VM. Unknown fields are reported but do not prevent a start, so that a newer platform can add fields.
 #[derive(Clone, Debug)]
 pub struct EdgeSettings {
@@ -39,6 +43,8 @@
     pub store: StoreSettings,
     /// Time bounds that are promised to callers.
     pub bounds: BoundSettings,
+    /// Share of sends by which slow requests may be hedged; none unless the settings ask for it.
+    pub hedging: HedgeSettings,
     /// Fields that this version does not know, for a warning in the log.
     pub unknown: Vec<SettingsProblem>,
 }
@@ -114,6 +120,7 @@
         let address = reader.parsed(&mut section, "address", ADDRESS_FORMAT);
         reader.end_section(&section);
         let bounds = read_bounds(&mut reader);
+        let hedging = read_hedging(&mut reader);
         let (problems, unknown) = reader.finish_lenient();
         match (listen, address) {
             (Some(listen), Some(address)) if problems.is_empty() => Ok(EdgeSettings {
@@ -122,6 +129,7 @@
                 listen,
                 store: StoreSettings { address },
                 bounds,
+                hedging,
                 unknown,
             }),
             _ => Err(problems),
@@ -224,6 +232,21 @@
     bounds
 }
 
+fn read_hedging(reader: &mut SettingsReader<'_>) -> HedgeSettings {
+    let mut section = reader.section("hedging");
+    let percent = reader.decimal(&mut section, "percent", &HEDGE_PERCENT_RANGE, Some(0.0));
+    reader.end_section(&section);
+    let mut section = reader.section("hedging_routes");
+    let routes = reader.all_decimals(&mut section, &HEDGE_PERCENT_RANGE);
+    HedgeSettings {
+        percent,
+        routes: routes
+            .into_iter()
+            .map(|(route, percent)| (route.into(), percent))
+            .collect(),
+    }
+}
+
 fn read_seconds<'a>(
     reader: &mut SettingsReader<'a>,
     section: &mut SettingsSection<'a>,
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -238,6 +238,7 @@
     let relay_caller = relay_caller
         .with_paths(paths.clone(), Rc::clone(&platform.dialer))
         .with_recorder(Rc::new(streams.clone()))
+        .with_hedging(settings.hedging.clone(), &metrics.meter(), METRIC_PREFIX)
         .with_meter(&metrics.meter(), METRIC_PREFIX);
     let jobs = JobService::start(JobParts {
         local_owner: JobOwner {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -229,6 +229,7 @@
         let service = route.pick_service(&self.item.id)?;
         Some(RelayCall {
             id: self.item.id.clone(),
+            route: route.name.clone(),
             service: service.clone(),
             organisation: Some(self.job.organisation.clone()),
             priority: route.priority,
--- a/crates/jobs/tests/all/unpolled_items.rs
+++ b/crates/jobs/tests/all/unpolled_items.rs
@@ -154,6 +154,7 @@
         version: None,
         body_bytes: 1,
         is_retry: false,
+        needs_idle_slot: false,
     };
     let ticket = vm.dispatcher.acquire(request).await;
     ticket.expect("a slot")
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -242,5 +242,6 @@
         excluded: Vec::new(),
         body_bytes: 0,
         is_retry: false,
+        needs_idle_slot: false,
     }
 }
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -150,6 +150,7 @@
             excluded: attempts.iter().map(|entry| entry.target.clone()).collect(),
             body_bytes: self.request.body.len(),
             is_retry,
+            needs_idle_slot: false,
         }
     }
 
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -7,6 +7,8 @@
 mod events;
 mod exchange;
 mod forward;
+mod hedge;
+mod hedge_policy;
 mod open;
 mod progress;
 mod recorder;
@@ -21,5 +23,6 @@
 pub use forward::{
     FORWARD_HEADER, ForwardAnswer, ForwardRequest, ForwardVerdict, MAX_FORWARD_BYTES, REPEAT_HEADER,
 };
+pub use hedge_policy::{HedgePolicy, HedgeSettings};
 pub use open::{RelayCaller, RelayResponse};
 pub use recorder::StreamRecorder;
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -53,15 +53,20 @@
 
 /// One send of a request to a target. Dropping it closes its connection.
 pub(super) struct TargetAttempt {
-    ticket: TargetTicket,
-    last_event: Option<u64>,
+    pub(super) ticket: TargetTicket,
+    pub(super) last_event: Option<u64>,
     trace: SendTrace,
-    first_events: LocalBoxFuture<'static, Result<Box<FirstEvents>, SendFailure>>,
+    pub(super) first_events: LocalBoxFuture<'static, Result<Box<FirstEvents>, SendFailure>>,
 }
 
 /// How an attempt ends.
-enum AttemptEnd {
+pub(super) enum AttemptEnd {
     Ended(Result<Box<FirstEvents>, SendFailure>),
+    /// Another target, to which the request was sent because this one was slow, has answered first.
+    Overtaken {
+        successor: Box<TargetAttempt>,
+        first_events: Box<FirstEvents>,
+    },
     /// Another target has the request, and maybe answered; this one is left.
     Replaced {
         successor: Box<TargetAttempt>,
@@ -125,6 +130,7 @@
         last_event: Option<u64>,
     ) -> TargetAttempt {
         progress.sends += 1;
+        progress.first_sent_at.get_or_insert_with(Instant::now);
         let trace = SendTrace::default();
         let parts = AttemptParts {
             call: Rc::clone(&progress.call),
@@ -155,6 +161,7 @@
             let last_event = attempt.last_event;
             match self.await_attempt(progress, &mut attempt).await {
                 AttemptEnd::Ended(Ok(first_events)) => {
+                    self.record_first_response(progress);
                     return Ok(start_response(progress, attempt, first_events));
                 }
                 AttemptEnd::Ended(Err(failure)) => {
@@ -164,6 +171,14 @@
                     let ticket = self.acquire(progress, None).await?;
                     attempt = self.begin_attempt(progress, ticket, last_event);
                 }
+                AttemptEnd::Overtaken {
+                    successor,
+                    first_events,
+                } => {
+                    self.record_first_response(progress);
+                    withdraw_attempt(progress, attempt);
+                    return Ok(start_response(progress, *successor, first_events));
+                }
                 AttemptEnd::Replaced {
                     successor,
                     first_events,
@@ -188,6 +203,9 @@
         let target = attempt.ticket.target.clone();
         let min_silence = self.shared.limits.min_first_event_timeout;
         let mut silence = (call.first_event_objective * 2).max(min_silence);
+        if let Some(end) = self.hedge_attempt(progress, attempt).await {
+            return end;
+        }
         loop {
             if !progress.may_fail_over() || progress.sends >= self.shared.limits.max_sends {
                 return AttemptEnd::Ended((&mut attempt.first_events).await);
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -70,6 +70,8 @@
 pub struct RelayCall {
     /// Request id, set by the caller.
     pub id: CompactString,
+    /// Name of the route, by which the times of first responses are kept.
+    pub route: CompactString,
     /// Service that the request is sent to.
     pub service: ServiceName,
     /// Organisation that the request is made for; `None` on public routes.
@@ -152,6 +154,7 @@
             excluded: excluded.to_vec(),
             body_bytes: self.body.len(),
             is_retry: !excluded.is_empty(),
+            needs_idle_slot: false,
         }
     }
 }
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -3,6 +3,8 @@
 use super::call::{CONTINUATION_WAIT, HeaderNames, RelayCall, RelayLimits};
 use super::ending::{CallFailure, CutCause, ResponseMeters};
 use super::exchange::SendFailure;
+use super::hedge::RelayHedger;
+use super::hedge_policy::HedgeSettings;
 use super::progress::{CallProgress, RELAY_RETRY_AFTER, StartedResponse};
 use super::recorder::StreamRecorder;
 use super::send::PathProbes;
@@ -50,6 +52,8 @@
     pub recorder: Option<Rc<dyn StreamRecorder>>,
     pub paths: Option<Rc<PathProbes>>,
     pub meters: Rc<ResponseMeters>,
+    /// Sends slow requests to a second target; absent where the settings do not ask for it.
+    pub hedger: Option<Rc<RelayHedger>>,
     /// Bytes of all responses that are being buffered.
     pub buffered_bytes: Cell<usize>,
 }
@@ -74,6 +78,7 @@
                 recorder: None,
                 paths: None,
                 meters: Rc::new(ResponseMeters::disabled()),
+                hedger: None,
                 buffered_bytes: Cell::new(0),
             }),
         }
@@ -100,6 +105,17 @@
         self.rebuild(|shared| shared.meters = Rc::new(ResponseMeters::new(meter, prefix)))
     }
 
+    /// Has requests that may be repeated hedged by `settings`. The instruments have names that begin with `prefix`.
+    #[must_use]
+    pub fn with_hedging(self, settings: HedgeSettings, meter: &Meter, prefix: &str) -> RelayCaller {
+        if !settings.is_enabled() {
+            return self;
+        }
+        let now = self.shared.clock.uptime();
+        let hedger = Rc::new(RelayHedger::new(settings, now, meter, prefix));
+        self.rebuild(|shared| shared.hedger = Some(hedger))
+    }
+
     /// States that this VM closes all connections from now on, so that responses that end early are not ended by callers.
     pub fn set_closing(&self) {
         self.shared.meters.set_closing();
@@ -117,6 +133,7 @@
             recorder: shared.recorder.clone(),
             paths: shared.paths.clone(),
             meters: Rc::clone(&shared.meters),
+            hedger: shared.hedger.clone(),
             buffered_bytes: Cell::new(0),
         };
         change(&mut rebuilt);
--- a/crates/proxy/src/relay/progress.rs
+++ b/crates/proxy/src/relay/progress.rs
@@ -28,6 +28,8 @@
     /// A response has begun, so that further ones continue it.
     pub has_begun: bool,
     pub begun_at: Instant,
+    /// When the first send began.
+    pub first_sent_at: Option<Instant>,
 }
 
 impl CallProgress {
@@ -40,6 +42,7 @@
             executed: Executed::No,
             has_begun: false,
             begun_at: Instant::now(),
+            first_sent_at: None,
         }
     }
 
--- a/crates/proxy/tests/pending_connect.rs
+++ b/crates/proxy/tests/pending_connect.rs
@@ -85,6 +85,7 @@
 #[actix_rt::test]
 async fn pending_connect(#[case] is_stream: bool, #[case] may_repeat: bool) {
     let call = RelayCall {
+        route: "questions".into(),
         id: "c1".into(),
         service: "wool".into(),
         organisation: None,
--- a/crates/proxy/tests/relay_fleet/mod.rs
+++ b/crates/proxy/tests/relay_fleet/mod.rs
@@ -108,6 +108,7 @@
 pub fn call(repeatable: bool) -> RelayCall {
     RelayCall {
         id: "r1".into(),
+        route: "questions".into(),
         service: "llm".into(),
         organisation: Some("ward".into()),
         priority: 0,
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -273,6 +273,26 @@
             .collect()
     }
 
+    /// Reads all remaining fields of `section`. Adds an error for each field that is not a number in `range`.
+    pub fn all_decimals(
+        &mut self,
+        section: &mut SettingsSection<'a>,
+        range: &RangeInclusive<f64>,
+    ) -> Vec<(String, f64)> {
+        let keys = section
+            .fields
+            .iter()
+            .map(|(key, _)| key.get_ref().to_string());
+        let keys: Vec<String> = keys.collect();
+        keys.into_iter()
+            .filter_map(|key| {
+                let before = self.problems.len();
+                let number = self.decimal(section, &key, range, None);
+                (self.problems.len() == before).then_some((key, number))
+            })
+            .collect()
+    }
+
     /// Records the fields of `section` that were not read as unknown.
     pub fn end_section(&mut self, section: &SettingsSection<'a>) {
         for (key, _) in &section.fields {
