Reads of the targets spread over a start of all VMs

Cause: a VM counts as a reader until it hears others, so all VMs that start together read the whole table at once. Change: a starting VM reads 100 rows. A small table is known by that, as fast as before. With a larger one the VM waits for the list of a peer, and reads the table itself 0.5 to 0.9 s later by a hash of its id; one that will be a reader by the stored rows of its domain reads at once. The first query to peers is sent 0.15 to 0.45 s after the start instead of 0.4 s.

--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -8,9 +8,11 @@
 use plantainmill_core::Uptime;
 use plantainmill_routing::{FleetDocument, TargetEntry};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Age of the document from which VMs other than the readers of the domain are queried, too.
 const EXTENDED_QUERY_AGE: Duration = Duration::from_millis(1_200);
@@ -18,6 +20,9 @@
 const EXTENDED_QUERY_MARGIN: Duration = Duration::from_millis(600);
 /// Interval between age queries.
 const AGE_QUERY_INTERVAL: Duration = Duration::from_millis(400);
+/// Time from the start of a VM to its first query. It differs between VMs, so that not all fetch the targets from the
+/// readers at once when they have started together.
+const FIRST_QUERY_MS: Range<u64> = 150..450;
 /// VMs queried per interval when the document or targets are old or the store does not respond.
 const EXTENDED_QUERY_PEERS: usize = 5;
 /// VMs that a reader queries per interval: the domain's other reader, and one VM of another domain.
@@ -29,8 +34,11 @@
     /// Queries peers for the age of their document and targets: the readers of the domain first, and further VMs when
     /// those do not suffice.
     pub(crate) async fn query_ages(self: Rc<Self>) {
+        let hash = xxh3_64(self.own_row.vm.as_bytes());
+        let range = FIRST_QUERY_MS;
+        let delay = range.start + hash % (range.end - range.start);
+        sleep(Duration::from_millis(delay)).await;
         loop {
-            sleep(AGE_QUERY_INTERVAL).await;
             let now = self.now();
             self.pending_queries
                 .borrow_mut()
@@ -56,6 +64,7 @@
                 self.send(&PeerMessage::AskAge { nonce }.encode(), address)
                     .await;
             }
+            sleep(AGE_QUERY_INTERVAL).await;
         }
     }
 
--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -337,6 +337,14 @@
         readers.iter().any(|row| row.vm == self.own_row.vm)
     }
 
+    /// Returns whether this VM reads the store for its domain once all known VMs of the domain report.
+    #[must_use]
+    pub fn is_probable_reader(&self) -> bool {
+        let rows = self.local_rows().chain([&self.own_row]);
+        let readers = select_readers(rows, &self.own_row.domain);
+        readers.iter().any(|row| row.vm == self.own_row.vm)
+    }
+
     /// Returns whether this VM sends the domain's aggregated report to the other domains.
     #[must_use]
     pub fn is_aggregator(&self, now: Uptime) -> bool {
--- a/crates/edge/src/peer_discovery.rs
+++ b/crates/edge/src/peer_discovery.rs
@@ -28,7 +28,11 @@
                 }
             }
             match self.read_local_rows().await {
-                Ok(has_own_row) => is_written &= has_own_row,
+                Ok(has_own_row) => {
+                    is_written &= has_own_row;
+                    let is_probable_reader = self.directory.borrow().is_probable_reader();
+                    self.state.is_probable_reader.set(is_probable_reader);
+                }
                 Err(error) => tracing::info!(event = "vms_not_read", %error),
             }
             let now = self.now();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -60,6 +60,8 @@
     pub targets_confirmed_at: Cell<Option<Uptime>>,
     /// Whether this VM reads the store for its failure domain.
     pub is_reader: Cell<bool>,
+    /// Whether this VM would read the store if all VMs of its domain were live whose rows are stored.
+    pub is_probable_reader: Cell<bool>,
     /// Notified when this VM has read a changed document from the store, and when the targets have changed.
     pub update_notify: Notify,
     pub is_stopping: Cell<bool>,
--- a/crates/edge/src/store_poll.rs
+++ b/crates/edge/src/store_poll.rs
@@ -2,10 +2,11 @@
 //! while the readers do not provide recent data.
 
 use crate::state::EdgeState;
-use plantainmill_provider::StoreError;
+use futures_util::{FutureExt as _, TryFutureExt as _};
+use plantainmill_provider::{PlatformFuture, StoreError};
 use plantainmill_routing::{
     DocumentRead, DocumentRevision, DocumentSource, FollowerStep, RegistryFollower, TargetFeed,
-    TargetSource,
+    TargetRows, TargetSource,
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,8 @@
 const DIRECT_READ_AGE: Duration = Duration::from_millis(1_400);
 /// Age of the targets, beyond the interval between the readers' proofs, from which a VM reads the store itself.
 const DIRECT_READ_MARGIN: Duration = Duration::from_millis(800);
+/// Interval at which a VM without targets checks whether it has got some from a peer, or will probably be a reader.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Timeout of a feed call, beyond the time for which the store may hold it.
 const FEED_MARGIN: Duration = Duration::from_millis(500);
 
@@ -88,11 +91,27 @@
             sleep(RETRY_INTERVAL).await;
             continue;
         }
+        if state.is_probable_reader.get() {
+            follower.end_start_delay();
+        }
         let confirmed_at = state.targets_confirmed_at.get();
         match follower.next_step(confirmed_at, state.clock.uptime()) {
-            FollowerStep::Wait(pause) => sleep(pause.min(RETRY_INTERVAL)).await,
+            FollowerStep::Wait(pause) => {
+                let has_list = state.targets_age().is_some();
+                let limit = if has_list {
+                    RETRY_INTERVAL
+                } else {
+                    START_CHECK_INTERVAL
+                };
+                sleep(pause.min(limit)).await;
+            }
+            FollowerStep::ReadFew(limit) => {
+                let read = source.read_few_targets(limit);
+                read_targets(&state, read, &mut follower, &mut is_unreachable).await;
+            }
             FollowerStep::Read => {
-                read_targets(&state, &*source, &mut follower, &mut is_unreachable).await;
+                let read = source.read_targets().map_ok(Some).boxed_local();
+                read_targets(&state, read, &mut follower, &mut is_unreachable).await;
             }
             FollowerStep::Follow { after, wait } => {
                 let read = timeout(wait + FEED_MARGIN, source.follow_targets(after, wait)).await;
@@ -115,18 +134,19 @@
     }
 }
 
-/// Reads all registered targets.
+/// Reads all registered targets by `read`, which returns nothing if there are too many for it.
 async fn read_targets(
     state: &EdgeState,
-    source: &dyn TargetSource,
+    read: PlatformFuture<'_, Option<TargetRows>>,
     follower: &mut RegistryFollower,
     is_unreachable: &mut bool,
 ) {
     let sent_at = state.clock.uptime();
     let former = state.targets.borrow().fingerprint();
-    let read = timeout(READ_TIMEOUT, source.read_targets()).await;
+    let read = timeout(READ_TIMEOUT, read).await;
     match read.unwrap_or_else(|_| Err(unanswered())) {
-        Ok(rows) => {
+        Ok(None) => follower.record_large_table(state.clock.uptime()),
+        Ok(Some(rows)) => {
             log_store_regained(is_unreachable, "targets");
             let is_overtaken = state.targets_confirmed_at.get() > Some(sent_at)
                 && state.targets.borrow().fingerprint() != former;
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -276,6 +276,7 @@
         target_history: RefCell::default(),
         targets_confirmed_at: Cell::new(None),
         is_reader: Cell::new(true),
+        is_probable_reader: Cell::new(false),
         update_notify: Notify::new(),
         is_stopping: Cell::new(false),
         is_closing: Cell::new(false),
--- a/crates/routing/src/follower.rs
+++ b/crates/routing/src/follower.rs
@@ -7,6 +7,7 @@
 use plantainmill_core::{TargetId, Uptime};
 use plantainmill_provider::RowVersion;
 use std::collections::HashMap;
+use std::ops::Range;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -16,7 +17,10 @@
 /// 2 s (`versions::VIEW_VALIDITY`), which [`OWN_READ_DELAY`], [`MAX_JITTER_MS`] and a read have to fit into as well.
 const LONG_INTERVAL: Duration = Duration::from_millis(1_100);
 /// Number of targets up to which the table is read at [`SHORT_INTERVAL`] without the feed.
-const SMALL_TABLE: usize = 100;
+const SMALL_TABLE: u32 = 100;
+/// Shortest and longest delay of the first read of a large table by a VM that starts and will probably be no reader: by
+/// then its readers can hand over their list. Otherwise all VMs that start together would read the table.
+const START_DELAY_MS: Range<u64> = 500..900;
 /// Time by which a VM that has read the table last lets another one read it first: that one asks every 400 ms whether its
 /// list is confirmed. So the readers of a domain take turns.
 const OWN_READ_DELAY: Duration = Duration::from_millis(500);
@@ -55,6 +59,8 @@
 /// The next call of a VM that follows the registry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FollowerStep {
+    /// Read the whole table if it has no more than this number of rows.
+    ReadFew(u32),
     /// Read the whole table.
     Read,
     /// Read the feed after this version.
@@ -71,16 +77,20 @@
 /// Longest time between two proofs of a list of `count` targets, while the store and the feed serve this VM.
 #[must_use]
 pub fn proof_interval(count: usize) -> Duration {
-    if count <= SMALL_TABLE {
+    if is_small(count) {
         return SHORT_INTERVAL;
     }
     shared_interval(count) + OWN_READ_DELAY + Duration::from_millis(MAX_JITTER_MS)
 }
 
+fn is_small(count: usize) -> bool {
+    u32::try_from(count).is_ok_and(|count| count <= SMALL_TABLE)
+}
+
 /// Interval between the reads of all VMs that share them.
 fn shared_interval(count: usize) -> Duration {
-    let count = u32::try_from(count.max(SMALL_TABLE)).unwrap_or(u32::MAX);
-    let grown = SHORT_INTERVAL.saturating_mul(count) / 100;
+    let count = u32::try_from(count).unwrap_or(u32::MAX);
+    let grown = SHORT_INTERVAL.saturating_mul(count) / SMALL_TABLE;
     grown.clamp(SHORT_INTERVAL, LONG_INTERVAL)
 }
 
@@ -101,6 +111,10 @@
     /// Rows that the feed has transferred since the last read of the table.
     fed_rows: usize,
     next_feed_at: Uptime,
+    /// Nothing has been read since the start of the VM.
+    is_starting: bool,
+    /// The last read of the table failed.
+    has_failed: bool,
 }
 
 impl RegistryFollower {
@@ -116,12 +130,15 @@
             reread_at: None,
             fed_rows: 0,
             next_feed_at: Uptime::ZERO,
+            is_starting: true,
+            has_failed: false,
         }
     }
 
     /// Forgets everything: the VM has not followed the registry for a while.
     pub fn reset(&mut self) {
         *self = RegistryFollower::new(self.seed);
+        self.is_starting = false;
     }
 
     /// The next call at `now`. The list was last proved to match the registry at `confirmed_at`, by this VM or by another
@@ -130,6 +147,9 @@
     pub fn next_step(&self, confirmed_at: Option<Uptime>, now: Uptime) -> FollowerStep {
         let due_at = self.due_at(confirmed_at);
         if now >= due_at {
+            if self.is_starting {
+                return FollowerStep::ReadFew(SMALL_TABLE);
+            }
             return FollowerStep::Read;
         }
         let left = due_at.saturating_sub(now);
@@ -170,11 +190,29 @@
     }
 
     fn is_small(&self) -> bool {
-        self.versions.len() <= SMALL_TABLE
+        is_small(self.versions.len())
+    }
+
+    /// Records at `now` that the table is large. Its first read is delayed until [`RegistryFollower::end_start_delay`].
+    pub fn record_large_table(&mut self, now: Uptime) {
+        self.is_starting = false;
+        let hash = xxh3_64_with_seed(&[], self.seed);
+        let spread = START_DELAY_MS.end - START_DELAY_MS.start;
+        let delay = START_DELAY_MS.start + hash % spread;
+        self.reread_at = Some(now + Duration::from_millis(delay));
+    }
+
+    /// Records that this VM will probably be a reader of its domain: it reads the table at once.
+    pub fn end_start_delay(&mut self) {
+        if self.read_at.is_none() && !self.has_failed {
+            self.reread_at = None;
+        }
     }
 
     /// Records a read of the whole table that was sent at `sent_at`, and returns its entries.
     pub fn record_read(&mut self, read: TargetRows, sent_at: Uptime) -> Vec<TargetEntry> {
+        self.is_starting = false;
+        self.has_failed = false;
         self.position = Some(read.version);
         self.read_at = Some(sent_at);
         self.reread_at = None;
@@ -227,6 +265,7 @@
     /// Records at `now` that the table could not be read.
     pub fn record_read_failure(&mut self, now: Uptime) {
         self.position = None;
+        self.has_failed = true;
         self.reread_at = Some(now + RETRY_INTERVAL);
         self.read_at = None;
     }
--- a/crates/routing/src/source.rs
+++ b/crates/routing/src/source.rs
@@ -37,6 +37,10 @@
 
 /// Source of the registered targets.
 pub trait TargetSource {
+    /// Reads all registered targets if there are at most `limit`; otherwise returns `None`, after little more has been
+    /// transferred.
+    fn read_few_targets(&self, limit: u32) -> PlatformFuture<'_, Option<TargetRows>>;
+
     /// Reads all registered targets.
     fn read_targets(&self) -> PlatformFuture<'_, TargetRows>;
 
