Changes of the target list applied to the dispatcher one by one

Cause: each change of the list replaced all targets of the dispatcher, and a reader announced each change at once, whereupon all VMs of its domain ask for it. Change: LoadLedger::change_targets applies the changed and removed entries with the result of set_targets. Paths and versions take the entries by reference. Announcements after the first one wait for 300 ms and go out together.

--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod peers;
 mod target;
+mod target_changes;
 
 pub use dispatcher::{SharedDispatcher, SharedParts};
 pub use leaving::{LeavingEntry, LeavingLedger, LeavingReport};
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -94,6 +94,17 @@
         self.inner.lock().ledger.set_targets(entries);
     }
 
+    /// Applies changes of the targets that may receive new requests: those in `removed` no longer do, and those in `changed`
+    /// do so as described there.
+    pub fn change_targets<'a>(
+        &self,
+        changed: impl Iterator<Item = &'a TargetEntry>,
+        removed: impl Iterator<Item = &'a TargetId>,
+    ) {
+        let mut state = self.inner.lock();
+        state.ledger.change_targets(changed, removed);
+    }
+
     /// States whether load reports arrive through relays, later than direct ones.
     pub fn set_late_reports(&self, has_late_reports: bool) {
         self.inner.lock().ledger.set_late_reports(has_late_reports);
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -170,6 +170,16 @@
         }
     }
 
+    /// Calls of this VM that occupy slots of a target.
+    pub(super) fn own_use(&self, target: &TargetId) -> SlotUse {
+        let mut own = SlotUse::default();
+        let calls = self.calls.values().filter(|call| call.target == *target);
+        for call in calls.filter(|call| !call.is_preempted) {
+            own.add(call.class);
+        }
+        own
+    }
+
     /// Applies to the targets what is known of those that leave. Their calls go on; nothing new is sent to them.
     pub(super) fn update_leaving(&mut self) {
         for (id, target) in &mut self.targets {
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod service;
 mod shared_ledger;
 mod support;
+mod target_changes;
 mod target_limits;
 mod tickets;
 mod unshared_limits;
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -9,7 +9,7 @@
 
 const SLOTS: u32 = 4;
 
-fn entry(id: &str, domain: &str) -> TargetEntry {
+pub(crate) fn entry(id: &str, domain: &str) -> TargetEntry {
     TargetEntry {
         id: id.into(),
         service: "llm".into(),
@@ -22,7 +22,7 @@
     }
 }
 
-fn ledger(vm: &str, targets: &[(&str, &str)]) -> LoadLedger {
+pub(crate) fn ledger(vm: &str, targets: &[(&str, &str)]) -> LoadLedger {
     ledger_at(vm, "a", targets)
 }
 
@@ -66,7 +66,7 @@
 }
 
 /// Submits an online request and returns the target that it is granted, if any.
-fn online(ledger: &mut LoadLedger, now: u64) -> Option<String> {
+pub(crate) fn online(ledger: &mut LoadLedger, now: u64) -> Option<String> {
     let (_, effects) = ledger.request(request(TrafficClass::Online), at(now));
     granted(&effects).pop()
 }
--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -23,6 +23,8 @@
 /// Time from the start of a VM to its first query. It differs between VMs, so that not all fetch the targets from the
 /// readers at once when they have started together.
 const FIRST_QUERY_MS: Range<u64> = 150..450;
+/// Shortest interval between announcements of changes. All VMs of the domain ask for the changes after each one.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(300);
 /// VMs queried per interval when the document or targets are old or the store does not respond.
 const EXTENDED_QUERY_PEERS: usize = 5;
 /// VMs that a reader queries per interval: the domain's other reader, and one VM of another domain.
@@ -68,7 +70,8 @@
         }
     }
 
-    /// Announces changes of the document or the targets to the VMs of the domain without delay, if this VM is a reader.
+    /// Announces changes of the document or the targets to the VMs of the domain, if this VM is a reader: the first one without
+    /// delay, further ones together after an interval.
     pub(crate) async fn announce_changes(self: Rc<Self>) {
         loop {
             self.state.update_notify.notified().await;
@@ -76,6 +79,7 @@
                 && let Some(message) = self.age_message(0)
             {
                 self.send_to_domain(&message).await;
+                sleep(ANNOUNCEMENT_INTERVAL).await;
             }
         }
     }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -171,18 +171,22 @@
         }
         let confirmed_at = self.targets_confirmed_at.get().max(read_at);
         self.targets_confirmed_at.set(confirmed_at);
-        self.dispatcher.set_targets(targets.usable(now));
+        let usable = changes.changed.iter().filter(|entry| !entry.draining);
+        let draining = changes.changed.iter().filter(|entry| entry.draining);
+        let unusable = draining.map(|entry| &entry.id).chain(&changes.removed);
+        self.dispatcher.change_targets(usable, unusable);
         let limited = targets.usable(now).map(|entry| LimitedTarget {
             id: entry.id.clone(),
             service: entry.service.clone(),
             domain: entry.domain.clone(),
         });
         self.limits.set_targets(limited);
-        let entries = targets.entries();
-        let addresses = entries.iter();
+        let addresses = targets.known_entries();
         self.paths
             .set_targets(addresses.map(|entry| (entry.id.clone(), entry.address)));
-        let versions = entries.iter().map(|entry| (&entry.service, &entry.version));
+        let versions = targets
+            .known_entries()
+            .map(|entry| (&entry.service, &entry.version));
         self.streams
             .set_targets(versions, confirmed_at.unwrap_or(now));
         self.update_notify.notify_one();
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -330,6 +330,11 @@
         self.targets.get(id).map(|known| &known.entry)
     }
 
+    /// All entries by reference, including missing ones within their grace period.
+    pub fn known_entries(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.targets.values().map(|known| &known.entry)
+    }
+
     /// All entries, including missing ones within their grace period.
     #[must_use]
     pub fn entries(&self) -> Vec<TargetEntry> {
