Fewer feed calls, and grace after a failed feed call

Cause: with 200 ms between feed calls a reader made up to 5 of them a second while targets renew their entries. An outage of the registry that only a feed call meets started no grace, so expired entries of live targets counted as gone. Change: 300 ms between feed calls. A failed feed call counts as a failed read for RENEWAL_GRACE.

--- a/crates/edge/src/store_poll.rs
+++ b/crates/edge/src/store_poll.rs
@@ -126,6 +126,8 @@
                     Err(error) => {
                         state.metrics.count_store_failure("target_feed");
                         log_store_lost(&mut has_lost_feed, "target_feed", &error);
+                        // The registry may have been away, although the next read succeeds.
+                        state.targets.borrow_mut().record_read_failure();
                         follower.record_feed_failure(now);
                     }
                 }
--- a/crates/routing/src/follower.rs
+++ b/crates/routing/src/follower.rs
@@ -28,7 +28,7 @@
 const MAX_JITTER_MS: u64 = 100;
 /// Interval between the end of a feed call and the next one. With thousands of targets that renew their entries, each
 /// call would otherwise return a few of them at once.
-const FEED_PAUSE: Duration = Duration::from_millis(200);
+const FEED_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait of a feed call. Short, because missing targets are dropped between calls.
 const MAX_FEED_WAIT: Duration = Duration::from_millis(500);
 /// Time for which the feed is not used after it has transferred more rows than the table has before the next read.
