--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -61,6 +61,8 @@
     pub targets_confirmed_at: Cell<Option<Uptime>>,
     /// Whether this VM reads the store for its failure domain.
     pub is_reader: Cell<bool>,
+    /// Whether this VM would read the store if all VMs of its domain were live whose rows are stored.
+    pub is_probable_reader: Cell<bool>,
     /// Notified when this VM has read a changed document from the store, and when the targets have changed.
     pub update_notify: Notify,
     pub is_stopping: Cell<bool>,
@@ -170,20 +172,27 @@
         }
         let confirmed_at = self.targets_confirmed_at.get().max(read_at);
         self.targets_confirmed_at.set(confirmed_at);
-        self.publish_targets(&targets, now);
-        let entries = targets.entries();
-        let addresses = entries.iter();
+        let (usable, unusable): (Vec<_>, Vec<_>) = changes
+            .changed
+            .iter()
+            .partition(|entry| targets.takes_requests(entry));
+        let unusable = unusable.into_iter().map(|entry| &entry.id);
+        self.dispatcher
+            .change_targets(usable.into_iter(), unusable.chain(&changes.removed));
+        self.publish_limited(&targets, now);
+        let addresses = targets.known_entries();
         self.paths
             .set_targets(addresses.map(|entry| (entry.id.clone(), entry.address)));
-        let versions = entries.iter().map(|entry| (&entry.service, &entry.version));
+        let versions = targets
+            .known_entries()
+            .map(|entry| (&entry.service, &entry.version));
         self.streams
             .set_targets(versions, confirmed_at.unwrap_or(now));
         self.update_notify.notify_one();
     }
 
-    /// Hands the targets that accept new requests to dispatch.
-    fn publish_targets(&self, targets: &TargetRegistry, now: Uptime) {
-        self.dispatcher.set_targets(targets.usable(now));
+    /// Hands the targets that accept new requests to the limits.
+    fn publish_limited(&self, targets: &TargetRegistry, now: Uptime) {
         let limited = targets.usable(now).map(|entry| LimitedTarget {
             id: entry.id.clone(),
             service: entry.service.clone(),
@@ -224,7 +233,8 @@
         }
         let mut targets = self.targets.borrow_mut();
         targets.set_evacuated(self.view.evacuated_domains());
-        self.publish_targets(&targets, now);
+        self.dispatcher.set_targets(targets.usable(now));
+        self.publish_limited(&targets, now);
     }
 
     /// Returns whether the document is recent enough to verify keys: a key that it lists cannot have been withdrawn for
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -308,7 +308,13 @@
             .values()
             .filter(move |known| known.missing.is_none_or(|missing| now < missing.gone_at))
             .map(|known| &known.entry)
-            .filter(|entry| !entry.draining && !self.evacuated.contains(&entry.domain))
+            .filter(|entry| self.takes_requests(entry))
+    }
+
+    /// Whether a listed target accepts new requests: it does not drain, and its failure domain is not evacuated.
+    #[must_use]
+    pub fn takes_requests(&self, entry: &TargetEntry) -> bool {
+        !entry.draining && !self.evacuated.contains(&entry.domain)
     }
 
     /// Hash of all entries, for detecting differences between VMs. It is computed once for each state of the entries.
@@ -344,6 +350,11 @@
         self.targets.get(id).map(|known| &known.entry)
     }
 
+    /// All entries by reference, including missing ones within their grace period.
+    pub fn known_entries(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.targets.values().map(|known| &known.entry)
+    }
+
     /// All entries, including missing ones within their grace period.
     #[must_use]
     pub fn entries(&self) -> Vec<TargetEntry> {
