Cold targets get no more in any second than they bear

Cause: a target that has just started, or is used again after an evacuation, gets the requests of a warm one from all VMs, and crashes above ColdPerS * cold_excess + cold_slack in a second. Change: where the settings have [bounds] cold_excess, a target counts as cold by its start, its registry entry, the end of an evacuation and its responses, the latest of which counts. A few members of its failure domain share the rate of its service by the shares of dispatch::limits. Members count for 20 s after they were lost, and a VM that hears less than half of them has no share from 10 s on, so at most two groups hold shares, and twice their saved requests and one second of their rate stays below the bound. Cold targets come after warm ones, items use them only if there is no warm one. Responses are passed on with the limit reports. The stamp of a target list only tells whether a target is cold.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -87,6 +87,8 @@
     fn limit_named(&self, _rate: Option<f64>) {}
     /// A response of the target says that it leaves.
     fn leaving_stated(&self) {}
+    /// A response of the target says how much longer it stays cold; zero if it is warm.
+    fn cold_stated(&self, _left: Duration) {}
 }
 
 /// Permission to send one request to one target. Dropping it without [`TargetTicket::finish`] reports the call as
@@ -169,6 +171,13 @@
             .for_each(|observer| observer.limit_named(rate));
     }
 
+    /// Reports how much longer a response of the target says that it stays cold.
+    pub fn record_cold(&self, left: Duration) {
+        self.observers
+            .iter()
+            .for_each(|observer| observer.cold_stated(left));
+    }
+
     /// Reports that a response of the target says that it leaves.
     pub fn record_leaving(&self) {
         self.observers
--- a/crates/dispatch/src/limits/dispatcher.rs
+++ b/crates/dispatch/src/limits/dispatcher.rs
@@ -1,5 +1,6 @@
 //! A dispatcher that keeps to the limits which targets name, in front of any other policy.
 
+use super::cold::{ColdBounds, ColdFacts};
 use super::ledger::{LimitEvent, LimitLedger, LimitedTarget};
 use super::message::LimitReport;
 use crate::dispatcher::{CallObserver, Dispatcher, TargetTicket, TicketRequest, TrafficClass};
@@ -58,9 +59,34 @@
                 observer.observe(u64::try_from(count).unwrap_or(u64::MAX), &[]);
             })
             .build();
+        let observed = limits.clone();
+        let gauge = meter.u64_observable_gauge(format!("{prefix}cold_targets"));
+        gauge
+            .with_description("Targets that are cold")
+            .with_callback(move |observer| {
+                let count = observed.lock().cold_count(observed.clock.uptime());
+                observer.observe(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+            })
+            .build();
         limits
     }
 
+    /// Keeps to the rates of cold targets from now on, within these bounds.
+    pub fn set_cold_bounds(&self, bounds: ColdBounds) {
+        self.lock().set_cold_bounds(bounds);
+    }
+
+    /// Replaces what is known about the starts of all targets. To be called after [`TargetLimits::set_targets`].
+    pub fn set_cold_facts(&self, facts: impl Iterator<Item = (TargetId, ColdFacts)>) {
+        let events = self.lock().set_cold_facts(facts, self.clock.uptime());
+        events.iter().for_each(log_event);
+    }
+
+    /// Replaces the VMs of the own failure domain that are known but may not have been heard.
+    pub fn set_known(&self, known: Vec<VmId>) {
+        self.lock().set_known(known);
+    }
+
     fn lock(&self) -> MutexGuard<'_, LimitLedger> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -100,6 +126,10 @@
         event.iter().for_each(log_event);
     }
 
+    fn record_cold(&self, target: &TargetId, left: Duration) {
+        self.lock().record_cold(target, left, self.clock.uptime());
+    }
+
     /// Time until this VM may send a request to a target of `service`.
     fn next_free(&self, service: &ServiceName) -> Option<Duration> {
         self.lock().next_free(service, self.clock.uptime())
@@ -119,7 +149,8 @@
 
 impl NoticeSource for TargetLimits {
     fn tick(&self) {
-        self.lock().tick(self.clock.uptime());
+        let events = self.lock().tick(self.clock.uptime());
+        events.iter().for_each(log_event);
     }
 
     fn has_news(&self, scope: ReportScope) -> bool {
@@ -128,7 +159,7 @@
 
     fn notice(&self, scope: ReportScope) -> Option<Bytes> {
         let report = self.report(scope);
-        (!report.entries.is_empty()).then(|| encode_body(&report))
+        (!report.is_empty()).then(|| encode_body(&report))
     }
 
     fn record_notice(&self, content: &[u8]) -> bool {
@@ -140,12 +171,23 @@
 }
 
 fn log_event(event: &LimitEvent) {
-    let LimitEvent::Changed {
-        target,
-        rate,
-        share,
-    } = event;
-    tracing::info!(event = "target_limit_changed", %target, limit = rate, share);
+    match event {
+        LimitEvent::Changed {
+            target,
+            rate,
+            share,
+        } => tracing::info!(event = "target_limit_changed", %target, limit = rate, share),
+        LimitEvent::Cold {
+            target,
+            rate,
+            left,
+            share,
+        } => {
+            let left_ms = left.as_millis();
+            tracing::info!(event = "target_cold", %target, rate, share, left_ms);
+        }
+        LimitEvent::Warm { target } => tracing::info!(event = "target_warm", %target),
+    }
 }
 
 /// Passes on what the responses of a target say about its limit.
@@ -158,6 +200,10 @@
     fn limit_named(&self, rate: Option<f64>) {
         self.limits.record_response(&self.target, rate);
     }
+
+    fn cold_stated(&self, left: Duration) {
+        self.limits.record_cold(&self.target, left);
+    }
 }
 
 /// A dispatch policy that keeps to the limits which targets name.
--- a/crates/dispatch/src/limits/ledger.rs
+++ b/crates/dispatch/src/limits/ledger.rs
@@ -1,6 +1,9 @@
 //! State machine of the limits that targets name, and of this VM's share of them.
 
+use super::cold::{ColdBounds, ColdFacts, ColdLedger};
+use super::members::{COUNTED_TIME, CountedMembers};
 use super::message::{LimitEntry, LimitReport};
+use super::share::TokenShare;
 use crate::dispatcher::TrafficClass;
 use crate::notice::ReportScope;
 use crate::rendezvous::{key_of, score};
@@ -21,8 +24,6 @@
 const SAVED_TIME: Duration = Duration::from_secs(1);
 /// Requests that all VMs may have saved at one target in addition, so that each of them can save whole ones.
 const SAVED_REQUESTS: f64 = 2.0;
-/// Rounding error of the saved requests.
-const TOKEN_ERROR: f64 = 1e-6;
 /// Smallest rate, in requests a second, so that the end of a limit is noticed.
 const MIN_RATE: f64 = 0.1;
 /// Largest number of targets whose limits are known.
@@ -57,6 +58,22 @@
         /// Part of it that this VM may use, in requests a second.
         share: f64,
     },
+    /// A target has become cold.
+    Cold {
+        /// Target that is cold.
+        target: TargetId,
+        /// Requests a second that it sustains.
+        rate: f64,
+        /// Time for which it stays cold.
+        left: Duration,
+        /// Part of the rate that this VM may use, in requests a second.
+        share: f64,
+    },
+    /// A target is cold no longer.
+    Warm {
+        /// Target that was cold.
+        target: TargetId,
+    },
 }
 
 #[derive(Debug)]
@@ -68,11 +85,7 @@
     /// When the limit last became news.
     news_at: Uptime,
     /// Part of the rate that this VM may use.
-    share: f64,
-    /// Requests that this VM may have saved.
-    max_tokens: f64,
-    tokens: f64,
-    refilled_at: Uptime,
+    share: TokenShare,
 }
 
 /// The limits of all targets, as known to one VM.
@@ -83,6 +96,12 @@
     targets: HashMap<TargetId, LimitedTarget>,
     members: BTreeMap<DomainName, Vec<VmId>>,
     limits: BTreeMap<TargetId, NamedLimit>,
+    cold: ColdLedger,
+    /// Members of each failure domain that share its cold targets.
+    counted: BTreeMap<DomainName, CountedMembers>,
+    /// VMs of the own failure domain that may not have been heard.
+    known: Vec<VmId>,
+    started_at: Option<Uptime>,
 }
 
 impl LimitLedger {
@@ -91,13 +110,22 @@
     pub fn new(vm: VmId) -> LimitLedger {
         LimitLedger {
             vm_key: key_of(&vm),
+            cold: ColdLedger::new(key_of(&vm)),
             vm,
             targets: HashMap::new(),
             members: BTreeMap::new(),
             limits: BTreeMap::new(),
+            counted: BTreeMap::new(),
+            known: Vec::new(),
+            started_at: None,
         }
     }
 
+    /// Keeps to the rates of cold targets from now on, within these bounds.
+    pub fn set_cold_bounds(&mut self, bounds: ColdBounds) {
+        self.cold.set_bounds(bounds);
+    }
+
     /// Replaces the targets. Limits of targets that are not listed stay until they end, since an entry may lapse.
     pub fn set_targets(&mut self, targets: impl Iterator<Item = LimitedTarget>, now: Uptime) {
         let targets = targets.map(|target| (target.id.clone(), target));
@@ -105,15 +133,124 @@
         self.update_shares(now);
     }
 
+    /// Replaces what is known about the starts of all targets. To be called after [`LimitLedger::set_targets`].
+    pub fn set_cold_facts(
+        &mut self,
+        facts: impl Iterator<Item = (TargetId, ColdFacts)>,
+        now: Uptime,
+    ) -> Vec<LimitEvent> {
+        self.cold.set_facts(facts, now);
+        self.update_cold_shares(now)
+    }
+
+    /// Replaces the VMs of this VM's own failure domain that are known but may not have been heard.
+    pub fn set_known(&mut self, known: Vec<VmId>) {
+        self.known = known;
+    }
+
     /// Replaces the live VMs of each failure domain, this one included.
     pub fn set_members(&mut self, mut members: BTreeMap<DomainName, Vec<VmId>>, now: Uptime) {
         for vms in members.values_mut() {
             vms.sort();
         }
+        self.started_at.get_or_insert(now);
+        let mut is_changed = false;
+        for (domain, vms) in members.iter().filter(|_| self.cold.is_enabled()) {
+            let counted = self.counted.entry(domain.clone());
+            let counted = counted.or_insert_with(|| CountedMembers::new(now));
+            let is_own = vms.contains(&self.vm);
+            let known = if is_own { &self.known[..] } else { &[] };
+            is_changed |= counted.update(vms, known, now);
+        }
         if members != self.members {
             self.members = members;
             self.update_shares(now);
         }
+        if is_changed {
+            self.set_cold_shares(now);
+        }
+    }
+
+    /// Part of the rate of a cold target that this VM may use, in requests a second.
+    fn cold_share_of(&self, target: &TargetId, rate: f64, now: Uptime) -> Option<f64> {
+        let domain = &self.targets.get(target)?.domain;
+        let (holders, share) = self.cold.split(rate)?;
+        let key = key_of(target);
+        let is_holder = |members: &[VmId]| {
+            if !members.contains(&self.vm) {
+                return false;
+            }
+            let own = Reverse((score(&self.vm, key), &self.vm));
+            let is_before = |vm: &&VmId| Reverse((score(vm, key), *vm)) < own;
+            let holders = usize::try_from(holders).unwrap_or(usize::MAX);
+            members.iter().filter(is_before).count() < holders
+        };
+        let counted = self.counted.get(domain);
+        if let Some(counted) = counted.filter(|counted| counted.has_members()) {
+            let is_held = counted.recent_sets().all(is_holder);
+            return (is_held && counted.may_hold(now)).then_some(share);
+        }
+        // Where no VM runs in the domain of the target, the VMs of all domains share it. One that has not run for long may
+        // not know those of the domain yet.
+        let is_settled = now.saturating_sub(self.started_at?) >= COUNTED_TIME;
+        let own = self.counted.values().find(|counted| {
+            let mut sets = counted.recent_sets();
+            sets.any(|set| set.contains(&self.vm))
+        })?;
+        let all: Vec<VmId> = self.members.values().flatten().cloned().collect();
+        (is_settled && own.may_hold(now) && is_holder(&all)).then_some(share)
+    }
+
+    fn set_cold_shares(&mut self, now: Uptime) {
+        let cold: Vec<(TargetId, f64)> = self
+            .cold
+            .cold(now)
+            .map(|(target, rate)| (target.clone(), rate))
+            .collect();
+        for (target, rate) in cold {
+            let share = self.cold_share_of(&target, rate, now);
+            self.cold.set_share(&target, share, now);
+        }
+    }
+
+    fn update_cold_shares(&mut self, now: Uptime) -> Vec<LimitEvent> {
+        let changes = self.cold.take_changes(now);
+        self.set_cold_shares(now);
+        let changes = changes.into_iter().map(|(target, rate, left)| {
+            if left.is_zero() {
+                return LimitEvent::Warm { target };
+            }
+            let share = self.cold_share_of(&target, rate, now).unwrap_or(0.0);
+            LimitEvent::Cold {
+                target,
+                rate,
+                left,
+                share,
+            }
+        });
+        changes.collect()
+    }
+
+    /// Whether this VM may send no request of `class` to a target that is cold.
+    fn is_cold_exhausted(&self, target: &TargetId, class: TrafficClass, now: Uptime) -> bool {
+        let Some(share) = self.cold.share(target, now) else {
+            return false;
+        };
+        let domain = self.targets.get(target).map(|target| &target.domain);
+        let counted = domain.and_then(|domain| self.counted.get(domain));
+        // The members may be too old, as after this VM was frozen.
+        if counted.is_some_and(|counted| counted.has_members() && !counted.may_hold(now)) {
+            return true;
+        }
+        match class {
+            TrafficClass::Online => share.is_exhausted(now),
+            TrafficClass::Batch => !ColdLedger::is_left_over(share, now),
+        }
+    }
+
+    /// Records how much longer a response of `target` says that it stays cold.
+    pub fn record_cold(&mut self, target: &TargetId, left: Duration, now: Uptime) {
+        self.cold.record_response(target, left, now);
     }
 
     /// Records what a response of `target` says about its limit.
@@ -152,15 +289,11 @@
                 observed_ms,
                 observed_at,
                 news_at: now,
-                share: 0.0,
-                max_tokens: 0.0,
-                tokens: 0.0,
-                refilled_at: now,
+                share: TokenShare::new(now),
             });
-        limit.refill(now);
         let is_news = is_changed(limit.rate, rate);
         limit.rate = rate;
-        (limit.share, limit.max_tokens) = (share, max_tokens);
+        limit.share.set((share, max_tokens), now);
         (limit.observer, limit.observed_ms) = (observer, observed_ms);
         limit.observed_at = observed_at;
         if !is_news {
@@ -204,16 +337,15 @@
                 Some((target.clone(), self.share_of(target, rate)))
             })
             .collect();
-        for (target, (share, max_tokens)) in shares {
+        for (target, share) in shares {
             if let Some(limit) = self.limits.get_mut(&target) {
-                limit.refill(now);
-                (limit.share, limit.max_tokens) = (share, max_tokens);
+                limit.share.set(share, now);
             }
         }
     }
 
     /// Targets of `service` to which this VM may send no request of `class` now. Batch requests leave what is saved to
-    /// online ones.
+    /// online ones, and cold targets to them while the service has warm ones.
     #[must_use]
     pub fn exhausted(
         &self,
@@ -221,30 +353,51 @@
         class: TrafficClass,
         now: Uptime,
     ) -> Vec<TargetId> {
-        self.limited(service, |limit| match class {
-            TrafficClass::Online => limit.is_exhausted(now),
-            TrafficClass::Batch => limit.rate.is_some() && !limit.is_full(now),
+        let spares_cold = class == TrafficClass::Batch && self.has_warm(service, now);
+        self.matching(service, now, |target, limit| {
+            let is_limited = limit.is_some_and(|limit| match class {
+                TrafficClass::Online => limit.is_exhausted(now),
+                TrafficClass::Batch => limit.rate.is_some() && !limit.share.is_full(now),
+            });
+            let is_spared = spares_cold && self.cold.is_cold(target, now);
+            is_limited || is_spared || self.is_cold_exhausted(target, class, now)
         })
     }
 
     /// Targets of `service` that this VM uses only where no target without a limit can serve: what it does not use of
-    /// their limits is saved.
+    /// their limits is saved, and cold ones come last.
     #[must_use]
     pub fn spared(&self, service: &ServiceName, now: Uptime) -> Vec<TargetId> {
-        self.limited(service, |limit| limit.rate.is_some() && !limit.is_full(now))
+        self.matching(service, now, |target, limit| {
+            let is_saved =
+                limit.is_some_and(|limit| limit.rate.is_some() && !limit.share.is_full(now));
+            is_saved || self.cold.is_cold(target, now)
+        })
+    }
+
+    fn has_warm(&self, service: &ServiceName, now: Uptime) -> bool {
+        let mut targets = self.targets.values();
+        targets.any(|target| target.service == *service && !self.cold.is_cold(&target.id, now))
     }
 
-    fn limited(
+    /// Targets of `service` with limits, or that are cold, which match.
+    fn matching(
         &self,
         service: &ServiceName,
-        matches: impl Fn(&NamedLimit) -> bool,
+        now: Uptime,
+        matches: impl Fn(&TargetId, Option<&NamedLimit>) -> bool,
     ) -> Vec<TargetId> {
+        let serves = |id: &TargetId| {
+            let known = self.targets.get(id);
+            known.is_some_and(|target| target.service == *service)
+        };
         let limits = self.limits.iter();
-        let limited = limits.filter(|(target, limit)| {
-            let known = self.targets.get(*target);
-            known.is_some_and(|target| target.service == *service) && matches(limit)
-        });
-        limited.map(|(target, _)| target.clone()).collect()
+        let limited = limits.filter(|(id, limit)| serves(id) && matches(id, Some(limit)));
+        let limited = limited.map(|(id, _)| id.clone());
+        let cold = self.cold.cold(now).map(|(id, _)| id);
+        let cold = cold.filter(|id| !self.limits.contains_key(*id));
+        let cold = cold.filter(|id| serves(id) && matches(id, None));
+        limited.chain(cold.cloned()).collect()
     }
 
     /// Time until this VM may send a request to any target of `service`; `None` if it never may. Zero if one is free.
@@ -253,23 +406,38 @@
         let targets = self.targets.values();
         let targets = targets.filter(|target| target.service == *service);
         targets
-            .filter_map(|target| match self.limits.get(&target.id) {
-                Some(limit) => limit.next_free(now),
-                None => Some(Duration::ZERO),
+            .filter_map(|target| {
+                let limited = match self.limits.get(&target.id) {
+                    Some(limit) => limit.next_free(now)?,
+                    None => Duration::ZERO,
+                };
+                let cold = match self.cold.share(&target.id, now) {
+                    Some(share)
+                        if self.is_cold_exhausted(&target.id, TrafficClass::Online, now) =>
+                    {
+                        share.next_free(now).filter(|wait| !wait.is_zero())?
+                    }
+                    _ => Duration::ZERO,
+                };
+                Some(limited.max(cold))
             })
             .min()
     }
 
     /// Takes the permission to send one request to `target`. Returns false if there is none.
     pub fn take(&mut self, target: &TargetId, now: Uptime) -> bool {
-        let Some(limit) = self.limits.get_mut(target) else {
-            return true;
-        };
-        if limit.is_exhausted(now) {
+        if self.is_cold_exhausted(target, TrafficClass::Online, now) {
             return false;
         }
-        limit.refill(now);
-        limit.tokens = (limit.tokens - 1.0).max(0.0);
+        if let Some(limit) = self.limits.get_mut(target) {
+            if limit.is_exhausted(now) {
+                return false;
+            }
+            limit.share.take(now);
+        }
+        if self.cold.is_cold(target, now) {
+            self.cold.take(target, now);
+        }
         true
     }
 
@@ -292,21 +460,25 @@
             let observation = (entry.observer, entry.observed_ms);
             events.extend(self.record(&entry.target, entry.rate, observation, observed_at, now));
         }
+        self.cold.record_report(&report.cold, now);
         events
     }
 
-    /// Ends the limits that no response has named for long.
-    pub fn tick(&mut self, now: Uptime) {
+    /// Ends the limits that no response has named for long, and updates the shares of cold targets.
+    pub fn tick(&mut self, now: Uptime) -> Vec<LimitEvent> {
         self.limits
             .retain(|_, limit| now.saturating_sub(limit.observed_at) < LIMIT_RETENTION);
+        self.update_cold_shares(now)
     }
 
     /// Whether there are news that a report of this scope should repeat.
     #[must_use]
     pub fn has_news(&self, scope: ReportScope, now: Uptime) -> bool {
         let mut limits = self.limits.values();
-        limits
-            .any(|limit| now.saturating_sub(limit.news_at) < NEWS_TIME && self.covers(scope, limit))
+        let has_limits = limits.any(|limit| {
+            now.saturating_sub(limit.news_at) < NEWS_TIME && self.covers(scope, limit)
+        });
+        has_limits || self.cold.has_news(scope, now)
     }
 
     fn covers(&self, scope: ReportScope, limit: &NamedLimit) -> bool {
@@ -334,6 +506,7 @@
                         .unwrap_or(u64::MAX),
                 })
                 .collect(),
+            cold: self.cold.report(scope, now),
         }
     }
 
@@ -344,45 +517,39 @@
         limits.filter(|limit| limit.rate.is_some()).count()
     }
 
+    /// Number of cold targets.
+    #[must_use]
+    pub fn cold_count(&self, now: Uptime) -> usize {
+        self.cold.cold(now).count()
+    }
+
     /// Limits of targets with this VM's share, in requests a second.
     #[must_use]
     pub fn dump(&self, now: Uptime) -> serde_json::Value {
         let limits = self.limits.iter().map(|(target, limit)| {
             serde_json::json!({
-                "target": target, "limit": limit.rate, "share": limit.share,
+                "target": target, "limit": limit.rate, "share": limit.share.rate,
                 "age_ms": now.saturating_sub(limit.observed_at).as_millis(),
             })
         });
-        limits.collect()
+        let cold = self.cold.cold(now).map(|(target, rate)| {
+            let share = self.cold.share(target, now).map(|share| share.rate);
+            serde_json::json!({"target": target, "cold_rate": rate, "share": share})
+        });
+        limits.chain(cold).collect()
     }
 }
 
 impl NamedLimit {
-    fn tokens_at(&self, now: Uptime) -> f64 {
-        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
-        (self.tokens + self.share * elapsed).min(self.max_tokens)
-    }
-
-    fn refill(&mut self, now: Uptime) {
-        self.tokens = self.tokens_at(now);
-        self.refilled_at = self.refilled_at.max(now);
-    }
-
     fn is_exhausted(&self, now: Uptime) -> bool {
-        self.rate.is_some() && self.tokens_at(now) < 1.0 - TOKEN_ERROR
-    }
-
-    /// Whether no more can be saved, so that a request uses what would be lost otherwise.
-    fn is_full(&self, now: Uptime) -> bool {
-        self.max_tokens > 0.0 && self.tokens_at(now) >= self.max_tokens - TOKEN_ERROR
+        self.rate.is_some() && self.share.is_exhausted(now)
     }
 
     fn next_free(&self, now: Uptime) -> Option<Duration> {
-        if !self.is_exhausted(now) {
-            return Some(Duration::ZERO);
+        match self.rate {
+            Some(_) => self.share.next_free(now),
+            None => Some(Duration::ZERO),
         }
-        let missing = 1.0 - self.tokens_at(now);
-        (self.share > 0.0).then(|| Duration::from_secs_f64(missing / self.share))
     }
 }
 
--- a/crates/dispatch/tests/all/batch_waits.rs
+++ b/crates/dispatch/tests/all/batch_waits.rs
@@ -25,6 +25,7 @@
         draining: false,
         born: 0,
         version: "v1".into(),
+        cold_left: plantainmill_routing::ColdLeft::default(),
     }
 }
 
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of dispatch, one module per feature.
 
 mod batch_waits;
+mod cold_targets;
 mod ejection;
 mod fairness;
 mod faults;
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -19,6 +19,7 @@
         draining: false,
         born: 0,
         version: "v1".into(),
+        cold_left: plantainmill_routing::ColdLeft::default(),
     }
 }
 
--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -114,6 +114,7 @@
                             .replace_if_newer(document, sent_at.saturating_sub(age))
                         {
                             tracing::info!(event = "document_changed", version, from = %control);
+                            state.apply_document();
                         }
                     }
                     Err(error) => {
--- a/crates/edge/src/peer_notices.rs
+++ b/crates/edge/src/peer_notices.rs
@@ -40,7 +40,7 @@
             let limits = is_due(&state.limits).then(|| state.limits.report(scope));
             let leaving = is_due(&state.dispatcher).then(|| state.dispatcher.leaving_report(scope));
             let parts = parts.filter(|report| !report.is_empty());
-            let limits = limits.filter(|report| !report.entries.is_empty());
+            let limits = limits.filter(|report| !report.is_empty());
             let leaving = leaving.filter(|report| !report.entries.is_empty());
             let messages = [
                 parts.map(PeerMessage::Parts),
@@ -85,6 +85,8 @@
         let is_alone = members.values().map(Vec::len).sum::<usize>() <= 1;
         let knows_others = directory.local_rows().next().is_some();
         self.state.streams.set_isolated(is_alone && knows_others);
+        let known = directory.local_rows().map(|row| row.vm.clone());
+        self.state.limits.set_known(known.collect());
         self.state.limits.set_members(members);
     }
 }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -2,6 +2,7 @@
 
 use compact_str::CompactString;
 use plantainmill_core::{DomainName, RegionName, VmId};
+use plantainmill_dispatch::limits::ColdBounds;
 use plantainmill_settings::reader::{SettingsSection, read_file};
 use plantainmill_settings::{SettingsProblem, SettingsReader};
 use std::collections::HashMap;
@@ -27,6 +28,8 @@
 const BOUND_SECONDS_RANGE: RangeInclusive<f64> = 0.1..=1e6;
 /// Valid values of the evacuation bound, in milliseconds. Zero stands for a deployment without evacuations.
 const EVACUATION_MS_RANGE: RangeInclusive<f64> = 0.0..=3_600_000.0;
+/// Valid bounds for cold targets. A factor of zero stands for a deployment without them.
+const COLD_BOUND_RANGE: RangeInclusive<f64> = 0.0..=1_000.0;
 
 /// Settings of a VM. Unknown fields are reported but do not prevent a start, so that a newer platform can add fields.
 #[derive(Clone, Debug)]
@@ -81,7 +84,7 @@
 }
 
 /// Time bounds that are promised to callers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BoundSettings {
     /// Largest age of the document at which it is used to verify keys. A withdrawn key is accepted no longer than this.
     pub key_validity: Duration,
@@ -92,6 +95,9 @@
     /// Time within which an operator's request to evacuate a failure domain takes effect. Where it is absent, such
     /// requests are not read.
     pub evacuation: Option<Duration>,
+    /// How far the requests at a cold target may exceed its rate within a second. Where it is absent, cold targets get as
+    /// many requests as others.
+    pub cold: Option<ColdBounds>,
 }
 
 impl BoundSettings {
@@ -226,7 +232,10 @@
         Some(DEFAULT_KEY_VALIDITY_MS),
     );
     let evacuate_ms = reader.decimal(&mut section, "evacuate_ms", &EVACUATION_MS_RANGE, Some(0.0));
+    let excess = reader.decimal(&mut section, "cold_excess", &COLD_BOUND_RANGE, Some(0.0));
+    let slack = reader.decimal(&mut section, "cold_slack", &COLD_BOUND_RANGE, Some(0.0));
     let bounds = BoundSettings {
+        cold: (excess > 0.0).then_some(ColdBounds { excess, slack }),
         key_validity: Duration::from_secs_f64(key_ms / 1_000.0),
         stop_timeout: read_seconds(reader, &mut section, "stop_s", DEFAULT_STOP_TIMEOUT_SECONDS),
         result_retention: read_seconds(
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -8,7 +8,7 @@
 use crate::stream_records::StreamRecords;
 use plantainmill_admission::SharedLimiter;
 use plantainmill_core::{Clock, InFlightCounter, Incarnation, Uptime};
-use plantainmill_dispatch::limits::LimitedTarget;
+use plantainmill_dispatch::limits::{ColdFacts, LimitedTarget};
 use plantainmill_dispatch::{PartQuarantine, SharedDispatcher, TargetLimits};
 use plantainmill_jobs::JobService;
 use plantainmill_paths::TargetPaths;
@@ -19,7 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 use tokio::sync::Notify;
 
 /// Fraction of the key validity. From this document age on the VM is not ready, before it has to reject keys.
@@ -121,6 +121,39 @@
             domain: entry.domain.clone(),
         });
         self.limits.set_targets(limited);
+        self.publish_cold_facts(targets, now);
+    }
+
+    /// Hands what is known about cold targets to their limits, in deployments with bounds for them.
+    fn publish_cold_facts(&self, targets: &TargetRegistry, now: Uptime) {
+        let (Some(document), Some(_)) = (self.view.load(), self.settings.bounds.cold) else {
+            return;
+        };
+        let wall = self.clock.wall().duration_since(UNIX_EPOCH);
+        let wall = wall.unwrap_or_default();
+        let revoked = self.view.revoked_domains();
+        let read_at = self.targets_confirmed_at.get().unwrap_or_default();
+        let facts = targets.usable(now).filter_map(|entry| {
+            let rule = document.services.get(&entry.service)?;
+            let born = Duration::from_millis(entry.born);
+            let left_ms = entry.cold_left.0.map(u64::from);
+            let facts = ColdFacts {
+                rate: rule.cold_per_s,
+                start_time: rule.cold_start,
+                born: entry.born,
+                age: (entry.born > 0).then(|| wall.saturating_sub(born)),
+                left: left_ms.map(Duration::from_millis),
+                read_at,
+                revoked_at: revoked.get(&entry.domain).copied(),
+            };
+            Some((entry.id.clone(), facts))
+        });
+        self.limits.set_cold_facts(facts);
+    }
+
+    /// Applies what a changed document says about services.
+    pub fn apply_document(&self) {
+        self.publish_cold_facts(&self.targets.borrow(), self.clock.uptime());
     }
 
     /// Records evacuated failure domains that this VM has read from the store at `read_at`.
@@ -136,8 +169,13 @@
     /// Records evacuated failure domains that another VM reports, and for which this one asked at `asked_at`.
     pub fn record_evacuation_report(&self, report: EvacuationReport, asked_at: Option<Uptime>) {
         let now = self.clock.uptime();
+        let former = self.view.revoked_domains();
         let events = self.view.record_evacuation_report(report, asked_at, now);
         self.apply_evacuations(&events, now);
+        // This VM may have missed the whole evacuation, as while it was frozen.
+        if self.view.revoked_domains() != former {
+            self.apply_document();
+        }
     }
 
     fn apply_evacuations(&self, events: &[EvacuationEvent], now: Uptime) {
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -135,7 +135,8 @@
             || settings.regions != current.regions
             || settings.listen != current.listen
             || settings.store != current.store
-            || settings.bounds.evacuation.is_some() != current.bounds.evacuation.is_some();
+            || settings.bounds.evacuation.is_some() != current.bounds.evacuation.is_some()
+            || settings.bounds.cold != current.bounds.cold;
         let changed = self.state.bounds.replace(settings.bounds) != settings.bounds;
         tracing::info!(event = "settings_reloaded", changed, needs_start);
     }
@@ -187,10 +188,6 @@
     clock: Arc<dyn Clock>,
     incarnation: Incarnation,
 ) -> anyhow::Result<EdgeState> {
-    let view = match settings.bounds.evacuation {
-        Some(_) => DocumentView::with_evacuations(),
-        None => DocumentView::default(),
-    };
     let dispatcher = SharedDispatcher::new(SharedParts {
         vm: settings.vm.id.clone(),
         domain: settings.vm.domain.clone(),
@@ -199,6 +196,7 @@
         clock: Arc::clone(&clock),
     });
     let metrics = EdgeMetrics::new()?;
+    let view = build_view(&settings, &metrics);
     dispatcher.register_metrics(&metrics.meter(), METRIC_PREFIX);
     let codec = Rc::clone(&platform.codec);
     let peer_client = Rc::new(PeerClient::new());
@@ -213,22 +211,7 @@
         &metrics.meter(),
         METRIC_PREFIX,
     );
-    let limits = TargetLimits::new(
-        &settings.vm.id,
-        Arc::clone(&clock),
-        &metrics.meter(),
-        METRIC_PREFIX,
-    );
-    let observed = view.clone();
-    let meter = metrics.meter();
-    let gauge = meter.u64_observable_gauge(format!("{METRIC_PREFIX}evacuated_domains"));
-    gauge
-        .with_description("Failure domains whose targets get nothing new")
-        .with_callback(move |observer| {
-            let count = observed.evacuated_domains().len();
-            observer.observe(u64::try_from(count).unwrap_or(u64::MAX), &[]);
-        })
-        .build();
+    let limits = build_limits(&settings, Arc::clone(&clock), &metrics);
     let paths = TargetPaths::new(
         &settings.vm.id,
         Arc::clone(&clock),
@@ -297,6 +280,38 @@
     })
 }
 
+/// The view of the document, with evacuated failure domains where the settings have a bound for them.
+fn build_view(settings: &EdgeSettings, metrics: &EdgeMetrics) -> DocumentView {
+    let view = match settings.bounds.evacuation {
+        Some(_) => DocumentView::with_evacuations(),
+        None => DocumentView::default(),
+    };
+    let observed = view.clone();
+    let meter = metrics.meter();
+    let gauge = meter.u64_observable_gauge(format!("{METRIC_PREFIX}evacuated_domains"));
+    gauge
+        .with_description("Failure domains whose targets get nothing new")
+        .with_callback(move |observer| {
+            let count = observed.evacuated_domains().len();
+            observer.observe(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+        })
+        .build();
+    view
+}
+
+/// The limits of targets, which cover cold ones where the settings have bounds for them.
+fn build_limits(
+    settings: &EdgeSettings,
+    clock: Arc<dyn Clock>,
+    metrics: &EdgeMetrics,
+) -> TargetLimits {
+    let limits = TargetLimits::new(&settings.vm.id, clock, &metrics.meter(), METRIC_PREFIX);
+    if let Some(bounds) = settings.bounds.cold {
+        limits.set_cold_bounds(bounds);
+    }
+    limits
+}
+
 /// Rounds a percentage down to an integer between 0 and 10,000.
 fn whole_percent(percent: f64) -> u32 {
     (0..=10_000)
--- a/crates/edge/tests/all/edge_settings.rs
+++ b/crates/edge/tests/all/edge_settings.rs
@@ -57,6 +57,8 @@
 #[case("key_ms = 5000", "key_ms = -1", 20, "bounds.key_ms")]
 #[case("key_ms = 5000", "key_ms = \"5000\"", 20, "bounds.key_ms")]
 #[case("stop_s = 8", "stop_s = nan", 21, "bounds.stop_s")]
+#[case("results_s = 120", "cold_excess = -1", 22, "bounds.cold_excess")]
+#[case("results_s = 120", "cold_slack = nan", 22, "bounds.cold_slack")]
 #[case("results_s = 120", "evacuate_ms = -1", 22, "bounds.evacuate_ms")]
 #[case("results_s = 120", "evacuate_ms = \"5000\"", 22, "bounds.evacuate_ms")]
 #[case("10.1.0.21:9464", "9464", 16, "listen.metrics")]
@@ -87,9 +89,19 @@
     assert_eq!(settings.bounds.stop_timeout, Duration::from_secs(8));
     assert_eq!(settings.bounds.result_retention, Duration::from_mins(2));
     assert_eq!(settings.bounds.evacuation, None);
+    assert_eq!(settings.bounds.cold, None);
     assert_eq!(settings.bounds.document_validity(), Duration::from_secs(5));
 }
 
+/// Guards against bounds of cold targets that are not read.
+#[test]
+fn cold_bounds() {
+    let text = SETTINGS.replace("results_s = 120", "cold_excess = 1.5\ncold_slack = 5");
+    let settings = EdgeSettings::parse("settings.toml", &text).expect("settings");
+    let bounds = settings.bounds.cold.expect("bounds");
+    assert!((bounds.excess - 1.5).abs() < 1e-9 && (bounds.slack - 5.0).abs() < 1e-9);
+}
+
 /// Guards against evacuations that are not read, and against requests served by an older state than their bound allows.
 #[test]
 fn evacuation_bound() {
--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -132,6 +132,8 @@
     crash: Notify,
     /// Requests a second that responses name as the limit of this target.
     limit: Cell<Option<f64>>,
+    /// A further header of all responses.
+    header: RefCell<Option<(&'static str, String)>>,
     is_leaving: Cell<bool>,
     /// Requests that run at a time; further ones are refused.
     capacity: Cell<usize>,
@@ -162,6 +164,7 @@
                 events_before_crash: Cell::new(0),
                 crash: Notify::new(),
                 limit: Cell::new(None),
+                header: RefCell::default(),
                 is_leaving: Cell::new(false),
                 capacity: Cell::new(usize::MAX),
                 refusals: RefCell::new(RefusalDraw::new(RefusalMode::default())),
@@ -210,6 +213,11 @@
         self.state.events_before_crash.set(events);
     }
 
+    /// Adds a header to all responses.
+    pub fn set_header(&self, name: &'static str, value: &str) {
+        self.state.header.replace(Some((name, value.to_owned())));
+    }
+
     /// Sets the limit, in requests a second, that all responses name.
     pub fn set_limit(&self, limit: Option<f64>) {
         self.state.limit.set(limit);
@@ -461,7 +469,11 @@
         } else {
             String::new()
         };
-        let stated = format!("stamp: s1\r\n{limit}{leaving}");
+        let header = self.header.borrow();
+        let header = header
+            .as_ref()
+            .map_or_else(String::new, |(name, value)| format!("{name}: {value}\r\n"));
+        let stated = format!("stamp: s1\r\n{limit}{leaving}{header}");
         format!("HTTP/1.1 {status} Any\r\n{name}: {id}\r\n{stated}{extra}{framing}\r\n")
     }
 
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -131,6 +131,7 @@
             draining: false,
             born: 0,
             version: version.into(),
+            cold_left: plantainmill_routing::ColdLeft::default(),
         }
     }
 
@@ -177,6 +178,7 @@
             not_executed: HeaderName::from_static(NAMES.not_executed),
             target_limit: HeaderName::from_static(NAMES.limit),
             target_leaving: HeaderName::from_static(NAMES.leaving),
+            target_cold: None,
             last_event: HeaderName::from_static("last-event-id"),
         };
         let view = DocumentView::default();
--- a/crates/patterns/src/load_simulation.rs
+++ b/crates/patterns/src/load_simulation.rs
@@ -540,5 +540,6 @@
         draining: false,
         born: 0,
         version: "v1".into(),
+        cold_left: plantainmill_routing::ColdLeft::default(),
     }
 }
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -32,6 +32,8 @@
     pub target_limit: HeaderName,
     /// Present on all responses of a target that leaves.
     pub target_leaving: HeaderName,
+    /// Milliseconds for which the target stays cold; `None` where targets do not say.
+    pub target_cold: Option<HeaderName>,
     /// Id of the last event that the caller has received.
     pub last_event: HeaderName,
 }
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -263,6 +263,14 @@
             let limit = headers.get(&names.target_limit);
             let limit = limit.and_then(|limit| limit.to_str().ok()?.trim().parse().ok());
             ticket.record_limit(limit);
+            let cold = names
+                .target_cold
+                .as_ref()
+                .and_then(|name| headers.get(name));
+            let cold = cold.and_then(|left| left.to_str().ok()?.trim().parse().ok());
+            if let Some(left_ms) = cold {
+                ticket.record_cold(Duration::from_millis(left_ms));
+            }
             if headers.contains_key(&names.target_leaving) {
                 ticket.record_leaving();
             }
--- a/crates/proxy/tests/pending_connect.rs
+++ b/crates/proxy/tests/pending_connect.rs
@@ -54,6 +54,7 @@
         draining: false,
         born: 0,
         version: "v1".into(),
+        cold_left: plantainmill_routing::ColdLeft::default(),
     };
     dispatcher.set_targets([entry].iter());
     let name = HeaderName::from_static;
@@ -65,6 +66,7 @@
         not_executed: name("not-executed"),
         target_limit: name("server-limit"),
         target_leaving: name("server-leaving"),
+        target_cold: None,
         last_event: name("last-event-id"),
     };
     let meter = opentelemetry::metrics::noop::NoopMeterProvider::new().meter("test");
--- a/crates/proxy/tests/relay_fleet/mod.rs
+++ b/crates/proxy/tests/relay_fleet/mod.rs
@@ -88,6 +88,7 @@
         not_executed: HeaderName::from_static(NAMES.not_executed),
         target_limit: HeaderName::from_static(NAMES.limit),
         target_leaving: HeaderName::from_static(NAMES.leaving),
+        target_cold: None,
         last_event: HeaderName::from_static("last-event-id"),
     }
 }
@@ -102,6 +103,7 @@
         draining: false,
         born: 0,
         version: "v1".into(),
+        cold_left: plantainmill_routing::ColdLeft::default(),
     }
 }
 
--- a/crates/routing/src/document.rs
+++ b/crates/routing/src/document.rs
@@ -120,6 +120,15 @@
     pub priority: Option<u32>,
 }
 
+/// What the document says about a service.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ServiceRule {
+    /// Time after its start in which a target is cold.
+    pub cold_start: Duration,
+    /// Requests a second that a cold target sustains from all VMs together; zero if targets are never cold.
+    pub cold_per_s: f64,
+}
+
 /// Limits for requests and connections of callers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
@@ -155,6 +164,9 @@
     keys: HashMap<CompactString, OrganisationId>,
     /// Limits for requests and connections of callers.
     pub limits: CallerLimits,
+    /// Services about which the document says something. Documents from older releases lack them.
+    #[serde(default)]
+    pub services: BTreeMap<ServiceName, ServiceRule>,
 }
 
 impl FleetDocument {
@@ -191,9 +203,17 @@
             keys: keys.collect(),
             organisations,
             limits,
+            services: BTreeMap::new(),
         }
     }
 
+    /// Sets the services.
+    #[must_use]
+    pub fn with_services(mut self, services: BTreeMap<ServiceName, ServiceRule>) -> FleetDocument {
+        self.services = services;
+        self
+    }
+
     /// Returns the host's route with the longest path prefix of `path`.
     #[must_use]
     pub fn find_route(&self, host: &str, path: &str) -> Option<&RouteRule> {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,10 +11,11 @@
 pub mod view;
 
 pub use document::{
-    CallerLimits, FleetDocument, JobRule, OrganisationRule, RouteKind, RouteRule, ServiceShare,
+    CallerLimits, FleetDocument, JobRule, OrganisationRule, RouteKind, RouteRule, ServiceRule,
+    ServiceShare,
 };
 pub use evacuation::{EvacuationEvent, EvacuationLedger, EvacuationReport, EvacuationState};
-pub use registry::{TargetEntry, TargetRegistry};
+pub use registry::{ColdLeft, TargetEntry, TargetRegistry};
 pub use source::{DocumentRead, DocumentRevision, DocumentSource, FleetRead, TargetSource};
 pub use versions::VersionLedger;
 pub use view::DocumentView;
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -7,7 +7,7 @@
 use plantainmill_core::{DomainName, ServiceName, TargetId, Uptime};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
-use std::hash::{Hash as _, Hasher as _};
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
@@ -34,6 +34,23 @@
     pub born: u64,
     /// Software version, as reported by the target.
     pub version: CompactString,
+    /// How much longer it stays cold, as of its entry.
+    #[serde(default)]
+    pub cold_left: ColdLeft,
+}
+
+/// How much longer a target stays cold, as its entry says, in milliseconds; absent if the entry does not say. Its hash only
+/// tells whether the target is cold: the time changes whenever the target renews its entry, and VMs would fetch the list each time.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ColdLeft(pub Option<u32>);
+
+impl Hash for ColdLeft {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        // Nothing for a target that is not cold: releases without this field compute the same hash.
+        if self.0.is_some_and(|left_ms| left_ms > 0) {
+            state.write_u8(1);
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
--- a/crates/routing/src/view.rs
+++ b/crates/routing/src/view.rs
@@ -3,7 +3,7 @@
 use crate::document::FleetDocument;
 use crate::evacuation::{EvacuationEvent, EvacuationLedger, EvacuationReport, EvacuationState};
 use plantainmill_core::{DomainName, Uptime};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -129,6 +129,17 @@
         self.lock().evacuations.as_ref()?.report(now)
     }
 
+    /// Failure domains whose evacuation has ended, and when this VM learned of it.
+    #[must_use]
+    pub fn revoked_domains(&self) -> BTreeMap<DomainName, Uptime> {
+        let state = self.lock();
+        let evacuations = state.evacuations.iter();
+        let revoked = evacuations.flat_map(EvacuationLedger::revoked);
+        revoked
+            .map(|(domain, ended_at)| (domain.clone(), ended_at))
+            .collect()
+    }
+
     /// Evacuated failure domains.
     #[must_use]
     pub fn evacuated_domains(&self) -> BTreeSet<DomainName> {
--- a/crates/routing/tests/all/evacuations.rs
+++ b/crates/routing/tests/all/evacuations.rs
@@ -1,5 +1,6 @@
 //! Evacuated failure domains, as known to VMs that read the store at different times or hear from others.
 
+use plantainmill_core::DomainName;
 use plantainmill_routing::{
     CallerLimits, DocumentView, EvacuationEvent, EvacuationLedger, EvacuationState, FleetDocument,
     TargetEntry, TargetRegistry,
@@ -29,7 +30,7 @@
 }
 
 fn evacuated(ledger: &EvacuationLedger) -> Vec<&str> {
-    ledger.domains().map(|domain| domain.as_str()).collect()
+    ledger.domains().map(DomainName::as_str).collect()
 }
 
 /// Guards against a late read that undoes a newer request, and against a second request that begins an evacuation again.
@@ -136,6 +137,7 @@
         draining: false,
         born: 0,
         version: "v1".into(),
+        cold_left: plantainmill_routing::ColdLeft::default(),
     };
     let mut registry = TargetRegistry::default();
     registry.apply(vec![entry("t1", "a", 1), entry("t2", "b", 2)], at(0));
--- a/crates/routing/tests/all/target_registry.rs
+++ b/crates/routing/tests/all/target_registry.rs
@@ -1,6 +1,6 @@
 //! Tests of which targets may get new requests.
 
-use plantainmill_routing::{TargetEntry, TargetRegistry};
+use plantainmill_routing::{ColdLeft, TargetEntry, TargetRegistry};
 use std::time::Duration;
 
 fn entry(id: &str, port: u16) -> TargetEntry {
@@ -13,6 +13,7 @@
         draining: false,
         born: 0,
         version: "v1".into(),
+        cold_left: ColdLeft::default(),
     }
 }
 
@@ -128,3 +129,18 @@
     assert_ne!(fingerprint(fleet(3)), fingerprint(fleet(4)));
     assert_ne!(fingerprint(fleet(3)), fingerprint(draining));
 }
+
+/// Guards against lists that VMs fetch whenever a cold target renews its entry, and against a target whose cold time they miss.
+#[test]
+fn cold_stamps() {
+    let stamp = |left_ms| {
+        let mut registry = TargetRegistry::default();
+        let mut entry = entry("t1", 1);
+        entry.cold_left = ColdLeft(left_ms);
+        registry.apply(vec![entry], Duration::ZERO);
+        registry.fingerprint()
+    };
+    assert_eq!(stamp(Some(5_000)), stamp(Some(4_000)));
+    assert_eq!(stamp(Some(0)), stamp(None));
+    assert_ne!(stamp(Some(4_000)), stamp(Some(0)));
+}
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -194,6 +194,7 @@
         version,
         stream_route: stream_route(version),
         organisations: organisations.collect(),
+        cold: None,
     }
 }
 
