--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -2,7 +2,7 @@
 
 use compact_str::CompactString;
 use plantainmill_core::TargetId;
-use plantainmill_routing::{TargetChanges, TargetEntry, TargetHistory, TargetRegistry};
+use plantainmill_routing::{ColdLeft, TargetChanges, TargetEntry, TargetHistory, TargetRegistry};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -38,7 +38,11 @@
 
 /// Fields that not all releases know. A release ignores those that it does not know, and uses defaults for absent ones.
 #[derive(Debug, Default, Deserialize, Serialize)]
-struct EntryExtension {}
+struct EntryExtension {
+    /// How much longer the target stays cold, in milliseconds.
+    #[serde(default, rename = "c", skip_serializing_if = "Option::is_none")]
+    cold_left_ms: Option<u32>,
+}
 
 /// Target list that a VM has received.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -106,7 +110,9 @@
                 entry.draining,
                 entry.born,
                 names.position(&entry.version),
-                EntryExtension::default(),
+                EntryExtension {
+                    cold_left_ms: entry.cold_left.0,
+                },
             )
         });
         let entries = entries.collect();
@@ -149,7 +155,8 @@
 
 impl CompactEntry {
     fn into_entry(self, names: &[CompactString]) -> Option<TargetEntry> {
-        let CompactEntry(id, service, address, domain, slots, draining, born, version, _) = self;
+        let CompactEntry(id, service, address, domain, slots, draining, born, version, extension) =
+            self;
         Some(TargetEntry {
             id,
             service: names.get(service)?.clone(),
@@ -159,6 +166,7 @@
             draining,
             born,
             version: names.get(version)?.clone(),
+            cold_left: ColdLeft(extension.cold_left_ms),
         })
     }
 }
--- a/crates/edge/tests/all/target_lists.rs
+++ b/crates/edge/tests/all/target_lists.rs
@@ -9,6 +9,7 @@
 
 fn entries(count: u16) -> Vec<TargetEntry> {
     let entry = |number: u16| TargetEntry {
+        cold_left: plantainmill_routing::ColdLeft::default(),
         id: format!("i-{number:04}-7f3a9c21").into(),
         service: format!("model-{}", number % 30).into(),
         address: ([10, 128, 0, 9], 1 + number).into(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,12 +13,13 @@
 pub mod view;
 
 pub use document::{
-    CallerLimits, FleetDocument, JobRule, OrganisationRule, RouteKind, RouteRule, ServiceShare,
+    CallerLimits, FleetDocument, JobRule, OrganisationRule, RouteKind, RouteRule, ServiceRule,
+    ServiceShare,
 };
 pub use evacuation::{EvacuationEvent, EvacuationLedger, EvacuationReport, EvacuationState};
 pub use follower::{FollowerStep, RegistryFollower, TargetRow, TargetRows, proof_interval};
 pub use history::TargetHistory;
-pub use registry::{TargetChanges, TargetEntry, TargetRegistry};
+pub use registry::{ColdLeft, TargetChanges, TargetEntry, TargetRegistry};
 pub use source::{
     DocumentRead, DocumentRevision, DocumentSource, FleetRead, TargetFeed, TargetSource,
 };
