--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -76,6 +76,7 @@
     VersionGone = 3015, "version_gone", 503, "No target has the software version at which the stream began, so it cannot go on.", "Send the request anew, without the last event id.";
     VersionUnknown = 3016, "version_unknown", 503, "The software version at which the stream began cannot be determined now.", "Repeat after Retry-After, or send the request anew.";
     TargetsUnreachable = 3017, "targets_unreachable", 503, "The VM has lost its paths to all targets, and no other VM reaches them for it.", "Repeat through another VM, after Retry-After; operators check the network.";
+    RegionUnavailable = 3018, "region_unavailable", 503, "No target is available in a region in which the request may be served.", "Repeat after Retry-After; operators check the allowed regions and the targets there.";
     FileInvalid = 4001, "file_invalid", 400, "The uploaded file is malformed.", "Correct the named lines.";
     UnknownFile = 4002, "unknown_file", 404, "No such file.", "Check the id.";
     UnknownBatch = 4003, "unknown_batch", 404, "No such batch.", "Check the id.";
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod flight;
 pub mod id;
 pub mod problem;
+pub mod region;
 pub mod response;
 pub mod secret;
 pub mod signal;
@@ -20,4 +21,5 @@
     RequestHash, ServiceName, TargetId, VersionName, VmId,
 };
 pub use problem::{Executed, Problem};
+pub use region::{AllowedRegions, RegionInputs, RegionSource};
 pub use signal::wait_until_set;
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -2,7 +2,8 @@
 
 use futures_util::future::LocalBoxFuture;
 use plantainmill_core::{
-    OrganisationId, PartId, Problem, RequestHash, ServiceName, TargetId, Uptime, VersionName,
+    AllowedRegions, OrganisationId, PartId, Problem, RegionName, RequestHash, ServiceName,
+    TargetId, Uptime, VersionName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -49,12 +50,37 @@
     pub spared: Vec<TargetId>,
     /// Software version that the target must have, because the stream began at it; any if absent.
     pub version: Option<VersionName>,
+    /// Regions whose targets may get the request.
+    pub regions: AllowedRegions,
     /// Size of the request body in bytes, for the budget of the link between regions.
     pub body_bytes: usize,
     /// The request is a retry and counts against the retry budget.
     pub is_retry: bool,
 }
 
+impl TicketRequest {
+    /// What a target must have to serve the request.
+    #[must_use]
+    pub fn need(&self) -> TargetNeed<'_> {
+        TargetNeed {
+            service: &self.service,
+            version: self.version.as_ref(),
+            regions: &self.regions,
+        }
+    }
+}
+
+/// What a target must have to serve a request.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetNeed<'a> {
+    /// Service of the target.
+    pub service: &'a ServiceName,
+    /// Software version of the target; any if absent.
+    pub version: Option<&'a VersionName>,
+    /// Regions, one of which the target must be in.
+    pub regions: &'a AllowedRegions,
+}
+
 /// Becomes true when a batch request is preempted and its call has to end.
 pub type PreemptSignal = watch::Receiver<bool>;
 
@@ -96,6 +122,8 @@
     pub target: TargetId,
     /// Address at which the target accepts requests.
     pub address: SocketAddr,
+    /// Region of the target, if the policy knows it.
+    pub region: Option<RegionName>,
     /// Software version of the target, if the policy knows it.
     pub version: Option<VersionName>,
     /// Becomes true when the request is preempted; never for online requests.
@@ -110,12 +138,14 @@
     pub fn new(
         target: TargetId,
         address: SocketAddr,
+        region: Option<RegionName>,
         preempted: PreemptSignal,
         on_finish: Box<dyn FnOnce(CallOutcome) + Send>,
     ) -> TargetTicket {
         TargetTicket {
             target,
             address,
+            region,
             version: None,
             preempted,
             observers: Vec::new(),
@@ -129,6 +159,7 @@
         TargetTicket {
             target: self.target.clone(),
             address: self.address,
+            region: self.region.clone(),
             version: self.version.clone(),
             preempted: self.preempted.clone(),
             observers: self.observers.clone(),
@@ -198,23 +229,13 @@
 pub trait Dispatcher: Send + Sync {
     /// Waits for a ticket. A refused request was never sent, so the problem always has `executed: no`.
     fn acquire(&self, request: TicketRequest) -> LocalBoxFuture<'_, Result<TargetTicket, Problem>>;
-    /// Whether a target of the service other than `current` has `version`, as far as the policy knows.
-    fn has_other_target(
-        &self,
-        _service: &ServiceName,
-        _version: Option<&VersionName>,
-        _current: &TargetId,
-    ) -> bool {
+    /// Whether a target other than `current` meets the need, as far as the policy knows.
+    fn has_other_target(&self, _need: TargetNeed<'_>, _current: &TargetId) -> bool {
         true
     }
-    /// Number of targets of the service that have `version` and room for a batch request, as far as the policy knows.
-    /// Those in `barred` do not count.
-    fn free_targets(
-        &self,
-        _service: &ServiceName,
-        _version: Option<&VersionName>,
-        _barred: &[TargetId],
-    ) -> usize {
+    /// Number of targets that meet the need and have room for a batch request, as far as the policy knows. Those in `barred`
+    /// do not count.
+    fn free_targets(&self, _need: TargetNeed<'_>, _barred: &[TargetId]) -> usize {
         0
     }
     /// Internal state of the policy, for the diagnostic dump.
--- a/crates/dispatch/src/handle.rs
+++ b/crates/dispatch/src/handle.rs
@@ -216,7 +216,8 @@
         state.preempt_signals.insert(request, signal);
         let handle = self.clone();
         let on_finish = Box::new(move |outcome| handle.finish(request, outcome));
-        TargetTicket::new(target, address, preempted, on_finish)
+        // The configuration of this policy names no regions of targets.
+        TargetTicket::new(target, address, None, preempted, on_finish)
     }
 
     fn finish(&self, request: RequestId, outcome: CallOutcome) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -33,7 +33,8 @@
 pub mod window;
 
 pub use dispatcher::{
-    CallObserver, CallOutcome, Dispatcher, PreemptSignal, TargetTicket, TicketRequest, TrafficClass,
+    CallObserver, CallOutcome, Dispatcher, PreemptSignal, TargetNeed, TargetTicket, TicketRequest,
+    TrafficClass,
 };
 pub use handle::DispatchHandle;
 pub use limits::{LimitDispatcher, TargetLimits};
--- a/crates/dispatch/src/limits/dispatcher.rs
+++ b/crates/dispatch/src/limits/dispatcher.rs
@@ -2,16 +2,16 @@
 
 use super::ledger::{LimitEvent, LimitLedger, LimitedTarget};
 use super::message::LimitReport;
-use crate::dispatcher::{CallObserver, Dispatcher, TargetTicket, TicketRequest, TrafficClass};
+use crate::dispatcher::{
+    CallObserver, Dispatcher, TargetNeed, TargetTicket, TicketRequest, TrafficClass,
+};
 use crate::notice::{NoticeSource, ReportScope};
 use bytes::Bytes;
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
-use plantainmill_core::{
-    Clock, DomainName, Problem, ResultCode, ServiceName, TargetId, VersionName, VmId,
-};
+use plantainmill_core::{Clock, DomainName, Problem, ResultCode, TargetId, VmId};
 use plantainmill_mesh::{decode_body, encode_body};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -100,9 +100,11 @@
         event.iter().for_each(log_event);
     }
 
-    /// Time until this VM may send a request to a target of `service`.
-    fn next_free(&self, service: &ServiceName) -> Option<Duration> {
-        self.lock().next_free(service, self.clock.uptime())
+    /// Time until this VM may send the request to a target.
+    fn next_free(&self, request: &TicketRequest) -> Option<Duration> {
+        let now = self.clock.uptime();
+        self.lock()
+            .next_free(&request.service, &request.regions, now)
     }
 
     fn rejection(&self, class: TrafficClass, wait: Option<Duration>) -> Problem {
@@ -180,8 +182,12 @@
             let now = self.limits.clock.uptime();
             let (exhausted, spared) = {
                 let ledger = self.limits.lock();
-                let exhausted = ledger.exhausted(service, request.class, now);
-                (exhausted, ledger.spared(service, now))
+                let mut exhausted = ledger.exhausted(service, request.class, now);
+                let mut spared = ledger.spared(service, now);
+                // The request cannot use the targets of other regions, whatever their limits.
+                exhausted.retain(|target| ledger.is_allowed(target, &request.regions));
+                spared.retain(|target| ledger.is_allowed(target, &request.regions));
+                (exhausted, spared)
             };
             if exhausted.is_empty() && spared.is_empty() {
                 let ticket = self.inner.acquire(request.clone()).await?;
@@ -197,7 +203,7 @@
             if request.class == TrafficClass::Online {
                 returned += 1;
                 if returned >= MAX_RETURNED_TICKETS {
-                    let wait = self.limits.next_free(service);
+                    let wait = self.limits.next_free(&request);
                     return Err(self.limits.rejection(request.class, wait));
                 }
             }
@@ -211,7 +217,7 @@
         exhausted: Vec<TargetId>,
         spared: Vec<TargetId>,
     ) -> Result<Option<TargetTicket>, Problem> {
-        let wait = self.limits.next_free(&request.service);
+        let wait = self.limits.next_free(request);
         if wait != Some(Duration::ZERO) {
             let limit = request.wait_limit.unwrap_or_default();
             return match (request.class, wait) {
@@ -260,27 +266,17 @@
         self.acquire_limited(request).boxed_local()
     }
 
-    fn has_other_target(
-        &self,
-        service: &ServiceName,
-        version: Option<&VersionName>,
-        current: &TargetId,
-    ) -> bool {
-        self.inner.has_other_target(service, version, current)
+    fn has_other_target(&self, need: TargetNeed<'_>, current: &TargetId) -> bool {
+        self.inner.has_other_target(need, current)
     }
 
-    fn free_targets(
-        &self,
-        service: &ServiceName,
-        version: Option<&VersionName>,
-        barred: &[TargetId],
-    ) -> usize {
+    fn free_targets(&self, need: TargetNeed<'_>, barred: &[TargetId]) -> usize {
         let now = self.limits.clock.uptime();
         let ledger = self.limits.lock();
-        let mut unusable = ledger.exhausted(service, TrafficClass::Batch, now);
+        let mut unusable = ledger.exhausted(need.service, TrafficClass::Batch, now);
         drop(ledger);
         unusable.extend(barred.iter().cloned());
-        self.inner.free_targets(service, version, &unusable)
+        self.inner.free_targets(need, &unusable)
     }
 
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value> {
--- a/crates/dispatch/src/limits/ledger.rs
+++ b/crates/dispatch/src/limits/ledger.rs
@@ -4,7 +4,9 @@
 use crate::dispatcher::TrafficClass;
 use crate::notice::ReportScope;
 use crate::rendezvous::{key_of, score};
-use plantainmill_core::{DomainName, ServiceName, TargetId, Uptime, VmId};
+use plantainmill_core::{
+    AllowedRegions, DomainName, RegionName, ServiceName, TargetId, Uptime, VmId,
+};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -43,6 +45,8 @@
     pub service: ServiceName,
     /// Failure domain that it runs in.
     pub domain: DomainName,
+    /// Region of the failure domain; `None` if it is not known.
+    pub region: Option<RegionName>,
 }
 
 /// A change of state, for the log.
@@ -247,11 +251,25 @@
         limited.map(|(target, _)| target.clone()).collect()
     }
 
-    /// Time until this VM may send a request to any target of `service`; `None` if it never may. Zero if one is free.
+    /// Whether a target is in one of `regions`.
     #[must_use]
-    pub fn next_free(&self, service: &ServiceName, now: Uptime) -> Option<Duration> {
+    pub fn is_allowed(&self, target: &TargetId, regions: &AllowedRegions) -> bool {
+        let known = self.targets.get(target);
+        regions.allows(known.and_then(|target| target.region.as_ref()))
+    }
+
+    /// Time until this VM may send a request to any target of `service` in one of `regions`; `None` if it never may. Zero if one is
+    /// free.
+    #[must_use]
+    pub fn next_free(
+        &self,
+        service: &ServiceName,
+        regions: &AllowedRegions,
+        now: Uptime,
+    ) -> Option<Duration> {
         let targets = self.targets.values();
-        let targets = targets.filter(|target| target.service == *service);
+        let targets = targets
+            .filter(|target| target.service == *service && regions.allows(target.region.as_ref()));
         targets
             .filter_map(|target| match self.limits.get(&target.id) {
                 Some(limit) => limit.next_free(now),
--- a/crates/dispatch/src/local_dispatcher.rs
+++ b/crates/dispatch/src/local_dispatcher.rs
@@ -134,7 +134,8 @@
             shared.finish(&target, outcome);
         };
         let target = grant.target.clone();
-        TargetTicket::new(target, grant.address, preempted, Box::new(on_finish))
+        // The configuration of this policy names no regions of targets.
+        TargetTicket::new(target, grant.address, None, preempted, Box::new(on_finish))
     }
 
     fn finish(self: &Arc<LocalShared>, target: &plantainmill_core::TargetId, outcome: CallOutcome) {
--- a/crates/dispatch/src/quarantine/dispatcher.rs
+++ b/crates/dispatch/src/quarantine/dispatcher.rs
@@ -4,7 +4,7 @@
 use super::message::{PartReport, QuarantineEntry, QuarantineKind};
 use super::state::{CallParts, QuarantineChanges, QuarantineEvent};
 use crate::dispatcher::{
-    CallObserver, CallOutcome, Dispatcher, TargetTicket, TicketRequest, TrafficClass,
+    CallObserver, CallOutcome, Dispatcher, TargetNeed, TargetTicket, TicketRequest, TrafficClass,
 };
 use crate::notice::{NoticeSource, ReportScope};
 use bytes::Bytes;
@@ -13,7 +13,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
 use plantainmill_core::{
-    Clock, PartId, Problem, RequestHash, ResultCode, ServiceName, TargetId, VersionName, VmId,
+    Clock, PartId, Problem, RequestHash, ResultCode, ServiceName, TargetId, VmId,
 };
 use plantainmill_mesh::{decode_body, encode_body};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -149,7 +149,7 @@
             class: request.class,
         };
         let (target, address) = (ticket.target.clone(), ticket.address);
-        let version = ticket.version.take();
+        let (region, version) = (ticket.region.take(), ticket.version.take());
         let preempted = ticket.preempted.clone();
         let observer = StartObserver {
             quarantine: self.clone(),
@@ -166,7 +166,7 @@
             };
             ticket.finish(outcome);
         });
-        let wrapped = TargetTicket::new(target, address, preempted, on_finish);
+        let wrapped = TargetTicket::new(target, address, region, preempted, on_finish);
         let wrapped = wrapped.with_version(version);
         let wrapped = observers
             .into_iter()
@@ -318,22 +318,12 @@
         self.acquire_checked(request).boxed_local()
     }
 
-    fn has_other_target(
-        &self,
-        service: &ServiceName,
-        version: Option<&VersionName>,
-        current: &TargetId,
-    ) -> bool {
-        self.inner.has_other_target(service, version, current)
+    fn has_other_target(&self, need: TargetNeed<'_>, current: &TargetId) -> bool {
+        self.inner.has_other_target(need, current)
     }
 
-    fn free_targets(
-        &self,
-        service: &ServiceName,
-        version: Option<&VersionName>,
-        barred: &[TargetId],
-    ) -> usize {
-        self.inner.free_targets(service, version, barred)
+    fn free_targets(&self, need: TargetNeed<'_>, barred: &[TargetId]) -> usize {
+        self.inner.free_targets(need, barred)
     }
 
     fn dump(&self) -> LocalBoxFuture<'_, serde_json::Value> {
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -11,9 +11,11 @@
 mod leaving;
 mod ledger;
 mod peers;
+mod refusal;
 mod target;
 
 pub use dispatcher::{SharedDispatcher, SharedParts};
 pub use leaving::{LeavingEntry, LeavingLedger, LeavingReport};
 pub use ledger::{LedgerEffect, LoadLedger};
 pub use peers::{LoadSource, PeerLoad, SlotUse};
+pub use target::RefusalCause;
--- a/crates/dispatch/src/shared/batch.rs
+++ b/crates/dispatch/src/shared/batch.rs
@@ -3,10 +3,10 @@
 use super::choice::{CandidateOrder, SlotState};
 use super::ledger::{LedgerEffect, LoadLedger, RequestId, WaitingRequest};
 use super::peers::SlotUse;
-use super::target::LedgerTarget;
-use crate::dispatcher::TicketRequest;
+use super::target::{LedgerTarget, RefusalCause};
+use crate::dispatcher::{TargetNeed, TicketRequest};
 use crate::rendezvous::{key_of, score};
-use plantainmill_core::{ServiceName, TargetId, Uptime, VersionName};
+use plantainmill_core::{TargetId, Uptime};
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -43,8 +43,17 @@
         let mut requests: Vec<&TicketRequest> = Vec::new();
         for request in self.online.iter().map(|waiting| &waiting.request) {
             let is_alike = |other: &&TicketRequest| {
-                (&other.service, &other.version, &other.barred)
-                    == (&request.service, &request.version, &request.barred)
+                (
+                    &other.service,
+                    &other.version,
+                    &other.barred,
+                    &other.regions,
+                ) == (
+                    &request.service,
+                    &request.version,
+                    &request.barred,
+                    &request.regions,
+                )
             };
             if !requests.iter().any(is_alike) {
                 requests.push(request);
@@ -52,7 +61,7 @@
         }
         let targets = self.targets.iter().filter(|(id, target)| {
             let mut requests = requests.iter();
-            requests.any(|request| target.serves(request) && !request.barred.contains(id))
+            requests.any(|request| target.meets(request.need()) && !request.barred.contains(id))
         });
         targets.map(|(id, _)| id.clone()).collect()
     }
@@ -60,7 +69,8 @@
     /// Refuses requests whose stream began at a version that no target has any more. They have to begin anew.
     fn refuse_gone_versions(&mut self, effects: &mut Vec<LedgerEffect>) {
         let is_gone = |waiting: &WaitingRequest| {
-            waiting.request.version.is_some() && !self.has_target(&waiting.request)
+            let request = &waiting.request;
+            request.version.is_some() && self.refusal_cause(request) == RefusalCause::NoTarget
         };
         let gone = self.batch.iter().filter(|waiting| is_gone(waiting));
         let gone: Vec<RequestId> = gone.map(|waiting| waiting.number).collect();
@@ -68,20 +78,19 @@
         effects.extend(gone.into_iter().map(|number| LedgerEffect::Refuse {
             number,
             retry_after: Duration::ZERO,
-            no_target: true,
+            cause: RefusalCause::NoTarget,
         }));
     }
 
-    /// The targets that have the service and version, room for a batch request, and no recent failure.
+    /// The targets that meet the need and have room for a batch request and no recent failure.
     pub fn free_targets<'a>(
         &'a self,
-        service: &'a ServiceName,
-        version: Option<&'a VersionName>,
+        need: TargetNeed<'a>,
         now: Uptime,
     ) -> impl Iterator<Item = &'a TargetId> {
         let targets = self.targets.iter();
         let free = targets.filter(move |(id, target)| {
-            target.has_version(service, version)
+            target.meets(need)
                 && !target.backoff.is_backing_off(now)
                 && has_batch_room(target, self.peers.at(id))
         });
@@ -111,10 +120,9 @@
         now: Uptime,
         effects: &mut Vec<LedgerEffect>,
     ) -> bool {
-        let has_healthy = self
-            .targets
-            .values()
-            .any(|target| target.serves(&waiting.request) && !target.backoff.is_backing_off(now));
+        let has_healthy = self.targets.values().any(|target| {
+            target.meets(waiting.request.need()) && !target.backoff.is_backing_off(now)
+        });
         let candidates = self.candidates(&waiting.request, |target, peers| {
             let is_usable = !has_healthy || !target.backoff.is_backing_off(now);
             let is_open = has_batch_room(target, peers) && !contested.contains(&target.entry.id);
--- a/crates/dispatch/src/shared/choice.rs
+++ b/crates/dispatch/src/shared/choice.rs
@@ -1,7 +1,7 @@
 //! Comparison of targets for one request.
 
 use crate::rendezvous::score;
-use plantainmill_core::{DomainName, RegionName, TargetId};
+use plantainmill_core::{AllowedRegions, DomainName, RegionName, TargetId};
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
@@ -29,6 +29,17 @@
 }
 
 impl LocalityMap {
+    /// Region of `domain`; `None` if the settings do not name it.
+    pub fn region_of(&self, domain: &DomainName) -> Option<&RegionName> {
+        self.regions.get(domain)
+    }
+
+    /// Whether any failure domain is in an allowed region.
+    pub fn has_allowed(&self, regions: &AllowedRegions) -> bool {
+        let mut known = self.regions.values();
+        regions.is_everywhere() || known.any(|region| regions.allows(Some(region)))
+    }
+
     /// Cost of the network distance to a target in `domain`.
     pub fn distance_cost(&self, domain: &DomainName) -> f64 {
         if *domain == self.domain {
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -3,14 +3,17 @@
 use super::leaving::LeavingReport;
 use super::ledger::{LedgerEffect, LoadLedger, RequestId};
 use super::peers::{LoadSource, PeerLoad};
-use crate::dispatcher::{CallObserver, CallOutcome, Dispatcher, TargetTicket, TicketRequest};
+use super::target::RefusalCause;
+use crate::dispatcher::{
+    CallObserver, CallOutcome, Dispatcher, TargetNeed, TargetTicket, TicketRequest,
+};
 use crate::notice::{NoticeSource, ReportScope};
 use bytes::Bytes;
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::metrics::Meter;
 use plantainmill_core::{
-    Clock, DomainName, Problem, RegionName, ResultCode, ServiceName, TargetId, VersionName, VmId,
+    AllowedRegions, Clock, DomainName, Problem, RegionName, ResultCode, TargetId, VersionName, VmId,
 };
 use plantainmill_mesh::{decode_body, encode_body};
 use plantainmill_routing::TargetEntry;
@@ -38,13 +41,14 @@
     Granted {
         target: TargetId,
         address: SocketAddr,
+        region: Option<RegionName>,
         version: VersionName,
         born: u64,
         preempted: watch::Receiver<bool>,
     },
     Refused {
         retry_after: Duration,
-        no_target: bool,
+        cause: RefusalCause,
     },
 }
 
@@ -221,6 +225,7 @@
                     number,
                     target,
                     address,
+                    region,
                     version,
                     born,
                 } => {
@@ -230,6 +235,7 @@
                     let decision = SlotDecision::Granted {
                         target,
                         address,
+                        region,
                         version,
                         born,
                         preempted,
@@ -239,12 +245,9 @@
                 LedgerEffect::Refuse {
                     number,
                     retry_after,
-                    no_target,
+                    cause,
                 } => {
-                    let decision = SlotDecision::Refused {
-                        retry_after,
-                        no_target,
-                    };
+                    let decision = SlotDecision::Refused { retry_after, cause };
                     send_decision(state, number, decision);
                 }
                 LedgerEffect::Preempt { number } => {
@@ -299,7 +302,7 @@
     async fn wait_slot(&self, request: TicketRequest) -> Result<TargetTicket, Problem> {
         let now = self.inner.clock.uptime();
         let (sender, receiver) = oneshot::channel();
-        let version = request.version.clone();
+        let (version, regions) = (request.version.clone(), request.regions.clone());
         let number = {
             let mut state = self.inner.lock();
             let (number, effects) = state.ledger.request(request, now);
@@ -319,6 +322,7 @@
             Ok(SlotDecision::Granted {
                 target,
                 address,
+                region,
                 version,
                 born,
                 preempted,
@@ -331,26 +335,13 @@
                     target: target.clone(),
                     born,
                 };
-                let ticket = TargetTicket::new(target, address, preempted, on_finish);
+                let ticket = TargetTicket::new(target, address, region, preempted, on_finish);
                 let ticket = ticket.with_version(Some(version));
                 Ok(ticket.with_observer(Arc::new(observer)))
             }
-            Ok(SlotDecision::Refused {
-                retry_after,
-                no_target,
-            }) => {
+            Ok(SlotDecision::Refused { retry_after, cause }) => {
                 guard.armed = false;
-                let problem = match version {
-                    Some(version) if no_target => {
-                        let reason = format!("no target of version {version} is known");
-                        Problem::new(ResultCode::VersionGone, reason)
-                    }
-                    None if no_target => {
-                        let reason = "no target of the service is known";
-                        Problem::new(ResultCode::NoTarget, reason)
-                    }
-                    _ => Problem::new(ResultCode::QueueFull, "all targets are busy"),
-                };
+                let problem = refusal_problem(cause, version, &regions);
                 Err(problem.with_retry_after(retry_after))
             }
             Err(_) => Err(Problem::new(
@@ -361,6 +352,28 @@
     }
 }
 
+fn refusal_problem(
+    cause: RefusalCause,
+    version: Option<VersionName>,
+    regions: &AllowedRegions,
+) -> Problem {
+    match (cause, version) {
+        (RefusalCause::Busy, _) => Problem::new(ResultCode::QueueFull, "all targets are busy"),
+        (RefusalCause::NoRegion, _) => {
+            let reason = format!("no target is known in an allowed region: {regions}");
+            Problem::new(ResultCode::RegionUnavailable, reason)
+        }
+        (RefusalCause::NoTarget, Some(version)) => {
+            let reason = format!("no target of version {version} is known");
+            Problem::new(ResultCode::VersionGone, reason)
+        }
+        (RefusalCause::NoTarget, None) => {
+            let reason = "no target of the service is known";
+            Problem::new(ResultCode::NoTarget, reason)
+        }
+    }
+}
+
 /// Passes on that a response of a target says that it leaves.
 struct LeavingObserver {
     dispatcher: SharedDispatcher,
@@ -406,25 +419,14 @@
         self.wait_slot(request).boxed_local()
     }
 
-    fn has_other_target(
-        &self,
-        service: &ServiceName,
-        version: Option<&VersionName>,
-        current: &TargetId,
-    ) -> bool {
-        let state = self.inner.lock();
-        state.ledger.has_other_target(service, version, current)
+    fn has_other_target(&self, need: TargetNeed<'_>, current: &TargetId) -> bool {
+        self.inner.lock().ledger.has_other_target(need, current)
     }
 
-    fn free_targets(
-        &self,
-        service: &ServiceName,
-        version: Option<&VersionName>,
-        barred: &[TargetId],
-    ) -> usize {
+    fn free_targets(&self, need: TargetNeed<'_>, barred: &[TargetId]) -> usize {
         let now = self.inner.clock.uptime();
         let state = self.inner.lock();
-        let free = state.ledger.free_targets(service, version, now);
+        let free = state.ledger.free_targets(need, now);
         free.filter(|target| !barred.contains(target)).count()
     }
 
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -4,11 +4,11 @@
 use super::choice::{Candidate, CandidateOrder, LocalityMap, SlotState};
 use super::leaving::LeavingLedger;
 use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse, busiest_of};
-use super::target::{LedgerTarget, online_state};
-use crate::dispatcher::{CallOutcome, TicketRequest, TrafficClass};
+use super::target::{LedgerTarget, RefusalCause, online_state};
+use crate::dispatcher::{CallOutcome, TargetNeed, TicketRequest, TrafficClass};
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{
-    DomainName, OrganisationId, RegionName, ServiceName, TargetId, Uptime, VersionName, VmId,
+    DomainName, OrganisationId, RegionName, TargetId, Uptime, VersionName, VmId,
 };
 use plantainmill_routing::TargetEntry;
 use std::collections::{BTreeMap, HashMap};
@@ -31,7 +31,7 @@
 const DEFAULT_ONLINE_WAIT: Duration = Duration::from_millis(100);
 /// Shortest delay before a refused request is retried: about the duration of short requests, after which slots are
 /// free.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time over which the retries of refused requests are spread, because a load peak lasts a few seconds.
 const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(1_200);
 
@@ -46,6 +46,8 @@
         target: TargetId,
         /// Address at which the target accepts requests.
         address: SocketAddr,
+        /// Region of the target, if the settings name it.
+        region: Option<RegionName>,
         /// Software version of the target.
         version: VersionName,
         /// Start of the target, in milliseconds since the Unix epoch; zero if unknown.
@@ -57,8 +59,8 @@
         number: RequestId,
         /// Delay after which the request may be retried.
         retry_after: Duration,
-        /// No target of the service is known.
-        no_target: bool,
+        /// Why it is refused.
+        cause: RefusalCause,
     },
     /// The batch call is preempted and has to end.
     Preempt {
@@ -89,7 +91,7 @@
 #[derive(Debug)]
 pub struct LoadLedger {
     pub(super) vm: VmId,
-    locality: LocalityMap,
+    pub(super) locality: LocalityMap,
     pub(super) targets: BTreeMap<TargetId, LedgerTarget>,
     pub(super) peers: PeerLoads,
     pub(super) leaving: LeavingLedger,
@@ -144,15 +146,18 @@
         let mut known = std::mem::take(&mut self.targets);
         for entry in entries {
             let kept = known.remove(&entry.id);
+            let region = self.locality.region_of(&entry.domain).cloned();
             let target = kept.map_or_else(
                 || LedgerTarget {
                     entry: entry.clone(),
+                    region: region.clone(),
                     own: SlotUse::default(),
                     backoff: TargetBackoff::default(),
                     is_leaving: false,
                 },
                 |kept| LedgerTarget {
                     entry: entry.clone(),
+                    region: region.clone(),
                     ..kept
                 },
             );
@@ -193,11 +198,12 @@
         let mut effects = Vec::new();
         match waiting.request.class {
             TrafficClass::Online => {
-                if !self.has_target(&waiting.request) {
+                let cause = self.refusal_cause(&waiting.request);
+                if cause != RefusalCause::Busy {
                     effects.push(LedgerEffect::Refuse {
                         number,
-                        retry_after: MIN_RETRY_AFTER,
-                        no_target: true,
+                        retry_after: self.missing_retry_after(&waiting, cause),
+                        cause,
                     });
                     return (number, effects);
                 }
@@ -211,21 +217,11 @@
         (number, effects)
     }
 
-    pub(super) fn has_target(&self, request: &TicketRequest) -> bool {
-        let mut targets = self.targets.values();
-        targets.any(|target| target.serves(request))
-    }
-
-    /// Whether a target of the service other than `current` has the version.
+    /// Whether a target other than `current` meets the need.
     #[must_use]
-    pub fn has_other_target(
-        &self,
-        service: &ServiceName,
-        version: Option<&VersionName>,
-        current: &TargetId,
-    ) -> bool {
+    pub fn has_other_target(&self, need: TargetNeed<'_>, current: &TargetId) -> bool {
         let mut targets = self.targets.iter();
-        targets.any(|(id, target)| id != current && target.has_version(service, version))
+        targets.any(|(id, target)| id != current && target.meets(need))
     }
 
     /// Withdraws a waiting request.
@@ -401,12 +397,18 @@
             }
             let limit = next.request.wait_limit.unwrap_or(DEFAULT_ONLINE_WAIT);
             let waited = now.saturating_sub(next.since);
-            let is_hopeless = next.request.version.is_some() && !self.has_target(&next.request);
+            let cause = self.refusal_cause(&next.request);
+            let is_bound = next.request.version.is_some() || !next.request.regions.is_everywhere();
+            let is_hopeless = is_bound && cause != RefusalCause::Busy;
             if is_hopeless || waited >= limit || now >= next.request.deadline {
+                let retry_after = match cause {
+                    RefusalCause::NoRegion => self.missing_retry_after(&next, cause),
+                    RefusalCause::Busy | RefusalCause::NoTarget => self.retry_after(next.number),
+                };
                 effects.push(LedgerEffect::Refuse {
                     number: next.number,
-                    retry_after: self.retry_after(next.number),
-                    no_target: !self.has_target(&next.request),
+                    retry_after,
+                    cause,
                 });
                 continue;
             }
@@ -415,7 +417,7 @@
     }
 
     /// Delay after which a refused request may be retried. The delays of refused requests are spread evenly.
-    fn retry_after(&self, number: RequestId) -> Duration {
+    pub(super) fn retry_after(&self, number: RequestId) -> Duration {
         let share = score(&self.vm, number) % 1_000;
         let share = u32::try_from(share).unwrap_or(0);
         MIN_RETRY_AFTER + RETRY_AFTER_SPREAD * share / 1_000
@@ -472,7 +474,8 @@
     ) -> Vec<Candidate> {
         let serving = || {
             let targets = self.targets.iter();
-            targets.filter(|(id, target)| target.serves(request) && !request.barred.contains(id))
+            let need = request.need();
+            targets.filter(move |(id, target)| target.meets(need) && !request.barred.contains(id))
         };
         // If there is no other target, one that already failed the request is better than none.
         let has_other = serving().any(|(id, _)| !request.excluded.contains(id));
@@ -507,6 +510,7 @@
             number: waiting.number,
             target: id.clone(),
             address: target.entry.address,
+            region: target.region.clone(),
             version: target.entry.version.clone(),
             born: target.entry.born,
         });
--- a/crates/dispatch/src/shared/target.rs
+++ b/crates/dispatch/src/shared/target.rs
@@ -3,8 +3,8 @@
 use super::backoff::TargetBackoff;
 use super::choice::SlotState;
 use super::peers::SlotUse;
-use crate::dispatcher::TicketRequest;
-use plantainmill_core::{ServiceName, Uptime, VersionName};
+use crate::dispatcher::TargetNeed;
+use plantainmill_core::{RegionName, Uptime};
 use plantainmill_routing::TargetEntry;
 
 /// Online requests that may wait at a target beyond its slots, so that a free slot is filled without a round trip.
@@ -12,9 +12,22 @@
 /// An organisation with most of the online calls leaves one in this many slots of each target to the others.
 const DOMINANT_RESERVE_DIVISOR: u32 = 4;
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalCause {
+    /// All targets are busy.
+    Busy,
+    /// No target of the service, or of the version that the request needs, is known.
+    NoTarget,
+    /// No target of the service is known in a region that the request is limited to.
+    NoRegion,
+}
+
 #[derive(Debug)]
 pub(super) struct LedgerTarget {
     pub entry: TargetEntry,
+    /// Region of its failure domain; `None` if the settings do not name it.
+    pub region: Option<RegionName>,
     pub own: SlotUse,
     pub backoff: TargetBackoff,
     /// Its responses say that it leaves.
@@ -22,16 +35,14 @@
 }
 
 impl LedgerTarget {
-    /// Whether the target has the service and version that the request needs.
-    pub fn serves(&self, request: &TicketRequest) -> bool {
-        self.has_version(&request.service, request.version.as_ref())
-    }
-
-    /// Whether the target has the service and version, and takes new requests.
-    pub fn has_version(&self, service: &ServiceName, version: Option<&VersionName>) -> bool {
+    /// Whether the target has what a request needs, and takes new requests.
+    pub fn meets(&self, need: TargetNeed<'_>) -> bool {
         !self.is_leaving
-            && self.entry.service == *service
-            && version.is_none_or(|version| self.entry.version == *version)
+            && self.entry.service == *need.service
+            && need
+                .version
+                .is_none_or(|version| self.entry.version == *version)
+            && need.regions.allows(self.region.as_ref())
     }
 }
 
--- a/crates/dispatch/tests/all/batch_waits.rs
+++ b/crates/dispatch/tests/all/batch_waits.rs
@@ -1,5 +1,6 @@
 //! Waits of batch requests beside free slots, in the shared policy.
 
+use plantainmill_core::AllowedRegions;
 use plantainmill_dispatch::shared::{LedgerEffect, LoadLedger, LoadSource, PeerLoad, SlotUse};
 use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_routing::TargetEntry;
@@ -50,11 +51,17 @@
         deadline: at(60_000),
         wait_limit: None,
         excluded: Vec::new(),
+        regions: AllowedRegions::Everywhere,
         body_bytes: 0,
         is_retry: false,
     }
 }
 
+fn free_count(ledger: &LoadLedger) -> usize {
+    let request = request(TrafficClass::Batch, "llm");
+    ledger.free_targets(request.need(), at(0)).count()
+}
+
 fn granted(effects: &[LedgerEffect], wanted: u64) -> Option<String> {
     effects.iter().find_map(|effect| match effect {
         LedgerEffect::Grant { number, target, .. } if *number == wanted => Some(target.to_string()),
@@ -79,10 +86,10 @@
 #[test]
 fn single_slot() {
     let mut ledger = ledger(&[entry("t1", "llm", 1)]);
-    assert_eq!(ledger.free_targets(&"llm".into(), None, at(0)).count(), 1);
+    assert_eq!(free_count(&ledger), 1);
     let target = granted_target(&mut ledger, |_, _| {});
     assert_eq!(target.as_deref(), Some("t1"));
-    assert_eq!(ledger.free_targets(&"llm".into(), None, at(0)).count(), 0);
+    assert_eq!(free_count(&ledger), 0);
 }
 
 /// Guards against batch requests to a target without any slot.
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of dispatch, one module per feature.
 
+mod allowed_regions;
 mod batch_waits;
 mod ejection;
 mod fairness;
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -1,6 +1,9 @@
 //! Individual decisions of the shared policy, in which VMs exchange their loads.
 
-use plantainmill_dispatch::shared::{LedgerEffect, LoadLedger, LoadSource, PeerLoad, SlotUse};
+use plantainmill_core::AllowedRegions;
+use plantainmill_dispatch::shared::{
+    LedgerEffect, LoadLedger, LoadSource, PeerLoad, RefusalCause, SlotUse,
+};
 use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_routing::TargetEntry;
 use rstest::rstest;
@@ -56,6 +59,7 @@
         deadline: at(60_000),
         wait_limit: None,
         excluded: Vec::new(),
+        regions: AllowedRegions::Everywhere,
         body_bytes: 0,
         is_retry: false,
     }
@@ -238,8 +242,8 @@
         LedgerEffect::Refuse {
             number: refused,
             retry_after,
-            no_target,
-        } => *refused == number && !no_target && *retry_after >= at(300),
+            cause,
+        } => *refused == number && *cause == RefusalCause::Busy && *retry_after >= at(300),
         _ => false,
     });
     assert!(refused, "{effects:?}");
@@ -515,8 +519,10 @@
         targets.iter().all(|target| target == "former"),
         "{targets:?}"
     );
-    assert!(!ledger.has_other_target(&"llm".into(), Some(&"v1".into()), &"former".into()));
-    assert!(ledger.has_other_target(&"llm".into(), None, &"former".into()));
+    let bound = of_version(TrafficClass::Online, "v1");
+    assert!(!ledger.has_other_target(bound.need(), &"former".into()));
+    let unbound = request(TrafficClass::Online);
+    assert!(ledger.has_other_target(unbound.need(), &"former".into()));
 }
 
 /// Guards against a stream that waits until its deadline for a version that has left, before or after it began to wait.
@@ -543,7 +549,7 @@
         matches!(
             effect,
             LedgerEffect::Refuse {
-                no_target: true,
+                cause: RefusalCause::NoTarget,
                 ..
             }
         )
--- a/crates/dispatch/tests/all/target_limits.rs
+++ b/crates/dispatch/tests/all/target_limits.rs
@@ -106,6 +106,7 @@
             id: target_id(target),
             service: "llm".into(),
             domain: self.domain(target),
+            region: None,
         });
         ledger.set_targets(targets, self.now);
         ledger
--- a/crates/dispatch/tests/all/unshared_limits.rs
+++ b/crates/dispatch/tests/all/unshared_limits.rs
@@ -1,6 +1,6 @@
 //! Limits that no response confirms, at VMs that hold no share of them, in virtual time.
 
-use plantainmill_core::{TargetId, Uptime, VmId};
+use plantainmill_core::{AllowedRegions, TargetId, Uptime, VmId};
 use plantainmill_dispatch::TrafficClass;
 use plantainmill_dispatch::limits::{LimitLedger, LimitReport, LimitedTarget};
 use plantainmill_dispatch::notice::ReportScope;
@@ -55,6 +55,7 @@
                 id: target_id(target),
                 service: "llm".into(),
                 domain: "d".into(),
+                region: None,
             });
             ledger.set_targets(listed, now);
             let members = BTreeMap::from([("d".into(), (0..VMS).map(vm_id).collect())]);
@@ -120,7 +121,10 @@
         let (id, service, now) = (target_id(target), "llm".into(), self.now);
         let ledger = &mut self.ledgers[vm];
         while has_limit(ledger, &id, now) && !ledger.exhausted(&service, class, now).contains(&id) {
-            assert_eq!(ledger.next_free(&service, now), Some(Duration::ZERO));
+            assert_eq!(
+                ledger.next_free(&service, &AllowedRegions::Everywhere, now),
+                Some(Duration::ZERO)
+            );
             assert!(ledger.take(&id, now));
             self.sends[target].push((now, vm));
             self.responses.push((now + RESPONSE_TIME, vm, target));
--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -113,6 +113,7 @@
                             .replace_if_newer(document, sent_at.saturating_sub(age))
                         {
                             tracing::info!(event = "document_changed", version, from = %control);
+                            state.log_unknown_regions();
                         }
                     }
                     Err(error) => {
--- a/crates/edge/src/forwarding.rs
+++ b/crates/edge/src/forwarding.rs
@@ -54,7 +54,9 @@
         if verdict == ForwardVerdict::Isolated
             && let Some(referrals) = state.relay_caller.forward_referrals()
         {
-            builder.insert_header(referrals);
+            for header in referrals {
+                builder.insert_header(header);
+            }
         }
         return builder.finish();
     };
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -14,8 +14,8 @@
 use plantainmill_admission::{RateLimiter as _, RateVerdict};
 use plantainmill_core::{OrganisationId, Problem, ResultCode, Uptime};
 use plantainmill_dispatch::TrafficClass;
-use plantainmill_proxy::relay::RelayCall;
-use plantainmill_routing::{CallerLimits, FleetDocument, RouteKind, RouteRule};
+use plantainmill_proxy::relay::{CallRegions, RelayCall};
+use plantainmill_routing::{CallerLimits, DocumentRegions, FleetDocument, RouteKind, RouteRule};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -266,6 +266,15 @@
     })?;
     let requested_time = buffered.head.timeout.unwrap_or(route.time_limit);
     let path = buffered.request.uri().path_and_query();
+    let regions = CallRegions::of_source(Rc::new(DocumentRegions {
+        view: state.view.clone(),
+        clock: Arc::clone(&state.clock),
+        host: buffered.host(),
+        path: buffered.request.path().into(),
+        job_route: None,
+        organisation: organisation.clone(),
+    }));
+    let regions = regions.narrowed_to(&document.allowed_regions(route, organisation.as_ref()));
     let organisation_priority = organisation.as_ref().and_then(|organisation| {
         let rule = document.organisations.get(organisation)?;
         rule.priority
@@ -290,6 +299,7 @@
         event_gap: route.event_gap,
         last_event: buffered.head.last_event,
         version: None,
+        regions,
         id,
     })
 }
--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -5,7 +5,7 @@
 //! domains does not grow with the number of VMs.
 
 use crate::message::{DomainUpdate, VmRow};
-use plantainmill_core::{DomainName, Incarnation, Uptime, VmId};
+use plantainmill_core::{DomainName, Incarnation, RegionName, Uptime, VmId};
 use plantainmill_dispatch::rendezvous::{key_of, score};
 use plantainmill_jobs::{FleetSnapshot, JobOwner};
 use plantainmill_paths::{Forwarder, ForwarderPlace};
@@ -380,6 +380,7 @@
         let forwarders = local.chain(remote).map(|(row, place)| Forwarder {
             address: row.control,
             place,
+            region: Some(row.region.clone()),
         });
         forwarders.collect()
     }
@@ -456,7 +457,8 @@
             .collect()
     }
 
-    /// Returns the view of the fleet that the job service uses to assign and take over jobs.
+    /// Returns the view of the fleet that the job service uses to assign and take over jobs, without the regions of the domains,
+    /// which the settings have.
     #[must_use]
     pub fn job_fleet(&self, now: Uptime) -> FleetSnapshot {
         let members = self.members(now);
@@ -473,8 +475,18 @@
                 .collect(),
             domain: self.own_row.domain.clone(),
             members,
+            regions: HashMap::new(),
         }
     }
+
+    /// Region of the VM whose control listener is at `control`; `None` if the VM is not known.
+    #[must_use]
+    pub fn region_at(&self, control: SocketAddr) -> Option<RegionName> {
+        let remote = self.remote.values().flat_map(|remote| &remote.rows);
+        let mut rows = self.local_rows().chain(remote);
+        let row = rows.find(|row| row.control == control);
+        row.map(|row| row.region.clone())
+    }
 }
 
 fn owner_of_row(row: &VmRow) -> JobOwner {
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -173,7 +173,12 @@
                 control,
                 jobs,
             } => {
-                self.state.rows.record_proxy(control, reaches_store);
+                if reaches_store {
+                    let region = self.directory.borrow().region_at(control);
+                    self.state.rows.record_proxy(control, region);
+                } else {
+                    self.state.rows.forget_proxy(control);
+                }
                 let queried_at = self.pending_queries.borrow_mut().remove(&nonce);
                 if let Some(queried_at) = queried_at {
                     // The ages held at some time after the query was sent, so counting them from the query is
--- a/crates/edge/src/peer_reports.rs
+++ b/crates/edge/src/peer_reports.rs
@@ -7,7 +7,7 @@
 use plantainmill_admission::UsageSource;
 use plantainmill_core::encode_cbor;
 use plantainmill_dispatch::shared::{LoadSource, PeerLoad};
-use plantainmill_jobs::JobOwner;
+use plantainmill_jobs::{FleetSnapshot, JobOwner};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -179,7 +179,10 @@
         if self.state.is_reader.replace(is_reader) != is_reader {
             tracing::info!(event = "reader_changed", is_reader);
         }
-        self.state.jobs.set_fleet(directory.job_fleet(now));
+        self.state.jobs.set_fleet(FleetSnapshot {
+            regions: self.state.settings.regions.clone(),
+            ..directory.job_fleet(now)
+        });
         self.state
             .dispatcher
             .set_late_reports(directory.has_relays());
--- a/crates/edge/src/proxied_rows.rs
+++ b/crates/edge/src/proxied_rows.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::FutureExt as _;
-use plantainmill_core::{Clock, Uptime};
+use plantainmill_core::{AllowedRegions, Clock, RegionName, Uptime};
 use plantainmill_dispatch::quarantine::QUARANTINE_TABLE;
 use plantainmill_provider::rows::TableName;
 use plantainmill_provider::{
@@ -111,7 +111,15 @@
     peer_client: Rc<PeerClient>,
     clock: Arc<dyn Clock>,
     failed_at: Cell<Option<Uptime>>,
-    proxies: RefCell<Vec<(SocketAddr, Uptime)>>,
+    proxies: RefCell<Vec<StoreProxy>>,
+}
+
+/// A peer that reaches the store.
+struct StoreProxy {
+    control: SocketAddr,
+    /// `None` if the peer's row is not known.
+    region: Option<RegionName>,
+    stated_at: Uptime,
 }
 
 impl ProxiedRows {
@@ -130,14 +138,23 @@
         }
     }
 
-    /// Records whether the peer whose control listener is at `control` reaches the store.
-    pub fn record_proxy(&self, control: SocketAddr, reaches_store: bool) {
+    /// Records that the peer in `region` whose control listener is at `control` reaches the store.
+    pub fn record_proxy(&self, control: SocketAddr, region: Option<RegionName>) {
+        self.forget_proxy(control);
+        self.proxies.borrow_mut().push(StoreProxy {
+            control,
+            region,
+            stated_at: self.clock.uptime(),
+        });
+    }
+
+    /// Records that a peer does not reach the store.
+    pub fn forget_proxy(&self, control: SocketAddr) {
         let now = self.clock.uptime();
-        let mut proxies = self.proxies.borrow_mut();
-        proxies.retain(|(proxy, at)| *proxy != control && now.saturating_sub(*at) < PROXY_VALIDITY);
-        if reaches_store {
-            proxies.push((control, now));
-        }
+        self.proxies.borrow_mut().retain(|proxy| {
+            let age = now.saturating_sub(proxy.stated_at);
+            proxy.control != control && age < PROXY_VALIDITY
+        });
     }
 
     /// Records whether the store responded to a direct call.
@@ -151,15 +168,16 @@
         self.failed_at.get().is_some()
     }
 
-    /// Returns the peers that recently reached the store, the most recent one first.
-    fn proxies(&self) -> Vec<SocketAddr> {
+    /// Returns the peers in `regions` that recently reached the store, the most recent one first.
+    fn proxies(&self, regions: &AllowedRegions) -> Vec<SocketAddr> {
         let now = self.clock.uptime();
         let proxies = self.proxies.borrow();
-        let recent = proxies
-            .iter()
-            .rev()
-            .filter(|(_, at)| now.saturating_sub(*at) < PROXY_VALIDITY);
-        recent.take(MAX_PROXIES).map(|(proxy, _)| *proxy).collect()
+        let recent = proxies.iter().rev().filter(|proxy| {
+            let age = now.saturating_sub(proxy.stated_at);
+            age < PROXY_VALIDITY && regions.allows(proxy.region.as_ref())
+        });
+        let addresses = recent.map(|proxy| proxy.control);
+        addresses.take(MAX_PROXIES).collect()
     }
 
     /// Makes a call on behalf of a peer. It is made directly, never through a third VM.
@@ -224,14 +242,16 @@
     }
 
     /// Makes a call directly, and through peers if the store fails or does not respond within the hedge delay. From then
-    /// on the response to the direct call is ignored.
+    /// on the response to the direct call is ignored. Only peers in `regions` are asked.
     async fn call<T>(
         &self,
         direct: impl Future<Output = Result<T, StoreError>>,
+        regions: AllowedRegions,
         request: RowsRequest,
         read_response: impl Fn(RowsResponse) -> Result<T, StoreError>,
     ) -> Result<T, StoreError> {
-        self.call_after(direct, Duration::ZERO, request, read_response)
+        let proxies = self.proxies(&regions);
+        self.call_after(direct, proxies, Duration::ZERO, (request, read_response))
             .await
     }
 
@@ -239,11 +259,10 @@
     async fn call_after<T>(
         &self,
         direct: impl Future<Output = Result<T, StoreError>>,
+        proxies: Vec<SocketAddr>,
         wait: Duration,
-        request: RowsRequest,
-        read_response: impl Fn(RowsResponse) -> Result<T, StoreError>,
+        (request, read_response): (RowsRequest, impl Fn(RowsResponse) -> Result<T, StoreError>),
     ) -> Result<T, StoreError> {
-        let proxies = self.proxies();
         if proxies.is_empty() {
             let result = direct.await;
             self.record_call(!matches!(
@@ -289,13 +308,13 @@
             {
                 Err(StoreError::Unavailable(error)) => {
                     if tells_reach {
-                        self.record_proxy(proxy, false);
+                        self.forget_proxy(proxy);
                     }
                     reason = error;
                 }
                 Err(StoreError::Unknown(error)) => {
                     if tells_reach {
-                        self.record_proxy(proxy, false);
+                        self.forget_proxy(proxy);
                     }
                     may_have_effect = true;
                     reason = error;
@@ -394,6 +413,16 @@
         partition: &'a str,
         from: &'a str,
         until: &'a str,
+    ) -> PlatformFuture<'a, RowsRead> {
+        self.read_within(table, partition, (from, until), &AllowedRegions::Everywhere)
+    }
+
+    fn read_within<'a>(
+        &'a self,
+        table: TableName,
+        partition: &'a str,
+        (from, until): (&'a str, &'a str),
+        regions: &AllowedRegions,
     ) -> PlatformFuture<'a, RowsRead> {
         let request = RowsRequest::Read {
             table: table.into(),
@@ -410,10 +439,19 @@
             }),
             other => response_error(other),
         };
-        self.call(direct, request, read_response).boxed_local()
+        self.call(direct, regions.clone(), request, read_response)
+            .boxed_local()
     }
 
     fn change(&self, change: RowChange) -> PlatformFuture<'_, ChangeOutcome> {
+        self.change_within(change, &AllowedRegions::Everywhere)
+    }
+
+    fn change_within(
+        &self,
+        change: RowChange,
+        regions: &AllowedRegions,
+    ) -> PlatformFuture<'_, ChangeOutcome> {
         let request = change_request(&change);
         let direct = self.direct.change(change);
         let read_response = |response| match response {
@@ -423,7 +461,8 @@
             )),
             other => response_error(other),
         };
-        self.call(direct, request, read_response).boxed_local()
+        self.call(direct, regions.clone(), request, read_response)
+            .boxed_local()
     }
 
     fn follow(
@@ -445,7 +484,8 @@
             other => response_error(other),
         };
         let direct = self.direct.follow(table, after, wait);
-        self.call_after(direct, wait, request, read_response)
+        let proxies = self.proxies(&AllowedRegions::Everywhere);
+        self.call_after(direct, proxies, wait, (request, read_response))
             .boxed_local()
     }
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -7,7 +7,7 @@
 use crate::settings::{BoundSettings, EdgeSettings};
 use crate::stream_records::StreamRecords;
 use plantainmill_admission::SharedLimiter;
-use plantainmill_core::{Clock, InFlightCounter, Incarnation, Uptime};
+use plantainmill_core::{AllowedRegions, Clock, InFlightCounter, Incarnation, Uptime};
 use plantainmill_dispatch::limits::LimitedTarget;
 use plantainmill_dispatch::{PartQuarantine, SharedDispatcher, TargetLimits};
 use plantainmill_jobs::JobService;
@@ -103,6 +103,7 @@
             id: entry.id.clone(),
             service: entry.service.clone(),
             domain: entry.domain.clone(),
+            region: self.settings.regions.get(&entry.domain).cloned(),
         });
         self.limits.set_targets(limited);
         let entries = targets.entries();
@@ -116,6 +117,28 @@
         }
     }
 
+    /// Logs the rules of the document in force that name regions without a failure domain: nothing is served there.
+    pub fn log_unknown_regions(&self) {
+        let Some(document) = self.view.load() else {
+            return;
+        };
+        for (entry, regions) in document.region_rules() {
+            let known = &self.settings.regions;
+            let unknown = regions
+                .names()
+                .filter(|name| !known.values().any(|region| region == *name));
+            for region in unknown {
+                tracing::warn!(
+                    event = "document_entry_invalid",
+                    field = "AllowedRegions",
+                    %entry,
+                    unknown_region = %region,
+                    version = document.version,
+                );
+            }
+        }
+    }
+
     /// Returns whether the document is recent enough to verify keys: a key that it lists cannot have been withdrawn for
     /// longer than the key validity.
     pub fn can_verify_keys(&self) -> bool {
@@ -137,7 +160,7 @@
                 document_version = self.view.version(),
                 document_age_ms = self.document_age().map(|age| age.as_millis()),
                 targets_age_ms = self.targets_age().map(|age| age.as_millis()),
-                unreachable = self.paths.is_unreachable(),
+                unreachable = self.paths.is_unreachable(&AllowedRegions::Everywhere),
                 leaving = self.is_stopping.get(),
             );
         }
@@ -147,7 +170,8 @@
     pub fn is_ready(&self) -> bool {
         let limit = self.bounds.get().key_validity.mul_f64(READY_AGE_FRACTION);
         let is_fresh = self.document_age().is_some_and(|age| age < limit);
-        let has_targets = self.targets_confirmed_at.get().is_some() && !self.paths.is_unreachable();
+        let is_unreachable = self.paths.is_unreachable(&AllowedRegions::Everywhere);
+        let has_targets = self.targets_confirmed_at.get().is_some() && !is_unreachable;
         is_fresh && has_targets && !self.is_stopping.get()
     }
 }
--- a/crates/edge/src/store_poll.rs
+++ b/crates/edge/src/store_poll.rs
@@ -53,6 +53,7 @@
                         if state.view.replace_if_newer(*document, sent_at) {
                             let version = known_version;
                             tracing::info!(event = "document_changed", version, from = "store");
+                            state.log_unknown_regions();
                             state.update_notify.notify_one();
                         }
                     }
--- a/crates/jobs/src/calls.rs
+++ b/crates/jobs/src/calls.rs
@@ -54,12 +54,15 @@
         let deadline = Instant::now() + WRITE_TIMEOUT;
         let mut may_be_stored = false;
         loop {
-            let create = inner.parts.store.create(job, &head, &submission.items);
+            let regions = inner.job_regions(&head);
+            let store = &inner.parts.store;
+            let create = store.create(job, &head, &submission.items, &regions);
             let outcome = timeout_at(deadline, create).await;
             let outcome = outcome.unwrap_or_else(|_| Err(StoreError::Unknown("no answer".into())));
             match outcome {
                 Ok(HeadOutcome::Applied(version)) => {
                     tracing::info!(event = "job_accepted", %job, items = head.total, version);
+                    inner.accepted.borrow_mut().insert(job.clone());
                     inner.record_and_start(job, head, version, Some(submission.items.clone()));
                     return Ok(());
                 }
@@ -120,7 +123,11 @@
             head = inner.read_head(organisation, job).await?;
         }
         let results = if head.listed > after {
-            let read = inner.parts.store.results(job, after).await;
+            let read = inner
+                .parts
+                .store
+                .results(job, after, &inner.job_regions(&head))
+                .await;
             read.map_err(|error| store_problem(&error))?
         } else {
             Vec::new()
@@ -144,8 +151,12 @@
         item: &ItemId,
     ) -> Result<Bytes, Problem> {
         let inner = &self.inner;
-        inner.find_head(organisation, job).await?;
-        let items = inner.parts.store.items(job).await;
+        let head = inner.find_head(organisation, job).await?;
+        let items = inner
+            .parts
+            .store
+            .items(job, &inner.job_regions(&head))
+            .await;
         let items = items.map_err(|error| store_problem(&error))?;
         let found = items.into_iter().find(|stored| stored.id == *item);
         found
@@ -275,9 +286,9 @@
         }
         head.ended = true;
         let store = &self.parts.store;
-        let outcome = store
-            .write_head(job, version, &head, head.listed, &[])
-            .await;
+        let regions = self.job_regions(&head);
+        let write = store.write_head(job, version, &head, head.listed, &[], &regions);
+        let outcome = write.await;
         match outcome.map_err(|error| write_problem(&error))? {
             HeadOutcome::Applied(version) => {
                 tracing::info!(event = "job_ended", %job, listed = head.listed, version);
--- a/crates/jobs/src/catalog.rs
+++ b/crates/jobs/src/catalog.rs
@@ -2,7 +2,7 @@
 
 use crate::stored::{JobHead, JobOwner};
 use compact_str::CompactString;
-use plantainmill_core::{DomainName, JobId, OrganisationId, VmId};
+use plantainmill_core::{AllowedRegions, DomainName, JobId, OrganisationId, RegionName, VmId};
 use plantainmill_dispatch::rendezvous::{key_of, owner_of, score};
 use plantainmill_provider::RowVersion;
 use std::collections::HashMap;
@@ -86,9 +86,15 @@
         open.filter(move |(id, known)| known.head.owner.as_ref() == Some(owner) && !is_running(id))
     }
 
-    /// Returns the open jobs without a live owner that `local_owner` may have to reassign.
+    /// Returns the open jobs without a live owner that `local_owner` may have to reassign. `regions_of` states in which regions
+    /// a job may be held.
     #[must_use]
-    pub fn orphans(&self, local_owner: &JobOwner, fleet: &FleetSnapshot) -> Vec<OrphanedJob> {
+    pub fn orphans(
+        &self,
+        local_owner: &JobOwner,
+        fleet: &FleetSnapshot,
+        regions_of: impl Fn(&JobHead) -> AllowedRegions,
+    ) -> Vec<OrphanedJob> {
         let open = self.jobs.iter().filter(|(_, known)| known.head.is_open());
         let orphans = open.filter(|(_, known)| {
             let owner = known.head.owner.as_ref();
@@ -96,7 +102,7 @@
         });
         orphans
             .filter_map(|(job, known)| {
-                let rank = fleet.takeover_rank(job, local_owner)?;
+                let rank = fleet.takeover_rank(job, local_owner, &regions_of(&known.head))?;
                 let new_owner = if rank == 0 {
                     fleet.new_owner_of(job)?
                 } else {
@@ -140,6 +146,8 @@
     pub domain: DomainName,
     /// VMs of the local domain whose reports arrive, and the local one.
     pub members: Vec<JobOwner>,
+    /// Region of each failure domain.
+    pub regions: HashMap<DomainName, RegionName>,
 }
 
 impl FleetSnapshot {
@@ -154,13 +162,38 @@
         domain == Some(self.domain.as_str()) && reader == Some(local_owner.vm.as_str())
     }
 
+    /// The domains whose VMs may hold a job that is limited to `regions`: those in an allowed region, or all if no VM is live
+    /// there.
+    fn eligible_domains(&self, regions: &AllowedRegions) -> Vec<&DomainName> {
+        let domains = || self.domains.iter();
+        let allowed = domains().filter(|domain| regions.allows(self.regions.get(*domain)));
+        let allowed: Vec<&DomainName> = allowed.collect();
+        if allowed.is_empty() {
+            domains().collect()
+        } else {
+            allowed
+        }
+    }
+
+    /// Whether the VMs of the local domain may hold a job that is limited to `regions`.
+    #[must_use]
+    pub fn may_hold(&self, regions: &AllowedRegions) -> bool {
+        regions.is_everywhere() || self.eligible_domains(regions).contains(&&self.domain)
+    }
+
     /// Number of VMs that reassign `job` before `local_owner` does. `None` if `local_owner` never does.
     ///
     /// The order begins with the responsible VM, then goes through the readers and the other members of all domains, one of
-    /// each domain in turn. All VMs with the same view of the fleet derive the same order.
-    fn takeover_rank(&self, job: &JobId, local_owner: &JobOwner) -> Option<usize> {
+    /// each domain that is eligible for `regions` in turn. All VMs with the same view of the fleet derive the same order.
+    fn takeover_rank(
+        &self,
+        job: &JobId,
+        local_owner: &JobOwner,
+        regions: &AllowedRegions,
+    ) -> Option<usize> {
         let key = key_of(job);
-        let domains = self.domains.iter().map(CompactString::as_str);
+        let eligible = self.eligible_domains(regions);
+        let domains = eligible.iter().map(|domain| domain.as_str());
         let domain_rank = rank_of(domains, &self.domain, key)?;
         let local_vm = local_owner.vm.as_str();
         let readers = || self.readers.iter().map(CompactString::as_str);
@@ -169,7 +202,7 @@
             let members = members.filter(|vm| !readers().any(|reader| reader == *vm));
             Some(self.readers.len() + rank_of(members, local_vm, key)?)
         })?;
-        Some(vm_rank * self.domains.len() + domain_rank)
+        Some(vm_rank * eligible.len() + domain_rank)
     }
 
     /// Selects the VM of the local domain that takes over an orphaned job.
--- a/crates/jobs/src/job_run.rs
+++ b/crates/jobs/src/job_run.rs
@@ -151,6 +151,7 @@
         JobContext {
             organisation: head.organisation.clone(),
             host: head.host.clone(),
+            route: head.route.clone(),
             due_at: (now + head.completion).saturating_sub(age),
             expires_at: (now + head.retention).saturating_sub(age),
         }
--- a/crates/jobs/src/owed.rs
+++ b/crates/jobs/src/owed.rs
@@ -4,8 +4,9 @@
 use crate::service::JobInner;
 use compact_str::CompactString;
 use plantainmill_core::{
-    Clock, Incarnation, ItemId, JobId, ServiceName, Uptime, VersionName, VmId,
+    AllowedRegions, Clock, Incarnation, ItemId, JobId, ServiceName, Uptime, VersionName, VmId,
 };
+use plantainmill_dispatch::TargetNeed;
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
@@ -101,13 +102,18 @@
     pub free_targets: Option<usize>,
 }
 
-/// Service and software version of the targets that can run an item.
-pub(crate) type TargetNeed = (ServiceName, Option<VersionName>);
+/// What the targets that can run an item have.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct OwedNeed {
+    pub service: ServiceName,
+    pub version: Option<VersionName>,
+    pub regions: AllowedRegions,
+}
 
 struct ItemEntry {
     state: OwedState,
     reason: CompactString,
-    need: Option<TargetNeed>,
+    need: Option<OwedNeed>,
     entered_at: Uptime,
     idle_since: Uptime,
     reported_at: Uptime,
@@ -137,8 +143,8 @@
     }
 
     /// Records that an item waits for a slot of one of the targets that can run it.
-    pub fn enter_slot(&self, item: &ItemId, need: TargetNeed) {
-        let version = need.1.clone().unwrap_or_default();
+    pub fn enter_slot(&self, item: &ItemId, need: OwedNeed) {
+        let version = need.version.clone().unwrap_or_default();
         self.enter(item, OwedState::Slot, version);
         if let Some(entry) = self.items.borrow_mut().get_mut(item) {
             entry.need = Some(need);
@@ -212,13 +218,17 @@
         let mut owed = self.jobs_without_runner(now);
         let dispatcher = self.parts.caller.dispatcher();
         // Most items need the same targets.
-        let mut counts: HashMap<TargetNeed, usize> = HashMap::new();
-        let mut free_targets = |need: &TargetNeed| {
+        let mut counts: HashMap<OwedNeed, usize> = HashMap::new();
+        let mut free_targets = |need: &OwedNeed| {
             if let Some(count) = counts.get(need) {
                 return *count;
             }
-            let (service, version) = need;
-            let count = dispatcher.free_targets(service, version.as_ref(), &[]);
+            let target_need = TargetNeed {
+                service: &need.service,
+                version: need.version.as_ref(),
+                regions: &need.regions,
+            };
+            let count = dispatcher.free_targets(target_need, &[]);
             counts.insert(need.clone(), count);
             count
         };
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -2,22 +2,22 @@
 
 use crate::heads::HeadView;
 use crate::metrics::JobMetrics;
-use crate::owed::{ItemWatch, OwedState};
+use crate::owed::{ItemWatch, OwedNeed, OwedState};
 use crate::stored::{ItemState, JobItem, ListedResult};
 use awc::http::Method;
 use awc::http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use compact_str::CompactString;
 use futures_util::StreamExt as _;
 use plantainmill_core::{
-    Clock, Executed, OrganisationId, PartList, ResultCode, TargetId, Uptime, VersionName,
-    wait_until_set,
+    AllowedRegions, Clock, Executed, OrganisationId, PartList, ResultCode, TargetId, Uptime,
+    VersionName, wait_until_set,
 };
-use plantainmill_dispatch::{CallOutcome, TargetTicket, TrafficClass};
+use plantainmill_dispatch::{CallOutcome, TargetNeed, TargetTicket, TrafficClass};
 use plantainmill_proxy::relay::{
-    CallSend, EventSplitter, RelayCall, RelayCaller, SendFailure, SendTrace, TargetResponse,
-    broken_body_outcome, check_order,
+    CallRegions, CallSend, EventSplitter, RelayCall, RelayCaller, SendFailure, SendTrace,
+    TargetResponse, broken_body_outcome, check_order,
 };
-use plantainmill_routing::{DocumentView, FleetDocument, RouteRule};
+use plantainmill_routing::{DocumentRegions, DocumentView, FleetDocument, RouteRule};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,6 +58,8 @@
 pub(crate) struct JobContext {
     pub organisation: OrganisationId,
     pub host: CompactString,
+    /// Name of the route that accepted the job.
+    pub route: CompactString,
     /// Uptime by which the results are due. Dispatch orders batch items by it.
     pub due_at: Uptime,
     /// Uptime at which unfinished items are given up.
@@ -73,6 +75,8 @@
     output: Vec<u8>,
     has_events: bool,
     last_event: Option<u64>,
+    /// Regions in which the stream that has begun may go on; everywhere before its first event.
+    stream_regions: AllowedRegions,
     /// Software version at which the stream began.
     version: Option<VersionName>,
     /// Uptime of the first failure since the last event.
@@ -114,6 +118,7 @@
         output: Vec::new(),
         has_events: false,
         last_event: None,
+        stream_regions: AllowedRegions::Everywhere,
         version: None,
         failing_since: None,
         failed_sends: 0,
@@ -178,6 +183,13 @@
                 return None;
             }
             let mut call = self.build_call(route)?;
+            if self.has_events && !has_region(&call.regions.current()) {
+                // The document now allows other regions than those of the stream so far.
+                if has_region(&self.regions().current()) {
+                    self.begin_anew("its regions have changed");
+                    call = self.build_call(route)?;
+                }
+            }
             if self.is_version_failing() && self.has_other_version(&call) {
                 self.begin_anew("targets of its version fail");
                 call = self.build_call(route)?;
@@ -248,22 +260,47 @@
             event_gap: route.event_gap,
             last_event: self.last_event,
             version: self.version.clone(),
+            regions: self.regions().narrowed_to(&self.stream_regions),
         })
     }
 
+    /// Regions that the document in force allows for the item, as it changes.
+    fn regions(&self) -> CallRegions {
+        CallRegions::of_source(Rc::new(DocumentRegions {
+            view: self.context.view.clone(),
+            clock: Arc::clone(&self.context.clock),
+            host: self.job.host.clone(),
+            path: self.item.path.as_str().into(),
+            job_route: Some(self.job.route.clone()),
+            organisation: Some(self.job.organisation.clone()),
+        }))
+    }
+
     /// Acquires a ticket. Without one, returns the delay before the next attempt.
     async fn acquire(&mut self, call: &RelayCall) -> Result<TargetTicket, Duration> {
         let request = call.ticket_request(&self.excluded);
         // A failed target is excluded from the next attempt only.
         self.excluded.clear();
-        let need = (call.service.clone(), call.version.clone());
+        let regions = request.regions.clone();
+        let need = OwedNeed {
+            service: call.service.clone(),
+            version: call.version.clone(),
+            regions: regions.clone(),
+        };
         self.watch.enter_slot(&self.item.id, need);
         let acquired = self.context.caller.dispatcher().acquire(request);
         let Ok(acquired) = timeout(SLOT_WAIT_LIMIT, acquired).await else {
             let dispatcher = self.context.caller.dispatcher();
-            let is_full = dispatcher.free_targets(&call.service, call.version.as_ref(), &[]) == 0;
+            let need = TargetNeed {
+                service: &call.service,
+                version: call.version.as_ref(),
+                regions: &regions,
+            };
+            let is_full = dispatcher.free_targets(need, &[]) == 0;
             if is_full && self.has_other_version(call) {
                 self.begin_anew("targets of its version are full");
+            } else if is_full && self.has_other_region(call) {
+                self.begin_anew("targets of its regions are full");
             }
             return Err(Duration::ZERO);
         };
@@ -307,11 +344,34 @@
     /// Whether the stream is bound to a version and a target of another one is free.
     fn has_other_version(&self, call: &RelayCall) -> bool {
         let dispatcher = self.context.caller.dispatcher();
-        let free = |version| dispatcher.free_targets(&call.service, version, &[]);
+        let regions = call.regions.current();
+        let free = |version| {
+            let need = TargetNeed {
+                service: &call.service,
+                version,
+                regions: &regions,
+            };
+            dispatcher.free_targets(need, &[])
+        };
         call.version.is_some() && free(None) > free(call.version.as_ref())
     }
 
-    /// Discards the output, because the stream cannot go on at the version at which it began.
+    /// Whether the stream is bound to fewer regions than the document now allows, and a target of another one is free.
+    fn has_other_region(&self, call: &RelayCall) -> bool {
+        let dispatcher = self.context.caller.dispatcher();
+        let (bound, allowed) = (call.regions.current(), self.regions().current());
+        let free = |regions| {
+            let need = TargetNeed {
+                service: &call.service,
+                version: None,
+                regions,
+            };
+            dispatcher.free_targets(need, &[])
+        };
+        bound != allowed && free(&allowed) > free(&bound)
+    }
+
+    /// Discards the output, because the stream cannot go on at the version, or in the regions, at which it began.
     fn begin_anew(&mut self, reason: &'static str) {
         self.context.metrics.count_restarted_item();
         tracing::info!(
@@ -328,6 +388,7 @@
         self.has_events = false;
         self.last_event = None;
         self.version = None;
+        self.stream_regions = AllowedRegions::Everywhere;
     }
 
     async fn send(&mut self, call: &RelayCall, mut ticket: TargetTicket) -> SendOutcome {
@@ -435,7 +496,7 @@
             let failure = SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
             return Err(failure.at(&trace));
         }
-        let read = self.read_events(&mut response, ticket).await;
+        let read = self.read_events(&mut response, ticket, &call.regions).await;
         read.map_err(|failure| failure.at(&trace))?;
         Ok((SendOutcome::Succeeded, first_byte))
     }
@@ -444,6 +505,7 @@
         &mut self,
         response: &mut TargetResponse,
         ticket: &mut TargetTicket,
+        regions: &CallRegions,
     ) -> Result<(), SendFailure> {
         let failed = |reason: String| SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
         let mut splitter = EventSplitter::default();
@@ -457,6 +519,7 @@
                     if !events.is_empty() {
                         progress_at = Instant::now();
                         if !has_started {
+                            self.stream_regions = regions.current();
                             self.enter(OwedState::Output, ticket.target.clone());
                         }
                         has_started = true;
@@ -505,6 +568,11 @@
     }
 }
 
+/// Whether any region is allowed.
+fn has_region(allowed: &AllowedRegions) -> bool {
+    allowed.is_everywhere() || allowed.names().next().is_some()
+}
+
 fn idle_timeout() -> SendFailure {
     SendFailure::silent(Executed::Unknown, "the target fell silent")
 }
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -9,12 +9,12 @@
 use crate::store::{HeadOutcome, JobStore, read_head};
 use crate::stored::{HEAD_TABLE, JobHead, JobItem, JobOwner};
 use crate::takeover::TakeoverPlan;
-use plantainmill_core::{Clock, JobId, Uptime};
+use plantainmill_core::{AllowedRegions, Clock, JobId, Uptime};
 use plantainmill_provider::{FeedRead, RowVersion, StoreError};
 use plantainmill_proxy::relay::RelayCaller;
 use plantainmill_routing::DocumentView;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,6 +76,8 @@
     pub run_context: Rc<RunContext>,
     /// Stop signals of the jobs that run on this VM.
     running: RefCell<HashMap<JobId, watch::Sender<bool>>>,
+    /// Jobs that this VM has accepted and runs. It may keep them whatever their regions.
+    pub accepted: RefCell<HashSet<JobId>>,
     pub fleet: RefCell<FleetSnapshot>,
     /// Since when no other VM is heard, after some have been.
     pub isolated_since: Cell<Option<Uptime>>,
@@ -115,6 +117,7 @@
             self.inner.postpone_resumption(&self.job);
         }
         self.inner.running.borrow_mut().remove(&self.job);
+        self.inner.accepted.borrow_mut().remove(&self.job);
         self.inner.changed.notify_waiters();
     }
 }
@@ -137,6 +140,7 @@
             jobs: RefCell::default(),
             changed: Notify::new(),
             running: RefCell::default(),
+            accepted: RefCell::default(),
             fleet: RefCell::default(),
             isolated_since: Cell::new(None),
             takeovers: RefCell::default(),
@@ -283,6 +287,27 @@
 }
 
 impl JobInner {
+    /// Regions in which a job may be held, by the document in force.
+    pub fn job_regions(&self, head: &JobHead) -> AllowedRegions {
+        let document = self.parts.view.load();
+        document.map_or(AllowedRegions::Everywhere, |document| {
+            document.regions_of_job(&head.route, &head.organisation)
+        })
+    }
+
+    /// Jobs that this VM runs.
+    pub fn running_jobs(&self) -> Vec<JobId> {
+        self.running.borrow().keys().cloned().collect()
+    }
+
+    /// Ends the run of a job, which then has no owner. Returns false if it ends already.
+    pub fn stop_run_of(&self, job: &JobId) -> bool {
+        let running = self.running.borrow();
+        running
+            .get(job)
+            .is_some_and(|stop| !stop.send_replace(true))
+    }
+
     /// Whether a job is being run by this VM.
     pub fn is_running(&self, job: &JobId) -> bool {
         self.running.borrow().contains_key(job)
@@ -466,17 +491,19 @@
     async fn release(&self, job: &JobId, mut head: JobHead, version: RowVersion) {
         head.owner = None;
         let listed = head.listed;
-        let written = self
-            .parts
-            .store
-            .write_head(job, version, &head, listed, &[])
-            .await;
-        match written {
+        let regions = self.job_regions(&head);
+        let store = &self.parts.store;
+        let written = store.write_head(job, version, &head, listed, &[], &regions);
+        match written.await {
             Ok(HeadOutcome::Applied(version)) => {
                 tracing::info!(event = "job_released", %job, listed, version);
+                self.record(job, head, version);
             }
             Ok(HeadOutcome::Conflict(_)) => tracing::info!(event = "job_lost", %job),
-            Err(error) => tracing::info!(event = "job_not_released", %job, %error),
+            Err(error) => {
+                tracing::info!(event = "job_not_released", %job, %error);
+                self.postpone_resumption(job);
+            }
         }
     }
 }
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -6,7 +6,7 @@
 };
 use bytes::Bytes;
 use compact_str::format_compact;
-use plantainmill_core::JobId;
+use plantainmill_core::{AllowedRegions, JobId};
 use plantainmill_provider::{
     ChangeOutcome, PartitionRow, PartitionStore, RowChange, RowVersion, StoreError,
 };
@@ -47,7 +47,7 @@
         &self.rows
     }
 
-    /// Stores a new job. Conflicts if a job with this id exists.
+    /// Stores a new job, whose items only VMs in `regions` may pass on. Conflicts if a job with this id exists.
     ///
     /// # Errors
     ///
@@ -57,6 +57,7 @@
         job: &JobId,
         head: &JobHead,
         items: &[JobItem],
+        regions: &AllowedRegions,
     ) -> Result<HeadOutcome, StoreError> {
         let content = encode(&items);
         let chunks: Vec<Bytes> = split_content(&content).collect();
@@ -66,16 +67,17 @@
             if change.puts.len() == ROWS_PER_WRITE {
                 // Without a head, these rows have no effect, and a retry writes them again.
                 let full = std::mem::replace(&mut change, RowChange::of(partition.clone()));
-                self.rows.change(full).await?;
+                self.rows.change_within(full, regions).await?;
             }
             change = change.put(ITEM_TABLE, &items_key(job, index), chunk);
         }
         let change = change.expect(HEAD_TABLE, job, 0);
         let change = change.put(HEAD_TABLE, job, encode(head));
-        self.change_head(job, change).await
+        self.change_head(job, change, regions).await
     }
 
-    /// Replaces the head that has `version` and adds results from position `first` on, in one transaction.
+    /// Replaces the head that has `version` and adds results from position `first` on, in one transaction. Only VMs in `regions`
+    /// may pass the results on.
     ///
     /// # Errors
     ///
@@ -87,6 +89,7 @@
         head: &JobHead,
         first: u64,
         results: &[&ListedResult],
+        regions: &AllowedRegions,
     ) -> Result<HeadOutcome, StoreError> {
         let mut change = RowChange::of(partition_of(job)).expect(HEAD_TABLE, job, version);
         for (position, result) in (first..).zip(results) {
@@ -98,11 +101,23 @@
             }
         }
         change = change.put(HEAD_TABLE, job, encode(head));
-        self.change_head(job, change).await
+        // A head has no content of a request.
+        let everywhere = AllowedRegions::Everywhere;
+        let regions = if results.is_empty() {
+            &everywhere
+        } else {
+            regions
+        };
+        self.change_head(job, change, regions).await
     }
 
-    async fn change_head(&self, job: &JobId, change: RowChange) -> Result<HeadOutcome, StoreError> {
-        match self.rows.change(change).await? {
+    async fn change_head(
+        &self,
+        job: &JobId,
+        change: RowChange,
+        regions: &AllowedRegions,
+    ) -> Result<HeadOutcome, StoreError> {
+        match self.rows.change_within(change, regions).await? {
             ChangeOutcome::Applied(version) => Ok(HeadOutcome::Applied(version)),
             ChangeOutcome::Conflict(rows) => {
                 let row = rows
@@ -147,18 +162,22 @@
         Ok((heads, first_version.unwrap_or(0)))
     }
 
-    /// Reads the items of a job. Returns an empty list if they do not exist.
+    /// Reads the items of a job, which only VMs in `regions` may pass on. Returns an empty list if they do not exist.
     ///
     /// # Errors
     ///
     /// Returns an error if the store does not respond, or the items cannot be decoded.
-    pub async fn items(&self, job: &JobId) -> Result<Vec<JobItem>, StoreError> {
+    pub async fn items(
+        &self,
+        job: &JobId,
+        regions: &AllowedRegions,
+    ) -> Result<Vec<JobItem>, StoreError> {
         let partition = partition_of(job);
         let from = items_key(job, 0);
         let until = format_compact!("{job}/j");
         let read = self
             .rows
-            .read(ITEM_TABLE, &partition, &from, &until)
+            .read_within(ITEM_TABLE, &partition, (&from, &until), regions)
             .await?;
         if read.rows.is_empty() {
             return Ok(Vec::new());
@@ -169,18 +188,23 @@
     }
 
     /// Reads the results from position `after` on, as many as one read of the store returns and up to the first one that
-    /// is missing or cannot be decoded.
+    /// is missing or cannot be decoded. Only VMs in `regions` may pass them on.
     ///
     /// # Errors
     ///
     /// Returns an error if the store does not respond, or there are results, but none at `after` that can be decoded.
-    pub async fn results(&self, job: &JobId, after: u64) -> Result<Vec<ListedResult>, StoreError> {
+    pub async fn results(
+        &self,
+        job: &JobId,
+        after: u64,
+        regions: &AllowedRegions,
+    ) -> Result<Vec<ListedResult>, StoreError> {
         let partition = partition_of(job);
         let from = result_key(job, after, 0);
         let until = job_keys_end(job);
         let read = self
             .rows
-            .read(ITEM_TABLE, &partition, &from, &until)
+            .read_within(ITEM_TABLE, &partition, (&from, &until), regions)
             .await?;
         let same_result = |first: &PartitionRow, next: &PartitionRow| {
             result_key_prefix(&first.key) == result_key_prefix(&next.key)
@@ -200,18 +224,18 @@
         Ok(results)
     }
 
-    /// Removes all rows of a job, the head last.
+    /// Removes all rows of a job, the head last. Only VMs in `regions` may pass on what they contain.
     ///
     /// # Errors
     ///
     /// Returns an error if the store does not respond. The call is idempotent.
-    pub async fn remove(&self, job: &JobId) -> Result<(), StoreError> {
+    pub async fn remove(&self, job: &JobId, regions: &AllowedRegions) -> Result<(), StoreError> {
         let partition = partition_of(job);
         let from = format_compact!("{job}/");
         let until = job_keys_end(job);
         let read = self
             .rows
-            .read(ITEM_TABLE, &partition, &from, &until)
+            .read_within(ITEM_TABLE, &partition, (&from, &until), regions)
             .await?;
         for rows in read.rows.chunks(REMOVALS_PER_WRITE) {
             let mut change = RowChange::of(partition.clone());
--- a/crates/jobs/src/store_step.rs
+++ b/crates/jobs/src/store_step.rs
@@ -7,7 +7,7 @@
 use crate::stored::{JobHead, JobItem, ListedResult};
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
-use plantainmill_core::{ItemId, JobId};
+use plantainmill_core::{AllowedRegions, ItemId, JobId};
 use plantainmill_provider::{RowVersion, StoreError};
 use std::collections::HashSet;
 use tokio::time::sleep;
@@ -57,12 +57,13 @@
     ) -> (Vec<JobItem>, HashSet<ItemId>) {
         loop {
             let read = async {
-                let items = self.parts.store.items(job).await?;
+                let regions = self.job_regions(head);
+                let items = self.parts.store.items(job, &regions).await?;
                 if items.len() as u64 != head.total {
                     let reason = format!("{} of {} items", items.len(), head.total);
                     return Err(StoreError::Malformed(reason));
                 }
-                let results = self.read_listed_ids(job, 0, head.listed).await?;
+                let results = self.read_listed_ids(job, 0, head.listed, &regions).await?;
                 Ok((items, results))
             };
             match read.await {
@@ -79,11 +80,12 @@
         job: &JobId,
         first: u64,
         count: u64,
+        regions: &AllowedRegions,
     ) -> Result<HashSet<ItemId>, StoreError> {
         let mut listed = HashSet::new();
         let mut position = first;
         while position < first + count {
-            let results = self.parts.store.results(job, position).await?;
+            let results = self.parts.store.results(job, position, regions).await?;
             if results.is_empty() {
                 return Err(StoreError::Malformed(format!("no result {position}")));
             }
@@ -107,10 +109,11 @@
         let (head, results) = queue.next_write()?;
         let results: Vec<ListedResult> = results.into_iter().cloned().collect();
         let first = current.listed;
+        let regions = self.job_regions(current);
         let done = async move {
             let results: Vec<&ListedResult> = results.iter().collect();
             let store = &self.parts.store;
-            let write = store.write_head(job, version, &head, first, &results);
+            let write = store.write_head(job, version, &head, first, &results, &regions);
             let outcome = write.await;
             StepResult::Written(head, outcome)
         };
@@ -135,7 +138,8 @@
         };
         let first = queue.head().0.listed;
         let done = async move {
-            let listed = self.read_listed_ids(job, first, count).await;
+            let regions = self.job_regions(&head);
+            let listed = self.read_listed_ids(job, first, count, &regions).await;
             StepResult::Found(head, version, listed)
         };
         StoreStep {
--- a/crates/jobs/src/sweep.rs
+++ b/crates/jobs/src/sweep.rs
@@ -1,7 +1,7 @@
 //! Removal of closed jobs whose retention period has passed.
 
 use crate::service::JobInner;
-use plantainmill_core::JobId;
+use plantainmill_core::{AllowedRegions, JobId};
 use std::rc::Rc;
 use std::time::{Duration, UNIX_EPOCH};
 use tokio::time::sleep;
@@ -22,7 +22,7 @@
             let wall = self.parts.clock.wall().duration_since(UNIX_EPOCH);
             let wall = wall.unwrap_or_default();
             let retention = self.parts.settings.result_retention + SWEEP_MARGIN;
-            let expired: Vec<JobId> = {
+            let expired: Vec<(JobId, AllowedRegions)> = {
                 let catalog = self.jobs.borrow();
                 let fleet = self.fleet.borrow();
                 let expired = catalog.iter().filter(|(_, known)| {
@@ -31,15 +31,15 @@
                 });
                 expired
                     .filter(|(job, _)| fleet.is_responsible(job, &self.parts.local_owner))
-                    .map(|(job, _)| job.clone())
+                    .map(|(job, known)| (job.clone(), self.job_regions(&known.head)))
                     .collect()
             };
             let retention = self.parts.settings.result_retention + FORGET_MARGIN;
             let accepted_ms = wall.saturating_sub(retention).as_millis();
             let accepted_ms = u64::try_from(accepted_ms).unwrap_or(0);
             self.jobs.borrow_mut().forget_closed(accepted_ms);
-            for job in expired {
-                match self.parts.store.remove(&job).await {
+            for (job, regions) in expired {
+                match self.parts.store.remove(&job, &regions).await {
                     Ok(()) => tracing::info!(event = "job_removed", %job),
                     Err(error) => tracing::info!(event = "job_not_removed", %job, %error),
                 }
--- a/crates/jobs/src/takeover.rs
+++ b/crates/jobs/src/takeover.rs
@@ -157,6 +157,7 @@
             let _ = timeout(TAKEOVER_INTERVAL, self.takeover_ended.notified()).await;
             let now = self.parts.clock.uptime();
             if !self.stopping.get() {
+                self.return_jobs();
                 self.resume_jobs(now);
             }
             if now.saturating_sub(started) >= TAKEOVER_DELAY {
@@ -177,6 +178,8 @@
         let first = first.map(|orphan| (orphan.job, orphan.known));
         given
             .chain(first)
+            // The VMs of this domain may not get it; others take it over when this VM has stopped.
+            .filter(|(_, known)| fleet.may_hold(&self.job_regions(&known.head)))
             .filter_map(|(job, known)| {
                 let new_owner = fleet.successor_of(&job, local_owner)?.clone();
                 Some(OrphanedJob {
@@ -189,6 +192,25 @@
             .collect()
     }
 
+    /// Ends the runs of jobs whose regions exclude this VM, so that a VM of an allowed region takes them over. The jobs that
+    /// this VM has accepted stay.
+    fn return_jobs(&self) {
+        let fleet = self.fleet.borrow();
+        let catalog = self.jobs.borrow();
+        let accepted = self.accepted.borrow();
+        let excluded = self.running_jobs().into_iter().filter(|job| {
+            let known = catalog.get(job);
+            let is_excluded =
+                known.is_some_and(|known| !fleet.may_hold(&self.job_regions(&known.head)));
+            is_excluded && !accepted.contains(job)
+        });
+        for job in excluded {
+            if self.stop_run_of(&job) {
+                tracing::info!(event = "job_returned", %job, "its regions exclude this VM");
+            }
+        }
+    }
+
     fn resume_jobs(self: &Rc<Self>, now: Uptime) {
         let resumable: Vec<HeadUpdate> = {
             let catalog = self.jobs.borrow();
@@ -215,10 +237,10 @@
 
     fn reassign_orphans(self: &Rc<Self>, now: Uptime) {
         let local_owner = &self.parts.local_owner;
-        let mut orphans = self
-            .jobs
-            .borrow()
-            .orphans(local_owner, &self.fleet.borrow());
+        let mut orphans = {
+            let (jobs, fleet) = (self.jobs.borrow(), self.fleet.borrow());
+            jobs.orphans(local_owner, &fleet, |head| self.job_regions(head))
+        };
         if self.is_isolated() {
             // Released jobs have no owner that could still be there.
             orphans.retain(|orphan| orphan.known.head.owner.is_none());
@@ -271,10 +293,9 @@
         reassigned.owner = Some(new_owner);
         let store = &self.parts.store;
         let listed = reassigned.listed;
-        match store
-            .write_head(job, known.version, &reassigned, listed, &[])
-            .await
-        {
+        let regions = self.job_regions(&reassigned);
+        let write = store.write_head(job, known.version, &reassigned, listed, &[], &regions);
+        match write.await {
             Ok(HeadOutcome::Applied(version)) => {
                 tracing::info!(event = "job_reassigned", %job, from = from.as_deref(), %to, rank, listed, version);
                 self.record_and_start(job, reassigned, version, None);
--- a/crates/jobs/tests/all/job_catalog.rs
+++ b/crates/jobs/tests/all/job_catalog.rs
@@ -1,9 +1,9 @@
 //! Recording of job heads, and the choice of jobs to resume or reassign.
 
 use crate::support::{head, owner};
-use plantainmill_core::JobId;
-use plantainmill_jobs::{FleetSnapshot, JobCatalog, JobOwner};
-use std::collections::{BTreeMap, BTreeSet};
+use plantainmill_core::{AllowedRegions, JobId};
+use plantainmill_jobs::{FleetSnapshot, JobCatalog, JobHead, JobOwner};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Guards against an older head that arrives late and replaces a newer one.
 #[test]
@@ -36,8 +36,13 @@
     assert_eq!(kept, [false, true, true]);
 }
 
+fn everywhere(_: &JobHead) -> AllowedRegions {
+    AllowedRegions::Everywhere
+}
+
 fn fleet(domain: &str, members: &[&str]) -> FleetSnapshot {
     FleetSnapshot {
+        regions: HashMap::new(),
         live: ["a1", "a2", "a3", "b1", "b2", "b3"]
             .iter()
             .map(|name| owner(name, 5))
@@ -63,7 +68,7 @@
     for (domain, members) in [("a", ["a1", "a2", "a3"]), ("b", ["b1", "b2", "b3"])] {
         let fleet = fleet(domain, &members);
         for own in &members {
-            for orphan in catalog.orphans(&owner(own, 5), &fleet) {
+            for orphan in catalog.orphans(&owner(own, 5), &fleet, everywhere) {
                 ranks
                     .entry(orphan.job.clone())
                     .or_default()
@@ -102,12 +107,13 @@
             catalog.record(&JobId::from(format!("j{number}")), held, 1);
         }
         let fleet = FleetSnapshot {
+            regions: HashMap::new(),
             domains: vec!["a".into()],
             readers: vec!["a1".into()],
             ..fleet("a", &["a1", "a2"])
         };
         (
-            catalog.orphans(&own, &fleet).len(),
+            catalog.orphans(&own, &fleet, everywhere).len(),
             catalog.resumable(&own, |_| false).count(),
         )
     };
--- a/crates/jobs/tests/all/job_faults.rs
+++ b/crates/jobs/tests/all/job_faults.rs
@@ -5,6 +5,7 @@
 use plantainmill_fakes::{RowsFault, TargetAct};
 use plantainmill_jobs::{FleetSnapshot, ItemState};
 use rstest::rstest;
+use std::collections::HashMap;
 use std::time::Duration;
 
 fn job() -> JobId {
@@ -301,6 +302,7 @@
     let other = cluster.vm("other", 1);
     actix_rt::time::sleep(Duration::from_millis(50)).await;
     let fleet = |members: Vec<_>| FleetSnapshot {
+        regions: HashMap::new(),
         live: members.clone(),
         domains: vec!["a".into()],
         readers: vec!["reader".into()],
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod head_progress;
 mod job_catalog;
 mod job_faults;
+mod job_regions;
 mod missed_decisions;
 mod missing_runner;
 mod owed_items;
--- a/crates/jobs/tests/all/missed_decisions.rs
+++ b/crates/jobs/tests/all/missed_decisions.rs
@@ -5,6 +5,7 @@
 use plantainmill_core::JobId;
 use plantainmill_fakes::{RowsFault, TargetAct};
 use plantainmill_jobs::FleetSnapshot;
+use std::collections::HashMap;
 use std::time::Duration;
 
 fn job() -> JobId {
@@ -14,6 +15,7 @@
 /// Makes `vm` hear of jobs only what a reader sends it, which is nothing here.
 fn isolate(vm: &TestVm) {
     vm.jobs.set_fleet(FleetSnapshot {
+        regions: HashMap::new(),
         live: vec![vm.own.clone()],
         domains: vec!["a".into()],
         readers: vec!["reader".into()],
--- a/crates/jobs/tests/all/missing_runner.rs
+++ b/crates/jobs/tests/all/missing_runner.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{TestCluster, TestVm, check_results, head, owner, route, submission, ward};
 use futures_util::FutureExt as _;
-use plantainmill_core::JobId;
+use plantainmill_core::{AllowedRegions, JobId};
 use plantainmill_fakes::{MemoryRows, RowsFault};
 use plantainmill_jobs::{FleetSnapshot, JobOwner, JobStore, OwedState, partition_of};
 use plantainmill_provider::rows::TableName;
@@ -11,6 +11,7 @@
 };
 use rstest::rstest;
 use std::cell::Cell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -32,7 +33,14 @@
     head.accepted_ms = u64::try_from(accepted.expect("a time").as_millis()).expect("in range");
     head.owner = owner;
     let store = JobStore::new(Rc::new(cluster.rows.with_own_fault()));
-    let created = store.create(job, &head, &submission(count).items).await;
+    let created = store
+        .create(
+            job,
+            &head,
+            &submission(count).items,
+            &AllowedRegions::Everywhere,
+        )
+        .await;
     created.expect("stored");
 }
 
@@ -59,6 +67,7 @@
 fn fleet(domains: &[&str], vms: &[&TestVm]) -> FleetSnapshot {
     let members: Vec<JobOwner> = vms.iter().map(|vm| vm.own.clone()).collect();
     FleetSnapshot {
+        regions: HashMap::new(),
         live: members.clone(),
         domains: domains.iter().map(|domain| (*domain).into()).collect(),
         readers: members.iter().map(|member| member.vm.clone()).collect(),
@@ -154,6 +163,7 @@
     let cluster = TestCluster::start().await;
     let vm = cluster.vm("vm", 1);
     let far = FleetSnapshot {
+        regions: HashMap::new(),
         domain: "b".into(),
         ..fleet(&["a", "b"], &[&vm])
     };
@@ -242,6 +252,7 @@
     let vm = cluster.vm("vm", 1);
     // Another VM reads the changes, so that this one learns of the removal by its write.
     vm.jobs.set_fleet(FleetSnapshot {
+        regions: HashMap::new(),
         live: vec![vm.own.clone()],
         domains: vec!["a".into()],
         readers: vec!["reader".into()],
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -1,7 +1,7 @@
 //! Test cluster: VMs that run jobs, an in-memory row store and a target on loopback.
 
 use awc::http::header::HeaderName;
-use plantainmill_core::{JobId, OrganisationId, SystemClock};
+use plantainmill_core::{AllowedRegions, JobId, OrganisationId, SystemClock};
 use plantainmill_dispatch::SharedDispatcher;
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_fakes::{MemoryRows, StreamTarget, TargetNames};
@@ -76,6 +76,7 @@
             service: "llm".into(),
             weight: 1,
         }],
+        regions: AllowedRegions::Everywhere,
         job: Some(JobRule {
             completion: Duration::from_secs(18),
             retention: Duration::from_mins(1),
@@ -103,6 +104,7 @@
 pub struct TestVm {
     pub jobs: JobService,
     pub dispatcher: SharedDispatcher,
+    pub view: DocumentView,
     pub own: JobOwner,
 }
 
@@ -190,7 +192,7 @@
             local_owner: own.clone(),
             store: JobStore::new(store),
             caller,
-            view,
+            view: view.clone(),
             clock,
             settings: JobSettings {
                 result_retention: Duration::from_mins(2),
@@ -201,6 +203,7 @@
         TestVm {
             jobs,
             dispatcher,
+            view,
             own,
         }
     }
@@ -211,6 +214,7 @@
     pub fn set_live_peers(&self, others: &[JobOwner]) {
         let live: Vec<JobOwner> = others.iter().chain([&self.own]).cloned().collect();
         self.jobs.set_fleet(FleetSnapshot {
+            regions: HashMap::new(),
             live: live.clone(),
             domains: vec!["a".into()],
             readers: vec![self.own.vm.clone()],
@@ -222,6 +226,7 @@
     /// Has this VM, the reader of its domain, give all orphaned jobs to `owner`.
     pub fn assign_jobs_to(&self, owner: &JobOwner) {
         self.jobs.set_fleet(FleetSnapshot {
+            regions: HashMap::new(),
             live: vec![self.own.clone(), owner.clone()],
             domains: vec!["a".into()],
             readers: vec![self.own.vm.clone()],
--- a/crates/node/src/target_limits.rs
+++ b/crates/node/src/target_limits.rs
@@ -27,6 +27,8 @@
                 id: id.clone(),
                 service: spec.service.clone(),
                 domain: spec.domain.clone(),
+                // The configuration names no regions in which requests may be served.
+                region: None,
             })
             .collect();
         self.limits.set_targets(targets.into_iter());
--- a/crates/paths/src/forwarders.rs
+++ b/crates/paths/src/forwarders.rs
@@ -1,6 +1,6 @@
 //! The VMs that may forward requests, and how they have done so.
 
-use plantainmill_core::Uptime;
+use plantainmill_core::{AllowedRegions, RegionName, Uptime};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,12 +28,23 @@
 const MAX_REFERRALS: usize = 6;
 
 /// A VM that may forward requests.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Forwarder {
     /// Address at which it takes requests of other VMs.
     pub address: SocketAddr,
     /// Where it is.
     pub place: ForwarderPlace,
+    /// Its region; `None` if it is not known.
+    pub region: Option<RegionName>,
+}
+
+/// A VM of another failure domain that one VM refers another one to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ForwarderReferral {
+    /// Address at which it takes requests of other VMs.
+    pub address: SocketAddr,
+    /// Its region; `None` if it is not known.
+    pub region: Option<RegionName>,
 }
 
 /// Where a VM that may forward requests is.
@@ -63,8 +74,9 @@
     Silent,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct ForwarderState {
+    region: Option<RegionName>,
     place: ForwarderPlace,
     /// Until when the VM is kept although the directory does not list it.
     referred_until: Option<Uptime>,
@@ -93,6 +105,7 @@
             let state = former.remove(&forwarder.address).unwrap_or_default();
             let state = ForwarderState {
                 place: forwarder.place,
+                region: forwarder.region,
                 ..state
             };
             self.states.insert(forwarder.address, state);
@@ -105,12 +118,17 @@
     }
 
     /// Adds VMs of other failure domains that another VM has referred to.
-    pub fn add_referrals(&mut self, addresses: &[SocketAddr], now: Uptime) {
-        for address in addresses.iter().take(MAX_REFERRALS) {
-            if self.states.len() >= MAX_FORWARDERS && !self.states.contains_key(address) {
+    pub fn add_referrals(&mut self, referrals: &[ForwarderReferral], now: Uptime) {
+        for referral in referrals.iter().take(MAX_REFERRALS) {
+            let address = referral.address;
+            if self.states.len() >= MAX_FORWARDERS && !self.states.contains_key(&address) {
                 return;
             }
-            let state = self.states.entry(*address).or_default();
+            let state = self.states.entry(address).or_default();
+            // The rows of this VM's own directory are nearer to the truth.
+            if state.region.is_none() {
+                state.region.clone_from(&referral.region);
+            }
             state.referred_until = Some(now + REFERRAL_TIME);
         }
     }
@@ -150,21 +168,30 @@
         self.paused_until = now + EXHAUSTED_PAUSE;
     }
 
-    /// Whether any VM may be asked.
-    pub fn has_usable(&self, now: Uptime) -> bool {
+    /// Whether any VM in one of `regions` may be asked.
+    pub fn has_usable(&self, regions: &AllowedRegions, now: Uptime) -> bool {
         let is_paused = now < self.paused_until;
-        !is_paused && self.states.values().any(|state| state.paused_until <= now)
+        let mut states = self.states.values();
+        let is_usable = |state: &ForwarderState| {
+            state.paused_until <= now && regions.allows(state.region.as_ref())
+        };
+        !is_paused && states.any(is_usable)
     }
 
-    /// The VMs to ask for one request, in order: those that have forwarded requests, then the others of the own failure domain.
+    /// The VMs in one of `regions` to ask for one request, in order: those that have forwarded requests, then the others of the own failure domain.
     /// If some VMs are isolated and none has forwarded requests, readers come first, since they can refer to VMs of other domains.
     /// Among similar VMs, `salt` decides.
-    pub fn candidates(&self, salt: u64, now: Uptime) -> Vec<SocketAddr> {
-        let states = || self.states.values();
+    pub fn candidates(&self, regions: &AllowedRegions, salt: u64, now: Uptime) -> Vec<Forwarder> {
+        let states = || {
+            let states = self.states.values();
+            states.filter(|state| regions.allows(state.region.as_ref()))
+        };
         let needs_referral = states().all(|state| state.preferred_until <= now)
             && states().any(|state| now < state.paused_until);
         let usable = self.states.iter();
-        let usable = usable.filter(|(_, state)| state.paused_until <= now);
+        let usable = usable.filter(|(_, state)| {
+            state.paused_until <= now && regions.allows(state.region.as_ref())
+        });
         let mut ranked: Vec<_> = usable
             .map(|(address, state)| {
                 let is_silent = now < state.silent_until;
@@ -178,12 +205,19 @@
             })
             .collect();
         ranked.sort_unstable();
-        let addresses = ranked.into_iter().map(|(_, address)| address);
-        addresses.take(MAX_TRIES).collect()
+        let forwarders = ranked.into_iter().filter_map(|(_, address)| {
+            let state = self.states.get(&address)?;
+            Some(Forwarder {
+                address,
+                place: state.place,
+                region: state.region.clone(),
+            })
+        });
+        forwarders.take(MAX_TRIES).collect()
     }
 
     /// VMs of other failure domains, for a VM of the own one that knows none: first those that have forwarded requests.
-    pub fn referrals(&self, salt: u64, now: Uptime) -> Vec<SocketAddr> {
+    pub fn referrals(&self, salt: u64, now: Uptime) -> Vec<ForwarderReferral> {
         let remote = self.states.iter();
         let remote = remote.filter(|(_, state)| state.place == ForwarderPlace::Remote);
         let mut remote: Vec<_> = remote
@@ -195,7 +229,13 @@
             })
             .collect();
         remote.sort_unstable();
-        let addresses = remote.into_iter().map(|(_, address)| address);
-        addresses.take(MAX_REFERRALS).collect()
+        let referrals = remote.into_iter().map(|(_, address)| ForwarderReferral {
+            address,
+            region: self
+                .states
+                .get(&address)
+                .and_then(|state| state.region.clone()),
+        });
+        referrals.take(MAX_REFERRALS).collect()
     }
 }
--- a/crates/paths/src/handle.rs
+++ b/crates/paths/src/handle.rs
@@ -1,10 +1,10 @@
 //! The paths of one VM, shared by its parts.
 
-use crate::forwarders::{ForwardResult, Forwarder};
+use crate::forwarders::{ForwardResult, Forwarder, ForwarderReferral};
 use crate::table::{PathEvent, PathTable, SendRoute};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
-use plantainmill_core::{Clock, TargetId, Uptime, VmId};
+use plantainmill_core::{AllowedRegions, Clock, TargetId, Uptime, VmId};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -70,13 +70,13 @@
     }
 
     /// Adds VMs that another one has referred to.
-    pub fn add_referrals(&self, addresses: &[SocketAddr]) {
-        self.lock().add_referrals(addresses, self.now());
+    pub fn add_referrals(&self, referrals: &[ForwarderReferral]) {
+        self.lock().add_referrals(referrals, self.now());
     }
 
     /// VMs of other failure domains that this VM refers others to.
     #[must_use]
-    pub fn referrals(&self) -> Vec<SocketAddr> {
+    pub fn referrals(&self) -> Vec<ForwarderReferral> {
         self.lock().referrals(self.next_salt(), self.now())
     }
 
@@ -86,16 +86,16 @@
         self.lock().address_of(target)
     }
 
-    /// How a request gets to `target` now.
+    /// How a request that may be served in `regions` gets to `target` now.
     #[must_use]
-    pub fn route(&self, target: &TargetId) -> SendRoute {
-        self.lock().route(target, self.now())
+    pub fn route(&self, target: &TargetId, regions: &AllowedRegions) -> SendRoute {
+        self.lock().route(target, regions, self.now())
     }
 
-    /// Whether all paths are lost and no other VM forwards requests.
+    /// Whether all paths are lost and no other VM in one of `regions` forwards requests.
     #[must_use]
-    pub fn is_unreachable(&self) -> bool {
-        self.lock().is_unreachable(self.now())
+    pub fn is_unreachable(&self, regions: &AllowedRegions) -> bool {
+        self.lock().is_unreachable(regions, self.now())
     }
 
     /// Whether the paths to all targets are lost.
@@ -104,10 +104,11 @@
         self.lock().is_isolated(self.now())
     }
 
-    /// The VMs to ask to forward one request, in order.
+    /// The VMs in one of `regions` to ask to forward one request, in order.
     #[must_use]
-    pub fn forwarders(&self) -> Vec<SocketAddr> {
-        self.lock().forwarders(self.next_salt(), self.now())
+    pub fn forwarders(&self, regions: &AllowedRegions) -> Vec<Forwarder> {
+        self.lock()
+            .forwarders(regions, self.next_salt(), self.now())
     }
 
     fn next_salt(&self) -> u64 {
--- a/crates/paths/src/lib.rs
+++ b/crates/paths/src/lib.rs
@@ -7,6 +7,6 @@
 mod handle;
 mod table;
 
-pub use forwarders::{ForwardResult, Forwarder, ForwarderPlace};
+pub use forwarders::{ForwardResult, Forwarder, ForwarderPlace, ForwarderReferral};
 pub use handle::TargetPaths;
 pub use table::{PathEvent, PathTable, SendRoute};
--- a/crates/paths/src/table.rs
+++ b/crates/paths/src/table.rs
@@ -1,7 +1,7 @@
 //! State machine of the paths to the targets.
 
-use crate::forwarders::{ForwardResult, Forwarder, ForwarderTable};
-use plantainmill_core::{TargetId, Uptime};
+use crate::forwarders::{ForwardResult, Forwarder, ForwarderReferral, ForwarderTable};
+use plantainmill_core::{AllowedRegions, TargetId, Uptime};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -84,13 +84,13 @@
     }
 
     /// Adds VMs that another one has referred to.
-    pub fn add_referrals(&mut self, addresses: &[SocketAddr], now: Uptime) {
-        self.forwarders.add_referrals(addresses, now);
+    pub fn add_referrals(&mut self, referrals: &[ForwarderReferral], now: Uptime) {
+        self.forwarders.add_referrals(referrals, now);
     }
 
     /// VMs of other failure domains that this VM refers others to.
     #[must_use]
-    pub fn referrals(&self, salt: u64, now: Uptime) -> Vec<SocketAddr> {
+    pub fn referrals(&self, salt: u64, now: Uptime) -> Vec<ForwarderReferral> {
         self.forwarders.referrals(salt, now)
     }
 
@@ -100,14 +100,14 @@
         self.targets.get(target).copied()
     }
 
-    /// How a request gets to `target` now.
+    /// How a request that may be served in `regions` gets to `target` now.
     #[must_use]
-    pub fn route(&self, target: &TargetId, now: Uptime) -> SendRoute {
+    pub fn route(&self, target: &TargetId, regions: &AllowedRegions, now: Uptime) -> SendRoute {
         let is_isolated = self.is_isolated(now);
         if !is_isolated && !self.is_lost(target, now) {
             return SendRoute::Direct;
         }
-        match (self.forwarders.has_usable(now), is_isolated) {
+        match (self.forwarders.has_usable(regions, now), is_isolated) {
             (true, _) => SendRoute::Forwarded,
             (false, true) => SendRoute::Unreachable,
             // What a single target does not accept is up to it.
@@ -115,10 +115,10 @@
         }
     }
 
-    /// Whether all paths are lost and no other VM forwards requests.
+    /// Whether all paths are lost and no other VM in one of `regions` forwards requests.
     #[must_use]
-    pub fn is_unreachable(&self, now: Uptime) -> bool {
-        self.is_isolated(now) && !self.forwarders.has_usable(now)
+    pub fn is_unreachable(&self, regions: &AllowedRegions, now: Uptime) -> bool {
+        self.is_isolated(now) && !self.forwarders.has_usable(regions, now)
     }
 
     /// Whether the paths to all targets are lost.
@@ -140,10 +140,10 @@
         loss.is_some_and(|loss| now < loss.lost_at + LOSS_TIME)
     }
 
-    /// The VMs to ask to forward one request, in order.
+    /// The VMs in one of `regions` to ask to forward one request, in order.
     #[must_use]
-    pub fn forwarders(&self, salt: u64, now: Uptime) -> Vec<SocketAddr> {
-        self.forwarders.candidates(salt, now)
+    pub fn forwarders(&self, regions: &AllowedRegions, salt: u64, now: Uptime) -> Vec<Forwarder> {
+        self.forwarders.candidates(regions, salt, now)
     }
 
     /// Records what came of a request that another VM was to forward.
--- a/crates/paths/tests/all/forwarder_choice.rs
+++ b/crates/paths/tests/all/forwarder_choice.rs
@@ -1,7 +1,10 @@
 //! Which VMs are asked to forward requests.
 
-use crate::support::{address, millis, table};
-use plantainmill_paths::{ForwardResult, Forwarder, ForwarderPlace, PathTable};
+use crate::support::{address, lose, millis, table, target};
+use plantainmill_core::AllowedRegions;
+use plantainmill_paths::{
+    ForwardResult, Forwarder, ForwarderPlace, ForwarderReferral, PathTable, SendRoute,
+};
 use std::collections::HashSet;
 
 fn with_forwarders(places: &[ForwarderPlace]) -> PathTable {
@@ -9,6 +12,7 @@
     let forwarders = places.iter().enumerate().map(|(number, place)| Forwarder {
         address: address(number),
         place: *place,
+        region: None,
     });
     table.set_forwarders(forwarders, millis(0));
     table
@@ -20,12 +24,21 @@
     use ForwarderPlace::{Local, Remote};
     let mut table = with_forwarders(&[Remote, Remote, Local, Remote]);
     for salt in 0..50 {
-        assert_eq!(table.forwarders(salt, millis(1))[0], address(2));
+        assert_eq!(
+            table.forwarders(&AllowedRegions::Everywhere, salt, millis(1))[0].address,
+            address(2)
+        );
     }
     table.record_forward(address(1), ForwardResult::Forwarded, millis(2));
-    assert_eq!(table.forwarders(0, millis(3))[0], address(1));
+    assert_eq!(
+        table.forwarders(&AllowedRegions::Everywhere, 0, millis(3))[0].address,
+        address(1)
+    );
     table.record_forward(address(2), ForwardResult::Forwarded, millis(3));
-    assert_eq!(table.forwarders(0, millis(4))[0], address(2));
+    assert_eq!(
+        table.forwarders(&AllowedRegions::Everywhere, 0, millis(4))[0].address,
+        address(2)
+    );
 }
 
 /// Guards against one VM that forwards for all while others could.
@@ -33,7 +46,7 @@
 fn even_spread() {
     let table = with_forwarders(&[ForwarderPlace::Local; 12]);
     let first: HashSet<_> = (0..200)
-        .map(|salt| table.forwarders(salt, millis(1))[0])
+        .map(|salt| table.forwarders(&AllowedRegions::Everywhere, salt, millis(1))[0].address)
         .collect();
     assert_eq!(first.len(), 12);
 }
@@ -44,12 +57,25 @@
     let mut table = with_forwarders(&[ForwarderPlace::Local; 3]);
     table.record_forward(address(0), ForwardResult::Isolated, millis(0));
     table.record_forward(address(1), ForwardResult::Failed, millis(0));
-    assert_eq!(table.forwarders(0, millis(1)), [address(2)]);
-    assert_eq!(table.forwarders(0, millis(1_000)).len(), 2);
-    assert_eq!(table.forwarders(0, millis(2_000)).len(), 3);
+    let asked = table.forwarders(&AllowedRegions::Everywhere, 0, millis(1));
+    assert_eq!(asked.len(), 1);
+    assert_eq!(asked[0].address, address(2));
+    assert_eq!(
+        table
+            .forwarders(&AllowedRegions::Everywhere, 0, millis(1_000))
+            .len(),
+        2
+    );
+    assert_eq!(
+        table
+            .forwarders(&AllowedRegions::Everywhere, 0, millis(2_000))
+            .len(),
+        3
+    );
     // Its target may be the cause, so it is still asked when no other is left.
     table.record_forward(address(2), ForwardResult::Silent, millis(2_000));
-    assert_eq!(table.forwarders(0, millis(2_001)).last(), Some(&address(2)));
+    let asked = table.forwarders(&AllowedRegions::Everywhere, 0, millis(2_001));
+    assert_eq!(asked.last().map(|vm| vm.address), Some(address(2)));
 }
 
 /// Guards against a VM that knows no VM of another failure domain while its own one is cut off as a whole.
@@ -60,7 +86,10 @@
     places.push(Reader);
     let mut table = with_forwarders(&places);
     table.record_forward(address(0), ForwardResult::Isolated, millis(0));
-    assert_eq!(table.forwarders(0, millis(1))[0], address(48));
+    assert_eq!(
+        table.forwarders(&AllowedRegions::Everywhere, 0, millis(1))[0].address,
+        address(48)
+    );
     let reader = with_forwarders(&[Local, Remote, Remote]);
     let referrals = reader.referrals(0, millis(1));
     assert_eq!(referrals.len(), 2);
@@ -69,7 +98,7 @@
         table.record_forward(address(number), ForwardResult::Isolated, millis(1));
     }
     // They are among the addresses of this domain in this test.
-    assert!(!table.is_unreachable(millis(2)));
+    assert!(!table.is_unreachable(&AllowedRegions::Everywhere, millis(2)));
 }
 
 /// Guards against memory that grows with what others refer to, and against referrals without an end.
@@ -77,7 +106,11 @@
 fn bounded_referrals() {
     let mut table = table(3);
     for number in 0..1_000 {
-        table.add_referrals(&[address(number)], millis(0));
+        let referral = ForwarderReferral {
+            address: address(number),
+            region: None,
+        };
+        table.add_referrals(&[referral], millis(0));
     }
     let known = |table: &PathTable| table.referrals(0, millis(1)).len();
     assert!(known(&table) > 0);
@@ -86,3 +119,42 @@
     table.set_forwarders(std::iter::empty(), millis(10_000));
     assert_eq!(known(&table), 0);
 }
+
+/// Guards against a request that a VM without paths sends through another region, and against requests that count as
+/// unreachable everywhere because no VM of their own region is left.
+#[test]
+fn forwarder_regions() {
+    let mut table = table(3);
+    let forwarders = [Some("north"), Some("south"), None];
+    let forwarders = forwarders.into_iter().enumerate();
+    let forwarders = forwarders.map(|(number, region)| Forwarder {
+        address: address(number),
+        place: ForwarderPlace::Local,
+        region: region.map(Into::into),
+    });
+    table.set_forwarders(forwarders, millis(0));
+    let north = AllowedRegions::of_names(["north".into()]);
+    for salt in 0..20 {
+        let asked = table.forwarders(&north, salt, millis(1));
+        let asked: Vec<_> = asked.into_iter().map(|vm| vm.address).collect();
+        assert_eq!(asked, [address(0)]);
+    }
+    lose(&mut table, 0..3, millis(2));
+    table.record_forward(address(0), ForwardResult::Failed, millis(2));
+    assert!(table.is_unreachable(&north, millis(3)));
+    assert!(!table.is_unreachable(&AllowedRegions::Everywhere, millis(3)));
+    let route = table.route(&target(0), &north, millis(3));
+    assert_eq!(route, SendRoute::Unreachable);
+    // A VM of an older release refers to others without their regions.
+    let referrals = [(Some("north"), 10), (None, 11)];
+    let referrals = referrals.map(|(region, number)| ForwarderReferral {
+        address: address(number),
+        region: region.map(Into::into),
+    });
+    table.add_referrals(&referrals, millis(4));
+    let asked = table.forwarders(&north, 0, millis(5));
+    let asked: Vec<_> = asked.into_iter().map(|vm| vm.address).collect();
+    assert_eq!(asked, [address(10)]);
+    let route = table.route(&target(0), &north, millis(5));
+    assert_eq!(route, SendRoute::Forwarded);
+}
--- a/crates/paths/tests/all/lost_paths.rs
+++ b/crates/paths/tests/all/lost_paths.rs
@@ -1,6 +1,7 @@
 //! When paths count as lost, and when they count as open again.
 
 use crate::support::{address, lose, millis, table, target};
+use plantainmill_core::AllowedRegions;
 use plantainmill_paths::{
     ForwardResult, Forwarder, ForwarderPlace, PathEvent, PathTable, SendRoute,
 };
@@ -10,6 +11,7 @@
     let forwarder = Forwarder {
         address: address(900),
         place: ForwarderPlace::Local,
+        region: None,
     };
     table.set_forwarders([forwarder].into_iter(), millis(0));
     table
@@ -23,13 +25,22 @@
         lose(&mut table, 0..1, millis(0)),
         [PathEvent::Lost(target(0))]
     );
-    assert_eq!(table.route(&target(0), millis(1)), SendRoute::Forwarded);
-    assert_eq!(table.route(&target(1), millis(1)), SendRoute::Direct);
+    assert_eq!(
+        table.route(&target(0), &AllowedRegions::Everywhere, millis(1)),
+        SendRoute::Forwarded
+    );
+    assert_eq!(
+        table.route(&target(1), &AllowedRegions::Everywhere, millis(1)),
+        SendRoute::Direct
+    );
     assert_eq!(
         table.record_connected(&target(0), millis(600)),
         [PathEvent::Restored(target(0))]
     );
-    assert_eq!(table.route(&target(0), millis(601)), SendRoute::Direct);
+    assert_eq!(
+        table.route(&target(0), &AllowedRegions::Everywhere, millis(601)),
+        SendRoute::Direct
+    );
 }
 
 /// Guards against a second of each caller's time per target while a VM has lost all paths.
@@ -45,7 +56,7 @@
     assert!(events.contains(&PathEvent::Isolated));
     for number in 0..targets {
         assert_eq!(
-            table.route(&target(number), millis(301)),
+            table.route(&target(number), &AllowedRegions::Everywhere, millis(301)),
             SendRoute::Forwarded
         );
     }
@@ -73,8 +84,14 @@
     assert!(![target(0), target(1), target(2)].contains(&probed));
     let events = table.record_connected(&probed, millis(2));
     assert_eq!(events, [PathEvent::Rejoined { after: millis(2) }]);
-    assert_eq!(table.route(&target(7), millis(3)), SendRoute::Direct);
-    assert_eq!(table.route(&target(0), millis(3)), SendRoute::Forwarded);
+    assert_eq!(
+        table.route(&target(7), &AllowedRegions::Everywhere, millis(3)),
+        SendRoute::Direct
+    );
+    assert_eq!(
+        table.route(&target(0), &AllowedRegions::Everywhere, millis(3)),
+        SendRoute::Forwarded
+    );
 }
 
 /// Guards against probes with each request while paths are lost, and against too few to notice that one is open again.
@@ -99,7 +116,10 @@
     lose(&mut table, 0..18, millis(0));
     assert!(table.is_isolated(millis(4_999)));
     assert!(!table.is_isolated(millis(5_000)));
-    assert_eq!(table.route(&target(3), millis(5_000)), SendRoute::Direct);
+    assert_eq!(
+        table.route(&target(3), &AllowedRegions::Everywhere, millis(5_000)),
+        SendRoute::Direct
+    );
     assert_eq!(table.lost_count(millis(5_000)), 0);
 }
 
@@ -110,11 +130,20 @@
     lose(&mut table, 0..1, millis(0));
     table.record_forward(address(900), ForwardResult::Failed, millis(1));
     // What a single target does not accept is up to it.
-    assert_eq!(table.route(&target(0), millis(2)), SendRoute::Direct);
+    assert_eq!(
+        table.route(&target(0), &AllowedRegions::Everywhere, millis(2)),
+        SendRoute::Direct
+    );
     lose(&mut table, 1..3, millis(3));
-    assert_eq!(table.route(&target(9), millis(4)), SendRoute::Unreachable);
-    assert!(table.is_unreachable(millis(4)));
-    assert_eq!(table.route(&target(9), millis(2_001)), SendRoute::Forwarded);
+    assert_eq!(
+        table.route(&target(9), &AllowedRegions::Everywhere, millis(4)),
+        SendRoute::Unreachable
+    );
+    assert!(table.is_unreachable(&AllowedRegions::Everywhere, millis(4)));
+    assert_eq!(
+        table.route(&target(9), &AllowedRegions::Everywhere, millis(2_001)),
+        SendRoute::Forwarded
+    );
 }
 
 /// Guards against the loss of a path to one target that is believed of another at its id, and against memory of targets that
@@ -124,7 +153,10 @@
     let mut table = with_forwarder(table(2));
     lose(&mut table, 0..1, millis(0));
     table.set_targets([(target(0), address(7)), (target(1), address(1))].into_iter());
-    assert_eq!(table.route(&target(0), millis(1)), SendRoute::Direct);
+    assert_eq!(
+        table.route(&target(0), &AllowedRegions::Everywhere, millis(1)),
+        SendRoute::Direct
+    );
     lose(&mut table, 5..9, millis(2));
     assert_eq!(table.lost_count(millis(3)), 0);
 }
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -1,6 +1,7 @@
 //! The shared dispatch policy and the baselines that it is compared with.
 
 use crate::pattern::FleetShape;
+use plantainmill_core::AllowedRegions;
 use plantainmill_dispatch::shared::{LedgerEffect, LoadLedger, LoadSource, PeerLoad};
 use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_routing::TargetEntry;
@@ -116,6 +117,7 @@
                 calls.insert(*last_number, choice);
                 let grant = LedgerEffect::Grant {
                     born: 0,
+                    region: None,
                     number: *last_number,
                     target: targets[choice].id.clone(),
                     address: targets[choice].address,
@@ -240,6 +242,7 @@
         deadline,
         wait_limit: (class == TrafficClass::Online).then_some(Duration::from_millis(75)),
         excluded: Vec::new(),
+        regions: AllowedRegions::Everywhere,
         body_bytes: 0,
         is_retry: false,
     }
--- a/crates/provider/src/rows.rs
+++ b/crates/provider/src/rows.rs
@@ -3,6 +3,7 @@
 use crate::PlatformFuture;
 use bytes::Bytes;
 use compact_str::CompactString;
+use plantainmill_core::AllowedRegions;
 use std::time::Duration;
 
 /// Names a table of the store.
@@ -114,8 +115,27 @@
         from: &'a str,
         until: &'a str,
     ) -> PlatformFuture<'a, RowsRead>;
+    /// Reads rows with content of requests, `from <= key < until`, which only VMs in `regions` may pass on. A store that no
+    /// other VM passes rows on for reads them as any others.
+    fn read_within<'a>(
+        &'a self,
+        table: TableName,
+        partition: &'a str,
+        (from, until): (&'a str, &'a str),
+        _regions: &AllowedRegions,
+    ) -> PlatformFuture<'a, RowsRead> {
+        self.read(table, partition, from, until)
+    }
     /// Applies a change if all its preconditions hold.
     fn change(&self, change: RowChange) -> PlatformFuture<'_, ChangeOutcome>;
+    /// Applies a change with content of requests, which only VMs in `regions` may pass on.
+    fn change_within(
+        &self,
+        change: RowChange,
+        _regions: &AllowedRegions,
+    ) -> PlatformFuture<'_, ChangeOutcome> {
+        self.change(change)
+    }
     /// Reads the changes of `table` after version `after`; waits up to `wait` if there are none.
     fn follow(
         &self,
--- a/crates/proxy/examples/call_latency.rs
+++ b/crates/proxy/examples/call_latency.rs
@@ -36,7 +36,13 @@
 impl Dispatcher for TrivialDispatcher {
     fn acquire(&self, _: TicketRequest) -> LocalBoxFuture<'_, Result<TargetTicket, Problem>> {
         let preempted = self.preempted.clone();
-        let ticket = TargetTicket::new("target".into(), self.address, preempted, Box::new(|_| ()));
+        let ticket = TargetTicket::new(
+            "target".into(),
+            self.address,
+            None,
+            preempted,
+            Box::new(|_| ()),
+        );
         async move { Ok(ticket) }.boxed_local()
     }
 
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -10,6 +10,7 @@
 mod open;
 mod progress;
 mod recorder;
+mod regions;
 mod send;
 mod stream;
 
@@ -23,3 +24,4 @@
 };
 pub use open::{RelayCaller, RelayResponse};
 pub use recorder::StreamRecorder;
+pub use regions::CallRegions;
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -15,7 +15,7 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::{FutureExt as _, StreamExt as _};
 use plantainmill_core::{Executed, TargetId};
-use plantainmill_dispatch::{CallOutcome, TargetTicket};
+use plantainmill_dispatch::{CallOutcome, TargetNeed, TargetTicket};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -236,8 +236,13 @@
 
     /// Whether the request may go on at another target than the current one, as far as is known.
     pub(super) fn has_other_target(&self, call: &RelayCall, current: &TargetId) -> bool {
-        let dispatcher = self.dispatcher();
-        dispatcher.has_other_target(&call.service, call.version.as_ref(), current)
+        let regions = call.regions.current();
+        let need = TargetNeed {
+            service: &call.service,
+            version: call.version.as_ref(),
+            regions: &regions,
+        };
+        self.dispatcher().has_other_target(need, current)
     }
 
     /// Ends an attempt that failed and returns whether the request may be sent again.
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -1,5 +1,6 @@
 //! A routed request and the names of the headers that accompany it.
 
+use super::regions::CallRegions;
 use crate::parts::request_hash;
 use awc::http::Method;
 use awc::http::header::{HeaderMap, HeaderName};
@@ -108,6 +109,8 @@
     pub last_event: Option<u64>,
     /// Software version at which the stream began, and to which its targets are limited; absent before its first event.
     pub version: Option<VersionName>,
+    /// Regions in which the request may be served.
+    pub regions: CallRegions,
 }
 
 impl RelayCall {
@@ -145,6 +148,7 @@
             parts: self.parts.clone(),
             fingerprint: Some(self.fingerprint()),
             version: self.version.clone(),
+            regions: self.regions.current(),
             barred: Vec::new(),
             spared: Vec::new(),
             deadline: self.deadline,
--- a/crates/proxy/src/relay/ending.rs
+++ b/crates/proxy/src/relay/ending.rs
@@ -90,6 +90,7 @@
 /// Counts responses that end early, by cause and by who ended them.
 pub(super) struct ResponseMeters {
     cuts: Option<Counter<u64>>,
+    region_refusals: Option<Counter<u64>>,
     /// The VM closes all connections because it stops.
     is_closing: Cell<bool>,
 }
@@ -98,20 +99,33 @@
     pub fn disabled() -> ResponseMeters {
         ResponseMeters {
             cuts: None,
+            region_refusals: None,
             is_closing: Cell::new(false),
         }
     }
 
-    /// Registers the counter under a name that begins with `prefix`.
+    /// Registers the counters under names that begin with `prefix`.
     pub fn new(meter: &Meter, prefix: &str) -> ResponseMeters {
         let counter = meter.u64_counter(format!("{prefix}responses_cut"));
         let counter = counter.with_description("Responses that ended early, by cause");
+        let refusals = meter.u64_counter(format!("{prefix}region_refusals"));
+        let refusals = refusals.with_description(
+            "Requests without a target, and sends that were not made, because of their regions",
+        );
         ResponseMeters {
             cuts: Some(counter.build()),
+            region_refusals: Some(refusals.build()),
             is_closing: Cell::new(false),
         }
     }
 
+    /// Counts that the regions of a request left no target, or kept it from being sent.
+    pub fn count_region_refusal(&self, by: &'static str) {
+        if let Some(refusals) = &self.region_refusals {
+            refusals.add(1, &[KeyValue::new("by", by)]);
+        }
+    }
+
     pub fn set_closing(&self) {
         self.is_closing.set(true);
     }
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::call::RelayCall;
 use super::open::RelayCaller;
+use super::regions::SendReceiver;
 use crate::connection_log::ConnectionUse;
 use crate::send_trace::SendTrace;
 use actix_web::error::ParseError;
@@ -182,7 +183,7 @@
         send: CallSend<'_>,
     ) -> Result<TargetResponse, SendFailure> {
         send.trace.start(send.call.id.as_bytes(), None);
-        let request = self.build_request(&self.shared.client, send, send.ticket.address)?;
+        let request = self.build_request(&self.shared.client, send, SendReceiver::Target)?;
         let sent_at = Instant::now();
         let response = send_request(request, send).await?;
         let headers = response.headers();
@@ -191,14 +192,16 @@
         self.check_response(send, response, is_framed, sent_at)
     }
 
-    /// Builds the request for the target of the ticket, to be sent to `address`.
+    /// Builds the request for the target of the ticket, to be sent to `receiver`. Every send is built here, and fails here if
+    /// its receiver is not in an allowed region.
     pub(super) fn build_request(
         &self,
         client: &Client,
         send: CallSend<'_>,
-        address: SocketAddr,
+        receiver: SendReceiver<'_>,
     ) -> Result<ClientRequest, SendFailure> {
         let CallSend { call, ticket, .. } = send;
+        let address = self.permitted_address(send, receiver)?;
         let url = format!("http://{address}{}", call.path);
         let uri = Uri::try_from(url).map_err(|error| {
             SendFailure::new(
--- a/crates/proxy/src/relay/forward.rs
+++ b/crates/proxy/src/relay/forward.rs
@@ -8,15 +8,17 @@
     send_failure, send_request,
 };
 use super::open::RelayCaller;
+use super::regions::SendReceiver;
 use crate::send_trace::SendTrace;
 use awc::error::PayloadError;
 use awc::http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use awc::http::{Method, Uri};
 use bytes::Bytes;
 use futures_util::{StreamExt as _, stream};
-use plantainmill_core::{Executed, TargetId};
+use plantainmill_core::{Executed, RegionName, TargetId};
 use plantainmill_dispatch::CallOutcome;
-use plantainmill_paths::{ForwardResult, TargetPaths};
+use plantainmill_paths::{ForwardResult, Forwarder, ForwarderReferral, TargetPaths};
+use std::iter::repeat;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -28,6 +30,8 @@
 pub const REPEAT_HEADER: &str = "plantainmill-forward-repeat";
 /// Addresses of VMs in other failure domains, on the response of a VM that does not forward the request.
 const REFERRAL_HEADER: &str = "plantainmill-forward-peers";
+/// Regions of the VMs in [`REFERRAL_HEADER`], in the same order. VMs of older releases leave it out.
+const REFERRAL_REGIONS_HEADER: &str = "plantainmill-forward-regions";
 /// Largest body in bytes of a request that a VM forwards.
 pub const MAX_FORWARD_BYTES: usize = 4 << 20;
 /// Largest number of VMs that are asked to forward one request.
@@ -135,15 +139,17 @@
             let reason = "no path to the target, and the body is too large for other VMs";
             return Err(direct.unwrap_or_else(|| SendFailure::unreachable(reason)));
         }
+        let regions = send.call.regions.current();
         let mut asked: Vec<SocketAddr> = Vec::new();
         let mut has_only_isolated = true;
         while asked.len() < MAX_FORWARDERS {
-            let mut candidates = paths.forwarders().into_iter();
-            let Some(forwarder) = candidates.find(|address| !asked.contains(address)) else {
+            let mut candidates = paths.forwarders(&regions).into_iter();
+            let Some(vm) = candidates.find(|vm| !asked.contains(&vm.address)) else {
                 break;
             };
+            let forwarder = vm.address;
             asked.push(forwarder);
-            let result = match self.send_through(paths, forwarder, send).await {
+            let result = match self.send_through(paths, &vm, send).await {
                 Ok(Ok(response)) => {
                     paths.record_forward(forwarder, ForwardResult::Forwarded);
                     return Ok(response);
@@ -155,7 +161,8 @@
             has_only_isolated &= result != ForwardResult::Declined;
             paths.record_forward(forwarder, result);
         }
-        if has_only_isolated {
+        // The VMs of other regions may have paths, for other requests.
+        if has_only_isolated && regions.is_everywhere() {
             paths.record_exhausted();
         }
         Err(direct.unwrap_or_else(|| {
@@ -168,12 +175,13 @@
     async fn send_through(
         &self,
         paths: &TargetPaths,
-        forwarder: SocketAddr,
+        vm: &Forwarder,
         send: CallSend<'_>,
     ) -> Result<Result<TargetResponse, ForwardResult>, SendFailure> {
+        let forwarder = vm.address;
         send.trace.start(send.call.id.as_bytes(), Some(forwarder));
         let client = &self.shared.peer_client;
-        let request = self.build_request(client, send, forwarder)?;
+        let request = self.build_request(client, send, SendReceiver::Forwarder(vm))?;
         let request = request
             .insert_header((FORWARD_HEADER, send.ticket.target.as_str()))
             .insert_header((REPEAT_HEADER, "1"));
@@ -295,13 +303,23 @@
         })
     }
 
-    /// VMs of other failure domains to which this one refers a VM whose request it does not forward, as a header.
+    /// VMs of other failure domains to which this one refers a VM whose request it does not forward, as headers.
     #[must_use]
-    pub fn forward_referrals(&self) -> Option<(&'static str, String)> {
+    pub fn forward_referrals(&self) -> Option<[(&'static str, String); 2]> {
         let probes = self.shared.paths.as_ref()?;
-        let addresses = probes.paths.referrals();
-        let addresses: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
-        (!addresses.is_empty()).then(|| (REFERRAL_HEADER, addresses.join(",")))
+        let referrals = probes.paths.referrals();
+        let addresses = referrals
+            .iter()
+            .map(|referral| referral.address.to_string());
+        let addresses: Vec<String> = addresses.collect();
+        let regions = referrals.iter().map(|referral| referral.region.as_deref());
+        let regions: Vec<&str> = regions.map(Option::unwrap_or_default).collect();
+        (!addresses.is_empty()).then(|| {
+            [
+                (REFERRAL_HEADER, addresses.join(",")),
+                (REFERRAL_REGIONS_HEADER, regions.join(",")),
+            ]
+        })
     }
 }
 
@@ -317,11 +335,20 @@
     parts.boxed_local()
 }
 
-fn read_referrals(headers: &HeaderMap) -> Vec<SocketAddr> {
-    let value = headers.get(REFERRAL_HEADER);
-    let value = value.and_then(|value| value.to_str().ok());
-    let addresses = value.unwrap_or_default().split(',');
-    addresses
-        .filter_map(|address| address.parse().ok())
-        .collect()
+fn read_referrals(headers: &HeaderMap) -> Vec<ForwarderReferral> {
+    let read = |name| {
+        let value = headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().split(',')
+    };
+    // Without its region, a VM gets only requests that may be served everywhere.
+    let regions = read(REFERRAL_REGIONS_HEADER).map(Some);
+    let referrals = read(REFERRAL_HEADER).zip(regions.chain(repeat(None)));
+    let referrals = referrals.filter_map(|(address, region)| {
+        let region = region.filter(|region| !region.is_empty());
+        Some(ForwarderReferral {
+            address: address.parse().ok()?,
+            region: region.map(RegionName::from),
+        })
+    });
+    referrals.collect()
 }
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -193,9 +193,10 @@
         progress: &CallProgress,
         current: Option<&TargetId>,
     ) -> Result<TargetTicket, CallFailure> {
-        self.check_reachable()
-            .map_err(|problem| progress.no_slot_failure(problem))?;
         let mut request = progress.call.ticket_request(&progress.excluded);
+        self.check_reachable(&request.regions)
+            .map_err(|problem| progress.no_slot_failure(problem))?;
+        let regions = request.regions.clone();
         request.barred.extend(current.cloned());
         if progress.executed != Executed::No {
             // Its caller could not be told that it did not run.
@@ -209,6 +210,11 @@
             let cause = CutCause::from(&SendFailure::deadline());
             return Err(CallFailure { cause, ..failure });
         };
-        ticket.map_err(|problem| progress.no_slot_failure(problem))
+        ticket.map_err(|problem| {
+            if problem.code == ResultCode::RegionUnavailable {
+                self.record_region_refusal(&progress.call, &regions, None);
+            }
+            progress.no_slot_failure(problem)
+        })
     }
 }
--- a/crates/proxy/src/relay/send.rs
+++ b/crates/proxy/src/relay/send.rs
@@ -4,7 +4,7 @@
 use super::open::RelayCaller;
 use crate::limits::PATH_CONNECT_TIMEOUT;
 use crate::transport::TargetDialer;
-use plantainmill_core::{Problem, ResultCode, TargetId};
+use plantainmill_core::{AllowedRegions, Problem, ResultCode, TargetId};
 use plantainmill_paths::{ForwardResult, SendRoute, TargetPaths};
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -68,7 +68,8 @@
         };
         let (paths, target, trace) = (&probes.paths, &send.ticket.target, send.trace);
         probes.probe_due(target);
-        match paths.route(target) {
+        let regions = send.call.regions.current();
+        match paths.route(target, &regions) {
             SendRoute::Direct => {}
             SendRoute::Forwarded => {
                 let result = self.send_forwarded(paths, send, None).await;
@@ -90,7 +91,7 @@
         match result {
             Err(failure) if failure.is_unsent() => {
                 paths.record_connect(target, false);
-                if !has_asked && paths.route(target) == SendRoute::Forwarded {
+                if !has_asked && paths.route(target, &regions) == SendRoute::Forwarded {
                     return self.send_forwarded(paths, send, Some(failure)).await;
                 }
                 Err(failure)
@@ -113,12 +114,12 @@
         }
     }
 
-    /// Fails if this VM reaches no target, directly or through another VM.
-    pub(super) fn check_reachable(&self) -> Result<(), Problem> {
+    /// Fails if this VM reaches no target, directly or through another VM in one of `regions`.
+    pub(super) fn check_reachable(&self, regions: &AllowedRegions) -> Result<(), Problem> {
         let Some(probes) = &self.shared.paths else {
             return Ok(());
         };
-        if !probes.paths.is_unreachable() {
+        if !probes.paths.is_unreachable(regions) {
             return Ok(());
         }
         probes.probe_due(&TargetId::default());
--- a/crates/proxy/tests/forwarded_sends.rs
+++ b/crates/proxy/tests/forwarded_sends.rs
@@ -43,6 +43,7 @@
     let forwarders = forwarders.iter().map(|vm| Forwarder {
         address: vm.address,
         place: ForwarderPlace::Local,
+        region: None,
     });
     paths.set_forwarders(forwarders);
     fleet.caller = fleet.caller.with_paths(paths, dialer);
--- a/crates/proxy/tests/pending_connect.rs
+++ b/crates/proxy/tests/pending_connect.rs
@@ -12,12 +12,12 @@
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::metrics::MeterProvider as _;
 use plantainmill_config::ServiceKind;
-use plantainmill_core::{Clock as _, Executed, SystemClock};
+use plantainmill_core::{AllowedRegions, Clock as _, Executed, SystemClock};
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_dispatch::{SharedDispatcher, TrafficClass};
 use plantainmill_paths::TargetPaths;
 use plantainmill_proxy::TargetDialer;
-use plantainmill_proxy::relay::{HeaderNames, RelayCall, RelayCaller, RelayLimits};
+use plantainmill_proxy::relay::{CallRegions, HeaderNames, RelayCall, RelayCaller, RelayLimits};
 use plantainmill_routing::TargetEntry;
 use rstest::rstest;
 use socket2::{Domain, Socket, Type};
@@ -85,6 +85,7 @@
 #[actix_rt::test]
 async fn pending_connect(#[case] is_stream: bool, #[case] may_repeat: bool) {
     let call = RelayCall {
+        regions: CallRegions::fixed(AllowedRegions::Everywhere),
         id: "c1".into(),
         service: "wool".into(),
         organisation: None,
--- a/crates/proxy/tests/relay_fleet/mod.rs
+++ b/crates/proxy/tests/relay_fleet/mod.rs
@@ -5,11 +5,13 @@
 use awc::http::Method;
 use awc::http::header::{HeaderMap, HeaderName};
 use futures_util::StreamExt as _;
-use plantainmill_core::{Clock as _, Problem, SystemClock};
+use plantainmill_core::{AllowedRegions, Clock as _, Problem, SystemClock};
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_dispatch::{SharedDispatcher, TrafficClass};
 use plantainmill_fakes::{StreamTarget, TargetAct, TargetNames};
-use plantainmill_proxy::relay::{EventSplitter, HeaderNames, RelayCall, RelayCaller, RelayLimits};
+use plantainmill_proxy::relay::{
+    CallRegions, EventSplitter, HeaderNames, RelayCall, RelayCaller, RelayLimits,
+};
 use plantainmill_routing::TargetEntry;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -43,7 +45,7 @@
             vm: "vm".into(),
             domain: "a".into(),
             region: "north".into(),
-            regions: HashMap::from([("a".into(), "north".into())]),
+            regions: HashMap::from([("a".into(), "north".into()), ("c".into(), "south".into())]),
             clock: Arc::new(SystemClock),
         });
         let entries: Vec<TargetEntry> = targets.iter().enumerate().map(entry).collect();
@@ -127,6 +129,7 @@
         event_gap: Duration::from_millis(50),
         last_event: None,
         version: None,
+        regions: CallRegions::fixed(AllowedRegions::Everywhere),
     }
 }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -86,7 +86,9 @@
             let mut outcomes = outcomes.lock().unwrap_or_else(PoisonError::into_inner);
             outcomes.push((finished, outcome));
         });
-        Ok(TargetTicket::new(target, address, preempted, on_finish))
+        Ok(TargetTicket::new(
+            target, address, None, preempted, on_finish,
+        ))
     }
 }
 
--- a/crates/routing/src/document.rs
+++ b/crates/routing/src/document.rs
@@ -1,7 +1,7 @@
 //! The fleet document: routes, organisations and limits of one version.
 
-use compact_str::CompactString;
-use plantainmill_core::{OrganisationId, ServiceName};
+use compact_str::{CompactString, format_compact};
+use plantainmill_core::{AllowedRegions, OrganisationId, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -70,6 +70,9 @@
     pub shares: Vec<ServiceShare>,
     /// Limits for jobs; only on batch routes.
     pub job: Option<JobRule>,
+    /// Regions in which the requests may be served. Documents of older releases leave it out.
+    #[serde(default)]
+    pub regions: AllowedRegions,
 }
 
 impl RouteRule {
@@ -118,6 +121,9 @@
     pub burst: u32,
     /// Priority that takes precedence over the route's; 0 is the highest.
     pub priority: Option<u32>,
+    /// Regions in which the requests of the organisation may be served. Documents of older releases leave it out.
+    #[serde(default)]
+    pub regions: AllowedRegions,
 }
 
 /// Limits for requests and connections of callers.
@@ -218,6 +224,45 @@
         self.keys.get(key)
     }
 
+    /// Regions in which the requests of `organisation` on `route` may be served: those that both allow.
+    #[must_use]
+    pub fn allowed_regions(
+        &self,
+        route: &RouteRule,
+        organisation: Option<&OrganisationId>,
+    ) -> AllowedRegions {
+        let rule = organisation.and_then(|name| self.organisations.get(name));
+        rule.map_or_else(
+            || route.regions.clone(),
+            |rule| route.regions.intersect(&rule.regions),
+        )
+    }
+
+    /// Regions in which a job of `organisation` may be held that the route named `route` accepted. A rule that the document no
+    /// longer has allows everything.
+    #[must_use]
+    pub fn regions_of_job(&self, route: &str, organisation: &OrganisationId) -> AllowedRegions {
+        let route = self.route_named(route).map(|rule| &rule.regions);
+        let organisation = self.organisations.get(organisation);
+        let rules = route
+            .into_iter()
+            .chain(organisation.map(|rule| &rule.regions));
+        rules.fold(AllowedRegions::Everywhere, |allowed, regions| {
+            allowed.intersect(regions)
+        })
+    }
+
+    /// The rules that name regions: the field of each, and the regions.
+    pub fn region_rules(&self) -> impl Iterator<Item = (CompactString, &AllowedRegions)> {
+        let routes = self.routes.values().flatten();
+        let routes = routes.map(|rule| (format_compact!("routes.{}", rule.name), &rule.regions));
+        let organisations = self.organisations.iter();
+        let organisations = organisations
+            .map(|(name, rule)| (format_compact!("organisations.{name}"), &rule.regions));
+        let rules = routes.chain(organisations);
+        rules.filter(|(_, regions)| !regions.is_everywhere())
+    }
+
     /// Returns whether there are organisations; without any, requests need no API key.
     #[must_use]
     pub fn has_organisations(&self) -> bool {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! last known to be the latest one.
 
 pub mod document;
+pub mod regions;
 pub mod registry;
 pub mod source;
 pub mod versions;
@@ -12,6 +13,7 @@
 pub use document::{
     CallerLimits, FleetDocument, JobRule, OrganisationRule, RouteKind, RouteRule, ServiceShare,
 };
+pub use regions::DocumentRegions;
 pub use registry::{TargetEntry, TargetRegistry};
 pub use source::{DocumentRead, DocumentRevision, DocumentSource, TargetSource};
 pub use versions::VersionLedger;
--- a/crates/routing/tests/all/route_choice.rs
+++ b/crates/routing/tests/all/route_choice.rs
@@ -1,5 +1,6 @@
 //! Tests of the selection of routes and services.
 
+use plantainmill_core::AllowedRegions;
 use plantainmill_routing::{
     CallerLimits, FleetDocument, OrganisationRule, RouteKind, RouteRule, ServiceShare,
 };
@@ -7,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-fn route(name: &str, path_prefix: &str, shares: &[(&str, u32)]) -> RouteRule {
+pub fn route(name: &str, path_prefix: &str, shares: &[(&str, u32)]) -> RouteRule {
     let shares = shares.iter().map(|(service, weight)| ServiceShare {
         service: (*service).into(),
         weight: *weight,
@@ -26,6 +27,7 @@
         resumable: false,
         shares: shares.collect(),
         job: None,
+        regions: AllowedRegions::Everywhere,
     }
 }
 
--- a/crates/soak/src/guarantee_checks.rs
+++ b/crates/soak/src/guarantee_checks.rs
@@ -5,7 +5,7 @@
 use crate::owed_items::check_owed_items;
 use crate::records::{ExecutionRecord, RequestKind, RequestOutcome, RequestRecord, RunRecords};
 use crate::soak_fleet::KEY_WITHDRAWAL_TIME;
-use crate::target_fleet::EVENTS_PER_STREAM;
+use crate::target_fleet::{EVENTS_PER_STREAM, ONCE_REGION};
 use plantainmill_stand_in::JobResult;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
@@ -48,6 +48,7 @@
     violations.extend(records.violations.iter().cloned());
     violations.extend(check_versions(records));
     violations.extend(check_rate(records));
+    violations.extend(check_regions(records));
     violations.extend(check_jobs(records));
     violations.extend(check_owed_items(records));
     if profile.forbids_cuts() {
@@ -56,6 +57,13 @@
     violations
 }
 
+/// No request of the route that is limited to a region reached a target of another one, executed or not.
+fn check_regions(records: &RunRecords) -> impl Iterator<Item = String> + '_ {
+    let limited = records.executions.iter().filter(|seen| !seen.may_repeat);
+    let outside = limited.filter(|seen| seen.region != ONCE_REGION);
+    outside.map(|seen| format!("{}: reached {} in {}", seen.id, seen.target, seen.region))
+}
+
 /// A refused request was not executed.
 fn check_refused(request: &RequestRecord, executions: &[&ExecutionRecord]) -> Option<String> {
     let (is_refused, outcome) = match &request.outcome {
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -68,6 +68,8 @@
     pub organisation: String,
     /// Id of the target.
     pub target: String,
+    /// Region of the target.
+    pub region: &'static str,
     /// Software version of the target.
     pub version: String,
     /// Event after which the target continues a stream; zero if it begins one.
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -6,7 +6,7 @@
 use crate::link_proxy::LinkMode;
 use crate::records::{FleetSample, RequestKind, RequestOutcome, SharedRecords};
 use crate::soak_fleet::SoakFleet;
-use crate::target_fleet::TargetFleet;
+use crate::target_fleet::{ONCE_REGION, TargetFleet};
 use anyhow::ensure;
 use plantainmill_stand_in::{
     CallerClient, DocumentPlan, Operator, OrganisationPlan, RoutePlan, StoreServer, WireFault,
@@ -188,12 +188,15 @@
             keys: keys.last().cloned().into_iter().collect(),
             rate_per_s: rate,
             burst: rate,
+            regions: Vec::new(),
         }
     });
     DocumentPlan {
         version,
         stream_route: stream_route(version),
         organisations: organisations.collect(),
+        once_regions: vec![ONCE_REGION],
+        ..DocumentPlan::default()
     }
 }
 
--- a/crates/soak/src/target_fleet.rs
+++ b/crates/soak/src/target_fleet.rs
@@ -28,6 +28,10 @@
 const TARGETS_PER_VERSION: u64 = 6;
 /// Software versions of the targets, used by turns.
 const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
+/// One of this many targets is in the failure domain `c`, in the region `south`; the others and all VMs are in `a`.
+const TARGETS_PER_FAR_ONE: u64 = 3;
+/// Region of the failure domain `a`, to which the non-idempotent route is limited.
+pub const ONCE_REGION: &str = "north";
 /// Interval between polls of a target for the requests that reached it.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -35,6 +39,7 @@
     /// Changes when the target restarts at its address.
     id: RefCell<String>,
     version: &'static str,
+    domain: &'static str,
     target: StreamTarget,
     /// Links from each VM.
     links: Vec<LinkProxy>,
@@ -69,6 +74,7 @@
             draining,
             version: self.version,
             born: 0,
+            domain: self.domain,
         }
     }
 }
@@ -159,6 +165,11 @@
         let running = Rc::new(RunningTarget {
             id: RefCell::new(id),
             version: VERSIONS[release % VERSIONS.len()],
+            domain: if number % TARGETS_PER_FAR_ONE == 2 {
+                "c"
+            } else {
+                "a"
+            },
             target,
             links,
             slots: self.slots,
@@ -314,6 +325,11 @@
         may_repeat: !request.line.contains(&format!(" {}", Operator::ONCE_PATH)),
         organisation: header(plantainmill_stand_in::ORGANISATION_HEADER),
         target: target.id(),
+        region: if target.domain == "a" {
+            ONCE_REGION
+        } else {
+            "south"
+        },
         version: target.version.to_owned(),
         resumed_after: header("last-event-id").parse().unwrap_or(0),
         seen_at,
--- a/crates/soak/tests/cut_responses.rs
+++ b/crates/soak/tests/cut_responses.rs
@@ -75,6 +75,7 @@
             outcome,
         }],
         executions: vec![ExecutionRecord {
+            region: "north",
             id: "a1".to_owned(),
             may_repeat: true,
             organisation: "ward".to_owned(),
--- a/crates/soak/tests/guarantee_violations.rs
+++ b/crates/soak/tests/guarantee_violations.rs
@@ -42,6 +42,7 @@
         may_repeat: true,
         organisation: "small".to_owned(),
         target: target.to_owned(),
+        region: "north",
         version: "v1".to_owned(),
         resumed_after: 0,
         seen_at,
@@ -102,6 +103,15 @@
     };
     records.executions.extend([execution("i-1"), execution("i-2")]);
 }, "a2: executed at i-1 and i-2")]
+#[case::reached_other_region(|records: &mut RunRecords, start: Instant| {
+    records.executions.push(ExecutionRecord {
+        id: "a3".to_owned(),
+        may_repeat: false,
+        region: "south",
+        executed: false,
+        ..execution_at("i-2", start)
+    });
+}, "a3: reached i-2 in south")]
 #[case::joined_inside(|records: &mut RunRecords, start: Instant| {
     records.executions.push(ExecutionRecord {
         version: "v2".to_owned(),
--- a/crates/soak/tests/owed_items.rs
+++ b/crates/soak/tests/owed_items.rs
@@ -88,6 +88,7 @@
         may_repeat: true,
         organisation: "ward".to_owned(),
         target: "i-1".to_owned(),
+        region: "north",
         version: "v1".to_owned(),
         resumed_after: 0,
         seen_at,
