--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod ledger;
 mod peers;
+mod refusal;
 mod target;
 mod target_changes;
 
@@ -18,3 +19,4 @@
 pub use leaving::{LeavingEntry, LeavingLedger, LeavingReport};
 pub use ledger::{LedgerEffect, LoadLedger};
 pub use peers::{LoadSource, PeerLoad, SlotUse};
+pub use target::RefusalCause;
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -4,11 +4,11 @@
 use super::choice::{Candidate, CandidateOrder, LocalityMap, SlotState};
 use super::leaving::LeavingLedger;
 use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse, busiest_of};
-use super::target::{LedgerTarget, online_state};
-use crate::dispatcher::{CallOutcome, TicketRequest, TrafficClass};
+use super::target::{LedgerTarget, RefusalCause, online_state};
+use crate::dispatcher::{CallOutcome, TargetNeed, TicketRequest, TrafficClass};
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{
-    DomainName, OrganisationId, RegionName, ServiceName, TargetId, Uptime, VersionName, VmId,
+    DomainName, OrganisationId, RegionName, TargetId, Uptime, VersionName, VmId,
 };
 use plantainmill_routing::TargetEntry;
 use std::collections::{BTreeMap, HashMap};
@@ -34,7 +34,7 @@
 const DEFAULT_ONLINE_WAIT: Duration = Duration::from_millis(100);
 /// Shortest delay before a refused request is retried: about the duration of short requests, after which slots are
 /// free.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time over which the retries of refused requests are spread, because a load peak lasts a few seconds.
 const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(1_200);
 
@@ -49,6 +49,8 @@
         target: TargetId,
         /// Address at which the target accepts requests.
         address: SocketAddr,
+        /// Region of the target, if the settings name it.
+        region: Option<RegionName>,
         /// Software version of the target.
         version: VersionName,
         /// Start of the target, in milliseconds since the Unix epoch; zero if unknown.
@@ -60,8 +62,8 @@
         number: RequestId,
         /// Delay after which the request may be retried.
         retry_after: Duration,
-        /// No target of the service is known.
-        no_target: bool,
+        /// Why it is refused.
+        cause: RefusalCause,
     },
     /// The batch call is preempted and has to end.
     Preempt {
@@ -92,7 +94,7 @@
 #[derive(Debug)]
 pub struct LoadLedger {
     pub(super) vm: VmId,
-    locality: LocalityMap,
+    pub(super) locality: LocalityMap,
     pub(super) targets: BTreeMap<TargetId, LedgerTarget>,
     pub(super) peers: PeerLoads,
     pub(super) leaving: LeavingLedger,
@@ -147,15 +149,18 @@
         let mut known = std::mem::take(&mut self.targets);
         for entry in entries {
             let kept = known.remove(&entry.id);
+            let region = self.locality.region_of(&entry.domain).cloned();
             let target = kept.map_or_else(
                 || LedgerTarget {
                     entry: entry.clone(),
+                    region: region.clone(),
                     own: SlotUse::default(),
                     backoff: TargetBackoff::default(),
                     is_leaving: false,
                 },
                 |kept| LedgerTarget {
                     entry: entry.clone(),
+                    region: region.clone(),
                     ..kept
                 },
             );
@@ -206,13 +211,14 @@
         let mut effects = Vec::new();
         match waiting.request.class {
             TrafficClass::Online => {
-                let is_spare =
-                    !waiting.request.needs_idle_slot || self.has_spare_slots(&waiting.request);
-                if !is_spare || !self.has_target(&waiting.request) {
+                let is_short =
+                    waiting.request.needs_idle_slot && !self.has_spare_slots(&waiting.request);
+                let cause = self.refusal_cause(&waiting.request);
+                if is_short || cause != RefusalCause::Busy {
                     effects.push(LedgerEffect::Refuse {
                         number,
-                        retry_after: MIN_RETRY_AFTER,
-                        no_target: is_spare,
+                        retry_after: self.missing_retry_after(&waiting, cause),
+                        cause,
                     });
                     return (number, effects);
                 }
@@ -233,7 +239,7 @@
             return false;
         }
         let serving = self.targets.iter();
-        let serving = serving.filter(|(_, target)| target.serves(request));
+        let serving = serving.filter(|(_, target)| target.meets(request.need()));
         let (slots, used) = serving.fold((0, 0), |(slots, used), (id, target)| {
             let online = target.own.online + self.peers.at(id).online;
             (slots + target.entry.slots, used + online)
@@ -241,21 +247,11 @@
         f64::from(used) <= f64::from(slots) * MAX_SPARE_USE
     }
 
-    pub(super) fn has_target(&self, request: &TicketRequest) -> bool {
-        let mut targets = self.targets.values();
-        targets.any(|target| target.serves(request))
-    }
-
-    /// Whether a target of the service other than `current` has the version.
+    /// Whether a target other than `current` meets the need.
     #[must_use]
-    pub fn has_other_target(
-        &self,
-        service: &ServiceName,
-        version: Option<&VersionName>,
-        current: &TargetId,
-    ) -> bool {
+    pub fn has_other_target(&self, need: TargetNeed<'_>, current: &TargetId) -> bool {
         let mut targets = self.targets.iter();
-        targets.any(|(id, target)| id != current && target.has_version(service, version))
+        targets.any(|(id, target)| id != current && target.meets(need))
     }
 
     /// Withdraws a waiting request.
@@ -431,12 +427,18 @@
             }
             let limit = next.request.wait_limit.unwrap_or(DEFAULT_ONLINE_WAIT);
             let waited = now.saturating_sub(next.since);
-            let is_hopeless = next.request.version.is_some() && !self.has_target(&next.request);
+            let cause = self.refusal_cause(&next.request);
+            let is_bound = next.request.version.is_some() || !next.request.regions.is_everywhere();
+            let is_hopeless = is_bound && cause != RefusalCause::Busy;
             if is_hopeless || waited >= limit || now >= next.request.deadline {
+                let retry_after = match cause {
+                    RefusalCause::NoRegion => self.missing_retry_after(&next, cause),
+                    RefusalCause::Busy | RefusalCause::NoTarget => self.retry_after(next.number),
+                };
                 effects.push(LedgerEffect::Refuse {
                     number: next.number,
-                    retry_after: self.retry_after(next.number),
-                    no_target: !self.has_target(&next.request),
+                    retry_after,
+                    cause,
                 });
                 continue;
             }
@@ -445,7 +447,7 @@
     }
 
     /// Delay after which a refused request may be retried. The delays of refused requests are spread evenly.
-    fn retry_after(&self, number: RequestId) -> Duration {
+    pub(super) fn retry_after(&self, number: RequestId) -> Duration {
         let share = score(&self.vm, number) % 1_000;
         let share = u32::try_from(share).unwrap_or(0);
         MIN_RETRY_AFTER + RETRY_AFTER_SPREAD * share / 1_000
@@ -505,7 +507,8 @@
     ) -> Vec<Candidate> {
         let serving = || {
             let targets = self.targets.iter();
-            targets.filter(|(id, target)| target.serves(request) && !request.barred.contains(id))
+            let need = request.need();
+            targets.filter(move |(id, target)| target.meets(need) && !request.barred.contains(id))
         };
         // If there is no other target, one that already failed the request is better than none.
         let has_other = serving().any(|(id, _)| !request.excluded.contains(id));
@@ -540,6 +543,7 @@
             number: waiting.number,
             target: id.clone(),
             address: target.entry.address,
+            region: target.region.clone(),
             version: target.entry.version.clone(),
             born: target.entry.born,
         });
--- a/crates/dispatch/src/shared/target_changes.rs
+++ b/crates/dispatch/src/shared/target_changes.rs
@@ -21,17 +21,20 @@
         for entry in changed {
             // A target that is listed again may still run calls that were sent before its entry was removed.
             let own = self.own_use(&entry.id);
+            let region = self.locality.region_of(&entry.domain).cloned();
             let is_leaving = self.leaving.is_leaving(&entry.id, entry.born);
             let target = self
                 .targets
                 .entry(entry.id.clone())
                 .or_insert_with(|| LedgerTarget {
                     entry: entry.clone(),
+                    region: region.clone(),
                     own: SlotUse::default(),
                     backoff: TargetBackoff::default(),
                     is_leaving,
                 });
             target.entry = entry.clone();
+            target.region = region;
             target.own = own;
             target.is_leaving = is_leaving;
         }
--- a/crates/dispatch/tests/all/cold_targets.rs
+++ b/crates/dispatch/tests/all/cold_targets.rs
@@ -1,6 +1,6 @@
 //! Cold targets over many VMs whose views of the members differ, in virtual time.
 
-use plantainmill_core::{DomainName, TargetId, Uptime, VmId};
+use plantainmill_core::{AllowedRegions, DomainName, TargetId, Uptime, VmId};
 use plantainmill_dispatch::TrafficClass;
 use plantainmill_dispatch::limits::{
     ColdBounds, ColdFacts, LimitEvent, LimitLedger, LimitedTarget,
@@ -62,6 +62,7 @@
         id: target_id(target),
         service: "llm".into(),
         domain: domain_of(0),
+        region: None,
     })
 }
 
@@ -163,7 +164,10 @@
             self.sends[*target].push(now);
         } else {
             self.refused += 1;
-            assert_ne!(ledger.next_free(&service, now), Some(Duration::ZERO));
+            assert_ne!(
+                ledger.next_free(&service, &AllowedRegions::Everywhere, now),
+                Some(Duration::ZERO)
+            );
         }
     }
 
--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -124,6 +124,7 @@
                     {
                         tracing::info!(event = "document_changed", version, from = %control);
                         state.apply_document();
+                        state.log_unknown_regions();
                     }
                 }
                 Err(error) => {
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -176,7 +176,12 @@
                 sends_target_changes,
                 evacuations,
             } => {
-                self.state.rows.record_proxy(control, reaches_store);
+                if reaches_store {
+                    let region = self.directory.borrow().region_at(control);
+                    self.state.rows.record_proxy(control, region);
+                } else {
+                    self.state.rows.forget_proxy(control);
+                }
                 let queried_at = self.pending_queries.borrow_mut().remove(&nonce);
                 if let Some(report) = evacuations {
                     self.state.record_evacuation_report(report, queried_at);
--- a/crates/edge/src/store_poll.rs
+++ b/crates/edge/src/store_poll.rs
@@ -121,6 +121,7 @@
                             let version = known_version;
                             tracing::info!(event = "document_changed", version, from = "store");
                             state.apply_document();
+                            state.log_unknown_regions();
                             state.update_notify.notify_one();
                         }
                     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -12,6 +12,7 @@
 mod open;
 mod progress;
 mod recorder;
+mod regions;
 mod send;
 mod stream;
 
@@ -26,3 +27,4 @@
 pub use hedge_policy::{HedgePolicy, HedgeSettings};
 pub use open::{RelayCaller, RelayResponse};
 pub use recorder::StreamRecorder;
+pub use regions::CallRegions;
--- a/crates/proxy/src/relay/hedge.rs
+++ b/crates/proxy/src/relay/hedge.rs
@@ -146,10 +146,10 @@
         progress: &CallProgress,
         current: &TargetId,
     ) -> Option<TargetTicket> {
-        if progress.executed != Executed::No || self.check_reachable().is_err() {
+        let mut request = progress.call.ticket_request(&progress.excluded);
+        if progress.executed != Executed::No || self.check_reachable(&request.regions).is_err() {
             return None;
         }
-        let mut request = progress.call.ticket_request(&progress.excluded);
         request.barred.push(current.clone());
         request.wait_limit = Some(Duration::ZERO);
         request.needs_idle_slot = true;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod evacuation;
 pub mod follower;
 pub mod history;
+pub mod regions;
 pub mod registry;
 pub mod source;
 pub mod versions;
@@ -19,6 +20,7 @@
 pub use evacuation::{EvacuationEvent, EvacuationLedger, EvacuationReport, EvacuationState};
 pub use follower::{FollowerStep, RegistryFollower, TargetRow, TargetRows, proof_interval};
 pub use history::TargetHistory;
+pub use regions::DocumentRegions;
 pub use registry::{ColdLeft, TargetChanges, TargetEntry, TargetRegistry};
 pub use source::{
     DocumentRead, DocumentRevision, DocumentSource, FleetRead, TargetFeed, TargetSource,
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod document_view;
 mod evacuations;
+mod region_rules;
 mod registry_follower;
 mod route_choice;
 mod stream_versions;
