Exact rates over all VMs by token pools

Cause: each VM of the users' platform admitted requests from its own estimate of a shared bucket. What all VMs admit before their reports arrive is unbounded, and grows with the number of VMs.

Change: rate and burst of an organisation are divided over token pools (admission::pools), each held by one VM of a failure domain. A VM without a token asks a holder by datagram (edge::token_exchange, edge::token_limiter). Level and granted tokens of a pool together never exceed its capacity, so the bound holds whatever the age of messages. A token whose answer came late, or whose call provably did not run, is returned. Retry-After is the earliest time that a pool named. Usage reports stay on the wire as they are, for display and for VMs of the release before; their ledger no longer decides. The stored row of a VM says that it may hold pools (holds_pools).

Tests: those of shared_usage run on the new decision. Their bound is now R*5 + B without the former tolerance of a tenth and 20 requests, except continued_streams, where streams may borrow one second of the rate. Tests of former mechanisms are replaced: calm_heartbeats (silence between reports) by calm_bursts, with the same demand that no request of 12 at once is refused; domain_sums (sums of domains) by surge_bound over three domains; reported_changes (loss of reports) by lost_messages, with the same losses and bounds; shrunk_domain keeps its range of 160 to 185. end_to_end::rate_limited waits for the burst of two first, since a new holder starts empty by design, and now demands that the first request is served.

--- a/crates/admission/src/shared.rs
+++ b/crates/admission/src/shared.rs
@@ -1,12 +1,9 @@
-//! Fleet-wide rate limits based on usage reports that the VMs exchange.
+//! Usage reports that the VMs exchange: for display, and for VMs of the release before, which decide by them.
 //!
-//! Every VM models one fleet-wide token bucket per organisation and subtracts what its peers report as admitted.
-//! While the bucket is well filled, VMs admit freely. When it runs low, each VM is held to its share of the rate, in
-//! proportion to its demand, so that admissions that have not been reported yet cannot exceed the limit. The share of
-//! peers that stopped reporting stays reserved for them.
+//! No decision of this release depends on them; see [`crate::pools`].
 
 mod ledger;
-mod limiter;
+mod recorder;
 
-pub use ledger::{RateLimit, UsageEntry, UsageLedger, UsageSource};
-pub use limiter::SharedLimiter;
+pub use ledger::{UsageEntry, UsageLedger, UsageSource};
+pub use recorder::UsageRecorder;
--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -8,5 +8,8 @@
 mod keys;
 mod lease;
 mod loans;
+mod pool_faults;
+mod pool_fleet;
 mod service;
 mod shared_usage;
+mod token_pools;
--- a/crates/edge/src/compact_batch.rs
+++ b/crates/edge/src/compact_batch.rs
@@ -120,6 +120,8 @@
             processor_percent,
             reads_batches: true,
             reads_job_changes: false,
+            // Only the stored row says that a VM holds none.
+            holds_pools: true,
         }
     }
 }
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -3,7 +3,6 @@
 use crate::forwarding;
 use crate::state::EdgeState;
 use actix_web::{HttpRequest, HttpResponse, web};
-use plantainmill_admission::RateLimiter as _;
 use plantainmill_core::encode_cbor;
 use plantainmill_dispatch::Dispatcher as _;
 use plantainmill_proxy::relay::{FORWARD_HEADER, MAX_FORWARD_BYTES};
@@ -89,7 +88,8 @@
             "is_unreachable": state.paths.is_unreachable(),
             "lost": state.paths.lost_count(),
         },
-        "usage": state.limiter.dump().await,
+        "pools": state.limiter.dump(),
+        "usage": state.usage.report(),
         "jobs_running": state.jobs.running(),
     })
 }
--- a/crates/edge/src/ingress.rs
+++ b/crates/edge/src/ingress.rs
@@ -11,10 +11,10 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
 use compact_str::CompactString;
-use plantainmill_admission::{RateLimiter as _, RateVerdict};
-use plantainmill_core::{OrganisationId, Problem, ResultCode, Uptime};
+use plantainmill_admission::pools::{TokenKind, TokenReceipt};
+use plantainmill_core::{Executed, OrganisationId, Problem, ResultCode, Uptime};
 use plantainmill_dispatch::TrafficClass;
-use plantainmill_proxy::relay::RelayCall;
+use plantainmill_proxy::relay::{RelayCall, RelayResponse};
 use plantainmill_routing::{CallerLimits, FleetDocument, RouteKind, RouteRule};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -151,7 +151,7 @@
 }
 
 enum RequestOutcome {
-    Relayed(plantainmill_proxy::relay::RelayResponse),
+    Relayed(RelayResponse),
     Local(HttpResponse),
 }
 
@@ -194,27 +194,57 @@
     }
     let is_resumable = route.kind == RouteKind::Streaming && route.resumable;
     let continues_stream = is_resumable && buffered.head.continues_stream();
-    let verdict = match &organisation {
-        Some(organisation) if continues_stream => state.limiter.admit_continuation(organisation),
-        Some(organisation) => state.limiter.admit(organisation).await,
-        None => RateVerdict::Admitted,
+    let receipt = match &organisation {
+        Some(organisation) => take_token(state, organisation, continues_stream).await?,
+        None => TokenReceipt::Unlimited,
     };
-    if let (Some(organisation), RateVerdict::Refused { retry_after }) = (&organisation, verdict) {
-        let reason = format!("the rate of {organisation} is used up");
-        let problem = Problem::new(ResultCode::RateExceeded, reason);
-        return Err(problem.with_retry_after(retry_after));
+    let opened = open(state, buffered, &document, route, organisation).await;
+    if opened
+        .as_ref()
+        .is_err_and(|problem| problem.executed == Executed::No)
+    {
+        state.limiter.give_back(receipt);
     }
-    let mut call = relay_call(state, buffered, &document, route, organisation)?;
-    if continues_stream {
+    opened
+        .map(RequestOutcome::Relayed)
+        .map_err(StreamRecords::with_retry_delay)
+}
+
+/// Takes a token for a request of `organisation`, if it has a limit.
+async fn take_token(
+    state: &EdgeState,
+    organisation: &OrganisationId,
+    continues_stream: bool,
+) -> Result<TokenReceipt, Problem> {
+    let kind = if continues_stream {
+        TokenKind::Continuation
+    } else {
+        TokenKind::Request
+    };
+    let taken = state.limiter.admit(organisation, kind).await;
+    taken.map_err(|retry_after| {
+        let reason = format!("the rate of {organisation} is used up");
+        Problem::new(ResultCode::RateExceeded, reason).with_retry_after(retry_after)
+    })
+}
+
+/// Sends the request to a target.
+async fn open(
+    state: &EdgeState,
+    buffered: &BufferedRequest,
+    document: &FleetDocument,
+    route: &RouteRule,
+    organisation: Option<OrganisationId>,
+) -> Result<RelayResponse, Problem> {
+    let is_resumable = route.kind == RouteKind::Streaming && route.resumable;
+    let mut call = relay_call(state, buffered, document, route, organisation)?;
+    if is_resumable && buffered.head.continues_stream() {
         let first = buffered.head.resumes.as_deref();
         let (service, version) = state.streams.resolve(&call.service, first).await?;
         call.service = service;
         call.version = Some(version);
     }
-    let opened = state.relay_caller.open(call).await;
-    opened
-        .map(RequestOutcome::Relayed)
-        .map_err(StreamRecords::with_retry_delay)
+    state.relay_caller.open(call).await
 }
 
 /// Turns the rejection of an unknown route or key into a retryable one if the document may be out of date.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod peer_exchange;
 mod peer_notices;
 mod peer_reports;
+mod pool_peers;
 mod proxied_rows;
 mod report_relay;
 mod response;
@@ -24,11 +25,16 @@
 mod state;
 mod store_poll;
 mod stream_records;
+mod token_exchange;
+mod token_limiter;
 mod vm;
 
 pub use codec::{RequestCodec, RequestHead};
-pub use message::{DomainReport, DomainUpdate, PeerMessage, PeerReport, ReportBatch, VmRow};
+pub use message::{
+    DomainReport, DomainUpdate, PeerMessage, PeerReport, PoolVm, ReportBatch, TokenQuestion, VmRow,
+};
 pub use peer_directory::{PeerDirectory, ReportRoute};
+pub use pool_peers::PoolPeers;
 pub use report_relay::{ReportRelay, split_updates};
 pub use settings::{BoundSettings, EdgeSettings, ListenSettings, VmSettings};
 pub use vm::{EdgePlatform, EdgeVm};
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -2,7 +2,8 @@
 
 use crate::compact_batch::CompactBatch;
 use plantainmill_admission::UsageEntry;
-use plantainmill_core::{DomainName, Incarnation, RegionName, VmId};
+use plantainmill_admission::pools::{TokenKind, TokenReply};
+use plantainmill_core::{DomainName, Incarnation, OrganisationId, RegionName, VmId};
 use plantainmill_dispatch::limits::LimitReport;
 use plantainmill_dispatch::quarantine::PartReport;
 use plantainmill_dispatch::shared::{LeavingReport, PeerLoad};
@@ -36,6 +37,38 @@
     /// Batches leave it out; the stored row has it.
     #[serde(default)]
     pub reads_job_changes: bool,
+    /// The VM may hold token pools. One of an older release does not, and is never asked for tokens. Batches leave it out;
+    /// the stored row has it.
+    #[serde(default)]
+    pub holds_pools: bool,
+}
+
+/// A question for a token of a pool, and its later return.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TokenQuestion {
+    /// VM that asks.
+    pub asker: VmId,
+    /// Nonce that the answer repeats.
+    pub nonce: u64,
+    /// Failure domain of the pool.
+    pub domain: DomainName,
+    /// Organisation that the token is for.
+    pub organisation: OrganisationId,
+    /// What the token is for.
+    pub kind: TokenKind,
+    /// Time from the question within which the token is used, in milliseconds.
+    pub valid_ms: u32,
+}
+
+/// A VM that may hold pools, for VMs of other failure domains.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PoolVm {
+    /// Id of the VM.
+    pub vm: VmId,
+    /// UDP address for datagrams of peers.
+    pub address: SocketAddr,
+    /// The VM may hold pools.
+    pub holds_pools: bool,
 }
 
 /// Report of one VM to the other VMs of its failure domain.
@@ -125,6 +158,26 @@
     Jobs(Vec<HeadUpdate>),
     /// Changes of job heads that the sender has read from the store. Older releases ignore it.
     JobChanges(HeadChanges),
+    /// Asks for a token of a pool that the receiver holds. Older releases ignore it.
+    AskToken(TokenQuestion),
+    /// Answers a question for a token.
+    Token {
+        /// Nonce of the question.
+        nonce: u64,
+        /// The answer.
+        reply: TokenReply,
+    },
+    /// Returns a token that was granted and not used.
+    ReturnToken(TokenQuestion),
+    /// Asks a reader for the VMs of the other failure domains, with their addresses. Older releases ignore it.
+    AskPoolVms,
+    /// VMs of a failure domain, as read from the store.
+    PoolVms {
+        /// Failure domain of the VMs.
+        domain: DomainName,
+        /// Its VMs.
+        vms: Vec<PoolVm>,
+    },
     /// Queries the age of the peer's document and targets.
     AskAge {
         /// Nonce that the response repeats.
--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -456,6 +456,17 @@
             .collect()
     }
 
+    /// Returns the number of VMs of this VM's domain that were heard or discovered within `time`, with this one.
+    #[must_use]
+    pub fn known_count(&self, now: Uptime, time: Duration) -> usize {
+        let known = self.local.values().filter(|known| {
+            let last_seen = known.last_report_at.unwrap_or(known.discovered_at);
+            let is_stopped = known.stopped_incarnation >= Some(known.row.incarnation);
+            !is_stopped && now.saturating_sub(last_seen) < time
+        });
+        known.count() + 1
+    }
+
     /// Returns the view of the fleet that the job service uses to assign and take over jobs.
     #[must_use]
     pub fn job_fleet(&self, now: Uptime) -> FleetSnapshot {
--- a/crates/edge/src/peer_discovery.rs
+++ b/crates/edge/src/peer_discovery.rs
@@ -64,6 +64,9 @@
             .filter_map(|row| Some((decode_row(&row.key, &row.value)?, row.version)))
             .unzip();
         let now = self.now();
+        self.pool_peers
+            .borrow_mut()
+            .record_rows(&self.own_row.domain, &rows);
         let stale = self.directory.borrow_mut().update_local_rows(&rows, now);
         for position in stale {
             let vm = &rows[position].vm;
@@ -85,9 +88,9 @@
                 .rows
                 .iter()
                 .filter_map(|row| decode_row(&row.key, &row.value));
-            self.directory
-                .borrow_mut()
-                .update_remote_rows(domain, rows.collect());
+            let rows: Vec<VmRow> = rows.collect();
+            self.pool_peers.borrow_mut().record_rows(domain, &rows);
+            self.directory.borrow_mut().update_remote_rows(domain, rows);
         }
         Ok(())
     }
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::message::{PeerMessage, VmRow};
 use crate::peer_directory::PeerDirectory;
+use crate::pool_peers::PoolPeers;
 use crate::report_relay::ReportRelay;
 use crate::state::EdgeState;
 use plantainmill_admission::UsageSource;
@@ -35,6 +36,8 @@
     socket: UdpSocket,
     pub(crate) own_row: VmRow,
     pub(crate) directory: RefCell<PeerDirectory>,
+    /// VMs that may hold token pools.
+    pub(crate) pool_peers: RefCell<PoolPeers>,
     /// Reports that this VM forwards with its next batch while it is a relay.
     pub(crate) relay: RefCell<ReportRelay>,
     pub(crate) pending_queries: RefCell<HashMap<u64, Uptime>>,
@@ -57,6 +60,7 @@
             state,
             socket,
             own_row,
+            pool_peers: RefCell::default(),
             relay: RefCell::default(),
             pending_queries: RefCell::default(),
             last_route: Cell::new(""),
@@ -72,6 +76,9 @@
         actix_rt::spawn(Rc::clone(&exchange).query_ages());
         actix_rt::spawn(Rc::clone(&exchange).announce_changes());
         actix_rt::spawn(Rc::clone(&exchange).broadcast_job_changes());
+        actix_rt::spawn(Rc::clone(&exchange).send_tokens());
+        actix_rt::spawn(Rc::clone(&exchange).update_pools());
+        actix_rt::spawn(Rc::clone(&exchange).query_pool_vms());
         actix_rt::spawn(Rc::clone(&exchange).tick());
         exchange
     }
@@ -82,6 +89,7 @@
 
     /// Announces to the VMs of the domain that this one stops and has no calls left.
     pub async fn announce_stop(&self) {
+        self.state.limiter.stop();
         let message = PeerMessage::Leaving {
             vm: self.own_row.vm.clone(),
             incarnation: self.own_row.incarnation,
@@ -154,10 +162,19 @@
             PeerMessage::JobChanges(changes) => self.state.jobs.apply_changes(changes),
             PeerMessage::Leaving { vm, incarnation } => {
                 if self.directory.borrow_mut().remove_peer(&vm, incarnation) {
-                    self.state.limiter.remove_peer(&UsageSource::Vm(vm.clone()));
+                    self.state.usage.remove_peer(&UsageSource::Vm(vm.clone()));
                     self.state.dispatcher.remove_peer(&LoadSource::Vm(vm));
                 }
             }
+            PeerMessage::AskToken(question) => self.answer_token(&question, from).await,
+            PeerMessage::Token { nonce, reply } => {
+                self.state.limiter.record_answer(nonce, reply);
+            }
+            PeerMessage::ReturnToken(question) => self.state.limiter.take_back(&question),
+            PeerMessage::AskPoolVms => self.send_pool_vms(from).await,
+            PeerMessage::PoolVms { domain, vms } => {
+                self.pool_peers.borrow_mut().record_vms(domain, vms);
+            }
             PeerMessage::AskAge { nonce } => {
                 if let Some(response) = self.age_message(nonce) {
                     self.send(&response.encode(), from).await;
--- a/crates/edge/src/peer_reports.rs
+++ b/crates/edge/src/peer_reports.rs
@@ -85,13 +85,13 @@
 
     async fn send_report(&self) {
         if self.directory.borrow_mut().take_joined() {
-            self.state.limiter.report_all();
+            self.state.usage.report_all();
         }
         let report = PeerReport {
             row: self.own_row.clone(),
             sequence: self.next_sequence(),
             load: self.state.dispatcher.report(),
-            usage: self.state.limiter.take_changes(),
+            usage: self.state.usage.take_changes(),
         };
         let (route, older) = {
             let directory = self.directory.borrow();
@@ -103,7 +103,7 @@
             tracing::info!(event = "report_route_changed", route = route.name());
         }
         if !older.is_empty() {
-            let usage = self.state.limiter.report();
+            let usage = self.state.usage.report();
             let report = PeerReport {
                 usage,
                 ..report.clone()
@@ -196,7 +196,7 @@
             }
             if aggregation.is_none() {
                 // The other domains compare the usage only with that of the same aggregator.
-                self.state.limiter.report_all();
+                self.state.usage.report_all();
             }
             let aggregation = aggregation.get_or_insert_default();
             self.send_domain_update(aggregation).await;
@@ -231,7 +231,7 @@
         let sends_members = cross_region_due || round < aggregation.members_until;
         // Usage is sent when all domains get the update, so that each gets every change.
         let usage = if cross_region_due {
-            self.state.limiter.take_domain_changes()
+            self.state.usage.take_domain_changes()
         } else {
             Vec::new()
         };
@@ -242,7 +242,7 @@
                 incarnation: self.own_row.incarnation,
             },
             sequence: self.next_sequence(),
-            member_count: self.state.limiter.domain_vms(),
+            member_count: self.state.usage.domain_vms(),
             members: sends_members.then(|| members.clone()),
             load: self.state.dispatcher.domain_report(),
             usage,
@@ -257,7 +257,7 @@
                 aggregator: self.own_row.clone(),
                 members,
                 load: update.load.clone(),
-                usage: cross_region_due.then(|| self.state.limiter.domain_report()),
+                usage: cross_region_due.then(|| self.state.usage.domain_report()),
                 passed_on: false,
             };
             self.send_to(&PeerMessage::Domain(report), &older).await;
@@ -312,7 +312,7 @@
         }
         let source = UsageSource::Vm(report.row.vm.clone());
         let usage = report.usage.clone();
-        self.state.limiter.record_report(&source, 1, usage);
+        self.state.usage.record_report(&source, usage);
         loads.push((LoadSource::Vm(report.row.vm.clone()), report.load.clone()));
         if !is_relayed && directory.is_relay(now) {
             self.relay.borrow_mut().add_report(report);
@@ -332,8 +332,7 @@
             aggregator: (vm, incarnation),
         };
         let usage = update.usage.clone();
-        let vms = update.member_count;
-        self.state.limiter.record_report(&source, vms, usage);
+        self.state.usage.record_report(&source, usage);
         let source = LoadSource::Domain(update.domain.clone());
         loads.push((source, update.load.clone()));
         true
@@ -383,7 +382,7 @@
         if is_newer {
             let vm = report.row.vm;
             let source = UsageSource::Vm(vm.clone());
-            self.state.limiter.record_report(&source, 1, report.usage);
+            self.state.usage.record_report(&source, report.usage);
             let load = (LoadSource::Vm(vm), report.load);
             self.state.dispatcher.record_reports(vec![load]);
         }
@@ -396,7 +395,6 @@
             return;
         }
         let now = self.now();
-        let member_count = report.members.len();
         self.directory
             .borrow_mut()
             .record_domain_report(&domain, report.members.clone(), now);
@@ -405,9 +403,7 @@
                 domain: domain.clone(),
                 aggregator: (report.aggregator.vm.clone(), report.aggregator.incarnation),
             };
-            self.state
-                .limiter
-                .record_report(&source, member_count, usage);
+            self.state.usage.record_report(&source, usage);
         }
         let load = report.load.clone();
         let load = (LoadSource::Domain(domain), load);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,7 +6,8 @@
 use crate::proxied_rows::ProxiedRows;
 use crate::settings::{BoundSettings, EdgeSettings};
 use crate::stream_records::StreamRecords;
-use plantainmill_admission::SharedLimiter;
+use crate::token_limiter::TokenLimiter;
+use plantainmill_admission::UsageRecorder;
 use plantainmill_core::{Clock, InFlightCounter, Incarnation, Uptime};
 use plantainmill_dispatch::limits::LimitedTarget;
 use plantainmill_dispatch::{PartQuarantine, SharedDispatcher, TargetLimits};
@@ -33,7 +34,10 @@
     pub incarnation: Incarnation,
     pub clock: Arc<dyn Clock>,
     pub view: DocumentView,
-    pub limiter: SharedLimiter,
+    /// Rates of the organisations over all VMs.
+    pub limiter: TokenLimiter,
+    /// Usage reports of this VM and its peers. VMs of the release before decide by them.
+    pub usage: UsageRecorder,
     pub dispatcher: SharedDispatcher,
     /// Prompt parts under which targets are lost; it stands in front of the dispatcher.
     pub quarantine: PartQuarantine,
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -13,8 +13,8 @@
 use crate::state::EdgeState;
 use crate::store_poll::{poll_document, poll_targets};
 use crate::stream_records::StreamRecords;
+use crate::token_limiter::TokenLimiter;
 use anyhow::Context as _;
-use plantainmill_admission::SharedLimiter;
 use plantainmill_core::{Clock, InFlightCounter, Incarnation, SystemClock, incarnation_at};
 use plantainmill_dispatch::quarantine::{PartitionQuarantines, keep_quarantines};
 use plantainmill_dispatch::shared::SharedParts;
@@ -91,6 +91,7 @@
             processor_percent: whole_percent(settings.vm.processor_percent),
             reads_batches: true,
             reads_job_changes: true,
+            holds_pools: true,
         };
         let state = Rc::new(build_state(settings, &platform, clock, incarnation)?);
         let (drain, drained) = watch::channel(false);
@@ -254,11 +255,13 @@
         },
         metrics: JobMetrics::new(&metrics.meter(), METRIC_PREFIX),
     });
+    let limiter = TokenLimiter::new(&settings, &view, &clock, incarnation, &metrics);
     Ok(EdgeState {
         bounds: Cell::new(settings.bounds),
         settings,
         incarnation,
-        limiter: SharedLimiter::new(view.clone(), Arc::clone(&clock)),
+        usage: limiter.usage(),
+        limiter,
         clock,
         view,
         dispatcher,
--- a/crates/edge/tests/all/former_release.rs
+++ b/crates/edge/tests/all/former_release.rs
@@ -1,8 +1,9 @@
 //! Rows and datagrams between VMs of this release and of the one before, which knows no confirmed job heads.
 
 use crate::support::row;
+use plantainmill_admission::pools::{TokenKind, TokenReply};
 use plantainmill_core::{Incarnation, VmId, encode_cbor};
-use plantainmill_edge::{PeerMessage, VmRow};
+use plantainmill_edge::{PeerMessage, TokenQuestion, VmRow};
 use plantainmill_jobs::{HeadChanges, HeadUpdate};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -93,7 +94,31 @@
     assert_eq!(PeerMessage::decode(&changes.encode()), Some(changes));
 }
 
-/// Guards against a VM that does not find VMs of the other release by their rows.
+/// Guards against questions for tokens that a VM of the release before takes for something else.
+#[test]
+fn token_questions() {
+    let question = TokenQuestion {
+        asker: "a1".into(),
+        nonce: 7,
+        domain: "a".into(),
+        organisation: "ward".into(),
+        kind: TokenKind::Request,
+        valid_ms: 40,
+    };
+    let reply = TokenReply::Empty { wait_ms: 125 };
+    let messages = [
+        PeerMessage::AskToken(question.clone()),
+        PeerMessage::Token { nonce: 7, reply },
+        PeerMessage::ReturnToken(question),
+        PeerMessage::AskPoolVms,
+    ];
+    for message in messages {
+        assert_eq!(read_former(&message), None);
+        assert_eq!(PeerMessage::decode(&message.encode()), Some(message));
+    }
+}
+
+/// Guards against a VM that does not find VMs of the other release by their rows, or takes them for holders of pools.
 #[test]
 fn vm_rows() {
     let mut newer = row("a", 1);
@@ -104,10 +129,12 @@
     let mut fields: ciborium::Value =
         ciborium::from_reader(encode_cbor(&newer).as_slice()).expect("a row");
     if let Some(entries) = fields.as_map_mut() {
-        entries.retain(|(name, _)| name.as_text() != Some("reads_job_changes"));
+        let later = [Some("reads_job_changes"), Some("holds_pools")];
+        entries.retain(|(name, _)| !later.contains(&name.as_text()));
     }
     let read: VmRow =
         ciborium::from_reader(encode_cbor(&fields).as_slice()).expect("a row of this release");
     newer.reads_job_changes = false;
+    newer.holds_pools = false;
     assert_eq!(read, newer);
 }
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod edge_settings;
 mod former_release;
 mod peer_directory;
+mod pool_peers;
 mod relay_fleet;
 mod report_relay;
 mod support;
--- a/crates/edge/tests/all/support.rs
+++ b/crates/edge/tests/all/support.rs
@@ -18,6 +18,7 @@
         processor_percent: 50,
         reads_batches: true,
         reads_job_changes: false,
+        holds_pools: true,
     }
 }
 
