--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod loans;
 mod pool_faults;
 mod pool_fleet;
+mod refusal_tally;
 mod service;
 mod shared_usage;
 mod token_pools;
--- a/crates/admission/tests/all/pool_fleet.rs
+++ b/crates/admission/tests/all/pool_fleet.rs
@@ -1,6 +1,7 @@
 //! Fleet of VMs that hold and ask token pools, in virtual time: a network that delays and loses messages, and VMs that
 //! learn late who is live.
 
+use crate::refusal_tally::RefusalTally;
 use plantainmill_admission::pools::{
     AskOutcome, FleetView, PoolBook, RateLimit, TokenAsk, TokenKind, TokenReply, TokenSearch,
     TokenStep,
@@ -580,31 +581,3 @@
         tally.assert_few(context);
     }
 }
-
-/// Requests and refusals of each organisation, summed over runs with different seeds.
-#[derive(Default)]
-pub struct RefusalTally {
-    counts: Vec<(usize, usize)>,
-}
-
-impl RefusalTally {
-    /// Adds what was refused since the counts of `fleet` were cleared.
-    pub fn add(&mut self, fleet: &PoolFleet) {
-        self.counts.resize(fleet.organisations.len(), (0, 0));
-        for (count, organisation) in self.counts.iter_mut().zip(&fleet.organisations) {
-            count.0 += organisation.refused;
-            count.1 += organisation.sent;
-        }
-    }
-
-    /// Asserts that at most one request in a hundred was refused, for each organisation.
-    pub fn assert_few(&self, context: &str) {
-        for (number, (refused, sent)) in self.counts.iter().enumerate() {
-            let is_few = refused * 100 <= *sent;
-            assert!(
-                is_few,
-                "{context}, organisation {number}: {refused} of {sent} refused"
-            );
-        }
-    }
-}
--- a/crates/admission/tests/all/shared_usage.rs
+++ b/crates/admission/tests/all/shared_usage.rs
@@ -244,7 +244,7 @@
     }
     let continued: usize = fleet.continued_by[..survivors].iter().sum();
     assert!(continued >= 20, "{continued} streams went on");
-    // Streams may borrow one second of the rate.
-    let (worst, bound) = (fleet.max_window(0), 70 * 5 + 70 + 70);
+    // Streams may borrow one second of the rate, within the platform's tolerance of a tenth and 20 requests.
+    let (worst, bound) = (fleet.max_window(0), (70 * 5 + 70) * 11 / 10 + 20);
     assert!(worst <= bound, "{worst}");
 }
--- a/crates/admission/tests/all/token_pools.rs
+++ b/crates/admission/tests/all/token_pools.rs
@@ -1,6 +1,7 @@
 //! Exact rates by token pools at many VMs.
 
-use crate::pool_fleet::{Network, PoolFleet, RefusalTally};
+use crate::pool_fleet::{Network, PoolFleet};
+use crate::refusal_tally::RefusalTally;
 use plantainmill_admission::pools::{RateLimit, TokenKind, TokenPool, pool_count};
 use rand::RngExt as _;
 use rand::rngs::SmallRng;
