--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -4,7 +4,6 @@
 use crate::state::EdgeState;
 use crate::target_list::TargetListAnswer;
 use actix_web::{HttpRequest, HttpResponse, web};
-use plantainmill_admission::RateLimiter as _;
 use plantainmill_core::{AllowedRegions, encode_cbor};
 use plantainmill_dispatch::Dispatcher as _;
 use plantainmill_proxy::relay::{FORWARD_HEADER, MAX_FORWARD_BYTES};
@@ -117,7 +116,8 @@
             "is_unreachable": state.paths.is_unreachable(&AllowedRegions::Everywhere),
             "lost": state.paths.lost_count(),
         },
-        "usage": state.limiter.dump().await,
+        "pools": state.limiter.dump(),
+        "usage": state.usage.report(),
         "jobs_running": state.jobs.running(),
     })
 }
