Count the load that targets state in their responses

Cause: a target that says it is slower than usual, or busier than load reports show, gets as many requests as others.

Change: the header is read on each response head, kept per target for a second in dispatch::shared::stated, shared at the end of report batches (a batch without it is encoded as before; the former decoder ignores it), and costs in the choice of a target, more for items than for online requests. Gauge of slow targets, values in the dump.

Not run: jobs, patterns, edge in whole.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The interface between the callers of targets (gateway and batch) and the dispatch policy.
 
+use crate::shared::TargetStatement;
 use futures_util::future::LocalBoxFuture;
 use plantainmill_core::{
     OrganisationId, PartId, Problem, RequestHash, ServiceName, TargetId, Uptime, VersionName,
@@ -87,6 +88,8 @@
     fn limit_named(&self, _rate: Option<f64>) {}
     /// A response of the target says that it leaves.
     fn leaving_stated(&self) {}
+    /// A response of the target states its load.
+    fn load_stated(&self, _statement: TargetStatement) {}
 }
 
 /// Permission to send one request to one target. Dropping it without [`TargetTicket::finish`] reports the call as
@@ -176,6 +179,13 @@
             .for_each(|observer| observer.leaving_stated());
     }
 
+    /// Reports what a response of the target states about its load.
+    pub fn record_load(&self, statement: TargetStatement) {
+        self.observers
+            .iter()
+            .for_each(|observer| observer.load_stated(statement));
+    }
+
     /// Ends the ticket and reports the outcome of its call.
     pub fn finish(mut self, outcome: CallOutcome) {
         self.report(outcome);
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -11,9 +11,11 @@
 mod leaving;
 mod ledger;
 mod peers;
+mod stated;
 mod target;
 
 pub use dispatcher::{SharedDispatcher, SharedParts};
 pub use leaving::{LeavingEntry, LeavingLedger, LeavingReport};
 pub use ledger::{LedgerEffect, LoadLedger};
 pub use peers::{LoadSource, PeerLoad, SlotUse};
+pub use stated::{StatedEntry, StatedLoads, StatedScope, StatedSource, TargetStatement};
--- a/crates/dispatch/src/shared/batch.rs
+++ b/crates/dispatch/src/shared/batch.rs
@@ -115,7 +115,7 @@
             .targets
             .values()
             .any(|target| target.serves(&waiting.request) && !target.backoff.is_backing_off(now));
-        let candidates = self.candidates(&waiting.request, |target, peers| {
+        let candidates = self.candidates(&waiting.request, now, |target, peers| {
             let is_usable = !has_healthy || !target.backoff.is_backing_off(now);
             let is_open = has_batch_room(target, peers) && !contested.contains(&target.entry.id);
             (is_open && is_usable).then_some(SlotState::Free)
--- a/crates/dispatch/src/shared/choice.rs
+++ b/crates/dispatch/src/shared/choice.rs
@@ -1,5 +1,6 @@
 //! Comparison of targets for one request.
 
+use crate::dispatcher::TrafficClass;
 use crate::rendezvous::score;
 use plantainmill_core::{DomainName, RegionName, TargetId};
 use std::cmp::Reverse;
@@ -15,6 +16,12 @@
 /// Largest random cost, as a difference in occupancy. Makes VMs with the same load reports select different targets.
 const MAX_RANDOM_COST: f64 = 0.12;
 
+/// Cost, as a difference in occupancy, of a target that needs twice the usual time by its own statement. With 0.3 and more,
+/// VMs with late reports crowd the other targets, and fewer first events are in time than without the cost.
+const DELAY_COST: f64 = 0.08;
+/// Factor by which that cost is higher for batch calls, which no caller waits for.
+const BATCH_DELAY_FACTOR: f64 = 15.0;
+
 /// Number of targets at one distance that a VM compares while load reports come late. All VMs then act on old reports of
 /// the same age: if each compared all targets, all would send to the few that seem least occupied, and overfill them
 /// before the next reports.
@@ -62,6 +69,14 @@
     Suspect,
 }
 
+/// Cost of a target that needs longer than usual by `delay`, a multiple of the usual time.
+pub(super) fn delay_cost(delay: f64, class: TrafficClass) -> f64 {
+    match class {
+        TrafficClass::Online => DELAY_COST * delay,
+        TrafficClass::Batch => DELAY_COST * BATCH_DELAY_FACTOR * delay,
+    }
+}
+
 /// A target that could serve the request.
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
@@ -71,6 +86,8 @@
     pub occupancy: f64,
     /// Cost of the network distance.
     pub distance_cost: f64,
+    /// Cost of the longer time that the target needs now by its own statement, as a difference in occupancy.
+    pub delay_cost: f64,
 }
 
 /// Reduces the candidates at each distance to the first few in the order of the VM with `vm_key`. Each VM thus uses few
@@ -135,7 +152,9 @@
             };
             let random_share = score(&candidate.target, self.salt) % 1_000;
             let random_share = f64::from(u32::try_from(random_share).unwrap_or(0)) / 1_000.0;
-            candidate.occupancy + candidate.distance_cost - gain + random_share * MAX_RANDOM_COST
+            candidate.occupancy + candidate.distance_cost - gain
+                + random_share * MAX_RANDOM_COST
+                + candidate.delay_cost
         };
         best.into_iter()
             .min_by(|first, second| cost(first).total_cmp(&cost(second)))
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -3,6 +3,7 @@
 use super::leaving::LeavingReport;
 use super::ledger::{LedgerEffect, LoadLedger, RequestId};
 use super::peers::{LoadSource, PeerLoad};
+use super::stated::{StatedEntry, StatedScope, StatedSource, TargetStatement};
 use crate::dispatcher::{CallObserver, CallOutcome, Dispatcher, TargetTicket, TicketRequest};
 use crate::notice::{NoticeSource, ReportScope};
 use bytes::Bytes;
@@ -133,6 +134,41 @@
         self.inner.lock().ledger.domain_report()
     }
 
+    /// Records what a response of `target` states about its load.
+    pub fn record_stated(&self, target: &TargetId, statement: TargetStatement) {
+        let now = self.inner.clock.uptime();
+        let is_news = {
+            let mut state = self.inner.lock();
+            state.ledger.stated.record_response(target, statement, now)
+        };
+        if is_news {
+            self.inner.load_change.notify_one();
+        }
+    }
+
+    /// Records what other VMs have heard of the load of targets.
+    pub fn record_stated_entries(
+        &self,
+        entries: &[StatedEntry],
+        source: StatedSource,
+        is_relayed: bool,
+    ) {
+        if !entries.is_empty() {
+            let now = self.inner.clock.uptime();
+            let ledger = &mut self.inner.lock().ledger;
+            ledger
+                .stated
+                .record_entries(entries, source, is_relayed, now);
+        }
+    }
+
+    /// What the receivers in `scope` should know about what targets state.
+    #[must_use]
+    pub fn stated_report(&self, scope: StatedScope) -> Vec<StatedEntry> {
+        let now = self.inner.clock.uptime();
+        self.inner.lock().ledger.stated.report(scope, now)
+    }
+
     /// Completes when a load report should be sent to the peers at once, ahead of the regular interval.
     pub async fn report_requested(&self) {
         self.inner.report_request.notified().await;
@@ -200,6 +236,16 @@
                 observer.observe(u64::try_from(count).unwrap_or(u64::MAX), &[]);
             })
             .build();
+        let observed = self.clone();
+        meter
+            .u64_observable_gauge(format!("{prefix}slow_targets"))
+            .with_description("Targets whose responses say that they are slow now")
+            .with_callback(move |observer| {
+                let now = observed.inner.clock.uptime();
+                let count = observed.inner.lock().ledger.stated.slow_count(now);
+                observer.observe(u64::try_from(count).unwrap_or(u64::MAX), &[]);
+            })
+            .build();
     }
 
     /// Whether any request waits for a slot.
@@ -326,7 +372,7 @@
                 guard.armed = false;
                 let inner = Arc::clone(&self.inner);
                 let on_finish = Box::new(move |outcome| inner.release(number, outcome));
-                let observer = LeavingObserver {
+                let observer = ResponseObserver {
                     dispatcher: self.clone(),
                     target: target.clone(),
                     born,
@@ -361,17 +407,21 @@
     }
 }
 
-/// Passes on that a response of a target says that it leaves.
-struct LeavingObserver {
+/// Passes on what responses of a target say about it.
+struct ResponseObserver {
     dispatcher: SharedDispatcher,
     target: TargetId,
     born: u64,
 }
 
-impl CallObserver for LeavingObserver {
+impl CallObserver for ResponseObserver {
     fn leaving_stated(&self) {
         self.dispatcher.record_leaving(&self.target, self.born);
     }
+
+    fn load_stated(&self, statement: TargetStatement) {
+        self.dispatcher.record_stated(&self.target, statement);
+    }
 }
 
 impl NoticeSource for SharedDispatcher {
@@ -442,8 +492,18 @@
                 })
             })
             .collect();
+        let stated: Vec<_> = state
+            .ledger
+            .stated
+            .entries(self.inner.clock.uptime())
+            .map(|StatedEntry(target, used, pace, age_ms)| {
+                serde_json::json!({
+                    "target": target, "used": used, "pace_percent": pace, "age_ms": age_ms,
+                })
+            })
+            .collect();
         let dump = serde_json::json!({
-            "waiting_online": online, "waiting_batch": batch, "targets": slots,
+            "waiting_online": online, "waiting_batch": batch, "targets": slots, "stated": stated,
         });
         async move { dump }.boxed_local()
     }
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -1,10 +1,11 @@
 //! State machine of the shared policy: calls of this VM, load reports of peers, and waiting requests.
 
 use super::backoff::TargetBackoff;
-use super::choice::{Candidate, CandidateOrder, LocalityMap, SlotState};
+use super::choice::{Candidate, CandidateOrder, LocalityMap, SlotState, delay_cost};
 use super::leaving::LeavingLedger;
 use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse, busiest_of};
-use super::target::{LedgerTarget, online_state};
+use super::stated::StatedLoads;
+use super::target::{LedgerTarget, MAX_QUEUED_ONLINE, online_state};
 use crate::dispatcher::{CallOutcome, TicketRequest, TrafficClass};
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{
@@ -93,6 +94,8 @@
     pub(super) targets: BTreeMap<TargetId, LedgerTarget>,
     pub(super) peers: PeerLoads,
     pub(super) leaving: LeavingLedger,
+    /// What targets state about their load.
+    pub stated: StatedLoads,
     calls: HashMap<RequestId, RunningCall>,
     /// Online calls of this VM by organisation.
     running_online: HashMap<Option<OrganisationId>, u32>,
@@ -124,6 +127,7 @@
             targets: BTreeMap::new(),
             peers: PeerLoads::default(),
             leaving: LeavingLedger::default(),
+            stated: StatedLoads::default(),
             calls: HashMap::new(),
             running_online: HashMap::new(),
             online: Vec::new(),
@@ -306,6 +310,7 @@
     /// Expires the reports of peers that stopped sending them, and grants or refuses waiting requests.
     pub fn tick(&mut self, now: Uptime) -> Vec<LedgerEffect> {
         self.peers.expire(now);
+        self.stated.expire(now);
         let mut effects = Vec::new();
         self.serve_online(now, None, &mut effects);
         self.serve_batch(now, &mut effects);
@@ -430,7 +435,7 @@
     ) -> bool {
         let request = &waiting.request;
         let is_dominant = self.is_dominant(request);
-        let candidates = self.candidates(request, |target, peers| {
+        let candidates = self.candidates(request, now, |target, peers| {
             let has_turn = released == Some(&target.entry.id) || self.has_turn(target, now);
             let state = online_state(target, peers, is_dominant, now)?;
             let is_spared = request.spared.contains(&target.entry.id);
@@ -468,6 +473,7 @@
     pub(super) fn candidates(
         &self,
         request: &TicketRequest,
+        now: Uptime,
         state_of: impl Fn(&LedgerTarget, SlotUse) -> Option<SlotState>,
     ) -> Vec<Candidate> {
         let serving = || {
@@ -477,15 +483,20 @@
         // If there is no other target, one that already failed the request is better than none.
         let has_other = serving().any(|(id, _)| !request.excluded.contains(id));
         let fitting = serving().filter(|(id, _)| !has_other || !request.excluded.contains(*id));
+        let usual_pace = self.stated.usual_pace(serving().map(|(id, _)| id), now);
         fitting
             .filter_map(|(id, target)| {
                 let peers = self.peers.at(id);
-                let used = f64::from(target.own.total() + peers.total());
+                let used = target.own.total() + peers.total();
+                let most = target.entry.slots + MAX_QUEUED_ONLINE;
+                let stated = self.stated.used(id, most, now).unwrap_or(0);
+                let used = f64::from(used.max(stated));
                 Some(Candidate {
                     target: id.clone(),
                     state: state_of(target, peers)?,
                     occupancy: used / f64::from(target.entry.slots.max(1)),
                     distance_cost: self.locality.distance_cost(&target.entry.domain),
+                    delay_cost: delay_cost(self.stated.delay(id, usual_pace, now), request.class),
                 })
             })
             .collect()
--- a/crates/dispatch/src/shared/target.rs
+++ b/crates/dispatch/src/shared/target.rs
@@ -8,7 +8,7 @@
 use plantainmill_routing::TargetEntry;
 
 /// Online requests that may wait at a target beyond its slots, so that a free slot is filled without a round trip.
-const MAX_QUEUED_ONLINE: u32 = 2;
+pub(super) const MAX_QUEUED_ONLINE: u32 = 2;
 /// An organisation with most of the online calls leaves one in this many slots of each target to the others.
 const DOMINANT_RESERVE_DIVISOR: u32 = 4;
 
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod retries;
 mod service;
 mod shared_ledger;
+mod stated_load;
 mod support;
 mod target_limits;
 mod tickets;
--- a/crates/edge/src/compact_batch.rs
+++ b/crates/edge/src/compact_batch.rs
@@ -3,12 +3,15 @@
 use crate::message::{DomainUpdate, PeerReport, ReportBatch, VmRow};
 use plantainmill_admission::UsageEntry;
 use plantainmill_core::{DomainName, Incarnation, OrganisationId, RegionName, TargetId, VmId};
-use plantainmill_dispatch::shared::{PeerLoad, SlotUse};
+use plantainmill_dispatch::shared::{PeerLoad, SlotUse, StatedEntry};
 use plantainmill_jobs::JobOwner;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// A [`ReportBatch`]: sender, its domain and region, whether it is relayed, reports, domains.
+/// A [`ReportBatch`]: sender, its domain and region, whether it is relayed, reports, domains, statements of targets.
+///
+/// The statements are the end of the datagram, where decoders of older releases do not read on, and are left out if there
+/// are none.
 #[derive(Deserialize, Serialize)]
 pub(crate) struct CompactBatch(
     CompactRow,
@@ -17,6 +20,7 @@
     bool,
     Vec<CompactReport>,
     Vec<CompactDomain>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")] Vec<StatedEntry>,
 );
 
 /// A [`VmRow`] of the batch's domain: id, incarnation, peer address, control address, processor percentage.
@@ -61,6 +65,7 @@
             is_relayed,
             reports,
             domains,
+            stated,
         } = batch;
         let (domain, region) = (sender.domain.clone(), sender.region.clone());
         CompactBatch(
@@ -70,13 +75,14 @@
             is_relayed,
             reports.into_iter().map(CompactReport::from).collect(),
             domains.into_iter().map(CompactDomain::from).collect(),
+            stated,
         )
     }
 }
 
 impl From<CompactBatch> for ReportBatch {
     fn from(batch: CompactBatch) -> ReportBatch {
-        let CompactBatch(sender, domain, region, is_relayed, reports, domains) = batch;
+        let CompactBatch(sender, domain, region, is_relayed, reports, domains, stated) = batch;
         let row = |row: CompactRow| row.into_row(&domain, &region);
         let reports = reports.into_iter();
         ReportBatch {
@@ -91,6 +97,7 @@
             sender: row(sender),
             is_relayed,
             domains: domains.into_iter().map(DomainUpdate::from).collect(),
+            stated,
         }
     }
 }
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -5,7 +5,7 @@
 use plantainmill_core::{DomainName, Incarnation, RegionName, VmId};
 use plantainmill_dispatch::limits::LimitReport;
 use plantainmill_dispatch::quarantine::PartReport;
-use plantainmill_dispatch::shared::{LeavingReport, PeerLoad};
+use plantainmill_dispatch::shared::{LeavingReport, PeerLoad, StatedEntry};
 use plantainmill_jobs::{HeadChanges, HeadUpdate, JobOwner};
 use plantainmill_provider::RowVersion;
 use serde::{Deserialize, Serialize};
@@ -63,6 +63,8 @@
     pub reports: Vec<PeerReport>,
     /// Updates on the sender's domain, or relayed ones on other domains.
     pub domains: Vec<DomainUpdate>,
+    /// What targets state about their load. Older releases ignore it.
+    pub stated: Vec<StatedEntry>,
 }
 
 /// Aggregated report of one failure domain to the others, without what has not changed.
--- a/crates/edge/src/peer_reports.rs
+++ b/crates/edge/src/peer_reports.rs
@@ -6,7 +6,7 @@
 use crate::report_relay::split_updates;
 use plantainmill_admission::UsageSource;
 use plantainmill_core::encode_cbor;
-use plantainmill_dispatch::shared::{LoadSource, PeerLoad};
+use plantainmill_dispatch::shared::{LoadSource, PeerLoad, StatedEntry, StatedScope, StatedSource};
 use plantainmill_jobs::JobOwner;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -122,6 +122,7 @@
             is_relayed: false,
             reports: vec![report],
             domains: Vec::new(),
+            stated: self.state.dispatcher.stated_report(StatedScope::Own),
         };
         self.send_to(&PeerMessage::Batch(batch), &receivers).await;
     }
@@ -160,7 +161,10 @@
                 fleet_updated_at = Some(Instant::now());
                 self.update_fleet();
             }
-            let batches = self.relay.borrow_mut().take_batches(&self.own_row);
+            let mut batches = self.relay.borrow_mut().take_batches(&self.own_row);
+            add_stated(&mut batches, || {
+                self.state.dispatcher.stated_report(StatedScope::Relay)
+            });
             for batch in batches {
                 let receivers: Vec<VmRow> = self.directory.borrow().local_rows().cloned().collect();
                 let receivers = batch_addresses(&receivers);
@@ -263,7 +267,11 @@
             self.send_to(&PeerMessage::Domain(report), &older).await;
         }
         let receivers = batch_addresses(&receivers);
-        for batch in split_updates(&self.own_row, false, vec![update]) {
+        let mut batches = split_updates(&self.own_row, false, vec![update]);
+        add_stated(&mut batches, || {
+            self.state.dispatcher.stated_report(StatedScope::Domain)
+        });
+        for batch in batches {
             self.send_to(&PeerMessage::Batch(batch), &receivers).await;
         }
     }
@@ -277,6 +285,13 @@
                 self.handle_batched_report(report, batch.is_relayed, &mut loads);
             }
         }
+        let source = if is_local && batch.domains.is_empty() {
+            StatedSource::Near
+        } else {
+            StatedSource::Far
+        };
+        let dispatcher = &self.state.dispatcher;
+        dispatcher.record_stated_entries(&batch.stated, source, is_local && batch.is_relayed);
         let mut accepted = Vec::new();
         for update in batch.domains {
             if self.apply_update(&update, &mut loads) {
@@ -285,7 +300,8 @@
         }
         self.state.dispatcher.record_reports(loads);
         if !is_local && !accepted.is_empty() {
-            self.forward_updates(accepted, &batch.sender).await;
+            self.forward_updates(accepted, batch.stated, &batch.sender)
+                .await;
         }
     }
 
@@ -340,7 +356,12 @@
     }
 
     /// Passes updates from another domain on to the VMs of the own one: with the next batch of a relay, else at once.
-    async fn forward_updates(&self, updates: Vec<DomainUpdate>, sender: &VmRow) {
+    async fn forward_updates(
+        &self,
+        updates: Vec<DomainUpdate>,
+        stated: Vec<StatedEntry>,
+        sender: &VmRow,
+    ) {
         let (is_relay, rows) = {
             let directory = self.directory.borrow();
             let rows: Vec<VmRow> = directory.local_rows().cloned().collect();
@@ -369,7 +390,9 @@
             return;
         }
         let receivers = batch_addresses(&rows);
-        for batch in split_updates(&self.own_row, true, updates) {
+        let mut batches = split_updates(&self.own_row, true, updates);
+        add_stated(&mut batches, || stated);
+        for batch in batches {
             self.send_to(&PeerMessage::Batch(batch), &receivers).await;
         }
     }
@@ -422,6 +445,13 @@
     }
 }
 
+/// Adds statements of targets to the first batch, if there is one.
+fn add_stated(batches: &mut [ReportBatch], stated: impl FnOnce() -> Vec<StatedEntry>) {
+    if let Some(first) = batches.first_mut() {
+        first.stated = stated();
+    }
+}
+
 /// Datagram addresses of the VMs that read batches.
 fn batch_addresses(rows: &[VmRow]) -> Vec<SocketAddr> {
     let readers = rows.iter().filter(|row| row.reads_batches);
--- a/crates/edge/src/report_relay.rs
+++ b/crates/edge/src/report_relay.rs
@@ -117,6 +117,7 @@
             is_relayed,
             reports: Vec::new(),
             domains: Vec::new(),
+            stated: Vec::new(),
         });
     }
     let last = batches.len() - 1;
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod peer_directory;
 mod relay_fleet;
 mod report_relay;
+mod stated_batch;
 mod support;
--- a/crates/edge/tests/all/relay_fleet.rs
+++ b/crates/edge/tests/all/relay_fleet.rs
@@ -109,6 +109,7 @@
                     is_relayed: false,
                     reports: vec![report],
                     domains: Vec::new(),
+                    stated: Vec::new(),
                 };
                 self.send(vm, &rows, &batch);
             }
--- a/crates/edge/tests/all/report_relay.rs
+++ b/crates/edge/tests/all/report_relay.rs
@@ -1,6 +1,7 @@
 //! Batches of relayed reports: what they keep, how large they get, and how they are encoded.
 
 use crate::support::{load, owner, report, row, update, usage};
+use plantainmill_dispatch::shared::StatedEntry;
 use plantainmill_edge::{PeerMessage, ReportBatch, ReportRelay, split_updates};
 
 /// Largest datagram that a VM receives, in bytes.
@@ -102,6 +103,7 @@
         is_relayed: true,
         reports: vec![sent],
         domains: vec![with_members],
+        stated: vec![StatedEntry("t1".into(), 9, 250, 70)],
     });
     assert_eq!(PeerMessage::decode(&message.encode()), Some(message));
 }
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -32,6 +32,8 @@
     pub target_limit: HeaderName,
     /// Present on all responses of a target that leaves.
     pub target_leaving: HeaderName,
+    /// Load of the target at the time of the response; see [`plantainmill_dispatch::shared::TargetStatement::parse`].
+    pub target_load: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event: HeaderName,
 }
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -13,6 +13,7 @@
 use futures_util::StreamExt as _;
 use futures_util::stream::LocalBoxStream;
 use plantainmill_core::Executed;
+use plantainmill_dispatch::shared::TargetStatement;
 use plantainmill_dispatch::{CallOutcome, TargetTicket};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -263,6 +264,11 @@
             let limit = headers.get(&names.target_limit);
             let limit = limit.and_then(|limit| limit.to_str().ok()?.trim().parse().ok());
             ticket.record_limit(limit);
+            let load = headers.get(&names.target_load);
+            let load = load.and_then(|load| TargetStatement::parse(load.to_str().ok()?));
+            if let Some(load) = load {
+                ticket.record_load(load);
+            }
             if headers.contains_key(&names.target_leaving) {
                 ticket.record_leaving();
             }
--- a/crates/proxy/tests/pending_connect.rs
+++ b/crates/proxy/tests/pending_connect.rs
@@ -64,6 +64,7 @@
         expected_instance: name("expected"),
         not_executed: name("not-executed"),
         target_limit: name("server-limit"),
+        target_load: name("server-load"),
         target_leaving: name("server-leaving"),
         last_event: name("last-event-id"),
     };
--- a/crates/proxy/tests/relay_fleet/mod.rs
+++ b/crates/proxy/tests/relay_fleet/mod.rs
@@ -87,6 +87,7 @@
         expected_instance: HeaderName::from_static("expected"),
         not_executed: HeaderName::from_static(NAMES.not_executed),
         target_limit: HeaderName::from_static(NAMES.limit),
+        target_load: HeaderName::from_static("server-load"),
         target_leaving: HeaderName::from_static(NAMES.leaving),
         last_event: HeaderName::from_static("last-event-id"),
     }
