Reject responses whose status HTTP does not define

Cause: a status from 600 to 999 was passed on to the caller of a request that may not be repeated, on the relay and on the product's own interface; a status 000 was not passed on, but reported as 3004 on the relay.

Change: a status outside 200 to 599 is no answer: 3005 answer_invalid, executed unknown, connection retired, repeated where that is allowed.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -40,7 +40,7 @@
     /// Writes the last refusal or failure on the connection once more, if there was one, and then runs the request and answers.
     /// Pauses in between.
     RepeatRefusal,
-    /// Ran the request and fails with this status.
+    /// Ran the request and fails with this status, which is written with three digits.
     Fail(u16),
     /// Runs the request and closes the connection without an answer.
     LoseAnswer,
@@ -462,7 +462,7 @@
             String::new()
         };
         let stated = format!("stamp: s1\r\n{limit}{leaving}");
-        format!("HTTP/1.1 {status} Any\r\n{name}: {id}\r\n{stated}{extra}{framing}\r\n")
+        format!("HTTP/1.1 {status:03} Any\r\n{name}: {id}\r\n{stated}{extra}{framing}\r\n")
     }
 
     /// The events after `last` as one body.
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -87,6 +87,7 @@
             reason = %failure.reason,
         );
     })?;
+    check_status(&head).inspect_err(|_| mark.trace.retire_connection())?;
     mark.set(Executed::Yes);
     check_length(&head, context).inspect_err(|_| mark.trace.retire_connection())?;
     head.payload = response.boxed_local();
@@ -179,12 +180,18 @@
     Err(failure.with_outcome(CallOutcome::Rejected))
 }
 
+/// Rejects responses with a status that HTTP does not define as a final one. Whether the request was executed is unknown then.
+fn check_status(head: &ResponseHead) -> Result<(), AttemptFailure> {
+    if (200..600).contains(&head.status) {
+        return Ok(());
+    }
+    let reason = format!("the status {:03} is invalid", head.status);
+    Err(AttemptFailure::new(ResultCode::AnswerInvalid, reason))
+}
+
 /// Rejects responses that are too large, or whose end cannot be told from a truncation.
 fn check_length(head: &ResponseHead, context: &CallContext) -> Result<(), AttemptFailure> {
     let invalid = |reason: &str| Err(AttemptFailure::new(ResultCode::AnswerInvalid, reason));
-    if head.status < 200 {
-        return invalid("the answer is an interim one");
-    }
     let length = header_text(&head.headers, CONTENT_LENGTH.as_str());
     let length = length.and_then(|length| length.parse::<usize>().ok());
     if length.is_some_and(|length| length > context.limits.max_response_bytes) {
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 use futures_util::stream::LocalBoxStream;
-use plantainmill_core::Executed;
+use plantainmill_core::{Executed, ResultCode};
 use plantainmill_dispatch::shared::TargetStatement;
 use plantainmill_dispatch::{CallOutcome, TargetTicket};
 use std::io::{self, ErrorKind};
@@ -38,6 +38,8 @@
     pub was_connected: bool,
     /// Whether the connection was open and nothing came on it for too long.
     pub is_silent: bool,
+    /// Result code of a call that ends with this failure; `None` for the usual one.
+    pub code: Option<ResultCode>,
     /// VM that was asked to forward the request; `None` for a direct send.
     pub forwarder: Option<SocketAddr>,
     /// Connection on which the request was written; `None` if it was not, or if that is not known.
@@ -55,6 +57,7 @@
             is_deadline: false,
             was_connected: true,
             is_silent: false,
+            code: None,
             forwarder: None,
             connection: None,
             reason: reason.into(),
@@ -94,6 +97,18 @@
         }
     }
 
+    /// A response whose status says nothing, of a request that may have run.
+    fn invalid_status(status: u16) -> SendFailure {
+        SendFailure {
+            code: Some(ResultCode::AnswerInvalid),
+            ..SendFailure::new(
+                Executed::Unknown,
+                CallOutcome::Failed,
+                format!("the status {status:03} is invalid"),
+            )
+        }
+    }
+
     /// Whether no connection was opened, so that the request may go another way while there is time.
     pub(super) fn is_unsent(&self) -> bool {
         !self.was_connected && !self.is_deadline
@@ -286,6 +301,10 @@
             let reason = format!("the target refused with status {status}");
             return Err(SendFailure::new(Executed::No, outcome, reason).at(send.trace));
         }
+        if !is_final_status(status) {
+            send.trace.retire_connection();
+            return Err(SendFailure::invalid_status(status).at(send.trace));
+        }
         Ok(TargetResponse {
             status,
             headers,
@@ -297,6 +316,11 @@
     }
 }
 
+/// Whether HTTP defines the status as that of a final response (RFC 9110, section 15).
+fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Body of a response as it arrives.
 pub(super) type ResponsePayload = LocalBoxStream<'static, Result<Bytes, PayloadError>>;
 /// Response of a request that was sent.
@@ -378,6 +402,8 @@
     };
     SendFailure {
         is_silent: executed == Executed::Unknown && outcome == CallOutcome::Failed,
+        code: matches!(error, SendRequestError::Response(ParseError::Status))
+            .then_some(ResultCode::AnswerInvalid),
         ..SendFailure::new(executed, outcome, format!("no answer: {error}"))
     }
 }
--- a/crates/proxy/src/relay/progress.rs
+++ b/crates/proxy/src/relay/progress.rs
@@ -90,7 +90,7 @@
             (Executed::No, true) => ResultCode::QueueFull,
             (Executed::No, false) => ResultCode::TargetRefused,
             (_, true) => ResultCode::TargetTimeout,
-            (_, false) => ResultCode::TargetFailed,
+            (_, false) => failure.code.unwrap_or(ResultCode::TargetFailed),
         };
         let problem = Problem::new(code, failure.reason.clone())
             .with_executed(self.executed)
