--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -12,6 +12,8 @@
 mod ledger;
 mod peers;
 mod refusal;
+mod spare;
+mod stated;
 mod target;
 mod target_changes;
 
@@ -19,4 +21,5 @@
 pub use leaving::{LeavingEntry, LeavingLedger, LeavingReport};
 pub use ledger::{LedgerEffect, LoadLedger};
 pub use peers::{LoadSource, PeerLoad, SlotUse};
+pub use stated::{StatedEntry, StatedLoads, StatedScope, StatedSource, TargetStatement};
 pub use target::RefusalCause;
--- a/crates/dispatch/src/shared/ledger.rs
+++ b/crates/dispatch/src/shared/ledger.rs
@@ -1,10 +1,11 @@
 //! State machine of the shared policy: calls of this VM, load reports of peers, and waiting requests.
 
 use super::backoff::TargetBackoff;
-use super::choice::{Candidate, CandidateOrder, LocalityMap, SlotState};
+use super::choice::{Candidate, CandidateOrder, LocalityMap, SlotState, delay_cost};
 use super::leaving::LeavingLedger;
 use super::peers::{LoadSource, PeerLoad, PeerLoads, SlotUse, busiest_of};
-use super::target::{LedgerTarget, RefusalCause, online_state};
+use super::stated::StatedLoads;
+use super::target::{LedgerTarget, MAX_QUEUED_ONLINE, RefusalCause, online_state};
 use crate::dispatcher::{CallOutcome, TargetNeed, TicketRequest, TrafficClass};
 use crate::rendezvous::{key_of, score};
 use plantainmill_core::{
@@ -27,16 +28,11 @@
 const TURN_SPREAD: u64 = 2;
 /// Length of a turn: after it, peers have received a report of who filled a slot.
 const TURN_LENGTH: Duration = Duration::from_millis(50);
-/// Fraction of a service's slots that online requests may use while it counts as having slots to spare. Above it, a request
-/// that is sent twice takes slots that others soon wait for.
-const MAX_SPARE_USE: f64 = 0.75;
 /// Longest wait of an online request for a slot, unless the request sets a limit.
 const DEFAULT_ONLINE_WAIT: Duration = Duration::from_millis(100);
 /// Shortest delay before a refused request is retried: about the duration of short requests, after which slots are
 /// free.
 pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Time over which the retries of refused requests are spread, because a load peak lasts a few seconds.
-const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(1_200);
 
 /// An action that the caller of the state machine has to carry out.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -98,6 +94,8 @@
     pub(super) targets: BTreeMap<TargetId, LedgerTarget>,
     pub(super) peers: PeerLoads,
     pub(super) leaving: LeavingLedger,
+    /// What targets state about their load.
+    pub stated: StatedLoads,
     calls: HashMap<RequestId, RunningCall>,
     /// Online calls of this VM by organisation.
     running_online: HashMap<Option<OrganisationId>, u32>,
@@ -129,6 +127,7 @@
             targets: BTreeMap::new(),
             peers: PeerLoads::default(),
             leaving: LeavingLedger::default(),
+            stated: StatedLoads::default(),
             calls: HashMap::new(),
             running_online: HashMap::new(),
             online: Vec::new(),
@@ -232,21 +231,6 @@
         (number, effects)
     }
 
-    /// Whether the targets that can serve the request have slots to spare: no VM has a request that waits for one, and online
-    /// requests use no more than [`MAX_SPARE_USE`] of them.
-    fn has_spare_slots(&self, request: &TicketRequest) -> bool {
-        if !self.online.is_empty() || self.peers.online_waiting_vms() > 0 {
-            return false;
-        }
-        let serving = self.targets.iter();
-        let serving = serving.filter(|(_, target)| target.meets(request.need()));
-        let (slots, used) = serving.fold((0, 0), |(slots, used), (id, target)| {
-            let online = target.own.online + self.peers.at(id).online;
-            (slots + target.entry.slots, used + online)
-        });
-        f64::from(used) <= f64::from(slots) * MAX_SPARE_USE
-    }
-
     /// Whether a target other than `current` meets the need.
     #[must_use]
     pub fn has_other_target(&self, need: TargetNeed<'_>, current: &TargetId) -> bool {
@@ -332,6 +316,7 @@
     /// Expires the reports of peers that stopped sending them, and grants or refuses waiting requests.
     pub fn tick(&mut self, now: Uptime) -> Vec<LedgerEffect> {
         self.peers.expire(now);
+        self.stated.expire(now);
         let mut effects = Vec::new();
         self.serve_online(now, None, &mut effects);
         self.serve_batch(now, &mut effects);
@@ -446,13 +431,6 @@
         }
     }
 
-    /// Delay after which a refused request may be retried. The delays of refused requests are spread evenly.
-    pub(super) fn retry_after(&self, number: RequestId) -> Duration {
-        let share = score(&self.vm, number) % 1_000;
-        let share = u32::try_from(share).unwrap_or(0);
-        MIN_RETRY_AFTER + RETRY_AFTER_SPREAD * share / 1_000
-    }
-
     fn grant_online(
         &mut self,
         waiting: &WaitingRequest,
@@ -462,7 +440,7 @@
     ) -> bool {
         let request = &waiting.request;
         let is_dominant = self.is_dominant(request);
-        let candidates = self.candidates(request, |target, peers| {
+        let candidates = self.candidates(request, now, |target, peers| {
             let has_turn = released == Some(&target.entry.id) || self.has_turn(target, now);
             let state = online_state(target, peers, is_dominant, now)?;
             if request.needs_idle_slot && state != SlotState::Free {
@@ -503,6 +481,7 @@
     pub(super) fn candidates(
         &self,
         request: &TicketRequest,
+        now: Uptime,
         state_of: impl Fn(&LedgerTarget, SlotUse) -> Option<SlotState>,
     ) -> Vec<Candidate> {
         let serving = || {
@@ -513,15 +492,20 @@
         // If there is no other target, one that already failed the request is better than none.
         let has_other = serving().any(|(id, _)| !request.excluded.contains(id));
         let fitting = serving().filter(|(id, _)| !has_other || !request.excluded.contains(*id));
+        let usual_pace = self.stated.usual_pace(serving().map(|(id, _)| id), now);
         fitting
             .filter_map(|(id, target)| {
                 let peers = self.peers.at(id);
-                let used = f64::from(target.own.total() + peers.total());
+                let used = target.own.total() + peers.total();
+                let most = target.entry.slots + MAX_QUEUED_ONLINE;
+                let stated = self.stated.used(id, most, now).unwrap_or(0);
+                let used = f64::from(used.max(stated));
                 Some(Candidate {
                     target: id.clone(),
                     state: state_of(target, peers)?,
                     occupancy: used / f64::from(target.entry.slots.max(1)),
                     distance_cost: self.locality.distance_cost(&target.entry.domain),
+                    delay_cost: delay_cost(self.stated.delay(id, usual_pace, now), request.class),
                 })
             })
             .collect()
--- a/crates/dispatch/src/shared/refusal.rs
+++ b/crates/dispatch/src/shared/refusal.rs
@@ -1,10 +1,13 @@
 //! Requests that no known target can serve: why they are refused, and when they may be repeated.
 
-use super::ledger::{LoadLedger, MIN_RETRY_AFTER, WaitingRequest};
+use super::ledger::{LoadLedger, MIN_RETRY_AFTER, RequestId, WaitingRequest};
 use super::target::RefusalCause;
 use crate::dispatcher::{TargetNeed, TicketRequest};
+use crate::rendezvous::score;
 use std::time::Duration;
 
+/// Time over which the retries of refused requests are spread, because a load peak lasts a few seconds.
+const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(1_200);
 /// Delay before a request is repeated whose regions have no failure domain: the configuration has to change first.
 const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -40,4 +43,11 @@
             RefusalCause::Busy | RefusalCause::NoTarget => MIN_RETRY_AFTER,
         }
     }
+
+    /// Delay after which a refused request may be retried. The delays of refused requests are spread evenly.
+    pub(super) fn retry_after(&self, number: RequestId) -> Duration {
+        let share = score(&self.vm, number) % 1_000;
+        let share = u32::try_from(share).unwrap_or(0);
+        MIN_RETRY_AFTER + RETRY_AFTER_SPREAD * share / 1_000
+    }
 }
--- a/crates/dispatch/tests/all/main.rs
+++ b/crates/dispatch/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod retries;
 mod service;
 mod shared_ledger;
+mod stated_load;
 mod support;
 mod target_changes;
 mod target_limits;
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod pool_peers;
 mod relay_fleet;
 mod report_relay;
+mod stated_batch;
 mod support;
 mod target_lists;
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -35,6 +35,8 @@
     pub target_leaving: HeaderName,
     /// Milliseconds for which the target stays cold; `None` where targets do not say.
     pub target_cold: Option<HeaderName>,
+    /// Load of the target at the time of the response; see [`plantainmill_dispatch::shared::TargetStatement::parse`].
+    pub target_load: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event: HeaderName,
 }
