--- a/crates/edge/examples/target_list_cost.rs
+++ b/crates/edge/examples/target_list_cost.rs
@@ -20,6 +20,7 @@
 
 fn entries(round: usize) -> Vec<TargetEntry> {
     let entry = |number: usize| TargetEntry {
+        cold_left: plantainmill_routing::ColdLeft::default(),
         id: format!("i-{number:04}-7f3a9c21").into(),
         service: format!("model-{}", number % 30).into(),
         address: ([10, 128, 0, 9], u16::try_from(1 + number).unwrap_or(1)).into(),
