Token pools only in failure domains that have VMs

Change: from 3 s after its first view a VM leaves out domains of which it has heard no VM. A domain that is lost stays.

--- a/crates/admission/src/pools/book.rs
+++ b/crates/admission/src/pools/book.rs
@@ -7,7 +7,7 @@
     AskOutcome, RateLimit, TokenAsk, TokenKind, TokenReceipt, TokenReply, TokenSearch, TokenStep,
 };
 use super::share::OwnShares;
-use super::view::{FleetView, OwnPlace, ViewHistory};
+use super::view::{FleetView, KnownDomains, OwnPlace, ViewHistory};
 use plantainmill_core::{DomainName, OrganisationId, RegionName, Uptime, VmId};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
@@ -25,6 +25,10 @@
 /// Retry delay while no pool has named a time: silent holders are asked again by then.
 const UNKNOWN_RETRY_DELAY: Duration = super::memory::SILENCE_SKIP;
 
+/// Time after the first view from which only failure domains with VMs have pools. By then a VM has heard of all domains that
+/// have any; before, all domains of the settings count, so that VMs that start agree with the others.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+
 /// Number of organisations whose pools are kept. All are found again when there are more.
 const MAX_PLACES: usize = 8_192;
 
@@ -56,6 +60,7 @@
 pub struct PoolBook {
     own: OwnPlace,
     history: ViewHistory,
+    domains: KnownDomains,
     held: HeldPools,
     shares: OwnShares,
     memory: PoolMemory,
@@ -83,6 +88,7 @@
                 regions,
             },
             history: ViewHistory::default(),
+            domains: KnownDomains::default(),
             held: HeldPools::default(),
             shares: OwnShares::default(),
             memory: PoolMemory::default(),
@@ -97,11 +103,15 @@
     pub fn tick(&mut self, now: Uptime) {
         self.notice_call(now);
         self.memory.prune(now);
+        if self.domains.settle(SETTLING_TIME, now) {
+            self.places.clear();
+        }
     }
 
     /// Applies what is known of the fleet.
     pub fn set_fleet(&mut self, view: FleetView, now: Uptime) {
         self.notice_call(now);
+        self.domains.record(&view, now);
         if self.history.push(view, now) {
             self.places.clear();
             self.held.update(&self.own, &self.history, now);
@@ -164,9 +174,12 @@
         if self.places.len() >= MAX_PLACES && !self.places.contains_key(organisation) {
             self.places.clear();
         }
-        let (own, history) = (&self.own, &self.history);
+        let (own, history, known) = (&self.own, &self.history, &self.domains);
         let find = || {
-            let mut domains = pool_domains(organisation, limit.burst, own.regions.keys());
+            let domains = own.regions.keys();
+            let domains =
+                domains.filter(|domain| **domain == own.domain || known.may_have_vms(domain));
+            let mut domains = pool_domains(organisation, limit.burst, domains);
             own.sort_domains(&mut domains);
             let holders = domains.into_iter().map(|domain| {
                 let members = history.current().and_then(|view| view.members.get(&domain));
--- a/crates/admission/src/pools/view.rs
+++ b/crates/admission/src/pools/view.rs
@@ -2,7 +2,7 @@
 
 use super::placement::{holder_of, to_f64};
 use plantainmill_core::{DomainName, OrganisationId, RegionName, Uptime, VmId};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Time after which a VM that has become the holder of a pool starts to refill it. The former holder learns later that it
@@ -60,6 +60,39 @@
     }
 }
 
+/// Failure domains of which this VM has heard VMs. One that is lost stays known, since its VMs come back.
+#[derive(Debug, Default)]
+pub(super) struct KnownDomains {
+    heard: BTreeSet<DomainName>,
+    first_view_at: Option<Uptime>,
+    /// Domains without VMs are left out.
+    is_settled: bool,
+}
+
+impl KnownDomains {
+    pub fn record(&mut self, view: &FleetView, now: Uptime) {
+        self.first_view_at.get_or_insert(now);
+        let members = view.members.iter().filter(|(_, vms)| !vms.is_empty());
+        for (domain, _) in members {
+            if !self.heard.contains(domain) {
+                self.heard.insert(domain.clone());
+            }
+        }
+    }
+
+    /// Leaves out domains without VMs from `time` after the first view on. Returns whether this has just begun.
+    pub fn settle(&mut self, time: Duration, now: Uptime) -> bool {
+        let elapsed = self.first_view_at.map(|at| now.saturating_sub(at));
+        let is_due = elapsed.is_some_and(|elapsed| elapsed >= time);
+        is_due && !std::mem::replace(&mut self.is_settled, true)
+    }
+
+    /// Whether a domain of the settings has VMs, as far as this VM knows.
+    pub fn may_have_vms(&self, domain: &DomainName) -> bool {
+        !self.is_settled || self.heard.contains(domain)
+    }
+}
+
 struct PastView {
     from: Uptime,
     view: FleetView,
--- a/crates/admission/tests/all/main.rs
+++ b/crates/admission/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod keys;
 mod lease;
 mod loans;
+mod pool_domains;
 mod pool_faults;
 mod pool_fleet;
 mod refusal_tally;
