Token pools refilled since a joint start of their domain

Change: where no VM of the domain that is heard has run before, nobody has held its pools, so a pool counts as refilled since its holder started, and is used 0.3 s after its first view.

--- a/crates/admission/src/pools/view.rs
+++ b/crates/admission/src/pools/view.rs
@@ -8,6 +8,11 @@
 /// Time after which a VM that has become the holder of a pool starts to refill it. The former holder learns later that it
 /// is none any more, by the delay of reports; meanwhile both would refill.
 const HANDOVER_DELAY: Duration = Duration::from_millis(700);
+/// The same where all VMs of the domain have started together, so that there is no former holder. The first views of VMs that
+/// start differ for about as long.
+const JOINT_START_DELAY: Duration = Duration::from_millis(300);
+/// Longest time from the start of a VM to its first view for which the start counts as a joint one.
+const MAX_JOINT_START: Duration = Duration::from_secs(5);
 /// Number of views that are kept. A VM that has held a pool for longer counts as the holder since the oldest of them.
 const MAX_VIEWS: usize = 64;
 
@@ -22,6 +27,8 @@
     pub known: usize,
     /// This VM is the only one of the fleet, as far as it knows.
     pub is_alone: bool,
+    /// Start of this VM, if no VM of its domain that it hears has run before: none has held pools since.
+    pub started_together_at: Option<Uptime>,
 }
 
 impl FleetView {
@@ -147,16 +154,26 @@
             .take_while(|past| is_holder(own, &past.view, organisation, domain))
             .collect();
         let first = held.last()?;
-        let delay = if first.view.is_alone {
-            Duration::ZERO
-        } else {
-            HANDOVER_DELAY
+        let joint_start = first.view.started_together_at.filter(|at| {
+            let is_first_view = held.len() == self.views.len() && self.views.len() < MAX_VIEWS;
+            is_first_view && first.from.saturating_sub(*at) < MAX_JOINT_START
+        });
+        let delay = match joint_start {
+            _ if first.view.is_alone => Duration::ZERO,
+            Some(_) => JOINT_START_DELAY,
+            None => HANDOVER_DELAY,
         };
         let starts_at = first.from + delay;
+        let refilled_from = joint_start.unwrap_or(starts_at);
         let mut until = now;
         let mut refilled_seconds = 0.0;
         for past in &held {
-            let from = past.from.max(starts_at);
+            let is_first = std::ptr::eq(*past, *first);
+            let from = if is_first {
+                refilled_from
+            } else {
+                past.from.max(refilled_from)
+            };
             refilled_seconds +=
                 until.saturating_sub(from).as_secs_f64() * past.view.heard_fraction();
             until = past.from;
--- a/crates/admission/tests/all/pool_domains.rs
+++ b/crates/admission/tests/all/pool_domains.rs
@@ -22,6 +22,7 @@
             heard: 2,
             known: 2,
             is_alone: false,
+            started_together_at: None,
         };
         book.set_fleet(view, now);
     }
@@ -36,3 +37,39 @@
         assert!(is_served, "{organisation}: {step:?}");
     }
 }
+
+/// Tokens that a VM with the only pool of an organisation, at 10 a second, gives out at once 2 s after its start. It first
+/// sees its domain 1 s after its start.
+fn tokens_after_start(started_together_at: Option<Duration>) -> usize {
+    let domains = BTreeMap::from([(DomainName::from("a"), RegionName::from("north"))]);
+    let mut book = PoolBook::new("vm1".into(), "a".into(), domains, 1);
+    let view = FleetView {
+        members: BTreeMap::from([("a".into(), vec!["vm1".into()])]),
+        heard: 1,
+        known: 1,
+        is_alone: false,
+        started_together_at,
+    };
+    let mut now = Duration::from_secs(1);
+    for _ in 0..10 {
+        book.set_fleet(view.clone(), now);
+        now += Duration::from_millis(100);
+        book.tick(now);
+    }
+    let limit = RateLimit {
+        rate: 10.0,
+        burst: 40.0,
+    };
+    let mut take = || book.start(&"ward".into(), limit, TokenKind::Request, now).1;
+    let granted = std::iter::repeat_with(&mut take);
+    let granted = granted.take_while(|step| matches!(step, TokenStep::Admitted(_)));
+    granted.count()
+}
+
+/// Guards against refusals for a second after all VMs of a domain have restarted, although nobody has held their pools
+/// since, and against tokens that a VM takes from a former holder.
+#[test]
+fn joint_start() {
+    assert_eq!(tokens_after_start(Some(Duration::ZERO)), 20);
+    assert!(tokens_after_start(None) <= 3);
+}
--- a/crates/admission/tests/all/pool_faults.rs
+++ b/crates/admission/tests/all/pool_faults.rs
@@ -55,6 +55,7 @@
     /// Starts a VM that knows the VMs of its domain from their rows, and has heard none.
     pub fn start(&mut self, vm: usize) {
         self.is_down[vm] = false;
+        self.started_ms[vm] = self.now_ms;
         self.books[vm] = self.new_book(vm);
         self.has_changed[vm] = true;
         let now_ms = self.now_ms;
--- a/crates/admission/tests/all/pool_fleet.rs
+++ b/crates/admission/tests/all/pool_fleet.rs
@@ -113,6 +113,9 @@
     pub retry_delays: Vec<Duration>,
 }
 
+/// Difference of starts up to which VMs count as started together.
+const JOINT_START_MS: u64 = 3_000;
+
 /// VMs that share the rates of a few organisations.
 pub struct PoolFleet {
     pub(super) books: Vec<PoolBook>,
@@ -120,6 +123,8 @@
     domains: Vec<u16>,
     domain_count: u16,
     pub(super) pairs: Vec<Vec<Pair>>,
+    /// When each VM started last.
+    pub(super) started_ms: Vec<u64>,
     pub is_frozen: Vec<bool>,
     pub is_down: Vec<bool>,
     pub(super) has_changed: Vec<bool>,
@@ -160,6 +165,7 @@
         let mut fleet = PoolFleet {
             books: Vec::new(),
             names: (0..count).map(|vm| format!("vm-{vm}").into()).collect(),
+            started_ms: vec![0; usize::from(count)],
             domains: (0..count).map(|vm| vm % domains).collect(),
             domain_count: domains,
             pairs: vec![vec![pair; size]; size],
@@ -281,6 +287,8 @@
         let pairs = &self.pairs[vm];
         let mut members: BTreeMap<DomainName, Vec<VmId>> = BTreeMap::new();
         let (mut heard, mut known) = (1, 1);
+        let own_start_ms = self.started_ms[vm];
+        let mut is_joint = true;
         for (other, pair) in pairs.iter().enumerate() {
             if other == vm || pair.is_heard {
                 let domain = domain_name(self.domains[other]);
@@ -291,6 +299,8 @@
             }
             if other != vm && self.domains[other] == self.domains[vm] {
                 heard += usize::from(pair.is_heard);
+                let is_older = self.started_ms[other] + JOINT_START_MS < own_start_ms;
+                is_joint &= !pair.is_heard || !is_older;
                 let is_known = pair.is_heard || self.now_ms < pair.changed_ms + KNOWN_MS;
                 known += usize::from(is_known);
             }
@@ -300,6 +310,7 @@
             heard,
             known,
             is_alone: self.names.len() == 1,
+            started_together_at: is_joint.then(|| Duration::from_millis(own_start_ms)),
         }
     }
 
--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -465,6 +465,12 @@
             .collect()
     }
 
+    /// Returns when this VM started.
+    #[must_use]
+    pub fn started_at(&self) -> Uptime {
+        self.started_at
+    }
+
     /// Returns the number of VMs of this VM's domain that were heard or discovered within `time`, with this one.
     #[must_use]
     pub fn known_count(&self, now: Uptime, time: Duration) -> usize {
--- a/crates/edge/src/pool_peers.rs
+++ b/crates/edge/src/pool_peers.rs
@@ -11,6 +11,9 @@
 /// Time for which a VM of the own domain that is not heard stays known.
 const KNOWN_TIME: Duration = Duration::from_secs(20);
 
+/// Difference of starts up to which VMs count as started together, in microseconds as in their incarnations.
+const JOINT_START_US: u64 = 3_000_000;
+
 /// VMs of each failure domain by their stored rows, as read by this VM or by a reader of its domain.
 #[derive(Default)]
 pub struct PoolPeers {
@@ -56,7 +59,10 @@
         now: Uptime,
     ) -> Option<FleetView> {
         self.domains.get(&own.domain)?;
-        let local = directory.members(now).into_iter();
+        let local = directory.members(now);
+        let earliest = own.incarnation.saturating_sub(JOINT_START_US);
+        let is_joint = local.iter().all(|member| member.incarnation >= earliest);
+        let local = local.into_iter();
         let local: Vec<VmId> = local.map(|member| member.vm).collect();
         let heard = local.len();
         let known = directory.known_count(now, KNOWN_TIME).max(heard);
@@ -82,6 +88,7 @@
             heard,
             known,
             is_alone,
+            started_together_at: is_joint.then(|| directory.started_at()),
         })
     }
 }
