--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,5 +21,5 @@
     RequestHash, ServiceName, TargetId, VersionName, VmId,
 };
 pub use problem::{Executed, Problem};
-pub use region::{AllowedRegions, RegionInputs, RegionSource};
+pub use region::{RegionInputs, RegionSet, RegionSource};
 pub use signal::wait_until_set;
--- a/crates/core/src/region.rs
+++ b/crates/core/src/region.rs
@@ -8,7 +8,7 @@
 
 /// Regions in which a request may be served, cached and stored.
 #[derive(Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub enum AllowedRegions {
+pub enum RegionSet {
     /// All regions, also unknown ones.
     #[default]
     Everywhere,
@@ -16,48 +16,46 @@
     Only(BTreeSet<RegionName>),
 }
 
-impl AllowedRegions {
+impl RegionSet {
     /// The regions named in a configuration, where an empty list means everywhere.
     #[must_use]
-    pub fn of_names(names: impl IntoIterator<Item = RegionName>) -> AllowedRegions {
+    pub fn of_names(names: impl IntoIterator<Item = RegionName>) -> RegionSet {
         let names: BTreeSet<RegionName> = names.into_iter().collect();
         if names.is_empty() {
-            AllowedRegions::Everywhere
+            RegionSet::Everywhere
         } else {
-            AllowedRegions::Only(names)
+            RegionSet::Only(names)
         }
     }
 
     /// No region.
     #[must_use]
-    pub fn nowhere() -> AllowedRegions {
-        AllowedRegions::Only(BTreeSet::new())
+    pub fn nowhere() -> RegionSet {
+        RegionSet::Only(BTreeSet::new())
     }
 
     /// Whether no region is excluded.
     #[must_use]
     pub fn is_everywhere(&self) -> bool {
-        *self == AllowedRegions::Everywhere
+        *self == RegionSet::Everywhere
     }
 
     /// Whether `region` is allowed. A receiver whose region is not known is allowed only if no region is excluded.
     #[must_use]
     pub fn allows(&self, region: Option<&RegionName>) -> bool {
         match self {
-            AllowedRegions::Everywhere => true,
-            AllowedRegions::Only(names) => region.is_some_and(|region| names.contains(region)),
+            RegionSet::Everywhere => true,
+            RegionSet::Only(names) => region.is_some_and(|region| names.contains(region)),
         }
     }
 
     /// The regions that both allow.
     #[must_use]
-    pub fn intersect(&self, other: &AllowedRegions) -> AllowedRegions {
+    pub fn intersect(&self, other: &RegionSet) -> RegionSet {
         match (self, other) {
-            (AllowedRegions::Everywhere, regions) | (regions, AllowedRegions::Everywhere) => {
-                regions.clone()
-            }
-            (AllowedRegions::Only(names), AllowedRegions::Only(others)) => {
-                AllowedRegions::Only(names.intersection(others).cloned().collect())
+            (RegionSet::Everywhere, regions) | (regions, RegionSet::Everywhere) => regions.clone(),
+            (RegionSet::Only(names), RegionSet::Only(others)) => {
+                RegionSet::Only(names.intersection(others).cloned().collect())
             }
         }
     }
@@ -65,14 +63,14 @@
     /// The named regions; none if no region is excluded.
     pub fn names(&self) -> impl Iterator<Item = &RegionName> {
         let names = match self {
-            AllowedRegions::Everywhere => None,
-            AllowedRegions::Only(names) => Some(names),
+            RegionSet::Everywhere => None,
+            RegionSet::Only(names) => Some(names),
         };
         names.into_iter().flatten()
     }
 }
 
-impl Display for AllowedRegions {
+impl Display for RegionSet {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         if self.is_everywhere() {
             return formatter.write_str("everywhere");
@@ -98,7 +96,7 @@
 /// Computes the regions of one request from the configuration in force.
 pub trait RegionSource: Debug {
     /// The regions that the configuration allows now.
-    fn allowed(&self) -> AllowedRegions;
+    fn allowed(&self) -> RegionSet;
     /// What they are computed from.
     fn inputs(&self) -> RegionInputs;
 }
--- a/crates/dispatch/benches/decisions.rs
+++ b/crates/dispatch/benches/decisions.rs
@@ -3,7 +3,7 @@
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use plantainmill_config::FleetConfig;
 use plantainmill_config::model::{OrganisationSpec, ServiceKind, ServiceSpec, TargetSpec};
-use plantainmill_core::AllowedRegions;
+use plantainmill_core::RegionSet;
 use plantainmill_dispatch::dispatcher::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_dispatch::local::{LocalDecision, LocalPolicy};
 use plantainmill_dispatch::message::{DispatchMessage, MessageBody, decode, encode};
@@ -71,7 +71,7 @@
         spared: Vec::new(),
         deadline: NOW + Duration::from_mins(1),
         excluded: Vec::new(),
-        regions: AllowedRegions::Everywhere,
+        regions: RegionSet::Everywhere,
         body_bytes: 2_000,
         is_retry: false,
         needs_idle_slot: false,
--- a/crates/dispatch/examples/dispatch_comparison/simulation.rs
+++ b/crates/dispatch/examples/dispatch_comparison/simulation.rs
@@ -3,7 +3,7 @@
 use crate::engine::{Engine, EngineEvent, KNEE, Sequence, slowdown};
 use crate::policy::{CallId, Decision, Policy, VM_LOCATIONS, delay_ms};
 use plantainmill_config::FleetConfig;
-use plantainmill_core::{AllowedRegions, TargetId, Uptime};
+use plantainmill_core::{RegionSet, TargetId, Uptime};
 use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -197,7 +197,7 @@
             spared: Vec::new(),
             deadline: self.now + Duration::from_secs(wait),
             excluded: Vec::new(),
-            regions: AllowedRegions::Everywhere,
+            regions: RegionSet::Everywhere,
             body_bytes: 2_000,
             is_retry: false,
             needs_idle_slot: false,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -3,8 +3,8 @@
 use crate::shared::TargetStatement;
 use futures_util::future::LocalBoxFuture;
 use plantainmill_core::{
-    AllowedRegions, OrganisationId, PartId, Problem, RegionName, RequestHash, ServiceName,
-    TargetId, Uptime, VersionName,
+    OrganisationId, PartId, Problem, RegionName, RegionSet, RequestHash, ServiceName, TargetId,
+    Uptime, VersionName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -52,7 +52,7 @@
     /// Software version that the target must have, because the stream began at it; any if absent.
     pub version: Option<VersionName>,
     /// Regions whose targets may get the request.
-    pub regions: AllowedRegions,
+    pub regions: RegionSet,
     /// Size of the request body in bytes, for the budget of the link between regions.
     pub body_bytes: usize,
     /// The request is a retry and counts against the retry budget.
@@ -81,7 +81,7 @@
     /// Software version of the target; any if absent.
     pub version: Option<&'a VersionName>,
     /// Regions, one of which the target must be in.
-    pub regions: &'a AllowedRegions,
+    pub regions: &'a RegionSet,
 }
 
 /// Becomes true when a batch request is preempted and its call has to end.
--- a/crates/dispatch/src/limits/ledger.rs
+++ b/crates/dispatch/src/limits/ledger.rs
@@ -7,9 +7,7 @@
 use crate::dispatcher::TrafficClass;
 use crate::notice::ReportScope;
 use crate::rendezvous::{key_of, score};
-use plantainmill_core::{
-    AllowedRegions, DomainName, RegionName, ServiceName, TargetId, Uptime, VmId,
-};
+use plantainmill_core::{DomainName, RegionName, RegionSet, ServiceName, TargetId, Uptime, VmId};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -414,7 +412,7 @@
 
     /// Whether a target is in one of `regions`.
     #[must_use]
-    pub fn is_allowed(&self, target: &TargetId, regions: &AllowedRegions) -> bool {
+    pub fn is_allowed(&self, target: &TargetId, regions: &RegionSet) -> bool {
         let known = self.targets.get(target);
         regions.allows(known.and_then(|target| target.region.as_ref()))
     }
@@ -425,7 +423,7 @@
     pub fn next_free(
         &self,
         service: &ServiceName,
-        regions: &AllowedRegions,
+        regions: &RegionSet,
         now: Uptime,
     ) -> Option<Duration> {
         let targets = self.targets.values();
--- a/crates/dispatch/src/shared/choice.rs
+++ b/crates/dispatch/src/shared/choice.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatcher::TrafficClass;
 use crate::rendezvous::score;
-use plantainmill_core::{AllowedRegions, DomainName, RegionName, TargetId};
+use plantainmill_core::{DomainName, RegionName, RegionSet, TargetId};
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
@@ -42,7 +42,7 @@
     }
 
     /// Whether any failure domain is in an allowed region.
-    pub fn has_allowed(&self, regions: &AllowedRegions) -> bool {
+    pub fn has_allowed(&self, regions: &RegionSet) -> bool {
         let mut known = self.regions.values();
         regions.is_everywhere() || known.any(|region| regions.allows(Some(region)))
     }
--- a/crates/dispatch/src/shared/dispatcher.rs
+++ b/crates/dispatch/src/shared/dispatcher.rs
@@ -14,7 +14,7 @@
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::metrics::Meter;
 use plantainmill_core::{
-    AllowedRegions, Clock, DomainName, Problem, RegionName, ResultCode, TargetId, VersionName, VmId,
+    Clock, DomainName, Problem, RegionName, RegionSet, ResultCode, TargetId, VersionName, VmId,
 };
 use plantainmill_mesh::{decode_body, encode_body};
 use plantainmill_routing::TargetEntry;
@@ -416,7 +416,7 @@
 fn refusal_problem(
     cause: RefusalCause,
     version: Option<VersionName>,
-    regions: &AllowedRegions,
+    regions: &RegionSet,
 ) -> Problem {
     match (cause, version) {
         (RefusalCause::Busy, _) => Problem::new(ResultCode::QueueFull, "all targets are busy"),
--- a/crates/dispatch/tests/all/allowed_regions.rs
+++ b/crates/dispatch/tests/all/allowed_regions.rs
@@ -1,6 +1,6 @@
 //! Decisions of the shared policy on requests that are limited to regions.
 
-use plantainmill_core::AllowedRegions;
+use plantainmill_core::RegionSet;
 use plantainmill_dispatch::limits::{LimitLedger, LimitedTarget};
 use plantainmill_dispatch::shared::{
     LedgerEffect, LoadLedger, LoadSource, PeerLoad, RefusalCause, SlotUse,
@@ -56,7 +56,7 @@
         deadline: at(60_000),
         wait_limit: None,
         excluded: Vec::new(),
-        regions: AllowedRegions::of_names(regions.iter().map(|region| (*region).into())),
+        regions: RegionSet::of_names(regions.iter().map(|region| (*region).into())),
         body_bytes: 0,
         is_retry: false,
         needs_idle_slot: false,
@@ -240,12 +240,12 @@
     ledger.record_response(&"near".into(), Some(1.0), at(0));
     while ledger.take(&"near".into(), at(0)) {}
     let service = "llm".into();
-    let north = AllowedRegions::of_names(["north".into()]);
+    let north = RegionSet::of_names(["north".into()]);
     let wait = ledger.next_free(&service, &north, at(0));
     assert!(wait.is_some_and(|wait| !wait.is_zero()), "{wait:?}");
-    let anywhere = ledger.next_free(&service, &AllowedRegions::Everywhere, at(0));
+    let anywhere = ledger.next_free(&service, &RegionSet::Everywhere, at(0));
     assert_eq!(anywhere, Some(Duration::ZERO));
-    let west = AllowedRegions::of_names(["west".into()]);
+    let west = RegionSet::of_names(["west".into()]);
     assert_eq!(ledger.next_free(&service, &west, at(0)), None);
     assert!(!ledger.is_allowed(&"near".into(), &west));
 }
--- a/crates/dispatch/tests/all/batch_waits.rs
+++ b/crates/dispatch/tests/all/batch_waits.rs
@@ -1,6 +1,6 @@
 //! Waits of batch requests beside free slots, in the shared policy.
 
-use plantainmill_core::AllowedRegions;
+use plantainmill_core::RegionSet;
 use plantainmill_dispatch::shared::{LedgerEffect, LoadLedger, LoadSource, PeerLoad, SlotUse};
 use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_routing::TargetEntry;
@@ -52,7 +52,7 @@
         deadline: at(60_000),
         wait_limit: None,
         excluded: Vec::new(),
-        regions: AllowedRegions::Everywhere,
+        regions: RegionSet::Everywhere,
         body_bytes: 0,
         is_retry: false,
         needs_idle_slot: false,
--- a/crates/dispatch/tests/all/cold_targets.rs
+++ b/crates/dispatch/tests/all/cold_targets.rs
@@ -1,6 +1,6 @@
 //! Cold targets over many VMs whose views of the members differ, in virtual time.
 
-use plantainmill_core::{AllowedRegions, DomainName, TargetId, Uptime, VmId};
+use plantainmill_core::{DomainName, RegionSet, TargetId, Uptime, VmId};
 use plantainmill_dispatch::TrafficClass;
 use plantainmill_dispatch::limits::{
     ColdBounds, ColdFacts, LimitEvent, LimitLedger, LimitedTarget,
@@ -165,7 +165,7 @@
         } else {
             self.refused += 1;
             assert_ne!(
-                ledger.next_free(&service, &AllowedRegions::Everywhere, now),
+                ledger.next_free(&service, &RegionSet::Everywhere, now),
                 Some(Duration::ZERO)
             );
         }
--- a/crates/dispatch/tests/all/shared_ledger.rs
+++ b/crates/dispatch/tests/all/shared_ledger.rs
@@ -1,6 +1,6 @@
 //! Individual decisions of the shared policy, in which VMs exchange their loads.
 
-use plantainmill_core::AllowedRegions;
+use plantainmill_core::RegionSet;
 use plantainmill_dispatch::shared::{
     LedgerEffect, LoadLedger, LoadSource, PeerLoad, RefusalCause, SlotUse,
 };
@@ -60,7 +60,7 @@
         deadline: at(60_000),
         wait_limit: None,
         excluded: Vec::new(),
-        regions: AllowedRegions::Everywhere,
+        regions: RegionSet::Everywhere,
         body_bytes: 0,
         is_retry: false,
         needs_idle_slot: false,
--- a/crates/dispatch/tests/all/support.rs
+++ b/crates/dispatch/tests/all/support.rs
@@ -3,7 +3,7 @@
 use compact_str::{CompactString, format_compact};
 use plantainmill_config::FleetConfig;
 use plantainmill_config::model::{OrganisationSpec, ServiceKind, ServiceSpec, TargetSpec};
-use plantainmill_core::{AllowedRegions, Uptime};
+use plantainmill_core::{RegionSet, Uptime};
 use plantainmill_dispatch::{TicketRequest, TrafficClass};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -66,7 +66,7 @@
         spared: Vec::new(),
         deadline: now + Duration::from_mins(1),
         excluded: Vec::new(),
-        regions: AllowedRegions::Everywhere,
+        regions: RegionSet::Everywhere,
         body_bytes: 1_000,
         is_retry: false,
         needs_idle_slot: false,
--- a/crates/dispatch/tests/all/unshared_limits.rs
+++ b/crates/dispatch/tests/all/unshared_limits.rs
@@ -1,6 +1,6 @@
 //! Limits that no response confirms, at VMs that hold no share of them, in virtual time.
 
-use plantainmill_core::{AllowedRegions, TargetId, Uptime, VmId};
+use plantainmill_core::{RegionSet, TargetId, Uptime, VmId};
 use plantainmill_dispatch::TrafficClass;
 use plantainmill_dispatch::limits::{LimitLedger, LimitReport, LimitedTarget};
 use plantainmill_dispatch::notice::ReportScope;
@@ -122,7 +122,7 @@
         let ledger = &mut self.ledgers[vm];
         while has_limit(ledger, &id, now) && !ledger.exhausted(&service, class, now).contains(&id) {
             assert_eq!(
-                ledger.next_free(&service, &AllowedRegions::Everywhere, now),
+                ledger.next_free(&service, &RegionSet::Everywhere, now),
                 Some(Duration::ZERO)
             );
             assert!(ledger.take(&id, now));
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -4,7 +4,7 @@
 use crate::state::EdgeState;
 use crate::target_list::TargetListAnswer;
 use actix_web::{HttpRequest, HttpResponse, web};
-use plantainmill_core::{AllowedRegions, encode_cbor};
+use plantainmill_core::{RegionSet, encode_cbor};
 use plantainmill_dispatch::Dispatcher as _;
 use plantainmill_proxy::relay::{FORWARD_HEADER, MAX_FORWARD_BYTES};
 use serde::Serialize;
@@ -113,7 +113,7 @@
         "limits": state.limits.dump(),
         "paths": {
             "is_isolated": state.paths.is_isolated(),
-            "is_unreachable": state.paths.is_unreachable(&AllowedRegions::Everywhere),
+            "is_unreachable": state.paths.is_unreachable(&RegionSet::Everywhere),
             "lost": state.paths.lost_count(),
         },
         "pools": state.limiter.dump(),
--- a/crates/edge/src/proxied_rows.rs
+++ b/crates/edge/src/proxied_rows.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::FutureExt as _;
-use plantainmill_core::{AllowedRegions, Clock, RegionName, Uptime};
+use plantainmill_core::{Clock, RegionName, RegionSet, Uptime};
 use plantainmill_dispatch::quarantine::QUARANTINE_TABLE;
 use plantainmill_provider::rows::TableName;
 use plantainmill_provider::{
@@ -169,7 +169,7 @@
     }
 
     /// Returns the peers in `regions` that recently reached the store, the most recent one first.
-    fn proxies(&self, regions: &AllowedRegions) -> Vec<SocketAddr> {
+    fn proxies(&self, regions: &RegionSet) -> Vec<SocketAddr> {
         let now = self.clock.uptime();
         let proxies = self.proxies.borrow();
         let recent = proxies.iter().rev().filter(|proxy| {
@@ -246,7 +246,7 @@
     async fn call<T>(
         &self,
         direct: impl Future<Output = Result<T, StoreError>>,
-        regions: AllowedRegions,
+        regions: RegionSet,
         request: RowsRequest,
         read_response: impl Fn(RowsResponse) -> Result<T, StoreError>,
     ) -> Result<T, StoreError> {
@@ -414,7 +414,7 @@
         from: &'a str,
         until: &'a str,
     ) -> PlatformFuture<'a, RowsRead> {
-        self.read_within(table, partition, (from, until), &AllowedRegions::Everywhere)
+        self.read_within(table, partition, (from, until), &RegionSet::Everywhere)
     }
 
     fn read_within<'a>(
@@ -422,7 +422,7 @@
         table: TableName,
         partition: &'a str,
         (from, until): (&'a str, &'a str),
-        regions: &AllowedRegions,
+        regions: &RegionSet,
     ) -> PlatformFuture<'a, RowsRead> {
         let request = RowsRequest::Read {
             table: table.into(),
@@ -444,13 +444,13 @@
     }
 
     fn change(&self, change: RowChange) -> PlatformFuture<'_, ChangeOutcome> {
-        self.change_within(change, &AllowedRegions::Everywhere)
+        self.change_within(change, &RegionSet::Everywhere)
     }
 
     fn change_within(
         &self,
         change: RowChange,
-        regions: &AllowedRegions,
+        regions: &RegionSet,
     ) -> PlatformFuture<'_, ChangeOutcome> {
         let request = change_request(&change);
         let direct = self.direct.change(change);
@@ -484,7 +484,7 @@
             other => response_error(other),
         };
         let direct = self.direct.follow(table, after, wait);
-        let proxies = self.proxies(&AllowedRegions::Everywhere);
+        let proxies = self.proxies(&RegionSet::Everywhere);
         self.call_after(direct, proxies, wait, (request, read_response))
             .boxed_local()
     }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -8,7 +8,7 @@
 use crate::stream_records::StreamRecords;
 use crate::token_limiter::TokenLimiter;
 use plantainmill_admission::UsageRecorder;
-use plantainmill_core::{AllowedRegions, Clock, InFlightCounter, Incarnation, Uptime};
+use plantainmill_core::{Clock, InFlightCounter, Incarnation, RegionSet, Uptime};
 use plantainmill_dispatch::limits::{ColdFacts, LimitedTarget};
 use plantainmill_dispatch::{PartQuarantine, SharedDispatcher, TargetLimits};
 use plantainmill_jobs::JobService;
@@ -297,7 +297,7 @@
             for region in unknown {
                 tracing::warn!(
                     event = "document_entry_invalid",
-                    field = "AllowedRegions",
+                    field = "allowed_regions",
                     %entry,
                     unknown_region = %region,
                     version = document.version,
@@ -324,7 +324,7 @@
                 document_version = self.view.version(),
                 document_age_ms = self.document_age().map(|age| age.as_millis()),
                 targets_age_ms = self.targets_age().map(|age| age.as_millis()),
-                unreachable = self.paths.is_unreachable(&AllowedRegions::Everywhere),
+                unreachable = self.paths.is_unreachable(&RegionSet::Everywhere),
                 leaving = self.is_stopping.get(),
             );
         }
@@ -335,7 +335,7 @@
         let limit = self.bounds.get().document_validity();
         let limit = limit.mul_f64(READY_AGE_FRACTION);
         let is_fresh = self.document_age().is_some_and(|age| age < limit);
-        let is_unreachable = self.paths.is_unreachable(&AllowedRegions::Everywhere);
+        let is_unreachable = self.paths.is_unreachable(&RegionSet::Everywhere);
         let has_targets = self.targets_confirmed_at.get().is_some() && !is_unreachable;
         is_fresh && has_targets && !self.is_stopping.get()
     }
--- a/crates/jobs/src/catalog.rs
+++ b/crates/jobs/src/catalog.rs
@@ -2,7 +2,7 @@
 
 use crate::stored::{JobHead, JobOwner};
 use compact_str::CompactString;
-use plantainmill_core::{AllowedRegions, DomainName, JobId, OrganisationId, RegionName, VmId};
+use plantainmill_core::{DomainName, JobId, OrganisationId, RegionName, RegionSet, VmId};
 use plantainmill_dispatch::rendezvous::{key_of, owner_of, score};
 use plantainmill_provider::RowVersion;
 use std::collections::HashMap;
@@ -93,7 +93,7 @@
         &self,
         local_owner: &JobOwner,
         fleet: &FleetSnapshot,
-        regions_of: impl Fn(&JobHead) -> AllowedRegions,
+        regions_of: impl Fn(&JobHead) -> RegionSet,
     ) -> Vec<OrphanedJob> {
         let open = self.jobs.iter().filter(|(_, known)| known.head.is_open());
         let orphans = open.filter(|(_, known)| {
@@ -164,7 +164,7 @@
 
     /// The domains whose VMs may hold a job that is limited to `regions`: those in an allowed region, or all if no VM is live
     /// there.
-    fn eligible_domains(&self, regions: &AllowedRegions) -> Vec<&DomainName> {
+    fn eligible_domains(&self, regions: &RegionSet) -> Vec<&DomainName> {
         let domains = || self.domains.iter();
         let allowed = domains().filter(|domain| regions.allows(self.regions.get(*domain)));
         let allowed: Vec<&DomainName> = allowed.collect();
@@ -177,7 +177,7 @@
 
     /// Whether the VMs of the local domain may hold a job that is limited to `regions`.
     #[must_use]
-    pub fn may_hold(&self, regions: &AllowedRegions) -> bool {
+    pub fn may_hold(&self, regions: &RegionSet) -> bool {
         regions.is_everywhere() || self.eligible_domains(regions).contains(&&self.domain)
     }
 
@@ -189,7 +189,7 @@
         &self,
         job: &JobId,
         local_owner: &JobOwner,
-        regions: &AllowedRegions,
+        regions: &RegionSet,
     ) -> Option<usize> {
         let key = key_of(job);
         let eligible = self.eligible_domains(regions);
--- a/crates/jobs/src/owed.rs
+++ b/crates/jobs/src/owed.rs
@@ -4,7 +4,7 @@
 use crate::service::JobInner;
 use compact_str::CompactString;
 use plantainmill_core::{
-    AllowedRegions, Clock, Incarnation, ItemId, JobId, ServiceName, Uptime, VersionName, VmId,
+    Clock, Incarnation, ItemId, JobId, RegionSet, ServiceName, Uptime, VersionName, VmId,
 };
 use plantainmill_dispatch::TargetNeed;
 use std::cell::RefCell;
@@ -107,7 +107,7 @@
 pub(crate) struct OwedNeed {
     pub service: ServiceName,
     pub version: Option<VersionName>,
-    pub regions: AllowedRegions,
+    pub regions: RegionSet,
 }
 
 struct ItemEntry {
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 use futures_util::StreamExt as _;
 use plantainmill_core::{
-    AllowedRegions, Clock, Executed, OrganisationId, PartList, ResultCode, TargetId, Uptime,
+    Clock, Executed, OrganisationId, PartList, RegionSet, ResultCode, TargetId, Uptime,
     VersionName, wait_until_set,
 };
 use plantainmill_dispatch::{CallOutcome, TargetNeed, TargetTicket, TrafficClass};
@@ -76,7 +76,7 @@
     has_events: bool,
     last_event: Option<u64>,
     /// Regions in which the stream that has begun may go on; everywhere before its first event.
-    stream_regions: AllowedRegions,
+    stream_regions: RegionSet,
     /// Software version at which the stream began.
     version: Option<VersionName>,
     /// Uptime of the first failure since the last event.
@@ -118,7 +118,7 @@
         output: Vec::new(),
         has_events: false,
         last_event: None,
-        stream_regions: AllowedRegions::Everywhere,
+        stream_regions: RegionSet::Everywhere,
         version: None,
         failing_since: None,
         failed_sends: 0,
@@ -389,7 +389,7 @@
         self.has_events = false;
         self.last_event = None;
         self.version = None;
-        self.stream_regions = AllowedRegions::Everywhere;
+        self.stream_regions = RegionSet::Everywhere;
     }
 
     async fn send(&mut self, call: &RelayCall, mut ticket: TargetTicket) -> SendOutcome {
@@ -570,7 +570,7 @@
 }
 
 /// Whether any region is allowed.
-fn has_region(allowed: &AllowedRegions) -> bool {
+fn has_region(allowed: &RegionSet) -> bool {
     allowed.is_everywhere() || allowed.names().next().is_some()
 }
 
--- a/crates/jobs/src/service.rs
+++ b/crates/jobs/src/service.rs
@@ -9,7 +9,7 @@
 use crate::store::{HeadOutcome, JobStore, read_head};
 use crate::stored::{HEAD_TABLE, JobHead, JobItem, JobOwner};
 use crate::takeover::TakeoverPlan;
-use plantainmill_core::{AllowedRegions, Clock, JobId, Uptime};
+use plantainmill_core::{Clock, JobId, RegionSet, Uptime};
 use plantainmill_provider::{FeedRead, RowVersion, StoreError};
 use plantainmill_proxy::relay::RelayCaller;
 use plantainmill_routing::DocumentView;
@@ -288,9 +288,9 @@
 
 impl JobInner {
     /// Regions in which a job may be held, by the document in force.
-    pub fn job_regions(&self, head: &JobHead) -> AllowedRegions {
+    pub fn job_regions(&self, head: &JobHead) -> RegionSet {
         let document = self.parts.view.load();
-        document.map_or(AllowedRegions::Everywhere, |document| {
+        document.map_or(RegionSet::Everywhere, |document| {
             document.regions_of_job(&head.route, &head.organisation)
         })
     }
--- a/crates/jobs/src/store.rs
+++ b/crates/jobs/src/store.rs
@@ -6,7 +6,7 @@
 };
 use bytes::Bytes;
 use compact_str::format_compact;
-use plantainmill_core::{AllowedRegions, JobId};
+use plantainmill_core::{JobId, RegionSet};
 use plantainmill_provider::{
     ChangeOutcome, PartitionRow, PartitionStore, RowChange, RowVersion, StoreError,
 };
@@ -57,7 +57,7 @@
         job: &JobId,
         head: &JobHead,
         items: &[JobItem],
-        regions: &AllowedRegions,
+        regions: &RegionSet,
     ) -> Result<HeadOutcome, StoreError> {
         let content = encode(&items);
         let chunks: Vec<Bytes> = split_content(&content).collect();
@@ -89,7 +89,7 @@
         head: &JobHead,
         first: u64,
         results: &[&ListedResult],
-        regions: &AllowedRegions,
+        regions: &RegionSet,
     ) -> Result<HeadOutcome, StoreError> {
         let mut change = RowChange::of(partition_of(job)).expect(HEAD_TABLE, job, version);
         for (position, result) in (first..).zip(results) {
@@ -102,7 +102,7 @@
         }
         change = change.put(HEAD_TABLE, job, encode(head));
         // A head has no content of a request.
-        let everywhere = AllowedRegions::Everywhere;
+        let everywhere = RegionSet::Everywhere;
         let regions = if results.is_empty() {
             &everywhere
         } else {
@@ -115,7 +115,7 @@
         &self,
         job: &JobId,
         change: RowChange,
-        regions: &AllowedRegions,
+        regions: &RegionSet,
     ) -> Result<HeadOutcome, StoreError> {
         match self.rows.change_within(change, regions).await? {
             ChangeOutcome::Applied(version) => Ok(HeadOutcome::Applied(version)),
@@ -170,7 +170,7 @@
     pub async fn items(
         &self,
         job: &JobId,
-        regions: &AllowedRegions,
+        regions: &RegionSet,
     ) -> Result<Vec<JobItem>, StoreError> {
         let partition = partition_of(job);
         let from = items_key(job, 0);
@@ -197,7 +197,7 @@
         &self,
         job: &JobId,
         after: u64,
-        regions: &AllowedRegions,
+        regions: &RegionSet,
     ) -> Result<Vec<ListedResult>, StoreError> {
         let partition = partition_of(job);
         let from = result_key(job, after, 0);
@@ -229,7 +229,7 @@
     /// # Errors
     ///
     /// Returns an error if the store does not respond. The call is idempotent.
-    pub async fn remove(&self, job: &JobId, regions: &AllowedRegions) -> Result<(), StoreError> {
+    pub async fn remove(&self, job: &JobId, regions: &RegionSet) -> Result<(), StoreError> {
         let partition = partition_of(job);
         let from = format_compact!("{job}/");
         let until = job_keys_end(job);
--- a/crates/jobs/src/store_step.rs
+++ b/crates/jobs/src/store_step.rs
@@ -7,7 +7,7 @@
 use crate::stored::{JobHead, JobItem, ListedResult};
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
-use plantainmill_core::{AllowedRegions, ItemId, JobId};
+use plantainmill_core::{ItemId, JobId, RegionSet};
 use plantainmill_provider::{RowVersion, StoreError};
 use std::collections::HashSet;
 use tokio::time::sleep;
@@ -80,7 +80,7 @@
         job: &JobId,
         first: u64,
         count: u64,
-        regions: &AllowedRegions,
+        regions: &RegionSet,
     ) -> Result<HashSet<ItemId>, StoreError> {
         let mut listed = HashSet::new();
         let mut position = first;
--- a/crates/jobs/src/sweep.rs
+++ b/crates/jobs/src/sweep.rs
@@ -1,7 +1,7 @@
 //! Removal of closed jobs whose retention period has passed.
 
 use crate::service::JobInner;
-use plantainmill_core::{AllowedRegions, JobId};
+use plantainmill_core::{JobId, RegionSet};
 use std::rc::Rc;
 use std::time::{Duration, UNIX_EPOCH};
 use tokio::time::sleep;
@@ -22,7 +22,7 @@
             let wall = self.parts.clock.wall().duration_since(UNIX_EPOCH);
             let wall = wall.unwrap_or_default();
             let retention = self.parts.settings.result_retention + SWEEP_MARGIN;
-            let expired: Vec<(JobId, AllowedRegions)> = {
+            let expired: Vec<(JobId, RegionSet)> = {
                 let catalog = self.jobs.borrow();
                 let fleet = self.fleet.borrow();
                 let expired = catalog.iter().filter(|(_, known)| {
--- a/crates/jobs/tests/all/job_catalog.rs
+++ b/crates/jobs/tests/all/job_catalog.rs
@@ -1,7 +1,7 @@
 //! Recording of job heads, and the choice of jobs to resume or reassign.
 
 use crate::support::{head, owner};
-use plantainmill_core::{AllowedRegions, JobId};
+use plantainmill_core::{JobId, RegionSet};
 use plantainmill_jobs::{FleetSnapshot, JobCatalog, JobHead, JobOwner};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -36,8 +36,8 @@
     assert_eq!(kept, [false, true, true]);
 }
 
-fn everywhere(_: &JobHead) -> AllowedRegions {
-    AllowedRegions::Everywhere
+fn everywhere(_: &JobHead) -> RegionSet {
+    RegionSet::Everywhere
 }
 
 fn fleet(domain: &str, members: &[&str]) -> FleetSnapshot {
--- a/crates/jobs/tests/all/job_regions.rs
+++ b/crates/jobs/tests/all/job_regions.rs
@@ -1,7 +1,7 @@
 //! Jobs that are limited to regions: who runs them, and where their items are sent.
 
 use crate::support::{TestCluster, TestVm, check_results, head, owner, route, submission, ward};
-use plantainmill_core::{AllowedRegions, JobId};
+use plantainmill_core::{JobId, RegionSet};
 use plantainmill_jobs::{FleetSnapshot, ItemState, JobCatalog, JobHead, JobOwner};
 use plantainmill_routing::{CallerLimits, FleetDocument, JobRule, RouteRule};
 use rstest::rstest;
@@ -15,7 +15,7 @@
 fn route_in(region: &str, retention: Duration) -> RouteRule {
     let rule = route();
     RouteRule {
-        regions: AllowedRegions::of_names([region.into()]),
+        regions: RegionSet::of_names([region.into()]),
         job: rule.job.map(|job| JobRule { retention, ..job }),
         ..rule
     }
@@ -73,7 +73,7 @@
         orphan.owner = Some(owner("b1", 1));
         catalog.record(&JobId::from(format!("j{number}")), orphan, 1);
     }
-    let south = |_: &JobHead| AllowedRegions::of_names(["south".into()]);
+    let south = |_: &JobHead| RegionSet::of_names(["south".into()]);
     let mut first: HashMap<JobId, usize> = HashMap::new();
     for (domain, vm) in live {
         let fleet = fleet(domain, live);
--- a/crates/jobs/tests/all/missing_runner.rs
+++ b/crates/jobs/tests/all/missing_runner.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{TestCluster, TestVm, check_results, head, owner, route, submission, ward};
 use futures_util::FutureExt as _;
-use plantainmill_core::{AllowedRegions, JobId};
+use plantainmill_core::{JobId, RegionSet};
 use plantainmill_fakes::{MemoryRows, RowsFault};
 use plantainmill_jobs::{FleetSnapshot, JobOwner, JobStore, OwedState, partition_of};
 use plantainmill_provider::rows::TableName;
@@ -34,12 +34,7 @@
     head.owner = owner;
     let store = JobStore::new(Rc::new(cluster.rows.with_own_fault()));
     let created = store
-        .create(
-            job,
-            &head,
-            &submission(count).items,
-            &AllowedRegions::Everywhere,
-        )
+        .create(job, &head, &submission(count).items, &RegionSet::Everywhere)
         .await;
     created.expect("stored");
 }
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -1,7 +1,7 @@
 //! Test cluster: VMs that run jobs, an in-memory row store and a target on loopback.
 
 use awc::http::header::HeaderName;
-use plantainmill_core::{AllowedRegions, JobId, OrganisationId, SystemClock};
+use plantainmill_core::{JobId, OrganisationId, RegionSet, SystemClock};
 use plantainmill_dispatch::SharedDispatcher;
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_fakes::{MemoryRows, StreamTarget, TargetNames};
@@ -76,7 +76,7 @@
             service: "llm".into(),
             weight: 1,
         }],
-        regions: AllowedRegions::Everywhere,
+        regions: RegionSet::Everywhere,
         job: Some(JobRule {
             completion: Duration::from_secs(18),
             retention: Duration::from_mins(1),
--- a/crates/jobs/tests/all/unpolled_items.rs
+++ b/crates/jobs/tests/all/unpolled_items.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{TestCluster, TestVm, check_results, route, submission, ward};
 use bytes::Bytes;
-use plantainmill_core::{AllowedRegions, Clock as _, JobId, SystemClock};
+use plantainmill_core::{Clock as _, JobId, RegionSet, SystemClock};
 use plantainmill_dispatch::{
     CallOutcome, Dispatcher as _, TargetTicket, TicketRequest, TrafficClass,
 };
@@ -152,7 +152,7 @@
         barred: Vec::new(),
         spared: Vec::new(),
         version: None,
-        regions: AllowedRegions::Everywhere,
+        regions: RegionSet::Everywhere,
         body_bytes: 1,
         is_retry: false,
         needs_idle_slot: false,
@@ -264,7 +264,7 @@
         .remove("job_items", &results[2].key);
     cluster.rows.seed(&change);
     let store = JobStore::new(Rc::new(cluster.rows.clone()));
-    let read = store.results(&job(), 0, &AllowedRegions::Everywhere).await;
+    let read = store.results(&job(), 0, &RegionSet::Everywhere).await;
     assert!(matches!(read, Err(StoreError::Malformed(_))), "{read:?}");
     let vm = cluster.vm("vm", 1);
     vm.set_live_peers(&[]);
--- a/crates/paths/src/forwarders.rs
+++ b/crates/paths/src/forwarders.rs
@@ -1,6 +1,6 @@
 //! The VMs that may forward requests, and how they have done so.
 
-use plantainmill_core::{AllowedRegions, RegionName, Uptime};
+use plantainmill_core::{RegionName, RegionSet, Uptime};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -169,7 +169,7 @@
     }
 
     /// Whether any VM in one of `regions` may be asked.
-    pub fn has_usable(&self, regions: &AllowedRegions, now: Uptime) -> bool {
+    pub fn has_usable(&self, regions: &RegionSet, now: Uptime) -> bool {
         let is_paused = now < self.paused_until;
         let mut states = self.states.values();
         let is_usable = |state: &ForwarderState| {
@@ -181,7 +181,7 @@
     /// The VMs in one of `regions` to ask for one request, in order: those that have forwarded requests, then the others of the own failure domain.
     /// If some VMs are isolated and none has forwarded requests, readers come first, since they can refer to VMs of other domains.
     /// Among similar VMs, `salt` decides.
-    pub fn candidates(&self, regions: &AllowedRegions, salt: u64, now: Uptime) -> Vec<Forwarder> {
+    pub fn candidates(&self, regions: &RegionSet, salt: u64, now: Uptime) -> Vec<Forwarder> {
         let states = || {
             let states = self.states.values();
             states.filter(|state| regions.allows(state.region.as_ref()))
--- a/crates/paths/src/handle.rs
+++ b/crates/paths/src/handle.rs
@@ -4,7 +4,7 @@
 use crate::table::{PathEvent, PathTable, SendRoute};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter};
-use plantainmill_core::{AllowedRegions, Clock, TargetId, Uptime, VmId};
+use plantainmill_core::{Clock, RegionSet, TargetId, Uptime, VmId};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -88,13 +88,13 @@
 
     /// How a request that may be served in `regions` gets to `target` now.
     #[must_use]
-    pub fn route(&self, target: &TargetId, regions: &AllowedRegions) -> SendRoute {
+    pub fn route(&self, target: &TargetId, regions: &RegionSet) -> SendRoute {
         self.lock().route(target, regions, self.now())
     }
 
     /// Whether all paths are lost and no other VM in one of `regions` forwards requests.
     #[must_use]
-    pub fn is_unreachable(&self, regions: &AllowedRegions) -> bool {
+    pub fn is_unreachable(&self, regions: &RegionSet) -> bool {
         self.lock().is_unreachable(regions, self.now())
     }
 
@@ -106,7 +106,7 @@
 
     /// The VMs in one of `regions` to ask to forward one request, in order.
     #[must_use]
-    pub fn forwarders(&self, regions: &AllowedRegions) -> Vec<Forwarder> {
+    pub fn forwarders(&self, regions: &RegionSet) -> Vec<Forwarder> {
         self.lock()
             .forwarders(regions, self.next_salt(), self.now())
     }
--- a/crates/paths/src/table.rs
+++ b/crates/paths/src/table.rs
@@ -1,7 +1,7 @@
 //! State machine of the paths to the targets.
 
 use crate::forwarders::{ForwardResult, Forwarder, ForwarderReferral, ForwarderTable};
-use plantainmill_core::{AllowedRegions, TargetId, Uptime};
+use plantainmill_core::{RegionSet, TargetId, Uptime};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -102,7 +102,7 @@
 
     /// How a request that may be served in `regions` gets to `target` now.
     #[must_use]
-    pub fn route(&self, target: &TargetId, regions: &AllowedRegions, now: Uptime) -> SendRoute {
+    pub fn route(&self, target: &TargetId, regions: &RegionSet, now: Uptime) -> SendRoute {
         let is_isolated = self.is_isolated(now);
         if !is_isolated && !self.is_lost(target, now) {
             return SendRoute::Direct;
@@ -117,7 +117,7 @@
 
     /// Whether all paths are lost and no other VM in one of `regions` forwards requests.
     #[must_use]
-    pub fn is_unreachable(&self, regions: &AllowedRegions, now: Uptime) -> bool {
+    pub fn is_unreachable(&self, regions: &RegionSet, now: Uptime) -> bool {
         self.is_isolated(now) && !self.forwarders.has_usable(regions, now)
     }
 
@@ -142,7 +142,7 @@
 
     /// The VMs in one of `regions` to ask to forward one request, in order.
     #[must_use]
-    pub fn forwarders(&self, regions: &AllowedRegions, salt: u64, now: Uptime) -> Vec<Forwarder> {
+    pub fn forwarders(&self, regions: &RegionSet, salt: u64, now: Uptime) -> Vec<Forwarder> {
         self.forwarders.candidates(regions, salt, now)
     }
 
--- a/crates/paths/tests/all/forwarder_choice.rs
+++ b/crates/paths/tests/all/forwarder_choice.rs
@@ -1,7 +1,7 @@
 //! Which VMs are asked to forward requests.
 
 use crate::support::{address, lose, millis, table, target};
-use plantainmill_core::AllowedRegions;
+use plantainmill_core::RegionSet;
 use plantainmill_paths::{
     ForwardResult, Forwarder, ForwarderPlace, ForwarderReferral, PathTable, SendRoute,
 };
@@ -25,18 +25,18 @@
     let mut table = with_forwarders(&[Remote, Remote, Local, Remote]);
     for salt in 0..50 {
         assert_eq!(
-            table.forwarders(&AllowedRegions::Everywhere, salt, millis(1))[0].address,
+            table.forwarders(&RegionSet::Everywhere, salt, millis(1))[0].address,
             address(2)
         );
     }
     table.record_forward(address(1), ForwardResult::Forwarded, millis(2));
     assert_eq!(
-        table.forwarders(&AllowedRegions::Everywhere, 0, millis(3))[0].address,
+        table.forwarders(&RegionSet::Everywhere, 0, millis(3))[0].address,
         address(1)
     );
     table.record_forward(address(2), ForwardResult::Forwarded, millis(3));
     assert_eq!(
-        table.forwarders(&AllowedRegions::Everywhere, 0, millis(4))[0].address,
+        table.forwarders(&RegionSet::Everywhere, 0, millis(4))[0].address,
         address(2)
     );
 }
@@ -46,7 +46,7 @@
 fn even_spread() {
     let table = with_forwarders(&[ForwarderPlace::Local; 12]);
     let first: HashSet<_> = (0..200)
-        .map(|salt| table.forwarders(&AllowedRegions::Everywhere, salt, millis(1))[0].address)
+        .map(|salt| table.forwarders(&RegionSet::Everywhere, salt, millis(1))[0].address)
         .collect();
     assert_eq!(first.len(), 12);
 }
@@ -57,24 +57,24 @@
     let mut table = with_forwarders(&[ForwarderPlace::Local; 3]);
     table.record_forward(address(0), ForwardResult::Isolated, millis(0));
     table.record_forward(address(1), ForwardResult::Failed, millis(0));
-    let asked = table.forwarders(&AllowedRegions::Everywhere, 0, millis(1));
+    let asked = table.forwarders(&RegionSet::Everywhere, 0, millis(1));
     assert_eq!(asked.len(), 1);
     assert_eq!(asked[0].address, address(2));
     assert_eq!(
         table
-            .forwarders(&AllowedRegions::Everywhere, 0, millis(1_000))
+            .forwarders(&RegionSet::Everywhere, 0, millis(1_000))
             .len(),
         2
     );
     assert_eq!(
         table
-            .forwarders(&AllowedRegions::Everywhere, 0, millis(2_000))
+            .forwarders(&RegionSet::Everywhere, 0, millis(2_000))
             .len(),
         3
     );
     // Its target may be the cause, so it is still asked when no other is left.
     table.record_forward(address(2), ForwardResult::Silent, millis(2_000));
-    let asked = table.forwarders(&AllowedRegions::Everywhere, 0, millis(2_001));
+    let asked = table.forwarders(&RegionSet::Everywhere, 0, millis(2_001));
     assert_eq!(asked.last().map(|vm| vm.address), Some(address(2)));
 }
 
@@ -87,7 +87,7 @@
     let mut table = with_forwarders(&places);
     table.record_forward(address(0), ForwardResult::Isolated, millis(0));
     assert_eq!(
-        table.forwarders(&AllowedRegions::Everywhere, 0, millis(1))[0].address,
+        table.forwarders(&RegionSet::Everywhere, 0, millis(1))[0].address,
         address(48)
     );
     let reader = with_forwarders(&[Local, Remote, Remote]);
@@ -98,7 +98,7 @@
         table.record_forward(address(number), ForwardResult::Isolated, millis(1));
     }
     // They are among the addresses of this domain in this test.
-    assert!(!table.is_unreachable(&AllowedRegions::Everywhere, millis(2)));
+    assert!(!table.is_unreachable(&RegionSet::Everywhere, millis(2)));
 }
 
 /// Guards against memory that grows with what others refer to, and against referrals without an end.
@@ -133,7 +133,7 @@
         region: region.map(Into::into),
     });
     table.set_forwarders(forwarders, millis(0));
-    let north = AllowedRegions::of_names(["north".into()]);
+    let north = RegionSet::of_names(["north".into()]);
     for salt in 0..20 {
         let asked = table.forwarders(&north, salt, millis(1));
         let asked: Vec<_> = asked.into_iter().map(|vm| vm.address).collect();
@@ -142,7 +142,7 @@
     lose(&mut table, 0..3, millis(2));
     table.record_forward(address(0), ForwardResult::Failed, millis(2));
     assert!(table.is_unreachable(&north, millis(3)));
-    assert!(!table.is_unreachable(&AllowedRegions::Everywhere, millis(3)));
+    assert!(!table.is_unreachable(&RegionSet::Everywhere, millis(3)));
     let route = table.route(&target(0), &north, millis(3));
     assert_eq!(route, SendRoute::Unreachable);
     // A VM of an older release refers to others without their regions.
--- a/crates/paths/tests/all/large_fleet.rs
+++ b/crates/paths/tests/all/large_fleet.rs
@@ -1,7 +1,7 @@
 //! A fleet of 345 VMs in 15 failure domains, of which some lose their paths. Virtual time, no network.
 
 use crate::support::{address, millis, table, target};
-use plantainmill_core::{AllowedRegions, Uptime};
+use plantainmill_core::{RegionSet, Uptime};
 use plantainmill_paths::{ForwardResult, Forwarder, ForwarderPlace, PathTable, SendRoute};
 use rstest::rstest;
 use std::collections::HashMap;
@@ -76,7 +76,7 @@
             let number = probed.trim_start_matches("i-").parse();
             self.connect(vm, number.expect("a target"), now);
         }
-        match self.tables[vm].route(&target(number), &AllowedRegions::Everywhere, now) {
+        match self.tables[vm].route(&target(number), &RegionSet::Everywhere, now) {
             SendRoute::Direct => self.connect(vm, number, now) || self.forward(vm, number, now),
             SendRoute::Forwarded => {
                 let is_isolated = self.tables[vm].is_isolated(now);
@@ -90,7 +90,7 @@
         let mut asked: Vec<SocketAddr> = Vec::new();
         while asked.len() < MAX_ASKED {
             let salt = u64::try_from(vm * 1_000 + number).expect("a small number");
-            let candidates = self.tables[vm].forwarders(&AllowedRegions::Everywhere, salt, now);
+            let candidates = self.tables[vm].forwarders(&RegionSet::Everywhere, salt, now);
             let candidates = candidates.into_iter().map(|vm| vm.address);
             let Some(next) = candidates.into_iter().find(|next| !asked.contains(next)) else {
                 break;
@@ -163,7 +163,7 @@
     assert_eq!(fleet.run(3_000, 4_000).1, 0);
     for vm in 0..VMS {
         fleet.send(vm, 0, millis(4_000));
-        let route = fleet.tables[vm].route(&target(1), &AllowedRegions::Everywhere, millis(4_000));
+        let route = fleet.tables[vm].route(&target(1), &RegionSet::Everywhere, millis(4_000));
         assert_eq!(route, SendRoute::Unreachable, "VM {vm}");
     }
 }
--- a/crates/paths/tests/all/lost_paths.rs
+++ b/crates/paths/tests/all/lost_paths.rs
@@ -1,7 +1,7 @@
 //! When paths count as lost, and when they count as open again.
 
 use crate::support::{address, lose, millis, table, target};
-use plantainmill_core::AllowedRegions;
+use plantainmill_core::RegionSet;
 use plantainmill_paths::{
     ForwardResult, Forwarder, ForwarderPlace, PathEvent, PathTable, SendRoute,
 };
@@ -26,11 +26,11 @@
         [PathEvent::Lost(target(0))]
     );
     assert_eq!(
-        table.route(&target(0), &AllowedRegions::Everywhere, millis(1)),
+        table.route(&target(0), &RegionSet::Everywhere, millis(1)),
         SendRoute::Forwarded
     );
     assert_eq!(
-        table.route(&target(1), &AllowedRegions::Everywhere, millis(1)),
+        table.route(&target(1), &RegionSet::Everywhere, millis(1)),
         SendRoute::Direct
     );
     assert_eq!(
@@ -38,7 +38,7 @@
         [PathEvent::Restored(target(0))]
     );
     assert_eq!(
-        table.route(&target(0), &AllowedRegions::Everywhere, millis(601)),
+        table.route(&target(0), &RegionSet::Everywhere, millis(601)),
         SendRoute::Direct
     );
 }
@@ -56,7 +56,7 @@
     assert!(events.contains(&PathEvent::Isolated));
     for number in 0..targets {
         assert_eq!(
-            table.route(&target(number), &AllowedRegions::Everywhere, millis(301)),
+            table.route(&target(number), &RegionSet::Everywhere, millis(301)),
             SendRoute::Forwarded
         );
     }
@@ -85,11 +85,11 @@
     let events = table.record_connected(&probed, millis(2));
     assert_eq!(events, [PathEvent::Rejoined { after: millis(2) }]);
     assert_eq!(
-        table.route(&target(7), &AllowedRegions::Everywhere, millis(3)),
+        table.route(&target(7), &RegionSet::Everywhere, millis(3)),
         SendRoute::Direct
     );
     assert_eq!(
-        table.route(&target(0), &AllowedRegions::Everywhere, millis(3)),
+        table.route(&target(0), &RegionSet::Everywhere, millis(3)),
         SendRoute::Forwarded
     );
 }
@@ -117,7 +117,7 @@
     assert!(table.is_isolated(millis(4_999)));
     assert!(!table.is_isolated(millis(5_000)));
     assert_eq!(
-        table.route(&target(3), &AllowedRegions::Everywhere, millis(5_000)),
+        table.route(&target(3), &RegionSet::Everywhere, millis(5_000)),
         SendRoute::Direct
     );
     assert_eq!(table.lost_count(millis(5_000)), 0);
@@ -131,17 +131,17 @@
     table.record_forward(address(900), ForwardResult::Failed, millis(1));
     // What a single target does not accept is up to it.
     assert_eq!(
-        table.route(&target(0), &AllowedRegions::Everywhere, millis(2)),
+        table.route(&target(0), &RegionSet::Everywhere, millis(2)),
         SendRoute::Direct
     );
     lose(&mut table, 1..3, millis(3));
     assert_eq!(
-        table.route(&target(9), &AllowedRegions::Everywhere, millis(4)),
+        table.route(&target(9), &RegionSet::Everywhere, millis(4)),
         SendRoute::Unreachable
     );
-    assert!(table.is_unreachable(&AllowedRegions::Everywhere, millis(4)));
+    assert!(table.is_unreachable(&RegionSet::Everywhere, millis(4)));
     assert_eq!(
-        table.route(&target(9), &AllowedRegions::Everywhere, millis(2_001)),
+        table.route(&target(9), &RegionSet::Everywhere, millis(2_001)),
         SendRoute::Forwarded
     );
 }
@@ -154,7 +154,7 @@
     lose(&mut table, 0..1, millis(0));
     table.set_targets([(target(0), address(7)), (target(1), address(1))].into_iter());
     assert_eq!(
-        table.route(&target(0), &AllowedRegions::Everywhere, millis(1)),
+        table.route(&target(0), &RegionSet::Everywhere, millis(1)),
         SendRoute::Direct
     );
     lose(&mut table, 5..9, millis(2));
--- a/crates/patterns/src/policy.rs
+++ b/crates/patterns/src/policy.rs
@@ -1,7 +1,7 @@
 //! The shared dispatch policy and the baselines that it is compared with.
 
 use crate::pattern::FleetShape;
-use plantainmill_core::AllowedRegions;
+use plantainmill_core::RegionSet;
 use plantainmill_dispatch::shared::{LedgerEffect, LoadLedger, LoadSource, PeerLoad};
 use plantainmill_dispatch::{CallOutcome, TicketRequest, TrafficClass};
 use plantainmill_routing::TargetEntry;
@@ -242,7 +242,7 @@
         deadline,
         wait_limit: (class == TrafficClass::Online).then_some(Duration::from_millis(75)),
         excluded: Vec::new(),
-        regions: AllowedRegions::Everywhere,
+        regions: RegionSet::Everywhere,
         body_bytes: 0,
         is_retry: false,
         needs_idle_slot: false,
--- a/crates/provider/src/rows.rs
+++ b/crates/provider/src/rows.rs
@@ -3,7 +3,7 @@
 use crate::PlatformFuture;
 use bytes::Bytes;
 use compact_str::CompactString;
-use plantainmill_core::AllowedRegions;
+use plantainmill_core::RegionSet;
 use std::time::Duration;
 
 /// Names a table of the store.
@@ -122,7 +122,7 @@
         table: TableName,
         partition: &'a str,
         (from, until): (&'a str, &'a str),
-        _regions: &AllowedRegions,
+        _regions: &RegionSet,
     ) -> PlatformFuture<'a, RowsRead> {
         self.read(table, partition, from, until)
     }
@@ -132,7 +132,7 @@
     fn change_within(
         &self,
         change: RowChange,
-        _regions: &AllowedRegions,
+        _regions: &RegionSet,
     ) -> PlatformFuture<'_, ChangeOutcome> {
         self.change(change)
     }
--- a/crates/proxy/src/context.rs
+++ b/crates/proxy/src/context.rs
@@ -6,7 +6,7 @@
 use crate::parts::request_hash;
 use crate::send_trace::SendTrace;
 use plantainmill_config::{FleetConfig, ServiceKind, ServiceSpec};
-use plantainmill_core::{AllowedRegions, Executed, Problem, ResultCode, TargetId, Uptime};
+use plantainmill_core::{Executed, Problem, RegionSet, ResultCode, TargetId, Uptime};
 use plantainmill_dispatch::{CallOutcome, TicketRequest};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -148,7 +148,7 @@
             spared: Vec::new(),
             deadline: self.request.deadline,
             excluded: attempts.iter().map(|entry| entry.target.clone()).collect(),
-            regions: AllowedRegions::Everywhere,
+            regions: RegionSet::Everywhere,
             body_bytes: self.request.body.len(),
             is_retry,
             needs_idle_slot: false,
--- a/crates/proxy/src/relay/regions.rs
+++ b/crates/proxy/src/relay/regions.rs
@@ -3,7 +3,7 @@
 use super::call::RelayCall;
 use super::exchange::{CallSend, SendFailure};
 use super::open::RelayCaller;
-use plantainmill_core::{AllowedRegions, Executed, RegionInputs, RegionName, RegionSource};
+use plantainmill_core::{Executed, RegionInputs, RegionName, RegionSet, RegionSource};
 use plantainmill_dispatch::CallOutcome;
 use plantainmill_paths::Forwarder;
 use std::cell::RefCell;
@@ -19,14 +19,14 @@
 #[derive(Debug)]
 struct RegionState {
     /// The intersection of all values of the source so far.
-    allowed: RefCell<AllowedRegions>,
+    allowed: RefCell<RegionSet>,
     source: Option<Rc<dyn RegionSource>>,
 }
 
 impl CallRegions {
     /// Regions that do not change.
     #[must_use]
-    pub fn fixed(allowed: AllowedRegions) -> CallRegions {
+    pub fn fixed(allowed: RegionSet) -> CallRegions {
         CallRegions::new(allowed, None)
     }
 
@@ -36,7 +36,7 @@
         CallRegions::new(source.allowed(), Some(source))
     }
 
-    fn new(allowed: AllowedRegions, source: Option<Rc<dyn RegionSource>>) -> CallRegions {
+    fn new(allowed: RegionSet, source: Option<Rc<dyn RegionSource>>) -> CallRegions {
         let allowed = RefCell::new(allowed);
         CallRegions {
             state: Rc::new(RegionState { allowed, source }),
@@ -45,7 +45,7 @@
 
     /// Excludes what `allowed` does not allow.
     #[must_use]
-    pub fn narrowed_to(self, allowed: &AllowedRegions) -> CallRegions {
+    pub fn narrowed_to(self, allowed: &RegionSet) -> CallRegions {
         let narrowed = self.state.allowed.borrow().intersect(allowed);
         *self.state.allowed.borrow_mut() = narrowed;
         self
@@ -53,7 +53,7 @@
 
     /// The regions that have been allowed all the time and are allowed now.
     #[must_use]
-    pub fn current(&self) -> AllowedRegions {
+    pub fn current(&self) -> RegionSet {
         let mut allowed = self.state.allowed.borrow_mut();
         if let Some(source) = &self.state.source {
             *allowed = allowed.intersect(&source.allowed());
@@ -112,7 +112,7 @@
     pub(super) fn record_region_refusal(
         &self,
         call: &RelayCall,
-        allowed: &AllowedRegions,
+        allowed: &RegionSet,
         refused: Option<RefusedSend<'_>>,
     ) {
         let by = if refused.is_some() {
--- a/crates/proxy/src/relay/send.rs
+++ b/crates/proxy/src/relay/send.rs
@@ -4,7 +4,7 @@
 use super::open::RelayCaller;
 use crate::limits::PATH_CONNECT_TIMEOUT;
 use crate::transport::TargetDialer;
-use plantainmill_core::{AllowedRegions, Problem, ResultCode, TargetId};
+use plantainmill_core::{Problem, RegionSet, ResultCode, TargetId};
 use plantainmill_paths::{ForwardResult, SendRoute, TargetPaths};
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -115,7 +115,7 @@
     }
 
     /// Fails if this VM reaches no target, directly or through another VM in one of `regions`.
-    pub(super) fn check_reachable(&self, regions: &AllowedRegions) -> Result<(), Problem> {
+    pub(super) fn check_reachable(&self, regions: &RegionSet) -> Result<(), Problem> {
         let Some(probes) = &self.shared.paths else {
             return Ok(());
         };
--- a/crates/proxy/tests/allowed_regions.rs
+++ b/crates/proxy/tests/allowed_regions.rs
@@ -7,9 +7,7 @@
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::metrics::MeterProvider as _;
 use opentelemetry::metrics::noop::NoopMeterProvider;
-use plantainmill_core::{
-    AllowedRegions, Executed, RegionInputs, RegionSource, ResultCode, SystemClock,
-};
+use plantainmill_core::{Executed, RegionInputs, RegionSet, RegionSource, ResultCode, SystemClock};
 use plantainmill_fakes::TargetAct;
 use plantainmill_paths::{Forwarder, ForwarderPlace, TargetPaths};
 use plantainmill_proxy::TargetDialer;
@@ -26,10 +24,10 @@
 
 /// Regions that a test changes.
 #[derive(Debug)]
-struct ChangingRegions(RefCell<AllowedRegions>);
+struct ChangingRegions(RefCell<RegionSet>);
 
 impl RegionSource for ChangingRegions {
-    fn allowed(&self) -> AllowedRegions {
+    fn allowed(&self) -> RegionSet {
         self.0.borrow().clone()
     }
 
@@ -42,8 +40,8 @@
     Rc::new(ChangingRegions(RefCell::new(regions(names))))
 }
 
-fn regions(names: &[&str]) -> AllowedRegions {
-    AllowedRegions::of_names(names.iter().map(|name| (*name).into()))
+fn regions(names: &[&str]) -> RegionSet {
+    RegionSet::of_names(names.iter().map(|name| (*name).into()))
 }
 
 /// A call that may be repeated, in changing regions.
--- a/crates/proxy/tests/pending_connect.rs
+++ b/crates/proxy/tests/pending_connect.rs
@@ -12,7 +12,7 @@
 use futures_util::future::LocalBoxFuture;
 use opentelemetry::metrics::MeterProvider as _;
 use plantainmill_config::ServiceKind;
-use plantainmill_core::{AllowedRegions, Clock as _, Executed, SystemClock};
+use plantainmill_core::{Clock as _, Executed, RegionSet, SystemClock};
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_dispatch::{SharedDispatcher, TrafficClass};
 use plantainmill_paths::TargetPaths;
@@ -89,7 +89,7 @@
 async fn pending_connect(#[case] is_stream: bool, #[case] may_repeat: bool) {
     let call = RelayCall {
         route: "questions".into(),
-        regions: CallRegions::fixed(AllowedRegions::Everywhere),
+        regions: CallRegions::fixed(RegionSet::Everywhere),
         id: "c1".into(),
         service: "wool".into(),
         organisation: None,
--- a/crates/proxy/tests/relay_fleet/mod.rs
+++ b/crates/proxy/tests/relay_fleet/mod.rs
@@ -5,7 +5,7 @@
 use awc::http::Method;
 use awc::http::header::{HeaderMap, HeaderName};
 use futures_util::StreamExt as _;
-use plantainmill_core::{AllowedRegions, Clock as _, Problem, SystemClock};
+use plantainmill_core::{Clock as _, Problem, RegionSet, SystemClock};
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_dispatch::{SharedDispatcher, TrafficClass};
 use plantainmill_fakes::{StreamTarget, TargetAct, TargetNames};
@@ -133,7 +133,7 @@
         event_gap: Duration::from_millis(50),
         last_event: None,
         version: None,
-        regions: CallRegions::fixed(AllowedRegions::Everywhere),
+        regions: CallRegions::fixed(RegionSet::Everywhere),
     }
 }
 
--- a/crates/routing/src/document.rs
+++ b/crates/routing/src/document.rs
@@ -1,7 +1,7 @@
 //! The fleet document: routes, organisations and limits of one version.
 
 use compact_str::{CompactString, format_compact};
-use plantainmill_core::{AllowedRegions, OrganisationId, ServiceName};
+use plantainmill_core::{OrganisationId, RegionSet, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -72,7 +72,7 @@
     pub job: Option<JobRule>,
     /// Regions in which the requests may be served. Documents of older releases leave it out.
     #[serde(default)]
-    pub regions: AllowedRegions,
+    pub regions: RegionSet,
 }
 
 impl RouteRule {
@@ -123,7 +123,7 @@
     pub priority: Option<u32>,
     /// Regions in which the requests of the organisation may be served. Documents of older releases leave it out.
     #[serde(default)]
-    pub regions: AllowedRegions,
+    pub regions: RegionSet,
 }
 
 /// What the document says about a service.
@@ -250,7 +250,7 @@
         &self,
         route: &RouteRule,
         organisation: Option<&OrganisationId>,
-    ) -> AllowedRegions {
+    ) -> RegionSet {
         let rule = organisation.and_then(|name| self.organisations.get(name));
         rule.map_or_else(
             || route.regions.clone(),
@@ -261,19 +261,19 @@
     /// Regions in which a job of `organisation` may be held that the route named `route` accepted. A rule that the document no
     /// longer has allows everything.
     #[must_use]
-    pub fn regions_of_job(&self, route: &str, organisation: &OrganisationId) -> AllowedRegions {
+    pub fn regions_of_job(&self, route: &str, organisation: &OrganisationId) -> RegionSet {
         let route = self.route_named(route).map(|rule| &rule.regions);
         let organisation = self.organisations.get(organisation);
         let rules = route
             .into_iter()
             .chain(organisation.map(|rule| &rule.regions));
-        rules.fold(AllowedRegions::Everywhere, |allowed, regions| {
+        rules.fold(RegionSet::Everywhere, |allowed, regions| {
             allowed.intersect(regions)
         })
     }
 
     /// The rules that name regions: the field of each, and the regions.
-    pub fn region_rules(&self) -> impl Iterator<Item = (CompactString, &AllowedRegions)> {
+    pub fn region_rules(&self) -> impl Iterator<Item = (CompactString, &RegionSet)> {
         let routes = self.routes.values().flatten();
         let routes = routes.map(|rule| (format_compact!("routes.{}", rule.name), &rule.regions));
         let organisations = self.organisations.iter();
--- a/crates/routing/src/regions.rs
+++ b/crates/routing/src/regions.rs
@@ -2,7 +2,7 @@
 
 use crate::view::DocumentView;
 use compact_str::CompactString;
-use plantainmill_core::{AllowedRegions, Clock, OrganisationId, RegionInputs, RegionSource};
+use plantainmill_core::{Clock, OrganisationId, RegionInputs, RegionSet, RegionSource};
 use std::fmt::{self, Debug, Formatter};
 use std::sync::Arc;
 
@@ -25,9 +25,9 @@
 impl RegionSource for DocumentRegions {
     /// A rule that the document no longer has allows everything, because what it allowed before still applies to a request
     /// that waits or runs.
-    fn allowed(&self) -> AllowedRegions {
+    fn allowed(&self) -> RegionSet {
         let Some(document) = self.view.load() else {
-            return AllowedRegions::Everywhere;
+            return RegionSet::Everywhere;
         };
         let routes = [
             document.find_route(&self.host, &self.path),
@@ -39,7 +39,7 @@
         let organisation = organisation.and_then(|name| document.organisations.get(name));
         let rules = routes.into_iter().flatten().map(|route| &route.regions);
         let rules = rules.chain(organisation.map(|rule| &rule.regions));
-        rules.fold(AllowedRegions::Everywhere, |allowed, regions| {
+        rules.fold(RegionSet::Everywhere, |allowed, regions| {
             allowed.intersect(regions)
         })
     }
--- a/crates/routing/tests/all/region_rules.rs
+++ b/crates/routing/tests/all/region_rules.rs
@@ -1,7 +1,7 @@
 //! Regions of requests, as the document in force states them.
 
 use crate::route_choice::route;
-use plantainmill_core::{AllowedRegions, ManualClock, RegionSource as _};
+use plantainmill_core::{ManualClock, RegionSet, RegionSource as _};
 use plantainmill_routing::{
     CallerLimits, DocumentRegions, DocumentView, FleetDocument, OrganisationRule, RouteRule,
 };
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-fn regions(names: &[&str]) -> AllowedRegions {
-    AllowedRegions::of_names(names.iter().map(|name| (*name).into()))
+fn regions(names: &[&str]) -> RegionSet {
+    RegionSet::of_names(names.iter().map(|name| (*name).into()))
 }
 
 fn document(version: u64, of_route: &[&str], of_organisation: &[&str]) -> FleetDocument {
@@ -64,6 +64,6 @@
     assert!(view.replace_if_newer(document(1, &["north"], &[]), Duration::ZERO));
     assert_eq!(source.allowed(), regions(&["north"]));
     assert!(view.replace_if_newer(document(2, &["north"], &["south"]), Duration::ZERO));
-    assert_eq!(source.allowed(), AllowedRegions::nowhere());
+    assert_eq!(source.allowed(), RegionSet::nowhere());
     assert_eq!(source.inputs().version, 2);
 }
--- a/crates/routing/tests/all/route_choice.rs
+++ b/crates/routing/tests/all/route_choice.rs
@@ -1,6 +1,6 @@
 //! Tests of the selection of routes and services.
 
-use plantainmill_core::AllowedRegions;
+use plantainmill_core::RegionSet;
 use plantainmill_routing::{
     CallerLimits, FleetDocument, OrganisationRule, RouteKind, RouteRule, ServiceShare,
 };
@@ -27,7 +27,7 @@
         resumable: false,
         shares: shares.collect(),
         job: None,
-        regions: AllowedRegions::Everywhere,
+        regions: RegionSet::Everywhere,
     }
 }
 
