Stand-in targets send bytes that belong to no event

Two acts of the target of numbered events: foreign bytes after an event, after which the connection closes or the stream goes on. Nothing else uses the new acts yet.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 //! for model engines and plain services.
 
 pub mod engine;
+pub mod foreign_bytes;
 pub mod head_cut;
 pub mod listener;
 pub mod memory;
@@ -14,6 +15,7 @@
 mod run_guard;
 pub mod seen_request;
 pub mod stream_target;
+pub mod target_act;
 
 pub use engine::{
     EngineCounts, EngineFault, EngineKind, EngineOptions, EngineServer, FaultKind, RecordedRequest,
@@ -25,4 +27,5 @@
 pub use refusal_copies::{CopyTiming, RefusalCopy, RefusalMode};
 pub use rows::{MemoryRows, RowsFault};
 pub use seen_request::SeenRequest;
-pub use stream_target::{StreamTarget, TargetAct, TargetNames};
+pub use stream_target::{StreamTarget, TargetNames};
+pub use target_act::TargetAct;
--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -1,9 +1,9 @@
 //! A target that answers with streams of numbered events, with the faults of real ones.
 
-use crate::head_cut::HeadCut;
-use crate::refusal_copies::{CopyQueue, RefusalCopy, RefusalDraw, RefusalMode};
+use crate::refusal_copies::{CopyQueue, RefusalDraw, RefusalMode};
 use crate::run_guard::RunGuard;
 use crate::seen_request::{SeenRequest, read_request};
+use crate::target_act::TargetAct;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
@@ -15,78 +15,6 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-/// What the target does with one request.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum TargetAct {
-    /// Answers the whole stream.
-    #[default]
-    Serve,
-    /// Closes the connection in the middle of the event after this one.
-    CutAfter(u64),
-    /// Sends nothing any more after this event.
-    SilentAfter(u64),
-    /// Leaves out this event.
-    Skip(u64),
-    /// Says that it did not run the request.
-    Refuse,
-    /// The same, with this status.
-    RefuseWith(u16),
-    /// The same as `Refuse`, after this time.
-    LateRefusal(Duration),
-    /// The same as `Refuse`, without the id of the request.
-    RefuseWithoutId,
-    /// Refuses with this status, and writes the refusal once more later.
-    CopyRefusal(u16, RefusalCopy),
-    /// Writes the last refusal or failure on the connection once more, if there was one, and then runs the request and answers.
-    /// Pauses in between.
-    RepeatRefusal,
-    /// Ran the request and fails with this status, which is written with three digits.
-    Fail(u16),
-    /// Runs the request and closes the connection without an answer.
-    LoseAnswer,
-    /// Answers with the id of another request.
-    CrossAnswer,
-    /// Answers without a length: the body ends with the connection.
-    Unframed,
-    /// The same, with a connection that is reset after this event.
-    UnframedReset(u64),
-    /// The same, with a connection that ends after this event, as that of a complete response does.
-    UnframedEnd(u64),
-    /// Sends bytes of a head that never ends, until the caller closes.
-    EndlessHead,
-    /// Fails with status 500 and a body that never ends, until the caller closes.
-    EndlessBody,
-    /// Says that it did not run the request, with a body that never ends, until the caller closes.
-    EndlessRefusal,
-    /// Answers with status 200 and the text of an error, which is no stream of events.
-    ErrorText,
-    /// Sends bytes without the end of an event after this one, until the caller closes.
-    EndlessEvent(u64),
-    /// Sends a comment now and then, but no event after this one, until the caller closes.
-    TrickleAfter(u64),
-    /// Runs the request and closes the connection in the middle of the head of its answer.
-    CutHead(HeadCut),
-    /// The same, with a connection that is reset.
-    ResetHead(HeadCut),
-    /// Answers with a length, and closes the connection in the middle of the body.
-    ShortBody,
-}
-
-impl TargetAct {
-    /// Whether the response says that the request did not run.
-    fn is_refusal(self) -> bool {
-        matches!(
-            self,
-            TargetAct::Refuse
-                | TargetAct::LateRefusal(_)
-                | TargetAct::RefuseWithoutId
-                | TargetAct::RefuseWith(_)
-                | TargetAct::CopyRefusal(..)
-                | TargetAct::EndlessRefusal
-        )
-    }
-}
-
 /// Bytes that an endless answer sends at a time.
 const ENDLESS_PART_BYTES: usize = 16 << 10;
 /// Interval between the comments of a stream without progress.
@@ -506,6 +434,9 @@
             .await?;
         for number in last + 1..=self.events {
             pause_open(stream, self.pause.get()).await?;
+            if !send_foreign(stream, act, number - 1).await? {
+                return Ok(false);
+            }
             let event = format!("id: {number}\ndata: piece {number}\n\n");
             match act {
                 TargetAct::CutAfter(after) if number > after => {
@@ -545,6 +476,9 @@
             };
             stream.write_all(chunk.as_bytes()).await?;
         }
+        if !send_foreign(stream, act, self.events).await? {
+            return Ok(false);
+        }
         if is_framed {
             stream.write_all(b"0\r\n\r\n").await?;
         }
@@ -552,6 +486,20 @@
     }
 }
 
+/// Sends the bytes that `act` adds after the event `number`, as a chunk. Says whether the response goes on.
+async fn send_foreign(stream: &mut TcpStream, act: TargetAct, number: u64) -> io::Result<bool> {
+    match act {
+        TargetAct::ForeignEnd(after, bytes) | TargetAct::ForeignWithin(after, bytes)
+            if number == after =>
+        {
+            let chunk = format!("{:x}\r\n{bytes}\r\n", bytes.len());
+            stream.write_all(chunk.as_bytes()).await?;
+            Ok(matches!(act, TargetAct::ForeignWithin(..)))
+        }
+        _ => Ok(true),
+    }
+}
+
 /// Waits, and fails as soon as the caller closes the connection.
 async fn pause_open(stream: &TcpStream, time: Duration) -> io::Result<()> {
     let until = Instant::now() + time;
