Reject bytes of a stream that belong to no numbered event

Streams of callers got the bytes themselves.

Cause: EventSplitter returned every block of lines as an event. Lines that are no field of an event were skipped, and a block without an id passed the check of the order. An item appended a line feed and the (empty) data of such a block, and kept it when it was resumed elsewhere; the relay passed the block on, also as the first event of a stream or of its continuation.

Evidence: the line item_interrupted of the spoilt item says last_event=9 and that the stream was cut, and the target is then asked for event 10, so that neither the resumption nor the position was wrong; the text differs by one line feed exactly there. Resumptions after a cut without foreign bytes held before (job_faults::target_faults), foreign bytes without a resumption did not.

Change: an event has one numeric id, by its type. A line that is no field, a field without an id and a second id make the stream invalid: it is left (3005 answer_invalid), and goes on elsewhere after the last sound event where it may be repeated. Comments stay with the event after them and are neither events nor progress. The header that a target may repeat as the first line of an event is named by the adapter. An item's version, regions and failures change only once an event has passed the check of its order.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -14,8 +14,8 @@
 };
 use plantainmill_dispatch::{CallOutcome, TargetNeed, TargetTicket, TrafficClass};
 use plantainmill_proxy::relay::{
-    CallRegions, CallSend, EventSplitter, RelayCall, RelayCaller, SendFailure, SendTrace,
-    TargetResponse, broken_body_outcome, check_order,
+    CallRegions, CallSend, RelayCall, RelayCaller, SendFailure, SendTrace, TargetResponse,
+    broken_body_outcome, read_events,
 };
 use plantainmill_routing::{DocumentRegions, DocumentView, FleetDocument, RouteRule};
 use std::rc::Rc;
@@ -73,7 +73,7 @@
     watch: Rc<ItemWatch>,
     item: JobItem,
     output: Vec<u8>,
-    has_events: bool,
+    /// Last event in the output.
     last_event: Option<u64>,
     /// Regions in which the stream that has begun may go on; everywhere before its first event.
     stream_regions: RegionSet,
@@ -116,7 +116,6 @@
         watch,
         item,
         output: Vec::new(),
-        has_events: false,
         last_event: None,
         stream_regions: RegionSet::Everywhere,
         version: None,
@@ -183,7 +182,7 @@
                 return None;
             }
             let mut call = self.build_call(route)?;
-            if self.has_events && !has_region(&call.regions.current()) {
+            if self.last_event.is_some() && !has_region(&call.regions.current()) {
                 // The document now allows other regions than those of the stream so far.
                 if has_region(&self.regions().current()) {
                     self.begin_anew("its regions have changed");
@@ -386,7 +385,6 @@
         self.failing_since = None;
         self.failed_sends = 0;
         self.output.clear();
-        self.has_events = false;
         self.last_event = None;
         self.version = None;
         self.stream_regions = RegionSet::Everywhere;
@@ -497,26 +495,26 @@
             let failure = SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
             return Err(failure.at(&trace));
         }
-        let read = self.read_events(&mut response, ticket, &call.regions).await;
+        let read = self.read_output(&mut response, ticket, &call.regions).await;
         read.map_err(|failure| failure.at(&trace))?;
         Ok((SendOutcome::Succeeded, first_byte))
     }
 
-    async fn read_events(
+    async fn read_output(
         &mut self,
         response: &mut TargetResponse,
         ticket: &mut TargetTicket,
         regions: &CallRegions,
     ) -> Result<(), SendFailure> {
         let failed = |reason: String| SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
-        let mut splitter = EventSplitter::default();
+        let mut splitter = self.context.caller.event_splitter();
         let mut progress_at = Instant::now();
         let mut has_started = false;
         loop {
             let chunk = timeout_at(progress_at + IDLE_TIMEOUT, response.payload.next()).await;
             match chunk.map_err(|_| idle_timeout())? {
                 Some(Ok(chunk)) => {
-                    let events = splitter.push(&chunk).map_err(failed)?;
+                    let events = read_events(&mut splitter, &chunk, &mut self.last_event)?;
                     if !events.is_empty() {
                         progress_at = Instant::now();
                         if !has_started {
@@ -529,12 +527,10 @@
                         self.failing_since = None;
                         self.failed_sends = 0;
                     }
-                    check_order(&events, &mut self.last_event).map_err(failed)?;
-                    for event in events {
-                        if self.has_events {
+                    for event in &events {
+                        if event.id > 1 {
                             self.output.push(b'\n');
                         }
-                        self.has_events = true;
                         self.output.extend_from_slice(&event.data());
                     }
                     if self.output.len() > MAX_OUTPUT_BYTES {
@@ -553,7 +549,7 @@
                     let outcome = broken_body_outcome(&error, lost);
                     return Err(SendFailure { outcome, ..failure });
                 }
-                None if !response.is_framed && !self.has_events => {
+                None if !response.is_framed && self.last_event.is_none() => {
                     let failure = failed("the stream ended before its first event".to_owned());
                     let outcome = CallOutcome::ConnectionLost;
                     return Err(SendFailure { outcome, ..failure });
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod commit_order;
 mod copied_answers;
 mod endless_waits;
+mod foreign_bytes;
 mod head_progress;
 mod job_catalog;
 mod job_faults;
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -183,6 +183,7 @@
             target_leaving: HeaderName::from_static(NAMES.leaving),
             target_cold: None,
             last_event: HeaderName::from_static("last-event-id"),
+            event_header: None,
         };
         let view = DocumentView::default();
         let document =
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod connection_log;
 mod context;
+mod event_line;
 mod exchange;
 mod head_filter;
 mod headers;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -19,7 +19,7 @@
 pub use crate::connection_log::{ConnectionId, ConnectionUse};
 pub use crate::send_trace::SendTrace;
 pub use call::{HeaderNames, RelayCall, RelayLimits};
-pub use events::{EventSplitter, StreamEvent, check_order};
+pub use events::{EventSplitter, StreamEvent, check_order, read_events};
 pub use exchange::{CallSend, SendFailure, TargetResponse, broken_body_outcome};
 pub use forward::{
     FORWARD_HEADER, ForwardAnswer, ForwardRequest, ForwardVerdict, MAX_FORWARD_BYTES, REPEAT_HEADER,
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -6,7 +6,7 @@
 use super::buffered::{check_body, check_status};
 use super::call::RelayCall;
 use super::ending::CallFailure;
-use super::events::{EventSplitter, check_order};
+use super::events::{EventSplitter, read_events};
 use super::exchange::{CallSend, SendFailure, TargetResponse, broken_body_outcome};
 use super::open::RelayCaller;
 use super::progress::{CallProgress, StartedResponse, join_events, log_failure};
@@ -297,16 +297,14 @@
             let read = self.read_error_response(parts, response).await;
             return read.map_err(|failure| failure.at(trace));
         }
-        let mut splitter = EventSplitter::default();
+        let mut splitter = self.event_splitter();
         loop {
             let part = timeout_at(parts.until, response.payload.next());
             match part.await.map_err(late)? {
                 Some(Ok(part)) => {
-                    let failed =
-                        |reason| SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
-                    let events = splitter.push(&part).map_err(failed)?;
                     let mut last_event = parts.last_event;
-                    check_order(&events, &mut last_event).map_err(failed)?;
+                    let events = read_events(&mut splitter, &part, &mut last_event);
+                    let events = events.map_err(|failure| failure.at(trace))?;
                     if !events.is_empty() {
                         return Ok(FirstEvents {
                             response,
@@ -328,8 +326,8 @@
                 {
                     return Ok(FirstEvents {
                         response,
+                        bytes: splitter.take_comments(),
                         splitter,
-                        bytes: Bytes::new(),
                         last_event: parts.last_event,
                     });
                 }
--- a/crates/proxy/src/relay/call.rs
+++ b/crates/proxy/src/relay/call.rs
@@ -39,6 +39,8 @@
     pub target_load: HeaderName,
     /// Id of the last event that the caller has received.
     pub last_event: HeaderName,
+    /// Header that may stand as the first line of an event, with a number; `None` where targets send no such line.
+    pub event_header: Option<HeaderName>,
 }
 
 /// Limits of relayed calls.
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -98,18 +98,27 @@
         }
     }
 
-    /// A response whose status says nothing, of a request that may have run.
-    fn invalid_status(status: u16) -> SendFailure {
+    /// A response that is not valid.
+    fn invalid(executed: Executed, reason: String) -> SendFailure {
         SendFailure {
             code: Some(ResultCode::AnswerInvalid),
-            ..SendFailure::new(
-                Executed::Unknown,
-                CallOutcome::Failed,
-                format!("the status {status:03} is invalid"),
-            )
+            ..SendFailure::new(executed, CallOutcome::Failed, reason)
         }
     }
 
+    /// A response whose status says nothing, of a request that may have run.
+    fn invalid_status(status: u16) -> SendFailure {
+        let reason = format!("the status {status:03} is invalid");
+        SendFailure::invalid(Executed::Unknown, reason)
+    }
+
+    /// A stream of events with bytes that belong to no event, or with an event that is not the next one.
+    #[must_use]
+    pub fn invalid_stream(reason: &str) -> SendFailure {
+        let reason = format!("the stream is invalid: {reason}");
+        SendFailure::invalid(Executed::Yes, reason)
+    }
+
     /// Whether no connection was opened, so that the request may go another way while there is time.
     pub(super) fn is_unsent(&self) -> bool {
         !self.was_connected && !self.is_deadline
--- a/crates/proxy/src/relay/open.rs
+++ b/crates/proxy/src/relay/open.rs
@@ -2,6 +2,7 @@
 
 use super::call::{CONTINUATION_WAIT, HeaderNames, RelayCall, RelayLimits};
 use super::ending::{CallFailure, CutCause, ResponseMeters};
+use super::events::EventSplitter;
 use super::exchange::SendFailure;
 use super::hedge::RelayHedger;
 use super::hedge_policy::HedgeSettings;
@@ -148,6 +149,12 @@
         &self.shared.names
     }
 
+    /// Splitter for a stream of events of a target.
+    #[must_use]
+    pub fn event_splitter(&self) -> EventSplitter {
+        EventSplitter::with_header(self.header_names().event_header.clone())
+    }
+
     /// Dispatcher that issues the tickets.
     #[must_use]
     pub fn dispatcher(&self) -> &Arc<dyn Dispatcher> {
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -5,7 +5,7 @@
 };
 use super::call::RelayCall;
 use super::ending::{CallFailure, CutCause, ResponseState, log_completed};
-use super::events::{StreamEvent, check_order};
+use super::events::{StreamEvent, read_events};
 use super::exchange::{SendFailure, broken_body_outcome};
 use super::open::{RelayCaller, RelayResponse};
 use super::progress::{CallProgress, StartedResponse, join_events, log_failure};
@@ -91,8 +91,10 @@
                     return Some(Ok(join_events(bytes)));
                 }
                 PartRead::End => {
+                    let current = self.current.as_mut();
+                    let comments = current.map(|started| started.splitter.take_comments());
                     self.finish(None);
-                    return None;
+                    return comments.filter(|comments| !comments.is_empty()).map(Ok);
                 }
                 PartRead::Failed(failure) => self.fail_over(failure).await,
                 PartRead::HandedOver(handed_over) => *handed_over,
@@ -305,25 +307,18 @@
 impl StartedResponse {
     /// Reads on until events are complete, the response ends or fails, or the deadline passes. May be cancelled and called again.
     async fn read_until(&mut self, deadline: Instant) -> PartRead {
-        let failed = |reason: String| {
-            PartRead::Failed(SendFailure::new(Executed::Yes, CallOutcome::Failed, reason))
-        };
         loop {
             match timeout_at(deadline, self.response.payload.next()).await {
                 Ok(Some(Ok(part))) => {
-                    let events = match self.splitter.push(&part) {
-                        Ok(events) => events,
-                        Err(reason) => return failed(reason),
-                    };
-                    if events.is_empty() {
-                        continue;
+                    match read_events(&mut self.splitter, &part, &mut self.last_event) {
+                        Ok(events) if !events.is_empty() => {
+                            self.progress_at = Instant::now();
+                            self.next_handover_at = None;
+                            return PartRead::Events(events);
+                        }
+                        Ok(_) => {}
+                        Err(failure) => return PartRead::Failed(failure),
                     }
-                    self.progress_at = Instant::now();
-                    self.next_handover_at = None;
-                    return match check_order(&events, &mut self.last_event) {
-                        Ok(()) => PartRead::Events(events),
-                        Err(reason) => failed(reason),
-                    };
                 }
                 Ok(Some(Err(error))) => {
                     let outcome = broken_body_outcome(&error, CallOutcome::StreamLost);
--- a/crates/proxy/tests/forwarded_sends.rs
+++ b/crates/proxy/tests/forwarded_sends.rs
@@ -2,54 +2,21 @@
 
 mod relay_fleet;
 
-use actix_rt::net::TcpStream;
 use awc::http::Method;
 use awc::http::header::{HeaderMap, HeaderName, HeaderValue};
-use futures_util::future::LocalBoxFuture;
-use futures_util::{FutureExt as _, StreamExt as _};
-use opentelemetry::metrics::MeterProvider as _;
-use opentelemetry::metrics::noop::NoopMeterProvider;
-use plantainmill_core::{Executed, SystemClock};
+use futures_util::StreamExt as _;
+use plantainmill_core::Executed;
 use plantainmill_fakes::{StreamTarget, TargetAct};
-use plantainmill_paths::{Forwarder, ForwarderPlace, TargetPaths};
+use plantainmill_proxy::TcpDialer;
 use plantainmill_proxy::relay::{ForwardRequest, MAX_FORWARD_BYTES, RelayCall};
-use plantainmill_proxy::{TargetDialer, TcpDialer};
-use relay_fleet::{EVENTS, Fleet, NAMES, call, read_response};
+use relay_fleet::{EVENTS, Fleet, NAMES, RefusingDialer, call, read_response};
 use rstest::rstest;
-use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Time from a copied answer to the answer that was due.
 const ANSWER_DELAY: Duration = Duration::from_millis(50);
 
-/// Reaches nothing.
-struct RefusingDialer;
-
-impl TargetDialer for RefusingDialer {
-    fn dial(&self, _: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>> {
-        async { Err(io::ErrorKind::ConnectionRefused.into()) }.boxed_local()
-    }
-}
-
-/// A fleet whose caller has these VMs as forwarders.
-async fn connected_fleet(dialer: Rc<dyn TargetDialer>, forwarders: &[StreamTarget]) -> Fleet {
-    let mut fleet = Fleet::start(1).await;
-    let meter = NoopMeterProvider::new().meter("test");
-    let paths = TargetPaths::new(&"vm".into(), Arc::new(SystemClock), &meter, "");
-    paths.set_targets(fleet.entries().map(|entry| (entry.id, entry.address)));
-    let forwarders = forwarders.iter().map(|vm| Forwarder {
-        address: vm.address,
-        place: ForwarderPlace::Local,
-        region: None,
-    });
-    paths.set_forwarders(forwarders);
-    fleet.caller = fleet.caller.with_paths(paths, dialer);
-    fleet
-}
-
 /// Has the VM forward the request `id`, and returns the status and the id of the answer, which it reads to its end.
 async fn forward(fleet: &Fleet, id: &str) -> (u16, String) {
     let name = HeaderName::from_static(NAMES.request_id);
@@ -83,7 +50,7 @@
     for vm in &vms {
         vm.plan([TargetAct::Fail(500)]);
     }
-    let fleet = connected_fleet(Rc::new(RefusingDialer), &vms).await;
+    let fleet = Fleet::connected(1, Rc::new(RefusingDialer), &vms).await;
     let call = RelayCall {
         is_stream,
         ..call(false)
@@ -98,7 +65,7 @@
 #[actix_rt::test]
 async fn large_body() {
     let vms = [StreamTarget::start(NAMES, EVENTS).await.expect("a port")];
-    let fleet = connected_fleet(Rc::new(RefusingDialer), &vms).await;
+    let fleet = Fleet::connected(1, Rc::new(RefusingDialer), &vms).await;
     let call = RelayCall {
         body: vec![b'x'; MAX_FORWARD_BYTES + 1].into(),
         ..call(false)
@@ -112,7 +79,7 @@
 /// counts for both.
 #[actix_rt::test]
 async fn shared_forwarder() {
-    let fleet = connected_fleet(Rc::new(TcpDialer), &[]).await;
+    let fleet = Fleet::connected(1, Rc::new(TcpDialer), &[]).await;
     fleet.targets[0].plan([
         TargetAct::Refuse,
         TargetAct::RepeatRefusal,
@@ -128,7 +95,7 @@
 /// Guards against answers that a VM returns for the requests before them, once its target has written one too many.
 #[actix_rt::test]
 async fn shifted_answers() {
-    let fleet = connected_fleet(Rc::new(TcpDialer), &[]).await;
+    let fleet = Fleet::connected(1, Rc::new(TcpDialer), &[]).await;
     let target = &fleet.targets[0];
     target.set_pause(ANSWER_DELAY);
     target.plan([TargetAct::Fail(500), TargetAct::RepeatRefusal]);
--- a/crates/proxy/tests/pending_connect.rs
+++ b/crates/proxy/tests/pending_connect.rs
@@ -69,6 +69,7 @@
         target_leaving: name("server-leaving"),
         target_cold: None,
         last_event: name("last-event-id"),
+        event_header: None,
     };
     let meter = opentelemetry::metrics::noop::NoopMeterProvider::new().meter("test");
     let paths = TargetPaths::new(&"vm".into(), Arc::new(SystemClock), &meter, "");
--- a/crates/proxy/tests/relay.rs
+++ b/crates/proxy/tests/relay.rs
@@ -249,10 +249,7 @@
             .flat_map(|piece| splitter.push(piece).expect("events of a usual size"))
             .collect();
         assert_eq!(
-            events
-                .iter()
-                .filter_map(|event| event.id)
-                .collect::<Vec<_>>(),
+            events.iter().map(|event| event.id).collect::<Vec<_>>(),
             [1, 2, 3]
         );
         assert_eq!(events[1].data(), b"a\nb2");
@@ -338,7 +335,7 @@
     let received = String::from_utf8_lossy(&received).into_owned();
     let mut splitter = EventSplitter::default();
     let events = splitter.push(received.as_bytes()).expect("events");
-    let ids: Vec<u64> = events.iter().filter_map(|event| event.id).collect();
+    let ids: Vec<u64> = events.iter().map(|event| event.id).collect();
     assert_eq!((ids, events.len()), (vec![1, 2, 3], 3), "{received}");
     assert!(splitter.is_at_boundary(), "{received}");
 }
--- a/crates/proxy/tests/relay_fleet/mod.rs
+++ b/crates/proxy/tests/relay_fleet/mod.rs
@@ -2,22 +2,33 @@
 
 #![allow(dead_code)] // Each test file uses only part of this module.
 
+use actix_rt::net::TcpStream;
 use awc::http::Method;
 use awc::http::header::{HeaderMap, HeaderName};
-use futures_util::StreamExt as _;
+use futures_util::future::LocalBoxFuture;
+use futures_util::{FutureExt as _, StreamExt as _};
+use opentelemetry::metrics::MeterProvider as _;
+use opentelemetry::metrics::noop::NoopMeterProvider;
 use plantainmill_core::{Clock as _, Problem, RegionSet, SystemClock};
 use plantainmill_dispatch::shared::SharedParts;
 use plantainmill_dispatch::{SharedDispatcher, TrafficClass};
 use plantainmill_fakes::{StreamTarget, TargetAct, TargetNames};
+use plantainmill_paths::{Forwarder, ForwarderPlace, TargetPaths};
+use plantainmill_proxy::TargetDialer;
 use plantainmill_proxy::relay::{
     CallRegions, EventSplitter, HeaderNames, RelayCall, RelayCaller, RelayLimits,
 };
 use plantainmill_routing::TargetEntry;
 use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 pub const EVENTS: u64 = 6;
+/// Header that may stand as the first line of an event.
+pub const EVENT_HEADER: &str = "weights";
 pub const NAMES: TargetNames = TargetNames {
     request_id: "request-id",
     not_executed: "not-executed",
@@ -25,6 +36,15 @@
     leaving: "server-leaving",
 };
 
+/// Reaches nothing.
+pub struct RefusingDialer;
+
+impl TargetDialer for RefusingDialer {
+    fn dial(&self, _: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>> {
+        async { Err(io::ErrorKind::ConnectionRefused.into()) }.boxed_local()
+    }
+}
+
 pub struct Fleet {
     pub targets: Vec<StreamTarget>,
     pub dispatcher: SharedDispatcher,
@@ -65,6 +85,26 @@
         }
     }
 
+    /// A fleet whose caller opens connections by `dialer` and has `forwarders` as forwarders.
+    pub async fn connected(
+        count: usize,
+        dialer: Rc<dyn TargetDialer>,
+        forwarders: &[StreamTarget],
+    ) -> Fleet {
+        let mut fleet = Fleet::start(count).await;
+        let meter = NoopMeterProvider::new().meter("test");
+        let paths = TargetPaths::new(&"vm".into(), Arc::new(SystemClock), &meter, "");
+        paths.set_targets(fleet.entries().map(|entry| (entry.id, entry.address)));
+        let forwarders = forwarders.iter().map(|vm| Forwarder {
+            address: vm.address,
+            place: ForwarderPlace::Local,
+            region: None,
+        });
+        paths.set_forwarders(forwarders);
+        fleet.caller = fleet.caller.with_paths(paths, dialer);
+        fleet
+    }
+
     /// Plans `act` for the first request that each target receives.
     pub fn plan_first(&self, act: TargetAct) {
         for target in &self.targets {
@@ -93,6 +133,7 @@
         target_leaving: HeaderName::from_static(NAMES.leaving),
         target_cold: None,
         last_event: HeaderName::from_static("last-event-id"),
+        event_header: Some(HeaderName::from_static(EVENT_HEADER)),
     }
 }
 
@@ -150,7 +191,7 @@
         match part {
             Ok(part) => {
                 let events = splitter.push(&part).expect("events of a usual size");
-                ids.extend(events.iter().filter_map(|event| event.id));
+                ids.extend(events.iter().map(|event| event.id));
             }
             Err(problem) => return Ok((ids, Some(problem))),
         }
