Reject foreign lines in model streams of the own interface

Callers saw, in streams of /v1/chat/completions, the bytes of lines that are no field of an event; a call that reads such a stream to its end, as an item of a batch job does, returned them in its body, and also bytes that follow the last event.

Cause: EventReader looked at data lines only and passed every other line on; the check of a buffered stream asked only whether its last event had come.

A foreign line makes the answer invalid (3005), as a malformed event does, and bytes behind the last event of a buffered stream do too. In a stream that is passed on, what follows the last event was and is discarded.

--- a/crates/fakes/src/engine/answer.rs
+++ b/crates/fakes/src/engine/answer.rs
@@ -2,6 +2,7 @@
 
 use super::fault::{EngineFault, FaultKind};
 use super::state::{EngineState, REQUEST_ID_HEADER, RunGuard, RunOutcome, request_id};
+use crate::foreign_bytes::FOREIGN_LINE;
 use actix_web::body::SizedStream;
 use actix_web::http::header::CONTENT_TYPE;
 use actix_web::web::Bytes;
@@ -112,6 +113,10 @@
             let half = text.len() / 2;
             builder.body(text[..half].to_owned())
         }
+        FaultKind::Foreign => {
+            guard.end(RunOutcome::Completed);
+            builder.body(format!("{text}{FOREIGN_LINE}"))
+        }
         FaultKind::Oversized => {
             guard.end(RunOutcome::Completed);
             builder.body(oversized(text))
--- a/crates/fakes/src/engine/fault.rs
+++ b/crates/fakes/src/engine/fault.rs
@@ -27,6 +27,10 @@
     Slow,
     /// A whole answer is cut JSON with a fitting length; a stream has a malformed event after `after` others.
     Malformed,
+    /// A stream has bytes that belong to no event after `after` events, and goes on; a whole answer has them at its end.
+    Foreign,
+    /// A stream has bytes that belong to no event behind its last one.
+    ForeignEnd,
     /// A stream ends cleanly without its last event.
     NoEnd,
     /// The answer is larger than 32 MiB.
--- a/crates/fakes/src/engine/model.rs
+++ b/crates/fakes/src/engine/model.rs
@@ -3,6 +3,7 @@
 use super::answer::{StartedRun, cut_error, delay_answer, start_run, whole_answer};
 use super::fault::FaultKind;
 use super::state::{EngineState, REQUEST_ID_HEADER, RunOutcome};
+use crate::foreign_bytes::{FOREIGN_LINE, JOINED_LINE};
 use actix_web::rt::time::{Instant, sleep, sleep_until};
 use actix_web::web::{self, Bytes, Data, Payload, ServiceConfig};
 use actix_web::{HttpRequest, HttpResponse};
@@ -242,6 +243,10 @@
                 self.started.fault.kind = FaultKind::None;
                 Some(EventStep::Send(Bytes::from_static(b"data: {\"id\": \n\n")))
             }
+            FaultKind::Foreign => {
+                self.started.fault.kind = FaultKind::None;
+                Some(EventStep::Send(Bytes::from_static(FOREIGN_LINE.as_bytes())))
+            }
             FaultKind::Oversized => {
                 let padding = format!(": {}\n\n", "x".repeat(EVENT_PADDING_BYTES));
                 Some(EventStep::Send(Bytes::from(padding)))
@@ -298,6 +303,10 @@
     if fault == FaultKind::NoEnd {
         return None;
     }
-    let last = Bytes::from_static(b"data: [DONE]\n\n");
+    let foreign = match fault {
+        FaultKind::ForeignEnd => JOINED_LINE.trim_end(),
+        _ => "",
+    };
+    let last = Bytes::from(format!("data: [DONE]\n\n{foreign}"));
     Some((Ok(last), StreamState::Ended))
 }
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -82,8 +82,13 @@
 fn check_events(body: &Bytes) -> Result<(), String> {
     let mut reader = EventReader::default();
     reader.push(body)?;
-    if reader.is_done() {
+    if reader.is_at_end() {
         return Ok(());
     }
-    Err("the stream has no last event".to_owned())
+    let reason = if reader.is_done() {
+        "bytes follow the last event"
+    } else {
+        "the stream has no last event"
+    };
+    Err(reason.to_owned())
 }
--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -3,6 +3,7 @@
 //! Only complete events are passed on, so that an error event can follow at any point. The scan never revisits bytes,
 //! so the cost stays linear even if a target sends one endless event.
 
+use crate::event_line::EventLine;
 use bytes::{Bytes, BytesMut};
 use plantainmill_core::Problem;
 
@@ -15,7 +16,8 @@
     Bytes::from(format!("data: {}\n\n", problem.to_json()))
 }
 
-/// Splits a model's stream into events and checks that each is JSON and that none follows `[DONE]`.
+/// Splits a model's stream into events and checks that each is JSON, that none follows `[DONE]`, and that all lines belong to
+/// events or comments.
 #[derive(Debug, Default)]
 pub struct EventReader {
     buffer: BytesMut,
@@ -35,16 +37,22 @@
         self.done
     }
 
+    /// Whether the terminating event was read and nothing incomplete follows it.
+    #[must_use]
+    pub fn is_at_end(&self) -> bool {
+        self.done && self.buffer.is_empty()
+    }
+
     /// Appends `chunk` and returns the events that are complete now; empty if there are none.
     ///
     /// # Errors
     ///
-    /// Returns the reason if an event is malformed or follows the terminating event.
+    /// Returns the reason if an event is malformed or follows the terminating event, or if a line is no field of an event.
     pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, String> {
         self.buffer.extend_from_slice(chunk);
         let mut complete_end = 0;
         while let Some(end) = self.next_line_end() {
-            let is_blank = self.take_line(end);
+            let is_blank = self.take_line(end)?;
             if is_blank {
                 self.end_event()?;
                 complete_end = self.line_start;
@@ -66,18 +74,21 @@
     }
 
     /// Consumes the line that ends at `end` and returns whether it is blank.
-    fn take_line(&mut self, end: usize) -> bool {
+    fn take_line(&mut self, end: usize) -> Result<bool, String> {
         let line = &self.buffer[self.line_start..end];
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
         self.line_start = end + 1;
-        if let Some(value) = line.strip_prefix(b"data:") {
-            if !self.data.is_empty() {
-                self.data.push(b'\n');
+        match EventLine::parse(line) {
+            EventLine::Blank => return Ok(true),
+            EventLine::Foreign => return Err("a line is no field of an event".to_owned()),
+            EventLine::Data(value) => {
+                if !self.data.is_empty() {
+                    self.data.push(b'\n');
+                }
+                self.data.extend_from_slice(value);
             }
-            let value = value.strip_prefix(b" ").unwrap_or(value);
-            self.data.extend_from_slice(value);
+            EventLine::Comment | EventLine::Id(_) | EventLine::Other => {}
         }
-        line.is_empty()
+        Ok(false)
     }
 
     fn end_event(&mut self) -> Result<(), String> {
--- a/crates/proxy/tests/event_reader.rs
+++ b/crates/proxy/tests/event_reader.rs
@@ -1,6 +1,7 @@
 //! Splitting of streams into complete events, independent of how the bytes arrive.
 
 use plantainmill_core::{Executed, Problem, ResultCode};
+use plantainmill_fakes::foreign_bytes::{FOREIGN_LINE, JOINED_LINE, OTHER_HEAD};
 use plantainmill_proxy::{EventReader, error_event};
 use rstest::rstest;
 
@@ -27,10 +28,16 @@
     Ok(())
 }
 
+/// Guards against bytes that belong to no event in the stream of a model.
 #[rstest]
 #[case::cut_json("data: {\"a\": \n\n")]
 #[case::no_json("data: text\n\n")]
 #[case::after_last("data: [DONE]\n\ndata: {}\n\n")]
+#[case::foreign_line(FOREIGN_LINE)]
+#[case::foreign_head(OTHER_HEAD)]
+#[case::joined_line(JOINED_LINE)]
+#[case::line_within("data: {\nq7#x0f\ndata: }\n\n")]
+#[case::foreign_after_last("data: [DONE]\n\nq7#x0f\n\n")]
 fn malformed_event(#[case] text: &str) {
     assert!(EventReader::default().push(text.as_bytes()).is_err());
 }
--- a/crates/proxy/tests/fault_matrix.rs
+++ b/crates/proxy/tests/fault_matrix.rs
@@ -35,6 +35,10 @@
     engine(FaultKind::Crossed, 0),
     engine(FaultKind::Malformed, 0),
     engine(FaultKind::Malformed, 2),
+    engine(FaultKind::Foreign, 0),
+    engine(FaultKind::Foreign, 2),
+    engine(FaultKind::Foreign, TOKENS),
+    engine(FaultKind::ForeignEnd, 0),
     engine(FaultKind::Oversized, 1),
     engine(FaultKind::Crash, 0),
 ];
@@ -87,9 +91,11 @@
         // Half of the body of a plain service is passed on immediately.
         FaultKind::CutStream if is_stream && !is_model => (invalid, Executed::Yes, true),
         FaultKind::CutStream | FaultKind::Oversized => (invalid, Executed::Yes, has_partial_events),
-        FaultKind::Malformed if is_model => (invalid, Executed::Yes, has_partial_events),
+        FaultKind::Malformed | FaultKind::Foreign if is_model => {
+            (invalid, Executed::Yes, has_partial_events)
+        }
         FaultKind::NoEnd if is_stream && is_model => (invalid, Executed::Yes, true),
-        // Slow responses are complete, buffered ones have no events, and bodies of plain services are not validated.
+        // What follows the last event of a stream is not passed on. Slow responses are complete, buffered ones have no events, and bodies of plain services are not validated.
         _ => return None,
     };
     Some(Expected {
@@ -114,8 +120,10 @@
 
 /// Whether the fault can be detected. A malformed body of a plain service, with the right length, is a valid response.
 fn is_detectable(step: FaultStep, kind: ServiceKind) -> bool {
-    let is_malformed =
-        matches!(step, FaultStep::Engine(fault) if fault.kind == FaultKind::Malformed);
+    let is_malformed = matches!(
+        step,
+        FaultStep::Engine(fault) if matches!(fault.kind, FaultKind::Malformed | FaultKind::Foreign)
+    );
     kind == ServiceKind::Model || !is_malformed
 }
 
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -428,6 +428,7 @@
             text.ends_with("data: [DONE]\n\n"),
             "no terminating event in {text}"
         );
+        assert!(!text.contains("q7#x0f"), "foreign bytes in {text}");
         assert_eq!(text.matches("data: {").count(), TOKENS as usize);
         check_events(&text, recorded);
         return;
