Count responses of targets that are not valid

plantainmill_responses_invalid_total counts streams with bytes that belong to no event or to a wrong one, and undefined statuses, for requests and items alike; until now only the reasons of send_failed and item_interrupted told them from other failures. record_failed_send counts them where the path of a failed send is checked, which all sends of the relay and of items pass.

--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -427,7 +427,9 @@
                     reason = %failure.reason,
                 );
                 self.enter(OwedState::Retry, failure.reason.clone());
-                self.context.caller.check_path(&ticket.target, &failure);
+                self.context
+                    .caller
+                    .record_failed_send(&ticket.target, &failure);
                 let is_preempted = failure.outcome == CallOutcome::Abandoned;
                 if !is_preempted {
                     self.record_failure();
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -278,7 +278,7 @@
             failure,
         );
         attempt.finish(failure.outcome);
-        self.check_path(&target, failure);
+        self.record_failed_send(&target, failure);
         progress.record_failure(&target, failure, &self.shared.limits)
     }
 
--- a/crates/proxy/src/relay/buffered.rs
+++ b/crates/proxy/src/relay/buffered.rs
@@ -147,7 +147,7 @@
             };
             let (target, version) = (ticket.target.clone(), ticket.version.clone());
             ticket.finish(failure.outcome);
-            self.check_path(&target, &failure);
+            self.record_failed_send(&target, &failure);
             log_failure(&progress.call, (&target, version.as_deref()), &failure);
             if !progress.record_failure(&target, &failure, &self.shared.limits) {
                 return Err(progress.failure(&failure));
--- a/crates/proxy/src/relay/ending.rs
+++ b/crates/proxy/src/relay/ending.rs
@@ -87,9 +87,10 @@
     pub silence: Option<Duration>,
 }
 
-/// Counts responses that end early, by cause and by who ended them.
+/// Counts responses that end early, by cause and by who ended them, and those that are not valid.
 pub(super) struct ResponseMeters {
     cuts: Option<Counter<u64>>,
+    invalid: Option<Counter<u64>>,
     region_refusals: Option<Counter<u64>>,
     /// The VM closes all connections because it stops.
     is_closing: Cell<bool>,
@@ -99,6 +100,7 @@
     pub fn disabled() -> ResponseMeters {
         ResponseMeters {
             cuts: None,
+            invalid: None,
             region_refusals: None,
             is_closing: Cell::new(false),
         }
@@ -108,17 +110,29 @@
     pub fn new(meter: &Meter, prefix: &str) -> ResponseMeters {
         let counter = meter.u64_counter(format!("{prefix}responses_cut"));
         let counter = counter.with_description("Responses that ended early, by cause");
+        let invalid = meter.u64_counter(format!("{prefix}responses_invalid"));
+        let invalid = invalid.with_description(
+            "Responses of targets with an undefined status, or with bytes that belong to no event or to a wrong one",
+        );
         let refusals = meter.u64_counter(format!("{prefix}region_refusals"));
         let refusals = refusals.with_description(
             "Requests without a target, and sends that were not made, because of their regions",
         );
         ResponseMeters {
             cuts: Some(counter.build()),
+            invalid: Some(invalid.build()),
             region_refusals: Some(refusals.build()),
             is_closing: Cell::new(false),
         }
     }
 
+    /// Counts a response of a target that is not valid.
+    pub fn count_invalid(&self) {
+        if let Some(invalid) = &self.invalid {
+            invalid.add(1, &[]);
+        }
+    }
+
     /// Counts that the regions of a request left no target, or kept it from being sent.
     pub fn count_region_refusal(&self, by: &'static str) {
         if let Some(refusals) = &self.region_refusals {
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -119,6 +119,11 @@
         SendFailure::invalid(Executed::Yes, reason)
     }
 
+    /// Whether the target sent what is no valid response.
+    pub(super) fn is_invalid(&self) -> bool {
+        self.code == Some(ResultCode::AnswerInvalid)
+    }
+
     /// Whether no connection was opened, so that the request may go another way while there is time.
     pub(super) fn is_unsent(&self) -> bool {
         !self.was_connected && !self.is_deadline
--- a/crates/proxy/src/relay/send.rs
+++ b/crates/proxy/src/relay/send.rs
@@ -100,8 +100,16 @@
         }
     }
 
-    /// Finds out whether the path is the reason why a send failed that may have reached its target.
-    pub fn check_path(&self, target: &TargetId, failure: &SendFailure) {
+    /// Counts an invalid response, and finds out whether the path is the reason why a send failed that may have reached its
+    /// target.
+    pub fn record_failed_send(&self, target: &TargetId, failure: &SendFailure) {
+        if failure.is_invalid() {
+            self.shared.meters.count_invalid();
+        }
+        self.check_path(target, failure);
+    }
+
+    fn check_path(&self, target: &TargetId, failure: &SendFailure) {
         let probes = self.shared.paths.as_ref();
         let Some(probes) = probes.filter(|_| failure.suggests_lost_path()) else {
             return;
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -277,7 +277,7 @@
             started.ticket.version.clone(),
         );
         self.finish(Some(failure.outcome));
-        self.caller.check_path(&target, &failure);
+        self.caller.record_failed_send(&target, &failure);
         log_failure(self.call(), (&target, version.as_deref()), &failure);
         self.progress.excluded.push(target);
         failure
