Soak with targets that send bytes that belong to no event

From seed 2000 on, half of the faults of a troubled run are targets that send a foreign line, a field without an id, the head of another response, a cut event or blank lines before, between or behind the events of a stream.

--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -1,6 +1,10 @@
 //! Random faults, determined by a seed.
 
 use crate::link_proxy::LinkMode;
+use crate::target_fleet::EVENTS_PER_STREAM;
+use plantainmill_fakes::foreign_bytes::{
+    BLANK_LINES, CUT_FIELDS, FOREIGN_LINE, JOINED_LINE, OTHER_HEAD, UNNUMBERED_DATA,
+};
 use plantainmill_fakes::{CopyTiming, RefusalCopy, TargetAct};
 use plantainmill_stand_in::WireFault;
 use rand::rngs::SmallRng;
@@ -10,10 +14,12 @@
 
 /// Mean time between the starts of faults. Most faults last longer, so they overlap.
 const FAULT_INTERVAL: Duration = Duration::from_millis(700);
-/// Mean time between the starts of faults where targets refuse.
-const REFUSING_FAULT_INTERVAL: Duration = Duration::from_millis(350);
+/// Mean time between the starts of faults where targets refuse or send foreign bytes.
+const TARGET_FAULT_INTERVAL: Duration = Duration::from_millis(350);
 /// First seed whose targets refuse and copy their refusals.
 const FIRST_REFUSING_SEED: u64 = 1_000;
+/// First seed whose targets send bytes that belong to no event.
+const FIRST_FOREIGN_SEED: u64 = 2_000;
 /// Requests in a hundred that a refusing target refuses.
 const REFUSED_PERCENT: Range<u32> = 20..80;
 /// Duration of a fault. The longest exceeds every timeout of a VM.
@@ -37,14 +43,17 @@
     Troubled,
     /// The same, with targets that have few slots, refuse, restart at their address, and write each refusal once more later.
     Refusing,
+    /// Planned work and failures, with targets that often send bytes that belong to no event.
+    Foreign,
 }
 
 impl SoakProfile {
-    /// Returns the profile of a seed: from 1000 on, targets refuse. Of the others, every multiple of four has planned work only,
+    /// Returns the profile of a seed: from 1000 on, targets refuse, and from 2000 on, they send foreign bytes. Of the others, every multiple of four has planned work only,
     /// and every other even seed silent targets as well.
     #[must_use]
     pub fn of_seed(seed: u64) -> SoakProfile {
         match seed % 4 {
+            _ if seed >= FIRST_FOREIGN_SEED => SoakProfile::Foreign,
             _ if seed >= FIRST_REFUSING_SEED => SoakProfile::Refusing,
             0 => SoakProfile::Planned,
             2 => SoakProfile::Silent,
@@ -60,7 +69,7 @@
 
     fn fault_interval(self) -> Duration {
         match self {
-            SoakProfile::Refusing => REFUSING_FAULT_INTERVAL,
+            SoakProfile::Refusing | SoakProfile::Foreign => TARGET_FAULT_INTERVAL,
             _ => FAULT_INTERVAL,
         }
     }
@@ -169,6 +178,10 @@
             0 => return draw_refusals(random, vm, target),
             _ => 15,
         },
+        SoakProfile::Foreign => match random.random_range(0..2) {
+            0 => return SoakFault::TargetActs(target, draw_foreign_bytes(random)),
+            _ => 15,
+        },
         SoakProfile::Troubled => 15,
     };
     match random.random_range(0..kind_count) {
@@ -226,6 +239,23 @@
     }
 }
 
+fn draw_foreign_bytes(random: &mut SmallRng) -> TargetAct {
+    let after = random.random_range(0..=EVENTS_PER_STREAM);
+    let bytes = match random.random_range(0..6) {
+        0 => FOREIGN_LINE,
+        1 => UNNUMBERED_DATA,
+        2 => OTHER_HEAD,
+        3 => JOINED_LINE,
+        4 => CUT_FIELDS,
+        _ => BLANK_LINES,
+    };
+    if random.random() {
+        TargetAct::ForeignEnd(after, bytes)
+    } else {
+        TargetAct::ForeignWithin(after, bytes)
+    }
+}
+
 fn draw_link_mode(random: &mut SmallRng) -> LinkMode {
     match random.random_range(0..5) {
         0 => LinkMode::Slow(Duration::from_millis(random.random_range(LINK_DELAY_MS))),
