Test that comments without events are no progress

A target that sends a comment and a blank line now and then, but no event, kept an item or a stream from going on elsewhere for good: each block counted as an event.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -462,10 +462,12 @@
                     send_endless(stream, chunk.as_bytes()).await?;
                     return Ok(false);
                 }
-                TargetAct::TrickleAfter(after) if number > after => loop {
-                    sleep(TRICKLE_INTERVAL).await;
-                    stream.write_all(b"2\r\n:\n\r\n").await?;
-                },
+                TargetAct::TrickleAfter(after) if number > after => {
+                    return trickle(stream, b"2\r\n:\n\r\n").await;
+                }
+                TargetAct::TrickleBlocks(after) if number > after => {
+                    return trickle(stream, b"3\r\n:\n\n\r\n").await;
+                }
                 TargetAct::Skip(skipped) if number == skipped => continue,
                 _ => {}
             }
@@ -535,6 +537,14 @@
     Ok(())
 }
 
+/// Sends `part` now and then. Ends with an error when the caller closes the connection.
+async fn trickle(stream: &mut TcpStream, part: &[u8]) -> io::Result<bool> {
+    loop {
+        sleep(TRICKLE_INTERVAL).await;
+        stream.write_all(part).await?;
+    }
+}
+
 /// Sends `part` again and again. Ends with an error when the caller closes the connection.
 async fn send_endless(stream: &mut TcpStream, part: &[u8]) -> io::Result<()> {
     loop {
--- a/crates/fakes/src/target_act.rs
+++ b/crates/fakes/src/target_act.rs
@@ -53,6 +53,8 @@
     EndlessEvent(u64),
     /// Sends a comment now and then, but no event after this one, until the caller closes.
     TrickleAfter(u64),
+    /// The same, with a blank line behind each comment.
+    TrickleBlocks(u64),
     /// Sends these bytes after this event, and closes the connection.
     ForeignEnd(u64, &'static str),
     /// Sends these bytes after this event, and goes on.
--- a/crates/jobs/tests/all/foreign_bytes.rs
+++ b/crates/jobs/tests/all/foreign_bytes.rs
@@ -92,3 +92,13 @@
     let cluster = check_outputs(4, acts, EVENT_PAUSE).await;
     assert_eq!(cluster.target.seen().len(), 4);
 }
+
+/// Guards against an item that never ends because comments without events count as progress.
+#[rstest]
+#[case::first(0)]
+#[case::later(2)]
+#[actix_rt::test]
+async fn trickled_comments(#[case] after: u64) {
+    let acts = [TargetAct::TrickleBlocks(after)];
+    check_outputs(1, acts, Duration::ZERO).await;
+}
--- a/crates/proxy/src/relay/exchange.rs
+++ b/crates/proxy/src/relay/exchange.rs
@@ -113,8 +113,7 @@
     }
 
     /// A stream of events with bytes that belong to no event, or with an event that is not the next one.
-    #[must_use]
-    pub fn invalid_stream(reason: &str) -> SendFailure {
+    pub(super) fn invalid_stream(reason: &str) -> SendFailure {
         let reason = format!("the stream is invalid: {reason}");
         SendFailure::invalid(Executed::Yes, reason)
     }
--- a/crates/proxy/tests/foreign_bytes.rs
+++ b/crates/proxy/tests/foreign_bytes.rs
@@ -175,10 +175,14 @@
 }
 
 /// Guards against comments that keep a stream from going on elsewhere while no event comes.
+#[rstest]
+#[case::first(0)]
+#[case::later(2)]
 #[actix_rt::test]
-async fn trickled_comments() {
+async fn trickled_comments(#[case] after: u64) {
     let fleet = Fleet::start(2).await;
-    fleet.plan_first(TargetAct::TrickleAfter(2));
+    fleet.targets[0].plan([TargetAct::TrickleBlocks(after)]);
+    fleet.targets[1].plan([TargetAct::TrickleBlocks(after)]);
     let repeatable = RelayCall {
         max_executions: 3,
         ..call(true)
