Read events in order in a module of its own

events.rs stays without dependencies on the other modules of the relay, so that no cycle of files comes from the failure that read_events returns. Nothing changes for callers.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -4,6 +4,7 @@
 mod buffered;
 mod call;
 mod ending;
+mod event_order;
 mod events;
 mod exchange;
 mod forward;
@@ -19,7 +20,8 @@
 pub use crate::connection_log::{ConnectionId, ConnectionUse};
 pub use crate::send_trace::SendTrace;
 pub use call::{HeaderNames, RelayCall, RelayLimits};
-pub use events::{EventSplitter, StreamEvent, check_order, read_events};
+pub use event_order::{check_order, read_events};
+pub use events::{EventSplitter, StreamEvent};
 pub use exchange::{CallSend, SendFailure, TargetResponse, broken_body_outcome};
 pub use forward::{
     FORWARD_HEADER, ForwardAnswer, ForwardRequest, ForwardVerdict, MAX_FORWARD_BYTES, REPEAT_HEADER,
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -6,7 +6,8 @@
 use super::buffered::{check_body, check_status};
 use super::call::RelayCall;
 use super::ending::CallFailure;
-use super::events::{EventSplitter, read_events};
+use super::event_order::read_events;
+use super::events::EventSplitter;
 use super::exchange::{CallSend, SendFailure, TargetResponse, broken_body_outcome};
 use super::open::RelayCaller;
 use super::progress::{CallProgress, StartedResponse, join_events, log_failure};
--- a/crates/proxy/src/relay/stream.rs
+++ b/crates/proxy/src/relay/stream.rs
@@ -5,7 +5,8 @@
 };
 use super::call::RelayCall;
 use super::ending::{CallFailure, CutCause, ResponseState, log_completed};
-use super::events::{StreamEvent, read_events};
+use super::event_order::read_events;
+use super::events::StreamEvent;
 use super::exchange::{SendFailure, broken_body_outcome};
 use super::open::{RelayCaller, RelayResponse};
 use super::progress::{CallProgress, StartedResponse, join_events, log_failure};
