End a call of the store whose response stalls in its body

The timeout of an awc request covers the head of its response. A call of the store whose response stalled in its body waited for good: the read of a job's items left the job in the state `load`, that of the heads left a VM without recent ones, and the write of results left a job without further writes. As the owner was live, no other VM took the job over, and its items were lying until the VM ended. Calls through another VM had a limit, so that only a VM without a known peer waited: one that has just started, or is cut off.

--- a/crates/provider/src/http/client.rs
+++ b/crates/provider/src/http/client.rs
@@ -1,5 +1,6 @@
 //! Shared by the platform clients: one `awc` client per thread and the mapping of its errors to [`StoreError`].
 
+use super::content::{ContentLimits, read_content};
 use crate::StoreError;
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
@@ -11,7 +12,7 @@
 /// Limits of a platform call.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientSettings {
-    /// Maximum time until the whole response has been received.
+    /// Maximum time until the head of the response, and without any bytes of its body.
     pub timeout: Duration,
     /// Maximum size of a response body, in bytes.
     pub response_limit_bytes: usize,
@@ -82,9 +83,11 @@
 {
     let mut response = send_result.map_err(|error| classify_send_error(&error))?;
     let status = response.status();
-    let content = response
-        .body()
-        .limit(settings.response_limit_bytes)
+    let limits = ContentLimits {
+        silence: settings.timeout,
+        bytes: settings.response_limit_bytes,
+    };
+    let content = read_content(&mut response, limits)
         .await
         .map_err(|error| StoreError::Unknown(error.to_string()))?;
     if status.is_success() {
