Leave reads of the document and the targets to the readers until they end

After all VMs were killed, those of the region without the store never had a document again.

Every VM that starts read the document, and the targets, from the store, and fetched each newer document that any other VM named as well, as often as one did. VMs of a region share its link. A read was given up after 1 to 1.5 s whatever had arrived, and begun anew, so that the link stayed full and no read ended; calls of a few bytes timed out behind them. Evidence: the log of a trial with 300 VMs has no document and no ready VM for 20 s after the kill in the far region, and 849 calls that timed out.

A read now ends when its response falls silent, not after a fixed time. The VMs of a domain read in turns: its readers at once, the others in the order in which they would become readers, each later, and later still while another VM announces that its read goes on. One document is fetched at a time, and from another domain only by a VM that reads the store. Failed reads of a VM without a document are repeated after growing delays that differ between VMs.

large_documents::joint_start and slow_change failed before (not ready, and not in force, within 10 s).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod problem;
 pub mod region;
 pub mod response;
+pub mod retry;
 pub mod secret;
 pub mod signal;
 
@@ -22,4 +23,5 @@
 };
 pub use problem::{Executed, Problem};
 pub use region::{RegionInputs, RegionSet, RegionSource};
+pub use retry::RetryDelay;
 pub use signal::wait_until_set;
--- a/crates/edge/src/age_queries.rs
+++ b/crates/edge/src/age_queries.rs
@@ -3,6 +3,7 @@
 use crate::control::{BASE_PARAMETER, DOCUMENT_PATH, TARGET_CHANGES_PATH};
 use crate::message::PeerMessage;
 use crate::peer_exchange::PeerExchange;
+use crate::store_poll::reads_store;
 use crate::target_list::{TargetListAnswer, TargetListContent};
 use anyhow::anyhow;
 use plantainmill_core::Uptime;
@@ -84,6 +85,14 @@
         }
     }
 
+    /// Announces to the VMs of the domain that this VM is reading the store, so that they leave it the read.
+    pub(crate) async fn announce_reads(self: Rc<Self>) {
+        loop {
+            self.state.read_notify.notified().await;
+            self.send_to_domain(&PeerMessage::ReadingStore).await;
+        }
+    }
+
     pub(crate) fn age_message(&self, nonce: u64) -> Option<PeerMessage> {
         Some(PeerMessage::Age {
             nonce,
@@ -107,14 +116,17 @@
 
     /// Fetches the peer's document if it is newer than that of this VM.
     pub(crate) fn fetch_document(self: &Rc<Self>, version: u64, control: SocketAddr) {
-        if version <= self.state.view.version() {
+        let is_newer = version > self.state.view.version();
+        if !is_newer || !self.may_fetch_from(control) || self.is_fetching_document.replace(true) {
             return;
         }
-        let state = Rc::clone(&self.state);
+        let exchange = Rc::clone(self);
         actix_rt::spawn(async move {
+            let state = &exchange.state;
             let sent_at = state.clock.uptime();
             let read: anyhow::Result<(FleetDocument, Duration)> =
                 state.peer_client.read(control, DOCUMENT_PATH).await;
+            exchange.is_fetching_document.set(false);
             match read {
                 Ok((document, age)) => {
                     let version = document.version;
@@ -134,6 +146,14 @@
         });
     }
 
+    /// Whether this VM fetches data from the peer whose control listener is at `control`. What comes from another domain shares
+    /// links with the reads of all other VMs, so it is left to those that read the store as well.
+    fn may_fetch_from(&self, control: SocketAddr) -> bool {
+        let directory = self.directory.borrow();
+        let mut local = directory.local_rows();
+        local.any(|row| row.control == control) || reads_store(&self.state)
+    }
+
     /// Fetches the peer's targets from `path` if they are newer than those of this VM and differ from them.
     pub(crate) fn fetch_targets(
         self: &Rc<Self>,
@@ -146,8 +166,10 @@
         let is_served = self.state.is_reader.get() && !self.state.has_old_targets(Duration::ZERO);
         let is_newer = self.state.targets_age().is_none_or(|own_age| age < own_age);
         let known = self.state.targets.borrow().fingerprint();
-        if is_served || !is_newer || fingerprint == known || self.is_fetching_targets.replace(true)
-        {
+        if is_served || !is_newer || fingerprint == known || !self.may_fetch_from(control) {
+            return;
+        }
+        if self.is_fetching_targets.replace(true) {
             return;
         }
         let exchange = Rc::clone(self);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod peer_reports;
 mod pool_peers;
 mod proxied_rows;
+mod read_turns;
 mod report_relay;
 mod response;
 mod settings;
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -181,6 +181,8 @@
         /// Its VMs.
         vms: Vec<PoolVm>,
     },
+    /// The sender is reading the document or the targets from the store, and will hand them over. Older releases ignore it.
+    ReadingStore,
     /// Queries the age of the peer's document and targets.
     AskAge {
         /// Nonce that the response repeats.
--- a/crates/edge/src/peer_client.rs
+++ b/crates/edge/src/peer_client.rs
@@ -3,18 +3,23 @@
 use anyhow::anyhow;
 use awc::ClientRequest;
 use plantainmill_core::encode_cbor;
+use plantainmill_provider::http::{ContentLimits, read_content};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Timeout of a read. By then, messages of the peers announce more recent data than a late response contains.
+/// Maximum time until the response to a read begins.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
-/// Timeout of a call. It covers the peer's own store call and the transfer between the VMs.
+/// Maximum time until the response to a call begins. It covers the peer's own store call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_800);
-/// Largest response accepted from a peer, in bytes: a document with 100,000 organisations fits.
-const RESPONSE_LIMIT_BYTES: usize = 32 << 20;
+/// Limits of a response's body: a document with 100,000 organisations fits. Its transfer may take longer than new data takes to
+/// come; an older document is better than none.
+const CONTENT_LIMITS: ContentLimits = ContentLimits {
+    silence: Duration::from_secs(1),
+    bytes: 32 << 20,
+};
 
 /// Client of other VMs. Each call opens a new connection, because calls are rare and a pooled connection may have gone
 /// dead unnoticed.
@@ -56,14 +61,9 @@
     body: Vec<u8>,
     limit: Duration,
 ) -> anyhow::Result<T> {
-    let exchange = async {
-        let sent = request.force_close().send_body(body).await;
-        let mut response = sent.map_err(|error| anyhow!("{error}"))?;
-        let content = response.body().limit(RESPONSE_LIMIT_BYTES).await;
-        let content = content.map_err(|error| anyhow!("{error}"))?;
-        anyhow::Ok(ciborium::from_reader(content.as_ref())?)
-    };
-    timeout(limit, exchange)
-        .await
-        .map_err(|_| anyhow!("no answer in time"))?
+    let sent = timeout(limit, request.force_close().send_body(body)).await;
+    let sent = sent.map_err(|_| anyhow!("no answer in time"))?;
+    let mut response = sent.map_err(|error| anyhow!("{error}"))?;
+    let content = read_content(&mut response, CONTENT_LIMITS).await?;
+    Ok(ciborium::from_reader(content.as_ref())?)
 }
--- a/crates/edge/src/peer_directory.rs
+++ b/crates/edge/src/peer_directory.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 /// VMs that read the store for their failure domain. Two, so that one may fail.
-const READER_COUNT: usize = 2;
+pub(crate) const READER_COUNT: usize = 2;
 /// Time without a report after which a reader is replaced. VMs report at least every 300 ms.
 const READER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time without a report after which a VM or domain is considered dead and its jobs are taken over.
@@ -337,12 +337,13 @@
         readers.iter().any(|row| row.vm == self.own_row.vm)
     }
 
-    /// Returns whether this VM reads the store for its domain once all known VMs of the domain report.
+    /// Returns how many known VMs of the domain read the store before this one does, whether or not they report.
     #[must_use]
-    pub fn is_probable_reader(&self) -> bool {
-        let rows = self.local_rows().chain([&self.own_row]);
-        let readers = select_readers(rows, &self.own_row.domain);
-        readers.iter().any(|row| row.vm == self.own_row.vm)
+    pub fn reader_place(&self) -> usize {
+        let key = key_of(&self.own_row.domain);
+        let own = reader_rank(&self.own_row, key);
+        let others = self.local_rows().filter(|row| reader_rank(row, key) > own);
+        others.count()
     }
 
     /// Returns whether this VM sends the domain's aggregated report to the other domains.
@@ -528,7 +529,12 @@
 ) -> Vec<&'a VmRow> {
     let key = key_of(domain);
     let mut rows: Vec<&VmRow> = rows.collect();
-    rows.sort_by_key(|row| Reverse((row.processor_percent, score(&row.vm, key))));
+    rows.sort_by_key(|row| Reverse(reader_rank(row, key)));
     rows.truncate(READER_COUNT);
     rows
 }
+
+/// Rank of a VM as a reader of the domain with this key; the greatest ones read.
+fn reader_rank(row: &VmRow, key: u64) -> (u32, u64) {
+    (row.processor_percent, score(&row.vm, key))
+}
--- a/crates/edge/src/peer_exchange.rs
+++ b/crates/edge/src/peer_exchange.rs
@@ -47,6 +47,8 @@
     pub(crate) last_route: Cell<&'static str>,
     /// Sequence number of the last report of this VM, or update on its domain.
     pub(crate) sequence: Cell<u64>,
+    /// A read of the document from a peer is in progress; only one runs at a time.
+    pub(crate) is_fetching_document: Cell<bool>,
     /// A read of the targets from a peer is in progress; only one runs at a time.
     pub(crate) is_fetching_targets: Cell<bool>,
 }
@@ -66,6 +68,7 @@
             pending_queries: RefCell::default(),
             last_route: Cell::new(""),
             sequence: Cell::new(0),
+            is_fetching_document: Cell::new(false),
             is_fetching_targets: Cell::new(false),
         });
         actix_rt::spawn(Rc::clone(&exchange).receive());
@@ -76,6 +79,7 @@
         actix_rt::spawn(Rc::clone(&exchange).discover());
         actix_rt::spawn(Rc::clone(&exchange).query_ages());
         actix_rt::spawn(Rc::clone(&exchange).announce_changes());
+        actix_rt::spawn(Rc::clone(&exchange).announce_reads());
         actix_rt::spawn(Rc::clone(&exchange).broadcast_job_changes());
         actix_rt::spawn(Rc::clone(&exchange).send_tokens());
         actix_rt::spawn(Rc::clone(&exchange).update_pools());
@@ -176,6 +180,9 @@
             PeerMessage::PoolVms { domain, vms } => {
                 self.pool_peers.borrow_mut().record_vms(domain, vms);
             }
+            PeerMessage::ReadingStore => {
+                self.state.read_turns.record_other_read(self.now());
+            }
             PeerMessage::AskAge { nonce } => {
                 if let Some(response) = self.age_message(nonce) {
                     self.send(&response.encode(), from).await;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -4,6 +4,7 @@
 use crate::metrics::EdgeMetrics;
 use crate::peer_client::PeerClient;
 use crate::proxied_rows::ProxiedRows;
+use crate::read_turns::ReadTurns;
 use crate::settings::{BoundSettings, EdgeSettings};
 use crate::stream_records::StreamRecords;
 use crate::token_limiter::TokenLimiter;
@@ -65,8 +66,10 @@
     pub targets_confirmed_at: Cell<Option<Uptime>>,
     /// Whether this VM reads the store for its failure domain.
     pub is_reader: Cell<bool>,
-    /// Whether this VM would read the store if all VMs of its domain were live whose rows are stored.
-    pub is_probable_reader: Cell<bool>,
+    /// When this VM reads the store itself, besides the readers of its domain.
+    pub read_turns: ReadTurns,
+    /// Notified while a long read of the document or the targets makes progress.
+    pub read_notify: Notify,
     /// Notified when this VM has read a changed document from the store, and when the targets have changed.
     pub update_notify: Notify,
     pub is_stopping: Cell<bool>,
--- a/crates/edge/src/store_poll.rs
+++ b/crates/edge/src/store_poll.rs
@@ -3,38 +3,85 @@
 
 use crate::state::EdgeState;
 use futures_util::{FutureExt as _, TryFutureExt as _};
-use plantainmill_core::{DomainName, Uptime};
+use plantainmill_core::{DomainName, RetryDelay, Uptime};
 use plantainmill_provider::{PlatformFuture, RowVersion, StoreError};
 use plantainmill_routing::{
     DocumentRead, DocumentRevision, DocumentSource, EvacuationState, FleetRead, FollowerStep,
-    RegistryFollower, TargetFeed, TargetRows, TargetSource,
+    RegistryFollower, TargetFeed, TargetRows, TargetSource, proof_interval,
 };
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Interval between reads of the document. A change takes effect within this interval plus one store response.
 const DOCUMENT_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay after a failed read. Short, because readiness depends on the next successful read.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout of a read. A slow store takes several hundred milliseconds.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest delay after several failed reads in a row of a VM without a document. VMs that share a link to the store would
+/// otherwise fill it with reads that none of them can finish.
+const MAX_RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval between announcements of a read that goes on.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which the store has begun to respond to a read that goes on.
+const RESPONSE_LIMIT: Duration = Duration::from_millis(1_600);
+/// Longest read. A read ends by itself when the store falls silent, so this bounds one that makes little progress.
+const READ_LIMIT: Duration = Duration::from_secs(30);
 /// Age of the document from which a VM reads the store itself: the readers have been queried twice by then.
 const DIRECT_READ_AGE: Duration = Duration::from_millis(1_400);
 /// Age of the targets, beyond the interval between the readers' proofs, from which a VM reads the store itself.
 const DIRECT_READ_MARGIN: Duration = Duration::from_millis(800);
-/// Interval at which a VM without targets checks whether it has got some from a peer, or will probably be a reader.
+/// Interval at which a VM without a document or targets checks whether it has got them from a peer, or may read them itself.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Timeout of a feed call, beyond the time for which the store may hold it.
 const FEED_MARGIN: Duration = Duration::from_millis(500);
 
 /// Returns whether this VM reads the store at present.
-fn reads_store(state: &EdgeState) -> bool {
-    let document_age = state.document_age();
-    let has_old_document = document_age.is_none_or(|age| age >= DIRECT_READ_AGE);
-    state.is_reader.get() || has_old_document || state.has_old_targets(DIRECT_READ_MARGIN)
+pub(crate) fn reads_store(state: &EdgeState) -> bool {
+    if is_starting(state) {
+        return state.read_turns.has_start_turn(state.clock.uptime());
+    }
+    let waited =
+        |age: Option<Duration>, limit| age.map_or(Duration::MAX, |age| age.saturating_sub(limit));
+    let document_wait = waited(state.document_age(), DIRECT_READ_AGE);
+    let targets_limit = proof_interval(state.targets.borrow().len()) + DIRECT_READ_MARGIN;
+    let targets_wait = waited(state.targets_age(), targets_limit);
+    let wait = document_wait.max(targets_wait);
+    let has_turn = !wait.is_zero() && state.read_turns.has_turn(wait, state.clock.uptime());
+    state.is_reader.get() || has_turn
+}
+
+/// Awaits a read of the store. While a long one makes progress, the VMs of the domain hear of it.
+async fn announced<T>(state: &EdgeState, has_failed: bool, read: impl Future<Output = T>) -> T {
+    let started = Instant::now();
+    let mut read = pin!(read);
+    loop {
+        tokio::select! {
+            biased;
+            result = &mut read => return result,
+            () = sleep(ANNOUNCEMENT_INTERVAL) => {
+                // A read from a store that does not respond fails by then.
+                if !has_failed || started.elapsed() >= RESPONSE_LIMIT {
+                    state.read_notify.notify_one();
+                }
+            }
+        }
+    }
+}
+
+fn is_starting(state: &EdgeState) -> bool {
+    state.document_age().is_none() || state.targets_age().is_none()
+}
+
+/// Time after which a VM that does not read the store checks whether it has to.
+fn check_interval(state: &EdgeState) -> Duration {
+    if is_starting(state) {
+        START_CHECK_INTERVAL
+    } else {
+        RETRY_INTERVAL
+    }
 }
 
 /// Reads of the document, and of evacuated failure domains where operators can request evacuations.
@@ -75,11 +122,11 @@
     ) -> Result<DocumentRead, StoreError> {
         let silence = || StoreError::Unknown("no answer in time".into());
         let Some(evacuations) = &mut self.evacuations else {
-            let read = timeout(READ_TIMEOUT, self.source.read_document(self.revision)).await;
+            let read = timeout(READ_LIMIT, self.source.read_document(self.revision)).await;
             return read.unwrap_or_else(|_| Err(silence()));
         };
         let read = self.source.read_fleet(self.revision, &evacuations.requests);
-        let read = timeout(READ_TIMEOUT, read).await;
+        let read = timeout(READ_LIMIT, read).await;
         let FleetRead {
             document,
             evacuations: changed,
@@ -99,16 +146,30 @@
 pub(crate) async fn poll_document(state: Rc<EdgeState>, source: Rc<dyn DocumentSource>) {
     let mut is_unreachable = false;
     let mut reads = DocumentReads::new(&state, source);
+    let seed = xxh3_64(state.settings.vm.id.as_bytes());
+    let mut retry_delay = RetryDelay::new(RETRY_INTERVAL, MAX_RETRY_INTERVAL, seed);
     // Version that the last document read contains.
     let mut known_version = 0;
+    let mut was_reading = false;
     loop {
-        if !reads_store(&state) {
-            sleep(RETRY_INTERVAL).await;
+        let is_reading = reads_store(&state);
+        if std::mem::replace(&mut was_reading, is_reading) != is_reading {
+            let is_reader = state.is_reader.get();
+            tracing::info!(event = "store_reads_changed", is_reading, is_reader);
+        }
+        if !is_reading {
+            sleep(check_interval(&state)).await;
             continue;
         }
         let sent_at = state.clock.uptime();
-        let pause = match reads.read(&state, sent_at).await {
+        let read = announced(
+            &state,
+            retry_delay.has_failed(),
+            reads.read(&state, sent_at),
+        );
+        let pause = match read.await {
             Ok(read) => {
+                retry_delay.record_success();
                 state.rows.record_call(true);
                 log_store_regained(&mut is_unreachable, "document");
                 match read {
@@ -132,7 +193,12 @@
                 state.rows.record_call(false);
                 state.metrics.count_store_failure("document");
                 log_store_lost(&mut is_unreachable, "document", &error);
-                RETRY_INTERVAL
+                let start_delay = retry_delay.record_failure();
+                if is_starting(&state) {
+                    start_delay
+                } else {
+                    RETRY_INTERVAL
+                }
             }
         };
         sleep(pause).await;
@@ -147,11 +213,13 @@
     loop {
         state.expire_targets();
         if !reads_store(&state) {
-            follower.reset();
-            sleep(RETRY_INTERVAL).await;
+            if state.targets_age().is_some() {
+                follower.reset();
+            }
+            sleep(check_interval(&state)).await;
             continue;
         }
-        if state.is_probable_reader.get() {
+        if state.read_turns.is_first() {
             follower.end_start_delay();
         }
         let confirmed_at = state.targets_confirmed_at.get();
@@ -205,7 +273,7 @@
 ) {
     let sent_at = state.clock.uptime();
     let former = state.targets.borrow().fingerprint();
-    let read = timeout(READ_TIMEOUT, read).await;
+    let read = announced(state, follower.has_failed(), timeout(READ_LIMIT, read)).await;
     match read.unwrap_or_else(|_| Err(unanswered())) {
         Ok(None) => follower.record_large_table(state.clock.uptime()),
         Ok(Some(rows)) => {
--- a/crates/edge/src/vm.rs
+++ b/crates/edge/src/vm.rs
@@ -9,6 +9,7 @@
 use crate::peer_client::PeerClient;
 use crate::peer_exchange::PeerExchange;
 use crate::proxied_rows::ProxiedRows;
+use crate::read_turns::ReadTurns;
 use crate::settings::EdgeSettings;
 use crate::state::EdgeState;
 use crate::store_poll::{follow_targets, poll_document};
@@ -254,6 +255,7 @@
         metrics: JobMetrics::new(&metrics.meter(), METRIC_PREFIX),
     });
     let limiter = TokenLimiter::new(&settings, &view, &clock, incarnation, &metrics);
+    let read_turns = ReadTurns::new(clock.uptime());
     Ok(EdgeState {
         bounds: Cell::new(settings.bounds),
         settings,
@@ -277,7 +279,8 @@
         target_history: RefCell::default(),
         targets_confirmed_at: Cell::new(None),
         is_reader: Cell::new(true),
-        is_probable_reader: Cell::new(false),
+        read_turns,
+        read_notify: Notify::new(),
         update_notify: Notify::new(),
         is_stopping: Cell::new(false),
         is_closing: Cell::new(false),
--- a/crates/routing/src/follower.rs
+++ b/crates/routing/src/follower.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Whether the last read of the table failed.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        self.has_failed
+    }
+
     /// Forgets everything: the VM has not followed the registry for a while.
     pub fn reset(&mut self) {
         *self = RegistryFollower::new(self.seed);
