--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -37,6 +37,7 @@
 };
 pub use peer_directory::{PeerDirectory, ReportRoute};
 pub use pool_peers::PoolPeers;
+pub use read_turns::ReadTurns;
 pub use report_relay::{ReportRelay, split_updates};
 pub use settings::{BoundSettings, EdgeSettings, ListenSettings, VmSettings};
 pub use target_list::{TargetListAnswer, TargetListContent, TargetListUpdate};
--- a/crates/edge/src/read_turns.rs
+++ b/crates/edge/src/read_turns.rs
@@ -23,7 +23,7 @@
 
 /// Place of a VM among those of its domain that read the store.
 #[derive(Debug)]
-pub(crate) struct ReadTurns {
+pub struct ReadTurns {
     /// When this VM has started, or learned its place.
     waiting_since: Cell<Uptime>,
     /// Number of known VMs of the domain that read before this one; `None` before their rows have been read.
@@ -34,6 +34,7 @@
 
 impl ReadTurns {
     /// The turns of a VM that starts at `started_at`.
+    #[must_use]
     pub fn new(started_at: Uptime) -> ReadTurns {
         ReadTurns {
             waiting_since: Cell::new(started_at),
@@ -50,6 +51,7 @@
     }
 
     /// Whether this VM would be a reader if all known VMs of its domain were live.
+    #[must_use]
     pub fn is_first(&self) -> bool {
         self.place.get().is_some_and(|place| place < READER_COUNT)
     }
@@ -73,6 +75,7 @@
     }
 
     /// Whether this VM may make a read at `now` that has been necessary for `wait`.
+    #[must_use]
     pub fn has_turn(&self, wait: Duration, now: Uptime) -> bool {
         let delay = self.delay();
         if wait < delay {
@@ -85,6 +88,7 @@
     }
 
     /// Whether this VM may make reads at `now` that all VMs need at their start.
+    #[must_use]
     pub fn has_start_turn(&self, now: Uptime) -> bool {
         self.has_turn(now.saturating_sub(self.waiting_since.get()), now)
     }
--- a/crates/edge/tests/all/main.rs
+++ b/crates/edge/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod former_release;
 mod peer_directory;
 mod pool_peers;
+mod read_turns;
 mod relay_fleet;
 mod report_relay;
 mod stated_batch;
--- a/crates/edge/tests/all/peer_directory.rs
+++ b/crates/edge/tests/all/peer_directory.rs
@@ -29,6 +29,19 @@
     );
 }
 
+/// Guards against VMs of a domain that read the store at the same time because they think that they have the same place.
+#[test]
+fn distinct_places() {
+    let places: BTreeSet<usize> = (1..=9)
+        .map(|number| directory(number, 9).reader_place())
+        .collect();
+    assert_eq!(places, (0..9).collect());
+    for number in 1..=9 {
+        let directory = directory(number, 9);
+        assert_eq!(directory.is_reader(at(0)), directory.reader_place() < 2);
+    }
+}
+
 /// Guards against readers that have failed and are not replaced.
 #[test]
 fn failed_reader() {
