--- a/review/cases_3/harness.rs
+++ b/review/cases_3/harness.rs
@@ -759,16 +759,14 @@
     pub own_ends: AtomicU64,
 }
 
-fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    listener.local_addr().unwrap()
-}
-
-/// A port that is free over TCP and UDP.
-fn free_both() -> SocketAddr {
+/// A port that is free over TCP and UDP, below those that the system gives to outgoing connections.
+fn free_port() -> SocketAddr {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
     loop {
-        let address = free_tcp();
-        if UdpSocket::bind(address).is_ok() {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 12_000 + (u64::from(std::process::id()) * 16 + step) % 18_000;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, u16::try_from(port).unwrap()));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
@@ -785,8 +783,8 @@
     pub fn new(root: &Path, folder: &Path, store: SocketAddr, number: usize) -> Arc<Vm> {
         let (zone, region) = ZONES[number % ZONES.len()];
         let name = format!("front-{zone}-{}", number / ZONES.len() + 1);
-        let (callers, readiness, metrics) = (free_tcp(), free_tcp(), free_tcp());
-        let control = free_both();
+        let (callers, readiness, metrics) = (free_port(), free_port(), free_port());
+        let control = free_port();
         let mut text = format!(
             "[vm]\nid = \"{name}\"\ndomain = \"{zone}\"\nregion = \"{region}\"\nprocessor_percent = 0.5e2\n\n[regions]\n"
         );
