--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-rustc --edition 2024 -O review/cases_3/main.rs -o target/review-3/cases
+rustc --edition 2024 -O review/cases_3.rs -o target/review-3/cases
--- a/review/cases_3/main.rs
+++ b/review/cases_3.rs
@@ -1,9 +1,14 @@
-//! Cases of the third review. The first argument is the number of the case, the second one the folder of its record.
+//! Cases of the third review. The first argument is the name of the case, the second one the folder of its record.
 
+#[path = "endless_events_3.rs"]
 mod endless_events;
+#[path = "grey_replica_3.rs"]
 mod grey_replica;
+#[path = "harness_3.rs"]
 mod harness;
+#[path = "job_burst_3.rs"]
 mod job_burst;
+#[path = "moved_route_3.rs"]
 mod moved_route;
 
 use std::path::PathBuf;
--- a/review/cases_3/grey_replica.rs
+++ b/review/grey_replica_3.rs
@@ -3,7 +3,6 @@
 use crate::harness::*;
 use std::collections::HashMap;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -31,19 +30,38 @@
     (bits ^ bits >> 31) % 100
 }
 
+/// The requests that the faulty replica has got while it is in trouble, and those of them that it has failed.
+#[derive(Default)]
+struct Trouble {
+    until: Option<Instant>,
+    requests: u64,
+    failed: u64,
+}
+
+impl Trouble {
+    /// Whether the next request fails. At no time has the replica failed a larger share than it may.
+    fn fails_next(&mut self) -> bool {
+        if self.until.is_none_or(|until| Instant::now() >= until) {
+            return false;
+        }
+        let is_allowed = (self.failed + 1) * 100 <= (self.requests + 1) * FAIL_PERCENT;
+        let fails = is_allowed && draw(self.requests) < FAIL_PERCENT;
+        self.requests += 1;
+        self.failed += u64::from(fails);
+        fails
+    }
+}
+
 pub fn run(root: &Path, folder: &Path, has_trouble: bool) -> i32 {
     let fleet = Fleet::prepare(root, folder, MEMORY_MB);
     fleet.store.put("op", "config", &manifest(1, "compagno", RETENTION_S));
-    let is_failing = Arc::new(AtomicBool::new(false));
-    let requests = Arc::new(AtomicU64::new(0));
+    let trouble: Arc<Mutex<Trouble>> = Arc::default();
     let statuses: Arc<Mutex<HashMap<String, Vec<u16>>>> = Arc::default();
     let replicas: Vec<Arc<Replica>> = (0..REPLICAS)
         .map(|number| {
-            let (is_failing, requests) = (Arc::clone(&is_failing), Arc::clone(&requests));
-            let statuses = Arc::clone(&statuses);
+            let (trouble, statuses) = (Arc::clone(&trouble), Arc::clone(&statuses));
             Replica::start(&format!("i-{number:04}"), "compagno", ZONES[number % 3].0, SLOTS, move |run| {
-                let is_faulty = number == 0 && is_failing.load(Ordering::Relaxed);
-                let fails = is_faulty && draw(requests.fetch_add(1, Ordering::Relaxed)) < FAIL_PERCENT;
+                let fails = number == 0 && trouble.lock().unwrap().fails_next();
                 let status = if fails { FAIL_STATUS } else { 200 };
                 statuses.lock().unwrap().entry(run.id.to_owned()).or_default().push(status);
                 if fails {
@@ -54,7 +72,7 @@
         })
         .collect();
     keep_reporting(&fleet.store, &replicas);
-    fleet.play(|fleet| follow(fleet, &is_failing, &statuses, has_trouble))
+    fleet.play(|fleet| follow(fleet, &trouble, &statuses, has_trouble))
 }
 
 fn key_of(job: usize) -> &'static str {
@@ -63,13 +81,13 @@
 
 fn follow(
     fleet: &Fleet,
-    is_failing: &AtomicBool,
+    trouble: &Mutex<Trouble>,
     statuses: &Mutex<HashMap<String, Vec<u16>>>,
     has_trouble: bool,
 ) -> i32 {
     let record = &fleet.record;
     let begun_at = Instant::now();
-    is_failing.store(has_trouble, Ordering::Relaxed);
+    trouble.lock().unwrap().until = has_trouble.then(|| begun_at + FAIL_TIME);
     record.line(if has_trouble {
         "trouble: one of nine replicas fails 40 of 100 requests with status 429"
     } else {
@@ -84,8 +102,15 @@
         }
     }
     thread::sleep(FAIL_TIME.saturating_sub(begun_at.elapsed()));
-    is_failing.store(false, Ordering::Relaxed);
-    record.line("all replicas are sound");
+    {
+        let trouble = trouble.lock().unwrap();
+        record.line(&format!(
+            "all replicas are sound; one has failed {} of {} requests in {} s",
+            trouble.failed,
+            trouble.requests,
+            FAIL_TIME.as_secs()
+        ));
+    }
     let mut given_up = 0;
     for job in 0..JOBS {
         let Some(results) = fleet.read_all(job, key_of(job), ITEMS, Duration::from_secs(40)) else {
