--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -1,5 +1,7 @@
 //! Runs one item on idle target slots until it has a result, resuming its event stream after an interruption.
 
+mod exchange;
+
 use crate::heads::HeadView;
 use crate::metrics::JobMetrics;
 use crate::owed::{ItemWatch, OwedNeed, OwedState};
@@ -7,21 +9,16 @@
 use awc::http::Method;
 use awc::http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use compact_str::CompactString;
-use futures_util::StreamExt as _;
 use plantainmill_core::{
-    Clock, Executed, OrganisationId, PartList, RegionSet, ResultCode, TargetId, Uptime,
-    VersionName, wait_until_set,
+    Clock, OrganisationId, RegionSet, ResultCode, TargetId, Uptime, VersionName,
 };
 use plantainmill_dispatch::{CallOutcome, TargetNeed, TargetTicket, TrafficClass};
-use plantainmill_proxy::relay::{
-    CallRegions, CallSend, RelayCall, RelayCaller, SendFailure, SendTrace, TargetResponse,
-    broken_body_outcome, read_events,
-};
+use plantainmill_proxy::relay::{CallRegions, RelayCall, RelayCaller};
 use plantainmill_routing::{DocumentRegions, DocumentView, FleetDocument, RouteRule};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{sleep, timeout};
 
 /// Response status of a target for an item that can never succeed.
 const UNPROCESSABLE_STATUS: u16 = 422;
@@ -389,189 +386,9 @@
         self.version = None;
         self.stream_regions = RegionSet::Everywhere;
     }
-
-    async fn send(&mut self, call: &RelayCall, mut ticket: TargetTicket) -> SendOutcome {
-        self.enter(OwedState::Response, ticket.target.clone());
-        let mut preempted = ticket.preempted.clone();
-        let exchange = self.exchange(call, &mut ticket);
-        let result = tokio::select! {
-            biased;
-            () = wait_until_set(&mut preempted) => Err(SendFailure::new(
-                Executed::Unknown,
-                CallOutcome::Abandoned,
-                "preempted by an online request",
-            )),
-            result = exchange => result,
-        };
-        ticket.preempted = preempted;
-        match result {
-            Ok((outcome, first_byte)) => {
-                ticket.finish(CallOutcome::Completed { first_byte });
-                outcome
-            }
-            Err(failure) => {
-                tracing::info!(
-                    event = "item_interrupted",
-                    item = %self.item.id,
-                    fingerprint = format!("{:016x}", call.fingerprint()),
-                    parts = %PartList(&self.item.parts),
-                    target = %ticket.target,
-                    version = ticket.version.as_deref(),
-                    outcome = ?failure.outcome,
-                    last_event = self.last_event,
-                    connected = failure.was_connected,
-                    forwarder = failure.forwarder.map(tracing::field::display),
-                    connection = failure.connection.map(|used| used.connection),
-                    id_sends = failure.connection.map(|used| used.id_sends),
-                    executed = failure.executed.as_str(),
-                    reason = %failure.reason,
-                );
-                self.enter(OwedState::Retry, failure.reason.clone());
-                self.context
-                    .caller
-                    .record_failed_send(&ticket.target, &failure);
-                let is_preempted = failure.outcome == CallOutcome::Abandoned;
-                if !is_preempted {
-                    self.record_failure();
-                    self.excluded.push(ticket.target.clone());
-                }
-                ticket.finish(failure.outcome);
-                if !is_preempted {
-                    sleep(FAILURE_RETRY_DELAY).await;
-                }
-                SendOutcome::Interrupted
-            }
-        }
-    }
-
-    fn record_failure(&mut self) {
-        let now = self.context.clock.uptime();
-        self.failing_since.get_or_insert(now);
-        self.failed_sends += 1;
-    }
-
-    async fn exchange(
-        &mut self,
-        call: &RelayCall,
-        ticket: &mut TargetTicket,
-    ) -> Result<(SendOutcome, Duration), SendFailure> {
-        let now = self.context.clock.uptime();
-        let remaining = self.job.expires_at.saturating_sub(now);
-        let caller = self.context.caller.clone();
-        let trace = SendTrace::default();
-        let send = caller.send(CallSend {
-            call,
-            ticket,
-            last_event: self.last_event,
-            until: Instant::now() + remaining,
-            trace: &trace,
-        });
-        let opened = timeout(IDLE_TIMEOUT, send).await;
-        let mut response = opened.map_err(|_| idle_timeout().at(&trace))??;
-        let first_byte = response.sent_at.elapsed();
-        if response.status == UNPROCESSABLE_STATUS {
-            return Ok((SendOutcome::Unprocessable, first_byte));
-        }
-        if !response.is_success() {
-            tracing::info!(
-                event = "item_failed",
-                item = %self.item.id,
-                target = %ticket.target,
-                status = response.status,
-            );
-            let is_item_failure = response.status == FAILURE_STATUS || response.status < 500;
-            let outcome = if is_item_failure {
-                SendOutcome::Failed
-            } else {
-                SendOutcome::Interrupted
-            };
-            self.record_failure();
-            if !is_item_failure {
-                self.excluded.push(ticket.target.clone());
-                sleep(FAILURE_RETRY_DELAY).await;
-            }
-            return Ok((outcome, first_byte));
-        }
-        if !response.is_event_stream() {
-            let reason = "the response is no stream of events";
-            let failure = SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
-            return Err(failure.at(&trace));
-        }
-        let read = self.read_output(&mut response, ticket, &call.regions).await;
-        read.map_err(|failure| failure.at(&trace))?;
-        Ok((SendOutcome::Succeeded, first_byte))
-    }
-
-    async fn read_output(
-        &mut self,
-        response: &mut TargetResponse,
-        ticket: &mut TargetTicket,
-        regions: &CallRegions,
-    ) -> Result<(), SendFailure> {
-        let failed = |reason: String| SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
-        let mut splitter = self.context.caller.event_splitter();
-        let mut progress_at = Instant::now();
-        let mut has_started = false;
-        loop {
-            let chunk = timeout_at(progress_at + IDLE_TIMEOUT, response.payload.next()).await;
-            match chunk.map_err(|_| idle_timeout())? {
-                Some(Ok(chunk)) => {
-                    let events = read_events(&mut splitter, &chunk, &mut self.last_event)?;
-                    if !events.is_empty() {
-                        progress_at = Instant::now();
-                        if !has_started {
-                            self.stream_regions = regions.current();
-                            self.enter(OwedState::Output, ticket.target.clone());
-                        }
-                        has_started = true;
-                        ticket.record_start();
-                        self.version.clone_from(&ticket.version);
-                        self.failing_since = None;
-                        self.failed_sends = 0;
-                    }
-                    for event in &events {
-                        if event.id > 1 {
-                            self.output.push(b'\n');
-                        }
-                        self.output.extend_from_slice(&event.data());
-                    }
-                    if self.output.len() > MAX_OUTPUT_BYTES {
-                        return Err(failed(format!(
-                            "the output exceeds {MAX_OUTPUT_BYTES} bytes"
-                        )));
-                    }
-                }
-                Some(Err(error)) => {
-                    let failure = failed(format!("the stream was cut: {error}"));
-                    let lost = if has_started {
-                        CallOutcome::StreamLost
-                    } else {
-                        CallOutcome::ConnectionLost
-                    };
-                    let outcome = broken_body_outcome(&error, lost);
-                    return Err(SendFailure { outcome, ..failure });
-                }
-                None if !response.is_framed && self.last_event.is_none() => {
-                    let failure = failed("the stream ended before its first event".to_owned());
-                    let outcome = CallOutcome::ConnectionLost;
-                    return Err(SendFailure { outcome, ..failure });
-                }
-                None if splitter.is_at_boundary() => return Ok(()),
-                None => {
-                    let failure = failed("the stream ended within an event".to_owned());
-                    let outcome = CallOutcome::StreamLost;
-                    return Err(SendFailure { outcome, ..failure });
-                }
-            }
-        }
-    }
 }
 
 /// Whether any region is allowed.
 fn has_region(allowed: &RegionSet) -> bool {
     allowed.is_everywhere() || allowed.names().next().is_some()
 }
-
-fn idle_timeout() -> SendFailure {
-    SendFailure::silent(Executed::Unknown, "the target fell silent")
-}
