Discard an item's output when a target sends more than can be listed

Cause: a stream that exceeded MAX_OUTPUT_BYTES was given up, but what it had brought stayed in the output, and the next target was asked to go on after its last event. That is beyond the end of the item's own output, so a sound target has nothing to add, and its complete, empty stream made the output count as whole. The limit was checked only after all events of a read had been added: with events of 256 KB the write that lists the result exceeded what the store takes, and was repeated without end.

An event is now checked before it becomes part of the output. One that exceeds the limit discards the output, since nothing shows which part of it is the item's. Such runs are repeated after a delay that doubles up to 1.6 s, because an item whose output is too large at every target may not be given up before its retention ends.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -432,6 +433,10 @@
         stream
             .write_all(self.head(200, id, "", framing).as_bytes())
             .await?;
+        if let TargetAct::EndlessEvents(bytes) = act {
+            send_other_events(stream, last + 1..=u64::MAX, bytes).await?;
+            return Ok(false);
+        }
         for number in last + 1..=self.events {
             pause_open(stream, self.pause.get()).await?;
             if !send_foreign(stream, act, number - 1).await? {
@@ -488,6 +493,21 @@
     }
 }
 
+/// Sends events that are not those of the stream, with `bytes` of data each.
+async fn send_other_events(
+    stream: &mut TcpStream,
+    numbers: RangeInclusive<u64>,
+    bytes: usize,
+) -> io::Result<()> {
+    let data = "?".repeat(bytes);
+    for number in numbers {
+        let event = format!("id: {number}\ndata: {data}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes()).await?;
+    }
+    Ok(())
+}
+
 /// Sends the bytes that `act` adds after the event `number`, as a chunk. Says whether the response goes on.
 async fn send_foreign(stream: &mut TcpStream, act: TargetAct, number: u64) -> io::Result<bool> {
     match act {
--- a/crates/fakes/src/target_act.rs
+++ b/crates/fakes/src/target_act.rs
@@ -59,6 +59,8 @@
     ForeignEnd(u64, &'static str),
     /// Sends these bytes after this event, and goes on.
     ForeignWithin(u64, &'static str),
+    /// Sends other events than those of the stream, with this number of bytes of data each, until the caller closes.
+    EndlessEvents(usize),
     /// Runs the request and closes the connection in the middle of the head of its answer.
     CutHead(HeadCut),
     /// The same, with a connection that is reset.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,7 @@
 mod codec;
 mod commit;
 mod heads;
+mod item_output;
 mod job_run;
 mod metrics;
 mod owed;
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -3,6 +3,7 @@
 mod exchange;
 
 use crate::heads::HeadView;
+use crate::item_output::ItemOutput;
 use crate::metrics::JobMetrics;
 use crate::owed::{ItemWatch, OwedNeed, OwedState};
 use crate::stored::{ItemState, JobItem, ListedResult};
@@ -27,8 +28,6 @@
 /// Maximum time without an event from a target that runs an item. Several times the event interval of a slow target.
 /// Bytes that complete no event are no progress.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Largest output of an item in bytes, which one write to the store can list. A target that goes on beyond it has failed.
-const MAX_OUTPUT_BYTES: usize = 512 << 10;
 /// Delay before the next attempt when there is no fleet document or no target.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Longest delay before the next attempt of an item that is quarantined, or has a quarantined prompt part. The quarantine may be lifted early.
@@ -38,8 +37,10 @@
 /// Time without output after the first failure of an item, from which other versions are tried: longer than an attempt at a
 /// target that falls silent. To begin anew costs a whole run.
 const VERSION_FAILURE_LIMIT: Duration = Duration::from_millis(1_600);
-/// Delay before the next attempt after a target failed.
+/// Delay before the next attempt after a target failed. It doubles with each response that is of no use to the item.
 const FAILURE_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest such delay.
+const MAX_FAILURE_RETRY_DELAY: Duration = Duration::from_millis(1_600);
 
 /// Dependencies shared by all items that run on this VM.
 pub(crate) struct RunContext {
@@ -69,9 +70,7 @@
     job: Rc<JobContext>,
     watch: Rc<ItemWatch>,
     item: JobItem,
-    output: Vec<u8>,
-    /// Last event in the output.
-    last_event: Option<u64>,
+    output: ItemOutput,
     /// Regions in which the stream that has begun may go on; everywhere before its first event.
     stream_regions: RegionSet,
     /// Software version at which the stream began.
@@ -81,6 +80,8 @@
     /// Sends that failed since the last event.
     failed_sends: u32,
     failures: u32,
+    /// Responses that were of no use to the item, and say nothing of whether another target can run it.
+    useless_responses: u32,
     excluded: Vec<TargetId>,
 }
 
@@ -112,19 +113,19 @@
         job,
         watch,
         item,
-        output: Vec::new(),
-        last_event: None,
+        output: ItemOutput::default(),
         stream_regions: RegionSet::Everywhere,
         version: None,
         failing_since: None,
         failed_sends: 0,
         failures: 0,
+        useless_responses: 0,
         excluded: Vec::new(),
     };
     let state = runner.run().await;
     runner.enter(OwedState::Listing, "");
     let output = match state {
-        ItemState::Succeeded => String::from_utf8_lossy(&runner.output).into_owned(),
+        ItemState::Succeeded => runner.output.take_text(),
         ItemState::GivenUp => String::new(),
     };
     ListedResult {
@@ -179,7 +180,7 @@
                 return None;
             }
             let mut call = self.build_call(route)?;
-            if self.last_event.is_some() && !has_region(&call.regions.current()) {
+            if self.output.last_event().is_some() && !has_region(&call.regions.current()) {
                 // The document now allows other regions than those of the stream so far.
                 if has_region(&self.regions().current()) {
                     self.begin_anew("its regions have changed");
@@ -255,7 +256,7 @@
             is_stream: true,
             first_event_objective: route.objective,
             event_gap: route.event_gap,
-            last_event: self.last_event,
+            last_event: self.output.last_event(),
             version: self.version.clone(),
             regions: self.regions().narrowed_to(&self.stream_regions),
         })
@@ -368,6 +369,13 @@
         bound != allowed && free(&allowed) > free(&bound)
     }
 
+    /// Delay before the next attempt after a target failed.
+    fn retry_delay(&self) -> Duration {
+        let factor = 2_u32.saturating_pow(self.useless_responses);
+        let delay = FAILURE_RETRY_DELAY.saturating_mul(factor);
+        delay.min(MAX_FAILURE_RETRY_DELAY)
+    }
+
     /// Discards the output, because the stream cannot go on at the version, or in the regions, at which it began.
     fn begin_anew(&mut self, reason: &'static str) {
         self.context.metrics.count_restarted_item();
@@ -375,14 +383,13 @@
             event = "item_begun_anew",
             item = %self.item.id,
             version = self.version.as_deref(),
-            last_event = self.last_event,
+            last_event = self.output.last_event(),
             reason,
         );
         self.enter(OwedState::Retry, reason);
         self.failing_since = None;
         self.failed_sends = 0;
         self.output.clear();
-        self.last_event = None;
         self.version = None;
         self.stream_regions = RegionSet::Everywhere;
     }
--- a/crates/jobs/src/run/exchange.rs
+++ b/crates/jobs/src/run/exchange.rs
@@ -1,9 +1,10 @@
 //! Sends an item to the target of its ticket and reads its output.
 
 use super::{
-    FAILURE_RETRY_DELAY, FAILURE_STATUS, IDLE_TIMEOUT, ItemRunner, MAX_OUTPUT_BYTES, SendOutcome,
+    FAILURE_RETRY_DELAY, FAILURE_STATUS, IDLE_TIMEOUT, ItemRunner, SendOutcome,
     UNPROCESSABLE_STATUS,
 };
+use crate::item_output::{EventRejection, MAX_OUTPUT_BYTES};
 use crate::owed::OwedState;
 use futures_util::StreamExt as _;
 use plantainmill_core::{Executed, PartList, wait_until_set};
@@ -45,7 +46,7 @@
                     target = %ticket.target,
                     version = ticket.version.as_deref(),
                     outcome = ?failure.outcome,
-                    last_event = self.last_event,
+                    last_event = self.output.last_event(),
                     connected = failure.was_connected,
                     forwarder = failure.forwarder.map(tracing::field::display),
                     connection = failure.connection.map(|used| used.connection),
@@ -64,7 +65,7 @@
                 }
                 ticket.finish(failure.outcome);
                 if !is_preempted {
-                    sleep(FAILURE_RETRY_DELAY).await;
+                    sleep(self.retry_delay()).await;
                 }
                 SendOutcome::Interrupted
             }
@@ -89,7 +90,7 @@
         let send = caller.send(CallSend {
             call,
             ticket,
-            last_event: self.last_event,
+            last_event: self.output.last_event(),
             until: Instant::now() + remaining,
             trace: &trace,
         });
@@ -143,7 +144,8 @@
             let chunk = timeout_at(progress_at + IDLE_TIMEOUT, response.payload.next()).await;
             match chunk.map_err(|_| idle_timeout())? {
                 Some(Ok(chunk)) => {
-                    let events = read_events(&mut splitter, &chunk, &mut self.last_event)?;
+                    let mut last_event = self.output.last_event();
+                    let events = read_events(&mut splitter, &chunk, &mut last_event)?;
                     if !events.is_empty() {
                         progress_at = Instant::now();
                         if !has_started {
@@ -157,15 +159,9 @@
                         self.failed_sends = 0;
                     }
                     for event in &events {
-                        if event.id > 1 {
-                            self.output.push(b'\n');
-                        }
-                        self.output.extend_from_slice(&event.data());
-                    }
-                    if self.output.len() > MAX_OUTPUT_BYTES {
-                        return Err(failed(format!(
-                            "the output exceeds {MAX_OUTPUT_BYTES} bytes"
-                        )));
+                        self.output
+                            .append(event)
+                            .map_err(|rejection| self.reject_event(rejection))?;
                     }
                 }
                 Some(Err(error)) => {
@@ -178,7 +174,7 @@
                     let outcome = broken_body_outcome(&error, lost);
                     return Err(SendFailure { outcome, ..failure });
                 }
-                None if !response.is_framed && self.last_event.is_none() => {
+                None if !response.is_framed && self.output.last_event().is_none() => {
                     let failure = failed("the stream ended before its first event".to_owned());
                     let outcome = CallOutcome::ConnectionLost;
                     return Err(SendFailure { outcome, ..failure });
@@ -192,6 +188,19 @@
             }
         }
     }
+
+    /// Discards what an event makes worthless, and returns why its target has failed.
+    fn reject_event(&mut self, rejection: EventRejection) -> SendFailure {
+        let reason = match rejection {
+            EventRejection::TooLarge => {
+                // What was read may already be beyond the end of the item's output, where every target has nothing to add.
+                self.useless_responses += 1;
+                self.begin_anew("its output is too large");
+                format!("the output exceeds {MAX_OUTPUT_BYTES} bytes")
+            }
+        };
+        SendFailure::new(Executed::Yes, CallOutcome::Failed, reason)
+    }
 }
 
 fn idle_timeout() -> SendFailure {
--- /dev/null
+++ b/crates/jobs/tests/all/endless_events.rs
@@ -0,0 +1,98 @@
+//! Items whose targets send events that are not theirs, in order and without end.
+
+use crate::support::{TestCluster, TestVm, check_results, route, submission, ward};
+use plantainmill_core::JobId;
+use plantainmill_fakes::TargetAct;
+use plantainmill_jobs::ItemState;
+use rstest::rstest;
+use std::time::Duration;
+
+/// Data of an event of a model that does not stop.
+const EVENT_BYTES: usize = 400;
+/// Data of an event that is nearly as large as events may be.
+const LARGE_EVENT_BYTES: usize = 261_900;
+/// Retention of a job whose item no target can finish.
+const SHORT_RETENTION: Duration = Duration::from_secs(1);
+/// Runs of such an item within its retention, with delays of 50 ms and more between them.
+const MAX_RUNS: usize = 8;
+
+fn job() -> JobId {
+    "j1".into()
+}
+
+async fn submit(vm: &TestVm, count: usize, retention: Duration) {
+    let mut route = route();
+    if let Some(rule) = &mut route.job {
+        rule.completion = retention;
+        rule.retention = retention;
+    }
+    vm.jobs
+        .submit(&ward(), &route, &job(), &submission(count))
+        .await
+        .expect("accepted");
+}
+
+/// Runs `count` items at a target that does `acts`, and checks that all succeed with their own output.
+async fn check_outputs(count: usize, acts: impl IntoIterator<Item = TargetAct>) -> TestCluster {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.vm("vm1", 1);
+    cluster.target.plan(acts);
+    submit(&vm, count, Duration::from_mins(1)).await;
+    let results = vm.read_results(&job(), count).await;
+    check_results(&results, count);
+    let mut states = results.iter().map(|result| result.state);
+    assert!(states.all(|state| state == ItemState::Succeeded));
+    cluster
+}
+
+/// Events after which the sends of an item went on.
+fn resumptions(cluster: &TestCluster) -> Vec<Option<u64>> {
+    let seen = cluster.target.seen();
+    let resumed = seen.iter().map(|request| {
+        let last = request.headers.get("last-event-id");
+        last.and_then(|last| last.parse().ok())
+    });
+    resumed.collect()
+}
+
+/// Guards against an item that is listed with the events that a target sent without end, and against one that makes the
+/// write too large that lists it and the results after it.
+#[rstest]
+#[actix_rt::test]
+async fn endless_output(
+    #[values(EVENT_BYTES, LARGE_EVENT_BYTES)] bytes: usize,
+    #[values(1, 4)] count: usize,
+) {
+    let cluster = check_outputs(count, [TargetAct::EndlessEvents(bytes); 2]).await;
+    assert!(resumptions(&cluster).iter().all(Option::is_none));
+}
+
+/// Guards against the same where a sound target has begun the output.
+#[actix_rt::test]
+async fn endless_continuation() {
+    let acts = [
+        TargetAct::CutAfter(2),
+        TargetAct::EndlessEvents(EVENT_BYTES),
+    ];
+    let cluster = check_outputs(1, acts).await;
+    assert_eq!(resumptions(&cluster), [None, Some(2), None]);
+}
+
+/// Guards against an item that is given up before its retention ends, or runs over and over, because all targets send more
+/// than can be listed.
+#[actix_rt::test]
+async fn too_large_everywhere() {
+    let cluster = TestCluster::start().await;
+    let vm = cluster.vm("vm1", 1);
+    cluster
+        .target
+        .set_default_act(TargetAct::EndlessEvents(EVENT_BYTES));
+    submit(&vm, 1, SHORT_RETENTION).await;
+    actix_rt::time::sleep(SHORT_RETENTION / 2).await;
+    assert_eq!(vm.jobs.owed_items().len(), 1);
+    let results = vm.read_results(&job(), 1).await;
+    let states: Vec<ItemState> = results.iter().map(|result| result.state).collect();
+    assert_eq!(states, [ItemState::GivenUp]);
+    let runs = cluster.target.seen().len();
+    assert!((2..=MAX_RUNS).contains(&runs), "{runs} runs");
+}
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod commit_order;
 mod copied_answers;
+mod endless_events;
 mod endless_waits;
 mod foreign_bytes;
 mod head_progress;
