Confirm the end of an item's output that a target has nothing to add to

A target that is asked to go on after event n and sends no event says only that its stream does not go beyond n. It says the same after an event that its stream does not have. Items took such an answer for the end of a whole output, so anything that a faulty target had sent beyond the end before its connection broke was listed as succeeded.

The last event is now discarded and asked for again. If a target sends it and ends its stream, the output is whole. If it sends nothing again, the output is longer than the item's and begins anew. An item whose stream only lost its end costs one event more, and no whole run.

What is not covered: events of a faulty target within the length of the output look like its own.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -18,6 +18,8 @@
 
 /// Bytes that an endless answer sends at a time.
 const ENDLESS_PART_BYTES: usize = 16 << 10;
+/// Data of an event that is not one of the stream.
+const OTHER_EVENT_BYTES: usize = 10;
 /// Interval between the comments of a stream without progress.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from a part of a head to the reset of its connection.
@@ -433,8 +435,13 @@
         stream
             .write_all(self.head(200, id, "", framing).as_bytes())
             .await?;
-        if let TargetAct::EndlessEvents(bytes) = act {
-            send_other_events(stream, last + 1..=u64::MAX, bytes).await?;
+        let other_events = match act {
+            TargetAct::EndlessEvents(bytes) => Some((u64::MAX, bytes)),
+            TargetAct::OtherEvents(end) => Some((end, OTHER_EVENT_BYTES)),
+            _ => None,
+        };
+        if let Some((end, bytes)) = other_events {
+            send_other_events(stream, last + 1..=end, bytes).await?;
             return Ok(false);
         }
         for number in last + 1..=self.events {
--- a/crates/fakes/src/target_act.rs
+++ b/crates/fakes/src/target_act.rs
@@ -61,6 +61,8 @@
     ForeignWithin(u64, &'static str),
     /// Sends other events than those of the stream, with this number of bytes of data each, until the caller closes.
     EndlessEvents(usize),
+    /// Sends other events than those of the stream up to this one, also beyond its end, and closes the connection.
+    OtherEvents(u64),
     /// Runs the request and closes the connection in the middle of the head of its answer.
     CutHead(HeadCut),
     /// The same, with a connection that is reset.
--- a/crates/jobs/src/item_output.rs
+++ b/crates/jobs/src/item_output.rs
@@ -17,6 +17,8 @@
 pub(crate) struct ItemOutput {
     text: String,
     last_event: Option<u64>,
+    /// Length of `text` before the last event; `None` once that event has been discarded.
+    last_start: Option<usize>,
 }
 
 impl ItemOutput {
@@ -30,15 +32,30 @@
         let data = event.data();
         let data = String::from_utf8_lossy(&data);
         let separator = if event.id > 1 { "\n" } else { "" };
-        if self.text.len() + separator.len() + data.len() > MAX_OUTPUT_BYTES {
+        let start = self.text.len();
+        if start + separator.len() + data.len() > MAX_OUTPUT_BYTES {
             return Err(EventRejection::TooLarge);
         }
         self.text.push_str(separator);
         self.text.push_str(&data);
         self.last_event = Some(event.id);
+        self.last_start = Some(start);
         Ok(())
     }
 
+    /// Discards the last event, so that a target has to send it again. Returns `false`, and changes nothing, if the event
+    /// behind it was discarded before, or if no event would be left.
+    pub fn discard_last_event(&mut self) -> bool {
+        let previous = self.last_event.filter(|event| *event > 1);
+        let (Some(event), Some(start)) = (previous, self.last_start) else {
+            return false;
+        };
+        self.text.truncate(start);
+        self.last_event = Some(event - 1);
+        self.last_start = None;
+        true
+    }
+
     /// Discards all events.
     pub fn clear(&mut self) {
         *self = ItemOutput::default();
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -97,6 +97,8 @@
     Unprocessable,
     /// The target ran the item and failed.
     Failed,
+    /// The target has nothing to add to the events so far. It says the same after an event that the output does not have.
+    Unconfirmed,
     /// The attempt was preempted or its connection failed. The item resumes on any suitable target.
     Interrupted,
 }
@@ -160,11 +162,24 @@
                     self.enter(OwedState::Retry, "the target failed");
                     sleep(FAILURE_RETRY_DELAY).await;
                 }
+                SendOutcome::Unconfirmed => self.confirm_end(),
                 SendOutcome::Interrupted => {}
             }
         }
     }
 
+    /// Has the last event sent once more, which shows that the output has it and ends there. If it is not sent again, the output
+    /// is longer than that of the item.
+    fn confirm_end(&mut self) {
+        let last_event = self.output.last_event();
+        if self.output.discard_last_event() {
+            self.enter(OwedState::Retry, "its last event is confirmed");
+            tracing::info!(event = "item_end_checked", item = %self.item.id, last_event);
+        } else {
+            self.begin_anew("a target has none of its last events");
+        }
+    }
+
     /// Waits until the item may be sent. Returns `None` if it has to be given up.
     async fn next_attempt(&mut self) -> Option<ItemAttempt> {
         loop {
--- a/crates/jobs/src/run/exchange.rs
+++ b/crates/jobs/src/run/exchange.rs
@@ -126,8 +126,8 @@
             return Err(failure.at(&trace));
         }
         let read = self.read_output(&mut response, ticket, &call.regions).await;
-        read.map_err(|failure| failure.at(&trace))?;
-        Ok((SendOutcome::Succeeded, first_byte))
+        let outcome = read.map_err(|failure| failure.at(&trace))?;
+        Ok((outcome, first_byte))
     }
 
     async fn read_output(
@@ -135,7 +135,7 @@
         response: &mut TargetResponse,
         ticket: &mut TargetTicket,
         regions: &CallRegions,
-    ) -> Result<(), SendFailure> {
+    ) -> Result<SendOutcome, SendFailure> {
         let failed = |reason: String| SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
         let mut splitter = self.context.caller.event_splitter();
         let mut progress_at = Instant::now();
@@ -179,7 +179,14 @@
                     let outcome = CallOutcome::ConnectionLost;
                     return Err(SendFailure { outcome, ..failure });
                 }
-                None if splitter.is_at_boundary() => return Ok(()),
+                None if splitter.is_at_boundary() => {
+                    let is_whole = has_started || self.output.last_event().is_none();
+                    return Ok(if is_whole {
+                        SendOutcome::Succeeded
+                    } else {
+                        SendOutcome::Unconfirmed
+                    });
+                }
                 None => {
                     let failure = failed("the stream ended within an event".to_owned());
                     let outcome = CallOutcome::StreamLost;
--- a/crates/jobs/tests/all/endless_events.rs
+++ b/crates/jobs/tests/all/endless_events.rs
@@ -1,8 +1,9 @@
-//! Items whose targets send events that are not theirs, in order and without end.
+//! Items whose targets send events that are not theirs, in order and without end, or more of them than their output has.
 
-use crate::support::{TestCluster, TestVm, check_results, route, submission, ward};
+use crate::support::{EVENTS, TestCluster, TestVm, check_results, route, submission, ward};
 use plantainmill_core::JobId;
 use plantainmill_fakes::TargetAct;
+use plantainmill_fakes::foreign_bytes::FOREIGN_LINE;
 use plantainmill_jobs::ItemState;
 use rstest::rstest;
 use std::time::Duration;
@@ -78,6 +79,27 @@
     assert_eq!(resumptions(&cluster), [None, Some(2), None]);
 }
 
+/// Guards against an output that is longer than that of the item and counts as whole, because a target has nothing to add.
+#[rstest]
+#[case::one(EVENTS + 1)]
+#[case::several(EVENTS + 5)]
+#[actix_rt::test]
+async fn excess_events(#[case] end: u64) {
+    let cluster = check_outputs(1, [TargetAct::OtherEvents(end)]).await;
+    let expected = [None, Some(end), Some(end - 1), None];
+    assert_eq!(resumptions(&cluster), expected);
+}
+
+/// Guards against a whole output that is run anew because only the end of its stream was lost.
+#[actix_rt::test]
+async fn lost_end() {
+    let cluster = check_outputs(1, [TargetAct::ForeignEnd(EVENTS, FOREIGN_LINE)]).await;
+    assert_eq!(
+        resumptions(&cluster),
+        [None, Some(EVENTS), Some(EVENTS - 1)]
+    );
+}
+
 /// Guards against an item that is given up before its retention ends, or runs over and over, because all targets send more
 /// than can be listed.
 #[actix_rt::test]
