Reject events of an item that are no text

Bytes of a target that are no UTF-8 became replacement characters in the output of an item, which was listed as succeeded with a text that no target had sent. A replacement character takes three bytes, so that an output below its limit could also exceed what one write lists.

The stream of such an event is now invalid: it is left and counted like one with foreign bytes, and the item goes on after the last sound event. Streams of callers pass on bytes as they are and need no change.

Evidence: endless_events::broken_text failed before for the first, a later and the last event.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod head_cut;
 pub mod listener;
 pub mod memory;
+mod other_events;
 pub mod platform_server;
 pub mod refusal_copies;
 pub mod rows;
--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -1,5 +1,6 @@
 //! A target that answers with streams of numbered events, with the faults of real ones.
 
+use crate::other_events::{OTHER_EVENT_BYTES, send_broken_text, send_other_events};
 use crate::refusal_copies::{CopyQueue, RefusalDraw, RefusalMode};
 use crate::run_guard::RunGuard;
 use crate::seen_request::{SeenRequest, read_request};
@@ -8,7 +9,6 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -18,8 +18,6 @@
 
 /// Bytes that an endless answer sends at a time.
 const ENDLESS_PART_BYTES: usize = 16 << 10;
-/// Data of an event that is not one of the stream.
-const OTHER_EVENT_BYTES: usize = 10;
 /// Interval between the comments of a stream without progress.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from a part of a head to the reset of its connection.
@@ -481,6 +479,10 @@
                     return trickle(stream, b"3\r\n:\n\n\r\n").await;
                 }
                 TargetAct::Skip(skipped) if number == skipped => continue,
+                TargetAct::BrokenText(after) if number == after + 1 => {
+                    send_broken_text(stream, number).await?;
+                    continue;
+                }
                 _ => {}
             }
             let chunk = if is_framed {
@@ -500,21 +502,6 @@
     }
 }
 
-/// Sends events that are not those of the stream, with `bytes` of data each.
-async fn send_other_events(
-    stream: &mut TcpStream,
-    numbers: RangeInclusive<u64>,
-    bytes: usize,
-) -> io::Result<()> {
-    let data = "?".repeat(bytes);
-    for number in numbers {
-        let event = format!("id: {number}\ndata: {data}\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(chunk.as_bytes()).await?;
-    }
-    Ok(())
-}
-
 /// Sends the bytes that `act` adds after the event `number`, as a chunk. Says whether the response goes on.
 async fn send_foreign(stream: &mut TcpStream, act: TargetAct, number: u64) -> io::Result<bool> {
     match act {
--- a/crates/fakes/src/target_act.rs
+++ b/crates/fakes/src/target_act.rs
@@ -63,6 +63,8 @@
     EndlessEvents(usize),
     /// Sends other events than those of the stream up to this one, also beyond its end, and closes the connection.
     OtherEvents(u64),
+    /// Answers the whole stream, with data in the event after this one that is no UTF-8 text.
+    BrokenText(u64),
     /// Runs the request and closes the connection in the middle of the head of its answer.
     CutHead(HeadCut),
     /// The same, with a connection that is reset.
--- a/crates/jobs/src/item_output.rs
+++ b/crates/jobs/src/item_output.rs
@@ -10,6 +10,8 @@
 pub(crate) enum EventRejection {
     /// The output would exceed [`MAX_OUTPUT_BYTES`].
     TooLarge,
+    /// The data is no UTF-8, so that the text of a result cannot contain it.
+    NoText,
 }
 
 /// Data of the events received so far, in order and separated by line feeds.
@@ -29,8 +31,7 @@
 
     /// Appends the event that follows the last one. A rejected event leaves the output as it is.
     pub fn append(&mut self, event: &StreamEvent) -> Result<(), EventRejection> {
-        let data = event.data();
-        let data = String::from_utf8_lossy(&data);
+        let data = String::from_utf8(event.data()).map_err(|_| EventRejection::NoText)?;
         let separator = if event.id > 1 { "\n" } else { "" };
         let start = self.text.len();
         if start + separator.len() + data.len() > MAX_OUTPUT_BYTES {
--- a/crates/jobs/src/run/exchange.rs
+++ b/crates/jobs/src/run/exchange.rs
@@ -7,7 +7,7 @@
 use crate::item_output::{EventRejection, MAX_OUTPUT_BYTES};
 use crate::owed::OwedState;
 use futures_util::StreamExt as _;
-use plantainmill_core::{Executed, PartList, wait_until_set};
+use plantainmill_core::{Executed, PartList, ResultCode, wait_until_set};
 use plantainmill_dispatch::{CallOutcome, TargetTicket};
 use plantainmill_proxy::relay::{
     CallRegions, CallSend, RelayCall, SendFailure, SendTrace, TargetResponse, broken_body_outcome,
@@ -198,15 +198,19 @@
 
     /// Discards what an event makes worthless, and returns why its target has failed.
     fn reject_event(&mut self, rejection: EventRejection) -> SendFailure {
-        let reason = match rejection {
+        self.useless_responses += 1;
+        let failed = |reason: &str| SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
+        match rejection {
+            EventRejection::NoText => SendFailure {
+                code: Some(ResultCode::AnswerInvalid),
+                ..failed("the data of an event is no UTF-8")
+            },
             EventRejection::TooLarge => {
                 // What was read may already be beyond the end of the item's output, where every target has nothing to add.
-                self.useless_responses += 1;
                 self.begin_anew("its output is too large");
-                format!("the output exceeds {MAX_OUTPUT_BYTES} bytes")
+                failed(&format!("the output exceeds {MAX_OUTPUT_BYTES} bytes"))
             }
-        };
-        SendFailure::new(Executed::Yes, CallOutcome::Failed, reason)
+        }
     }
 }
 
--- a/crates/jobs/tests/all/endless_events.rs
+++ b/crates/jobs/tests/all/endless_events.rs
@@ -100,6 +100,18 @@
     );
 }
 
+/// Guards against an output with replacement characters in place of bytes that are no text.
+#[rstest]
+#[case::first(0)]
+#[case::later(2)]
+#[case::last(EVENTS - 1)]
+#[actix_rt::test]
+async fn broken_text(#[case] after: u64) {
+    let cluster = check_outputs(1, [TargetAct::BrokenText(after)]).await;
+    let sound = Some(after).filter(|after| *after > 0);
+    assert_eq!(resumptions(&cluster), [None, sound]);
+}
+
 /// Guards against an item that is given up before its retention ends, or runs over and over, because all targets send more
 /// than can be listed.
 #[actix_rt::test]
