Confirm the end of a caller's stream that a target has nothing to add to

The caller got a success with text that no target had written for it.

The target that ends a continued stream at once is now asked to repeat the last event, on the same ticket. If it does, and nothing follows, the response ends as complete. Otherwise the attempt has failed with 3005 answer_invalid, other targets are tried as usual, and the response ends as cut. Nothing of the repetition is passed on. Requests that may run once are never sent again for this.

Evidence: endless_events (proxy) excess_events, forwarded_excess, resuming_caller and four cases of lost_end failed before; single_run guards the bound and held.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -16,6 +16,7 @@
 mod regions;
 mod send;
 mod stream;
+mod stream_end;
 
 pub use crate::connection_log::{ConnectionId, ConnectionUse};
 pub use crate::send_trace::SendTrace;
--- a/crates/proxy/src/relay/attempt.rs
+++ b/crates/proxy/src/relay/attempt.rs
@@ -285,13 +285,14 @@
 
     async fn read_first_events(&self, parts: &AttemptParts) -> Result<FirstEvents, SendFailure> {
         let AttemptParts { call, trace, .. } = parts;
-        let send = self.send(CallSend {
+        let call_send = CallSend {
             call,
             ticket: &parts.ticket,
             last_event: parts.last_event,
             until: parts.until,
             trace,
-        });
+        };
+        let send = self.send(call_send);
         let late = |_| SendFailure::deadline().at(trace);
         let mut response = timeout_at(parts.until, send).await.map_err(late)??;
         if !response.is_success() || !response.is_event_stream() {
@@ -325,6 +326,9 @@
                 None if splitter.is_at_boundary()
                     && (response.is_framed || parts.last_event.is_some()) =>
                 {
+                    if let Some(last_event) = parts.last_event.filter(|_| call.may_repeat) {
+                        self.confirm_end(call_send, last_event).await?;
+                    }
                     return Ok(FirstEvents {
                         response,
                         bytes: splitter.take_comments(),
