Count only answers of 500 as failures of an item

Cause: every status below 500 other than 422 counted as a failed attempt of the item, so three answers of 429 used up its attempts. The target got the item again each time because its tickets ended as completed: to the dispatcher, a target that refuses at once is the fastest one and has the most free slots. The same holds for 503, which was no failure of the item, but 26 of 40 items went to such a target first.

Only 500 counts as a failure now, as only 422 says that the item can never be done. Server errors and the statuses that promise that nothing ran make the dispatcher avoid the target; other client errors concern the request alone and do not.

Evidence: of answer_statuses, 26 cases of undefined_status, four of lasting_status, two of other_target and two of avoided_target failed before.

--- a/crates/jobs/src/run/exchange.rs
+++ b/crates/jobs/src/run/exchange.rs
@@ -1,12 +1,10 @@
 //! Sends an item to the target of its ticket and reads its output.
 
-use super::{
-    FAILURE_RETRY_DELAY, FAILURE_STATUS, IDLE_TIMEOUT, ItemRunner, SendOutcome,
-    UNPROCESSABLE_STATUS,
-};
+use super::{FAILURE_STATUS, IDLE_TIMEOUT, ItemRunner, SendOutcome, UNPROCESSABLE_STATUS};
 use crate::item_output::{EventRejection, MAX_OUTPUT_BYTES};
 use crate::owed::OwedState;
 use futures_util::StreamExt as _;
+use plantainmill_core::code::promises_no_run;
 use plantainmill_core::{Executed, PartList, ResultCode, wait_until_set};
 use plantainmill_dispatch::{CallOutcome, TargetTicket};
 use plantainmill_proxy::relay::{
@@ -97,28 +95,24 @@
         let opened = timeout(IDLE_TIMEOUT, send).await;
         let mut response = opened.map_err(|_| idle_timeout().at(&trace))??;
         let first_byte = response.sent_at.elapsed();
-        if response.status == UNPROCESSABLE_STATUS {
-            return Ok((SendOutcome::Unprocessable, first_byte));
-        }
-        if !response.is_success() {
-            tracing::info!(
-                event = "item_failed",
-                item = %self.item.id,
-                target = %ticket.target,
-                status = response.status,
-            );
-            let is_item_failure = response.status == FAILURE_STATUS || response.status < 500;
-            let outcome = if is_item_failure {
-                SendOutcome::Failed
-            } else {
-                SendOutcome::Interrupted
-            };
-            self.record_failure();
-            if !is_item_failure {
-                self.excluded.push(ticket.target.clone());
-                sleep(FAILURE_RETRY_DELAY).await;
+        match response.status {
+            UNPROCESSABLE_STATUS => return Ok((SendOutcome::Unprocessable, first_byte)),
+            FAILURE_STATUS => {
+                tracing::info!(
+                    event = "item_failed",
+                    item = %self.item.id,
+                    target = %ticket.target,
+                    status = response.status,
+                    failures = self.failures + 1,
+                );
+                self.record_failure();
+                return Ok((SendOutcome::Failed, first_byte));
+            }
+            status if !response.is_success() => {
+                self.useless_responses += 1;
+                return Err(undefined_status(status, first_byte).at(&trace));
             }
-            return Ok((outcome, first_byte));
+            _ => {}
         }
         if !response.is_event_stream() {
             let reason = "the response is no stream of events";
@@ -214,6 +208,18 @@
     }
 }
 
+/// An answer whose status says neither that the item failed nor that it did not run.
+fn undefined_status(status: u16, first_byte: Duration) -> SendFailure {
+    // Other client errors concern this request alone: they are no reason to avoid the target.
+    let outcome = if status >= 500 || promises_no_run(status) {
+        CallOutcome::Failed
+    } else {
+        CallOutcome::Completed { first_byte }
+    };
+    let reason = format!("status {status} says nothing of the item");
+    SendFailure::new(Executed::Unknown, outcome, reason)
+}
+
 fn idle_timeout() -> SendFailure {
     SendFailure::silent(Executed::Unknown, "the target fell silent")
 }
--- a/crates/jobs/tests/all/main.rs
+++ b/crates/jobs/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of batch jobs.
 
+mod answer_statuses;
 mod commit_order;
 mod copied_answers;
 mod endless_events;
