Run an item at another target after one has failed it

The attempts of an item that is answered with 500 all went to the same target, which has a free slot again at once. A target that fails part of its requests could so give an item up alone, while others would have run it. The next attempt now avoids that target if there is another one; the number of attempts is unchanged.

Evidence: answer_statuses::other_target with status 500 failed before: three sends to the failing target, item given up.

--- a/crates/jobs/src/run/exchange.rs
+++ b/crates/jobs/src/run/exchange.rs
@@ -106,6 +106,8 @@
                     failures = self.failures + 1,
                 );
                 self.record_failure();
+                // Several failures at one target may be due to the target.
+                self.excluded.push(ticket.target.clone());
                 return Ok((SendOutcome::Failed, first_byte));
             }
             status if !response.is_success() => {
--- a/crates/jobs/tests/all/answer_statuses.rs
+++ b/crates/jobs/tests/all/answer_statuses.rs
@@ -100,7 +100,7 @@
 /// free slots, although another target could run it.
 #[rstest]
 #[actix_rt::test]
-async fn other_target(#[values(404, 429, 503)] status: u16) {
+async fn other_target(#[values(404, 429, 500, 503)] status: u16) {
     let failing = TestCluster::start().await;
     let sound = TestCluster::start().await;
     let vm = failing.vm("vm", 1);
