batch: let refusals of targets cost an item no attempt before the due time

Callers saw accepted items fail with 429 within seconds of a window of 24 hours.

Such a status says that the target takes no requests at present and nothing of the item, so for a repeatable service it now defers the item like a preemption. After the due time of the job it costs an attempt as before, so that a job ends whose targets refuse an item for ever. Calls that may not be repeated still end with the first such answer, since nothing states that they did not run.

--- a/crates/batch/src/chunk.rs
+++ b/crates/batch/src/chunk.rs
@@ -317,6 +317,7 @@
         let rule = RetryRule {
             repeatable: !self.scheduler.is_non_repeatable(item),
             last_attempt: self.scheduler.is_last_attempt(item),
+            past_due: self.state().store.now_unix() >= self.task.context.row.due_at,
         };
         let end = classify(&response, rule);
         let meters = &self.state().store.meters;
--- a/crates/batch/src/outcome.rs
+++ b/crates/batch/src/outcome.rs
@@ -23,6 +23,8 @@
     pub repeatable: bool,
     /// The current attempt is the last one allowed.
     pub last_attempt: bool,
+    /// The due time of the job has passed.
+    pub past_due: bool,
 }
 
 /// Decides how a run ended from the response to its call.
@@ -35,14 +37,23 @@
 }
 
 fn classify_status(status: u16, rule: RetryRule) -> RunEnd {
+    let is_refusal = is_refusal(status);
+    if is_refusal && rule.repeatable && !rule.past_due {
+        return RunEnd::Deferred;
+    }
     // These statuses may be transient; any other is the final response to the item.
-    let transient = matches!(status, 408 | 425 | 429 | 500 | 502 | 503 | 504);
+    let transient = is_refusal || matches!(status, 500 | 502 | 504);
     if transient && rule.repeatable && !rule.last_attempt {
         return RunEnd::Suspect;
     }
     RunEnd::Finished
 }
 
+/// Whether a target that answers with this status takes no requests at present, which says nothing of the item.
+fn is_refusal(status: u16) -> bool {
+    matches!(status, 408 | 425 | 429 | 503)
+}
+
 fn classify_problem(problem: &Problem, rule: RetryRule) -> RunEnd {
     let may_repeat = rule.repeatable || problem.executed == Executed::No;
     match problem.code {
--- a/crates/batch/tests/all/items.rs
+++ b/crates/batch/tests/all/items.rs
@@ -276,3 +276,66 @@
         assert!(fleet.clock.elapsed() < Duration::from_mins(31));
     });
 }
+
+/// Guards against an item that fails because targets take no requests at present, however often that happens: such a status
+/// says nothing of the item.
+#[rstest]
+fn refusals_uncounted(#[values(408, 425, 429, 503)] status: u16) {
+    run_virtual(async move {
+        let fleet = TestFleet::new();
+        fleet.start_vm("vm-1", 1);
+        fleet.script.set_plan(move |item, earlier, _| {
+            let is_refused = item % 10 == 0 && earlier < 8;
+            CallPlan::Respond(if is_refused { status } else { 200 })
+        });
+        let job = fleet.submit(300).await;
+        let counts = fleet.check_completed(&job, 300).await;
+        assert_eq!(counts.completed, 300);
+    });
+}
+
+/// Guards against a job that never ends because its targets refuse an item for ever: after its due time, refusals count.
+#[rstest]
+fn refused_past_due(#[values(429, 503)] status: u16) {
+    run_virtual(async move {
+        let fleet = TestFleet::new();
+        fleet.start_vm("vm-1", 1);
+        fleet
+            .script
+            .set_plan(move |item, _, _| CallPlan::Respond(if item == 5 { status } else { 200 }));
+        let file = fleet.upload(&item_lines(20, "assistant")).await;
+        let due = Duration::from_mins(2);
+        let mut body = create_body(&file);
+        body.due_at = Some(fleet.reader().now_unix() + due.as_secs());
+        let created = fleet
+            .reader()
+            .create_job(&"kandy".into(), body, None)
+            .await
+            .unwrap();
+        tokio::time::sleep(due).await;
+        let calls = fleet.script.calls_of(5);
+        assert!(calls > 3, "{calls} calls before the due time");
+        let counts = fleet.check_completed(&created.0, 20).await;
+        assert_eq!((counts.completed, counts.failed), (19, 1));
+        assert_eq!(
+            error_codes(&fleet, &created.0).await,
+            [(5, "response".to_owned())]
+        );
+    });
+}
+
+/// Guards against a call that may not be repeated and is, because its target refused it without saying that it did not run.
+#[rstest]
+fn non_repeatable_refusal(#[values(408, 425, 429, 503)] status: u16) {
+    run_virtual(async move {
+        let fleet = TestFleet::new();
+        fleet.start_vm("vm-1", 1);
+        fleet
+            .script
+            .set_plan(move |item, _, _| CallPlan::Respond(if item == 3 { status } else { 200 }));
+        let job = submit_charges(&fleet, 20).await;
+        let counts = fleet.check_completed(&job, 20).await;
+        assert_eq!((counts.completed, counts.failed), (19, 1));
+        assert_eq!(fleet.script.calls_of(3), 1);
+    });
+}
