Name confirmed ends and undefined statuses in logs and docs

A response that is no stream of events makes the delay before the next attempt grow, as an undefined status does.

--- a/crates/jobs/src/metrics.rs
+++ b/crates/jobs/src/metrics.rs
@@ -54,7 +54,7 @@
             ),
             restarted_items: counter(
                 "job_restarted_items",
-                "Items that began anew because targets of their version could not go on with them",
+                "Items whose output was discarded, so that they began anew",
             ),
         }
     }
--- a/crates/jobs/src/run/exchange.rs
+++ b/crates/jobs/src/run/exchange.rs
@@ -117,6 +117,7 @@
             _ => {}
         }
         if !response.is_event_stream() {
+            self.useless_responses += 1;
             let reason = "the response is no stream of events";
             let failure = SendFailure::new(Executed::Yes, CallOutcome::Failed, reason);
             return Err(failure.at(&trace));
--- a/crates/proxy/src/relay/stream_end.rs
+++ b/crates/proxy/src/relay/stream_end.rs
@@ -56,6 +56,12 @@
             }
         }
         if seen == Some(last_event) {
+            tracing::info!(
+                event = "stream_end_confirmed",
+                request = %send.call.id,
+                target = %send.ticket.target,
+                last_event,
+            );
             return Ok(());
         }
         let reason = format!("it has no event {last_event}");
