soak: targets with excess events and statuses that say nothing

From seed 3000 on, half of the faults of a troubled run are of these kinds; the short soak runs seed 3001.

The events of the stream itself are sound in such a run: events of a faulty target within the length of a stream cannot be told from its own, so that a check of them would not hold.

--- a/crates/fakes/src/stream_target.rs
+++ b/crates/fakes/src/stream_target.rs
@@ -433,13 +433,8 @@
         stream
             .write_all(self.head(200, id, "", framing).as_bytes())
             .await?;
-        let other_events = match act {
-            TargetAct::EndlessEvents(bytes) => Some((u64::MAX, bytes)),
-            TargetAct::OtherEvents(end) => Some((end, OTHER_EVENT_BYTES)),
-            _ => None,
-        };
-        if let Some((end, bytes)) = other_events {
-            send_other_events(stream, last + 1..=end, bytes).await?;
+        if let TargetAct::EndlessEvents(bytes) = act {
+            send_other_events(stream, last + 1..=u64::MAX, bytes).await?;
             return Ok(false);
         }
         for number in last + 1..=self.events {
@@ -495,6 +490,11 @@
         if !send_foreign(stream, act, self.events).await? {
             return Ok(false);
         }
+        if let TargetAct::ExcessEvents(end) = act {
+            let first = self.events.max(last) + 1;
+            send_other_events(stream, first..=end, OTHER_EVENT_BYTES).await?;
+            return Ok(false);
+        }
         if is_framed {
             stream.write_all(b"0\r\n\r\n").await?;
         }
--- a/crates/fakes/src/target_act.rs
+++ b/crates/fakes/src/target_act.rs
@@ -61,8 +61,8 @@
     ForeignWithin(u64, &'static str),
     /// Sends other events than those of the stream, with this number of bytes of data each, until the caller closes.
     EndlessEvents(usize),
-    /// Sends other events than those of the stream up to this one, also beyond its end, and closes the connection.
-    OtherEvents(u64),
+    /// Sends the whole stream, goes on beyond its end with other events up to this one, and closes the connection.
+    ExcessEvents(u64),
     /// Answers the whole stream, with data in the event after this one that is no UTF-8 text.
     BrokenText(u64),
     /// Runs the request and closes the connection in the middle of the head of its answer.
--- a/crates/jobs/tests/all/endless_events.rs
+++ b/crates/jobs/tests/all/endless_events.rs
@@ -85,7 +85,7 @@
 #[case::several(EVENTS + 5)]
 #[actix_rt::test]
 async fn excess_events(#[case] end: u64) {
-    let cluster = check_outputs(1, [TargetAct::OtherEvents(end)]).await;
+    let cluster = check_outputs(1, [TargetAct::ExcessEvents(end)]).await;
     let expected = [None, Some(end), Some(end - 1), None];
     assert_eq!(resumptions(&cluster), expected);
 }
--- a/crates/proxy/tests/endless_events.rs
+++ b/crates/proxy/tests/endless_events.rs
@@ -37,7 +37,7 @@
 #[actix_rt::test]
 async fn excess_events() {
     let fleet = Fleet::start(2).await;
-    fleet.plan_first(TargetAct::OtherEvents(EXCESS_EVENT));
+    fleet.plan_first(TargetAct::ExcessEvents(EXCESS_EVENT));
     let (ids, problem) = read_response(&fleet, resumed_call(None))
         .await
         .expect("a response");
@@ -53,7 +53,7 @@
 async fn forwarded_excess() {
     let vm = StreamTarget::start(NAMES, EVENTS).await.expect("a port");
     vm.set_header(FORWARD_HEADER, "framed");
-    vm.plan([TargetAct::OtherEvents(EXCESS_EVENT)]);
+    vm.plan([TargetAct::ExcessEvents(EXCESS_EVENT)]);
     let dialer = Rc::new(RefusingDialer);
     let fleet = Fleet::connected(2, dialer, std::slice::from_ref(&vm)).await;
     let (ids, problem) = read_response(&fleet, resumed_call(None))
--- a/crates/soak/src/fault_plan.rs
+++ b/crates/soak/src/fault_plan.rs
@@ -14,12 +14,18 @@
 
 /// Mean time between the starts of faults. Most faults last longer, so they overlap.
 const FAULT_INTERVAL: Duration = Duration::from_millis(700);
-/// Mean time between the starts of faults where targets refuse or send foreign bytes.
+/// Mean time between the starts of faults where targets refuse, or send foreign bytes or excess events.
 const TARGET_FAULT_INTERVAL: Duration = Duration::from_millis(350);
 /// First seed whose targets refuse and copy their refusals.
 const FIRST_REFUSING_SEED: u64 = 1_000;
 /// First seed whose targets send bytes that belong to no event.
 const FIRST_FOREIGN_SEED: u64 = 2_000;
+/// First seed whose targets send more events than their streams have, or answer with a status that says nothing.
+const FIRST_EXCESS_SEED: u64 = 3_000;
+/// Events beyond the end of a stream.
+const EXCESS_EVENTS: Range<u64> = 1..6;
+/// Events of a stream that exceeds the largest output of an item.
+const FLOOD_EVENTS: u64 = 60_000;
 /// Requests in a hundred that a refusing target refuses.
 const REFUSED_PERCENT: Range<u32> = 20..80;
 /// Duration of a fault. The longest exceeds every timeout of a VM.
@@ -45,14 +51,19 @@
     Refusing,
     /// Planned work and failures, with targets that often send bytes that belong to no event.
     Foreign,
+    /// Planned work and failures, with targets that often send more events than their streams have, or fail with statuses that
+    /// say nothing of the request.
+    Excess,
 }
 
 impl SoakProfile {
-    /// Returns the profile of a seed: from 1000 on, targets refuse, and from 2000 on, they send foreign bytes. Of the others, every multiple of four has planned work only,
-    /// and every other even seed silent targets as well.
+    /// Returns the profile of a seed: from 1000 on, targets refuse, from 2000 on, they send foreign bytes, and from 3000 on, more
+    /// events than their streams have. Of the others, every multiple of four has planned work only, and every other even seed
+    /// silent targets as well.
     #[must_use]
     pub fn of_seed(seed: u64) -> SoakProfile {
         match seed % 4 {
+            _ if seed >= FIRST_EXCESS_SEED => SoakProfile::Excess,
             _ if seed >= FIRST_FOREIGN_SEED => SoakProfile::Foreign,
             _ if seed >= FIRST_REFUSING_SEED => SoakProfile::Refusing,
             0 => SoakProfile::Planned,
@@ -69,7 +80,9 @@
 
     fn fault_interval(self) -> Duration {
         match self {
-            SoakProfile::Refusing | SoakProfile::Foreign => TARGET_FAULT_INTERVAL,
+            SoakProfile::Refusing | SoakProfile::Foreign | SoakProfile::Excess => {
+                TARGET_FAULT_INTERVAL
+            }
             _ => FAULT_INTERVAL,
         }
     }
@@ -182,6 +195,10 @@
             0 => return SoakFault::TargetActs(target, draw_foreign_bytes(random)),
             _ => 15,
         },
+        SoakProfile::Excess => match random.random_range(0..2) {
+            0 => return SoakFault::TargetActs(target, draw_excess(random)),
+            _ => 15,
+        },
         SoakProfile::Troubled => 15,
     };
     match random.random_range(0..kind_count) {
@@ -256,6 +273,17 @@
     }
 }
 
+fn draw_excess(random: &mut SmallRng) -> TargetAct {
+    match random.random_range(0..10) {
+        0..=4 => TargetAct::ExcessEvents(EVENTS_PER_STREAM + random.random_range(EXCESS_EVENTS)),
+        5 => TargetAct::ExcessEvents(FLOOD_EVENTS),
+        6 => TargetAct::Fail(408),
+        7 => TargetAct::Fail(429),
+        8 => TargetAct::Fail(502),
+        _ => TargetAct::Fail(503),
+    }
+}
+
 fn draw_link_mode(random: &mut SmallRng) -> LinkMode {
     match random.random_range(0..5) {
         0 => LinkMode::Slow(Duration::from_millis(random.random_range(LINK_DELAY_MS))),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -14,7 +14,7 @@
     /// Path of the VM executable.
     #[arg(long, default_value = "target/release/plantainmill")]
     program: PathBuf,
-    /// First seed. Multiples of four have planned work only; from 1000 on, targets refuse.
+    /// First seed. Multiples of four have planned work only; from 1000 on, targets refuse, from 2000 on, they send foreign bytes, and from 3000 on, excess events.
     #[arg(long, default_value_t = 1)]
     first: u64,
     /// Number of seeds.
--- a/crates/soak/src/target_fleet.rs
+++ b/crates/soak/src/target_fleet.rs
@@ -120,7 +120,10 @@
     ) -> anyhow::Result<TargetFleet> {
         let slots = match profile {
             SoakProfile::Silent | SoakProfile::Refusing => SCARCE_SLOTS,
-            SoakProfile::Planned | SoakProfile::Troubled | SoakProfile::Foreign => SLOTS_PER_TARGET,
+            SoakProfile::Planned
+            | SoakProfile::Troubled
+            | SoakProfile::Foreign
+            | SoakProfile::Excess => SLOTS_PER_TARGET,
         };
         let fleet = TargetFleet {
             operator,
--- a/tests/all/short_soak.rs
+++ b/tests/all/short_soak.rs
@@ -8,7 +8,8 @@
 /// Guards against guarantees that hold only while all VMs share one process: requests aborted by planned work or because their
 /// targets are silent for a moment, and requests executed twice, incomplete streams or lost jobs after kills, pauses and network
 /// faults. With copied refusals, against requests executed twice, or in spite of a promise, because the copy of a refusal counts as
-/// the response to another send. With foreign bytes, against streams and outputs that hold bytes of no event.
+/// the response to another send. With foreign bytes, against streams and outputs that hold bytes of no event. With excess events,
+/// against streams and outputs that go on beyond their end, and items that are given up after statuses that say nothing of them.
 #[rstest]
 #[case::planned_work(4)]
 #[case::silent_targets(2)]
@@ -17,6 +18,7 @@
 #[case::copied_refusals(1001)]
 #[case::renamed_targets(1005)]
 #[case::foreign_bytes(2001)]
+#[case::excess_events(3001)]
 fn guarantees_under_faults(#[case] seed: u64) {
     let folder = tempfile::tempdir().expect("a folder for settings and logs");
     let options = SoakOptions {
