--- a/crates/jobs/tests/all/answer_statuses.rs
+++ b/crates/jobs/tests/all/answer_statuses.rs
@@ -64,6 +64,21 @@
     assert_eq!(cluster.target.seen().len(), cuts + attempts + 2);
 }
 
+/// Guards against the same where another VM forwards the item.
+#[rstest]
+#[actix_rt::test]
+async fn forwarded_status(#[values(404, 408, 429, 502, 503)] status: u16) {
+    let cluster = TestCluster::start_forwarded().await;
+    let vm = cluster.vm("vm", 1);
+    let attempts = route().attempts as usize;
+    cluster
+        .target
+        .plan(vec![TargetAct::Fail(status); attempts + 1]);
+    submit(&vm, 1, Duration::from_mins(1)).await;
+    assert_eq!(read_state(&vm).await, ItemState::Succeeded);
+    assert_eq!(cluster.target.seen().len(), attempts + 2);
+}
+
 /// Guards against an item that is run for ever although its targets say that it fails, and against one that is given up sooner.
 #[rstest]
 #[case::failed(500, 3)]
--- a/crates/jobs/tests/all/endless_events.rs
+++ b/crates/jobs/tests/all/endless_events.rs
@@ -35,7 +35,14 @@
 
 /// Runs `count` items at a target that does `acts`, and checks that all succeed with their own output.
 async fn check_outputs(count: usize, acts: impl IntoIterator<Item = TargetAct>) -> TestCluster {
-    let cluster = TestCluster::start().await;
+    check_outputs_at(TestCluster::start().await, count, acts).await
+}
+
+async fn check_outputs_at(
+    cluster: TestCluster,
+    count: usize,
+    acts: impl IntoIterator<Item = TargetAct>,
+) -> TestCluster {
     let vm = cluster.vm("vm1", 1);
     cluster.target.plan(acts);
     submit(&vm, count, Duration::from_mins(1)).await;
@@ -90,6 +97,20 @@
     assert_eq!(resumptions(&cluster), expected);
 }
 
+/// Guards against outputs with too many events where another VM forwards the requests.
+#[rstest]
+#[case::endless(TargetAct::EndlessEvents(EVENT_BYTES), &[None, None])]
+#[case::excess(
+    TargetAct::ExcessEvents(EVENTS + 1),
+    &[None, Some(EVENTS + 1), Some(EVENTS), None],
+)]
+#[actix_rt::test]
+async fn forwarded_events(#[case] act: TargetAct, #[case] expected: &[Option<u64>]) {
+    let cluster = TestCluster::start_forwarded().await;
+    let cluster = check_outputs_at(cluster, 1, [act]).await;
+    assert_eq!(resumptions(&cluster), expected);
+}
+
 /// Guards against a whole output that is run anew because only the end of its stream was lost.
 #[actix_rt::test]
 async fn lost_end() {
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -1,6 +1,9 @@
 //! Test cluster: VMs that run jobs, an in-memory row store and a target on loopback.
 
+use actix_rt::net::TcpStream;
 use awc::http::header::HeaderName;
+use futures_util::FutureExt as _;
+use futures_util::future::LocalBoxFuture;
 use plantainmill_core::{JobId, OrganisationId, RegionSet, SystemClock};
 use plantainmill_dispatch::SharedDispatcher;
 use plantainmill_dispatch::shared::SharedParts;
@@ -9,13 +12,17 @@
     FleetSnapshot, ItemState, JobHead, JobItem, JobMetrics, JobOwner, JobParts, JobService,
     JobSettings, JobStore, ListedResult, Submission,
 };
+use plantainmill_paths::{Forwarder, ForwarderPlace, TargetPaths};
 use plantainmill_provider::PartitionStore;
-use plantainmill_proxy::relay::{HeaderNames, RelayCaller, RelayLimits};
+use plantainmill_proxy::TargetDialer;
+use plantainmill_proxy::relay::{FORWARD_HEADER, HeaderNames, RelayCaller, RelayLimits};
 use plantainmill_routing::{
     CallerLimits, DocumentView, FleetDocument, JobRule, RouteKind, RouteRule, ServiceShare,
     TargetEntry,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -112,6 +119,17 @@
 pub struct TestCluster {
     pub rows: MemoryRows,
     pub target: StreamTarget,
+    /// VMs reach no target, and have their requests forwarded by a VM at the address of `target`.
+    is_forwarded: bool,
+}
+
+/// Reaches nothing.
+struct RefusingDialer;
+
+impl TargetDialer for RefusingDialer {
+    fn dial(&self, _: SocketAddr) -> LocalBoxFuture<'static, io::Result<TcpStream>> {
+        async { Err(io::ErrorKind::ConnectionRefused.into()) }.boxed_local()
+    }
 }
 
 impl TestCluster {
@@ -119,9 +137,34 @@
         TestCluster {
             rows: MemoryRows::default(),
             target: StreamTarget::start(NAMES, EVENTS).await.expect("a port"),
+            is_forwarded: false,
+        }
+    }
+
+    /// A cluster whose target stands behind a VM that forwards requests to it.
+    pub async fn start_forwarded() -> TestCluster {
+        let cluster = TestCluster::start().await;
+        cluster.target.set_header(FORWARD_HEADER, "framed");
+        TestCluster {
+            is_forwarded: true,
+            ..cluster
         }
     }
 
+    /// Paths of a VM that has only a forwarder.
+    fn forwarded_paths(&self, vm: &str) -> TargetPaths {
+        let meter = opentelemetry::global::meter("test");
+        let paths = TargetPaths::new(&vm.into(), Arc::new(SystemClock), &meter, "");
+        let entry = self.entry("t1", "v1");
+        paths.set_targets(std::iter::once((entry.id, entry.address)));
+        paths.set_forwarders(std::iter::once(Forwarder {
+            address: self.target.address,
+            place: ForwarderPlace::Local,
+            region: None,
+        }));
+        paths
+    }
+
     /// Registry entry of the shared target, as an instance with the given id and version.
     pub fn entry(&self, id: &str, version: &str) -> TargetEntry {
         TargetEntry {
@@ -191,6 +234,11 @@
         assert!(view.replace_if_newer(document, Duration::ZERO));
         let limits = RelayLimits::default();
         let caller = RelayCaller::new(Arc::new(dispatcher.clone()), clock.clone(), names, limits);
+        let caller = if self.is_forwarded {
+            caller.with_paths(self.forwarded_paths(name), Rc::new(RefusingDialer))
+        } else {
+            caller
+        };
         let own = owner(name, incarnation);
         let jobs = JobService::start(JobParts {
             local_owner: own.clone(),
