--- a/crates/fakes/src/other_events.rs
+++ b/crates/fakes/src/other_events.rs
@@ -5,7 +5,7 @@
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 
-/// Data of such an event, unless more is asked for.
+/// Bytes of data of such an event, unless more is asked for.
 pub(crate) const OTHER_EVENT_BYTES: usize = 10;
 
 /// Sends an event whose data is no UTF-8 text, as a chunk.
--- a/crates/jobs/src/run.rs
+++ b/crates/jobs/src/run.rs
@@ -79,8 +79,9 @@
     failing_since: Option<Uptime>,
     /// Sends that failed since the last event.
     failed_sends: u32,
+    /// Answers of targets that ran the item and failed.
     failures: u32,
-    /// Responses that were of no use to the item, and say nothing of whether another target can run it.
+    /// Responses that are of no use to the item and do not count as its failures.
     useless_responses: u32,
     excluded: Vec<TargetId>,
 }
@@ -99,7 +100,8 @@
     Failed,
     /// The target has nothing to add to the events so far. It says the same after an event that the output does not have.
     Unconfirmed,
-    /// The attempt was preempted or its connection failed. The item resumes on any suitable target.
+    /// The attempt was preempted, its connection failed, or its answer says nothing of the item. The item resumes on any
+    /// suitable target.
     Interrupted,
 }
 
@@ -168,8 +170,8 @@
         }
     }
 
-    /// Has the last event sent once more, which shows that the output has it and ends there. If it is not sent again, the output
-    /// is longer than that of the item.
+    /// Has the last event sent once more by the next attempt, which shows that the output has it and ends there. If that was
+    /// tried already, the output is longer than that of the item, and is discarded.
     fn confirm_end(&mut self) {
         let last_event = self.output.last_event();
         if self.output.discard_last_event() {
@@ -391,7 +393,7 @@
         delay.min(MAX_FAILURE_RETRY_DELAY)
     }
 
-    /// Discards the output, because the stream cannot go on at the version, or in the regions, at which it began.
+    /// Discards the output, because the item cannot go on after it: at its version, in its regions, or at all.
     fn begin_anew(&mut self, reason: &'static str) {
         self.context.metrics.count_restarted_item();
         tracing::info!(
--- a/crates/proxy/src/relay/stream_end.rs
+++ b/crates/proxy/src/relay/stream_end.rs
@@ -40,10 +40,11 @@
             return Err(failed(CallOutcome::Failed, &reason));
         }
         let mut splitter = self.event_splitter();
-        while let Some(part) = timeout_at(send.until, response.payload.next())
-            .await
-            .map_err(late)?
-        {
+        loop {
+            let part = timeout_at(send.until, response.payload.next()).await;
+            let Some(part) = part.map_err(late)? else {
+                break;
+            };
             let part = part.map_err(|error| {
                 let outcome = broken_body_outcome(&error, CallOutcome::StreamLost);
                 failed(outcome, &error.to_string())
