--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -287,6 +287,20 @@
         });
     }
 
+    /// Submits a job of `count` items with this retention, whatever its tokens.
+    pub async fn submit_retained(&self, job: &JobId, count: usize, retention: Duration) {
+        let mut route = route();
+        if let Some(rule) = &mut route.job {
+            rule.completion = retention;
+            rule.retention = retention;
+            rule.token_limit = u64::MAX;
+        }
+        self.jobs
+            .submit(&ward(), &route, job, &submission(count))
+            .await
+            .expect("accepted");
+    }
+
     /// Polls for results until there are `count`, or until 100 attempts of 50 ms have passed.
     pub async fn read_results(&self, job: &JobId, count: usize) -> Vec<ListedResult> {
         let mut results = Vec::new();
