Bind an item to a version only by events that its output takes

An event that is no text was rejected after the item had taken the version and the regions of its target and forgotten its earlier failures. If all targets of that version sent such an event first, the item stayed bound to the version without any output and was run there until its retention ended, with a sound target of another version idle.

Each event now changes the state of the item only after the output has taken it, as the check of the order does for the stream.

Evidence: endless_events::broken_version failed before (no result after 5 s); the 195 tests of the crate pass.

--- a/crates/jobs/src/run/exchange.rs
+++ b/crates/jobs/src/run/exchange.rs
@@ -143,7 +143,9 @@
                 Some(Ok(chunk)) => {
                     let mut last_event = self.output.last_event();
                     let events = read_events(&mut splitter, &chunk, &mut last_event)?;
-                    if !events.is_empty() {
+                    for event in &events {
+                        let appended = self.output.append(event);
+                        appended.map_err(|rejection| self.reject_event(rejection))?;
                         progress_at = Instant::now();
                         if !has_started {
                             self.stream_regions = regions.current();
@@ -155,11 +157,6 @@
                         self.failing_since = None;
                         self.failed_sends = 0;
                     }
-                    for event in &events {
-                        self.output
-                            .append(event)
-                            .map_err(|rejection| self.reject_event(rejection))?;
-                    }
                 }
                 Some(Err(error)) => {
                     let failure = failed(format!("the stream was cut: {error}"));
--- a/crates/jobs/tests/all/endless_events.rs
+++ b/crates/jobs/tests/all/endless_events.rs
@@ -122,6 +122,23 @@
     assert_eq!(resumptions(&cluster), [None, sound]);
 }
 
+/// Guards against an item that stays bound to a version whose targets have not sent a single sound event of it.
+#[actix_rt::test]
+async fn broken_version() {
+    let broken = TestCluster::start().await;
+    let sound = TestCluster::start().await;
+    let vm = broken.vm("vm1", 1);
+    broken.target.set_default_act(TargetAct::BrokenText(0));
+    vm.submit_retained(&job(), 1, Duration::from_mins(1)).await;
+    while broken.target.seen().is_empty() {
+        actix_rt::time::sleep(Duration::from_millis(1)).await;
+    }
+    let entries = [broken.entry("t1", "v1"), sound.entry("t2", "v2")];
+    vm.dispatcher.set_targets(entries.iter());
+    check_results(&vm.read_results(&job(), 1).await, 1);
+    assert_eq!(resumptions(&sound), [None]);
+}
+
 /// Guards against an item that is given up before its retention ends, or runs over and over, because all targets send more
 /// than can be listed.
 #[actix_rt::test]
